--- /dev/null
+++ b/chivewall/environment.py
@@ -0,0 +1,46 @@
+"""The environment: what a process gets from outside, handed to every plug-in."""
+
+import random
+from typing import Any, TypeVar
+
+from attrs import define, field
+from twisted.internet.interfaces import IReactorTime
+
+from chivewall.events import EventLog
+from chivewall.settings import Settings
+
+ServiceT = TypeVar("ServiceT")
+
+
+@define(eq=False)
+class Environment:
+    """Clock, random source, log, settings and the services of plug-ins.
+
+    ``reactor`` opens sockets and is ``None`` in tests on a virtual clock.
+    """
+
+    settings: Settings
+    clock: IReactorTime
+    random: random.Random
+    log: EventLog
+    reactor: Any = None
+    _services: dict[type, Any] = field(factory=dict, init=False)
+
+    @property
+    def now(self) -> float:
+        """Seconds on this process's clock."""
+        return self.clock.seconds()
+
+    def provide(self, kind: type[ServiceT], service: ServiceT) -> None:
+        """Offer a service to plug-ins that are set up later."""
+        self._services[kind] = service
+
+    def require(self, kind: type[ServiceT]) -> ServiceT:
+        """Return the service of that type; raises ``LookupError`` if none was offered."""
+        if kind not in self._services:
+            raise LookupError(f"no plug-in in the settings provides {kind.__name__}")
+        return self._services[kind]
+
+    def find(self, kind: type[ServiceT]) -> ServiceT | None:
+        """Return the service of that type, or ``None``."""
+        return self._services.get(kind)
--- /dev/null
+++ b/chivewall/errors.py
@@ -0,0 +1,84 @@
+"""Exception tree; every error names the result code that a caller sees."""
+
+from chivewall.results import ResultCode, RunState
+
+
+class ChivewallError(Exception):
+    """Base of all errors raised on purpose by chivewall."""
+
+    code = ResultCode.ENDPOINT_FAILED
+
+
+class SettingsError(ChivewallError):
+    """The settings file is wrong; the message lists every problem found."""
+
+    code = ResultCode.INVALID_SETTINGS
+
+
+class PluginError(ChivewallError):
+    """A plug-in named in the settings can't be loaded."""
+
+    code = ResultCode.UNKNOWN_PLUGIN
+
+
+class RequestError(ChivewallError):
+    """A caller's request is refused before it reaches an endpoint."""
+
+    def __init__(self, code: ResultCode, message: str) -> None:
+        super().__init__(message)
+        self.code = code
+        self.run = RunState.NO
+
+
+class ConfigurationError(ChivewallError):
+    """A configuration document is not valid."""
+
+    code = ResultCode.INVALID_CONFIGURATION
+
+
+class StoreError(ChivewallError):
+    """Base of errors of the object API."""
+
+    code = ResultCode.PLATFORM_UNAVAILABLE
+
+
+class StoreUnavailable(StoreError):
+    """No answer; a write may or may not have taken effect."""
+
+
+class StoreThrottled(StoreError):
+    """The object API refused the call because of its rate; nothing was written."""
+
+
+class ObjectMissing(StoreError):
+    """The object does not exist."""
+
+
+class VersionConflict(StoreError):
+    """The object has another version than the conditional write expected."""
+
+    code = ResultCode.CONFLICT
+
+
+class ObjectTooLarge(StoreError):
+    """The value is larger than the object API takes."""
+
+
+class EndpointError(ChivewallError):
+    """The endpoint failed while it may have been running the work."""
+
+
+class EndpointUnreachable(EndpointError):
+    """No connection to the endpoint was made, so it can't have run the work."""
+
+    code = ResultCode.NO_ENDPOINT
+
+
+class OrderRefused(EndpointError):
+    """The endpoint refused an order, for example for an old fencing number."""
+
+
+class LinkBroken(ChivewallError):
+    """The connection to an agent broke or went silent."""
+
+    code = ResultCode.OUTCOME_UNKNOWN
--- /dev/null
+++ b/chivewall/events.py
@@ -0,0 +1,76 @@
+"""Catalogue of numbered log events and the log that writes them."""
+
+from enum import Enum
+from typing import Any, TextIO
+
+import structlog
+
+
+class Event(Enum):
+    """A log event: number, level and text.
+
+    The catalogue in ``docs/events.md`` is generated from these members.
+    """
+
+    STARTED = (100, "info", "process started")
+    READY = (101, "info", "process ready")
+    DRAINING = (102, "info", "graceful shutdown began")
+    STOPPED = (103, "info", "process stopped")
+    TASK_FAILED = (104, "error", "a task met an unexpected error")
+
+    REQUEST_ACCEPTED = (200, "info", "request accepted")
+    ROUTE_CHOSEN = (201, "info", "endpoint chosen for an attempt")
+    ROUTE_MISSING = (202, "warning", "no endpoint could take the attempt")
+    ATTEMPT_FAILED = (203, "warning", "attempt ended without a whole answer")
+    RETRY_DECIDED = (204, "info", "retry decided")
+    REQUEST_ENDED = (205, "info", "request ended")
+    PART_DROPPED = (206, "warning", "part of another attempt or out of order dropped")
+
+    WORK_QUEUED = (300, "info", "work queued at the agent")
+    WORK_STARTED = (301, "info", "work started at the endpoint")
+    WORK_REFUSED = (302, "info", "work refused before it ran")
+    WORK_ENDED = (303, "info", "work ended at the endpoint")
+    CLAIM_DECIDED = (304, "info", "claim of an idempotency key decided")
+
+    LINK_OPENED = (400, "info", "connection to an agent opened")
+    LINK_BROKEN = (401, "warning", "connection to an agent broke or went silent")
+    MEMBER_CHANGED = (402, "info", "state of an endpoint changed")
+    EVICTION_HELD = (403, "warning", "evictions held back: this observer may be cut off")
+
+    CONFIGURATION_IN_FORCE = (500, "info", "configuration version in force")
+    CONFIGURATION_REJECTED = (501, "warning", "configuration document rejected")
+    CONFIGURATION_APPLIED = (502, "info", "operator's configuration change accepted")
+    STORE_UNAVAILABLE = (503, "warning", "object API unavailable")
+
+    LEASE_TAKEN = (600, "info", "lease of a data centre's plan taken")
+    LEASE_LOST = (601, "warning", "lease of a data centre's plan lost")
+    PLACEMENT_DECIDED = (602, "info", "role or models of an endpoint decided")
+    ORDER_SENT = (603, "info", "order sent to the endpoint")
+    ORDER_HELD = (604, "info", "order held back")
+
+    def __init__(self, number: int, level: str, text: str) -> None:
+        self.number = number
+        self.level = level
+        self.text = text
+
+
+class EventLog:
+    """Writes events as JSON lines.
+
+    Example: ``log.emit(Event.READY, instance="entry-1")``.
+    """
+
+    def __init__(self, stream: TextIO, **context: Any) -> None:
+        self._log = structlog.wrap_logger(
+            structlog.WriteLogger(stream),
+            processors=[
+                structlog.processors.TimeStamper(fmt="iso", utc=True),
+                structlog.processors.JSONRenderer(default=str),
+            ],
+            wrapper_class=structlog.BoundLogger,
+            cache_logger_on_first_use=True,
+        ).bind(**context)
+
+    def emit(self, event: Event, **fields: Any) -> None:
+        """Write one event with its fields."""
+        self._log.info(event.text, number=event.number, level=event.level, name=event.name, **fields)
--- /dev/null
+++ b/chivewall/kernel.py
@@ -0,0 +1,85 @@
+"""The kernel: the story of a process from its settings to its end."""
+
+from twisted.internet.defer import Deferred, ensureDeferred
+
+from chivewall.environment import Environment
+from chivewall.events import Event
+from chivewall.plugins.base import Plugin
+from chivewall.plugins.registry import Registry
+from chivewall.settings import check_section_names
+
+
+class Application:
+    """Loads plug-ins and takes them through their life-cycle hooks.
+
+    Example::
+
+        app = Application(env)
+        await app.start()
+        await app.shut_down()
+    """
+
+    def __init__(self, env: Environment, registry: Registry | None = None) -> None:
+        self.env = env
+        self.registry = registry or Registry()
+        self.plugins: list[Plugin] = []
+        self.draining = False
+        self._started: list[Plugin] = []
+        env.provide(Application, self)
+
+    async def start(self) -> None:
+        """Run ``setup`` and then ``start`` of every plug-in, in order.
+
+        If a hook fails, the plug-ins already started are stopped first.
+        """
+        self._load_plugins()
+        for plugin in self.plugins:
+            await plugin.setup()
+        self.env.log.emit(Event.STARTED, plugins=[plugin.name for plugin in self.plugins])
+        try:
+            for plugin in self.plugins:
+                self._started.append(plugin)
+                await plugin.start()
+        except Exception:
+            await self.stop()
+            raise
+
+    def ready(self) -> bool:
+        """True if every plug-in can serve and no shutdown has begun."""
+        return not self.draining and all(plugin.ready() for plugin in self.plugins)
+
+    async def shut_down(self) -> None:
+        """Drain until nothing is in flight or the drain deadline, then stop."""
+        if not self.draining:
+            self.draining = True
+            self.env.log.emit(Event.DRAINING)
+            await self._drain_until(self.env.now + self.env.settings.core.drain_seconds)
+        await self.stop()
+
+    async def stop(self) -> None:
+        """Run ``stop`` of every started plug-in in reverse order."""
+        while self._started:
+            await self._started.pop().stop()
+        self.env.log.emit(Event.STOPPED)
+
+    def _load_plugins(self) -> None:
+        settings = self.env.settings
+        classes = [self.registry.load(name) for name in settings.core.plugins]
+        check_section_names(settings, known={one.name for one in classes})
+        for plugin_class in classes:
+            section = settings.section(plugin_class.name, plugin_class.settings_type)
+            self.plugins.append(plugin_class(self.env, section))
+
+    async def _drain_until(self, deadline: float) -> None:
+        drained = ensureDeferred(self._drain())
+        expired: Deferred = Deferred()
+        timer = self.env.clock.callLater(max(0.0, deadline - self.env.now), expired.callback, None)
+        drained.addBoth(lambda _: expired.called or expired.callback(None))
+        await expired
+        if timer.active():
+            timer.cancel()
+        drained.cancel()
+
+    async def _drain(self) -> None:
+        for plugin in reversed(self._started):
+            await plugin.drain()
