--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# Every target makes what it needs in a virtual environment from pinned versions.
+VENV ?= .venv
+BIN := $(VENV)/bin
+PORT ?= 8080
+
+.PHONY: demo run test lint format proto docs bench bench-cost bench-capacity faults clean
+
+$(VENV)/.installed: requirements.txt
+	python3 -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation -e .
+	touch $@
+
+demo: $(VENV)/.installed  ## one request of each rank, a stream, a booking and its repeat
+	@$(BIN)/python -m chivewall.demo
+
+run: $(VENV)/.installed  ## a whole site in one process on 127.0.0.1:$(PORT)
+	@$(BIN)/python -m chivewall.demo --stay --port $(PORT)
+
+test: lint  ## formatter, linter and all tests
+	$(BIN)/python -m pytest -n 8
+
+lint: $(VENV)/.installed
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: $(VENV)/.installed
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+proto: $(VENV)/.installed  ## generates the committed code of the wire format
+	PATH=$(abspath $(BIN)):$$PATH $(BIN)/python -m grpc_tools.protoc -I. \
+	  --python_out=. --grpclib_python_out=. chivewall/wire/chivewall.proto
+
+clean:
+	rm -rf $(VENV) build .pytest_cache .ruff_cache .hypothesis
+
+docs: $(VENV)/.installed  ## writes the reference tables in docs/
+	$(BIN)/python -m extras.reference
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments on the decisions under load, on a virtual clock."""
--- /dev/null
+++ b/chivewall/cli/__init__.py
@@ -0,0 +1,5 @@
+"""``chivewall``: the operators' command-line tool."""
+
+from chivewall.cli.root import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/chivewall/cli/root.py
@@ -0,0 +1,34 @@
+"""The root command and its options."""
+
+from pathlib import Path
+
+import click
+
+from chivewall import __version__
+from chivewall.cli.client import Client
+from chivewall.cli.status import status
+from chivewall.exits import ExitStatus
+
+EPILOG = "Exit statuses: " + ", ".join(f"{one.value} {one.name.lower()}" for one in ExitStatus)
+
+
+@click.group(epilog=EPILOG, context_settings={"auto_envvar_prefix": "CHIVEWALL"})
+@click.version_option(__version__, prog_name="chivewall")
+@click.option(
+    "--address",
+    default="http://127.0.0.1:8080",
+    show_default=True,
+    help="Address of any entry.",
+)
+@click.option(
+    "--token-file",
+    type=click.Path(path_type=Path, exists=True, dir_okay=False),
+    help="File with the operator token.",
+)
+@click.pass_context
+def main(ctx: click.Context, address: str, token_file: Path | None) -> None:
+    """Show and change the defaults and exceptions of a chivewall site."""
+    ctx.obj = Client(base=address.rstrip("/"), token_file=token_file)
+
+
+main.add_command(status)
--- a/chivewall/configuration.py
+++ b/chivewall/configuration.py
@@ -63,7 +63,7 @@
     rank: Rank | None = None
 
     def applies(self, workspace: str, model: str, rank: Rank, unix_time: float) -> bool:
-        """True if the exception covers such a request at that time."""
+        """Return whether the exception covers such a request at that time."""
         return (
             unix_time < self.expires_at
             and self.workspace in (None, workspace)
@@ -181,9 +181,4 @@
         raise ConfigurationError(problems) from exc
 
 
-def _make_converter() -> cattrs.Converter:
-    converter = cattrs.Converter(forbid_extra_keys=True)
-    return converter
-
-
-_CONVERTER = _make_converter()
+_CONVERTER = cattrs.Converter(forbid_extra_keys=True)
--- /dev/null
+++ b/chivewall/daemon.py
@@ -0,0 +1,105 @@
+"""``chivewalld``: runs one process from its settings file until a signal ends it."""
+
+import signal
+import sys
+from pathlib import Path
+from typing import Any
+
+import click
+from twisted.internet import asyncioreactor
+from twisted.internet.defer import ensureDeferred
+from twisted.logger import globalLogBeginner
+from twisted.python.failure import Failure
+
+from chivewall import __version__
+from chivewall.environment import Environment
+from chivewall.errors import ChivewallError
+from chivewall.exits import ExitStatus
+from chivewall.kernel import Application
+from chivewall.settings import load
+
+
+@click.command(name="chivewalld")
+@click.version_option(__version__, prog_name="chivewalld")
+@click.argument("settings", type=click.Path(path_type=Path))
+@click.option("--check", is_flag=True, help="Check the settings file and stop.")
+def main(settings: Path, *, check: bool) -> None:
+    """Run one chivewall process with the settings of a JSON file with comments.
+
+    SIGTERM or Ctrl-C drains and stops it; a second signal stops it at once.
+    """
+    reactor = install_reactor()
+    try:
+        cfg = load(settings)
+        env = Environment.build(cfg, reactor, stdout=sys.stdout, stderr=sys.stderr)
+        app = Application(env)
+        if check:
+            app.check()
+            click.echo(f"{settings}: the settings are valid")
+            return
+    except ChivewallError as exc:
+        click.echo(str(exc), err=True)
+        sys.exit(ExitStatus.INVALID_SETTINGS)
+    sys.exit(Daemon(app, reactor).run())
+
+
+def install_reactor() -> Any:
+    """Install Twisted's reactor on asyncio, so that grpclib shares its loop."""
+    asyncioreactor.install()
+    from twisted.internet import reactor  # noqa: PLC0415 - exists only after install
+
+    return reactor
+
+
+class Daemon:
+    """Ties an application to the reactor and to signals."""
+
+    def __init__(self, app: Application, reactor: Any) -> None:
+        self.app = app
+        self.reactor = reactor
+        self.status = ExitStatus.OK
+
+    def run(self) -> ExitStatus:
+        """Run until the application has stopped; return the exit status."""
+        globalLogBeginner.beginLoggingTo(
+            [self.app.env.log.observe], redirectStandardIO=False, discardBuffer=True
+        )
+        self.reactor.callWhenRunning(self._start)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._on_signal)
+        self.reactor.run(installSignalHandlers=False)
+        return self.status
+
+    def _start(self) -> None:
+        started = ensureDeferred(self.app.start())
+        started.addErrback(self._fail)
+
+    def _on_signal(self, number: int, frame: object) -> None:
+        self.reactor.callFromThread(self.shut_down)
+
+    def shut_down(self) -> None:
+        """Drain and stop; stop at once if a shutdown has begun before."""
+        if self.app.draining:
+            self.status = ExitStatus.FORCED
+            ending = ensureDeferred(self.app.stop())
+        else:
+            ending = ensureDeferred(self.app.shut_down())
+        ending.addErrback(self._fail)
+        ending.addBoth(lambda _: self._stop_reactor())
+
+    def _fail(self, failure: Failure) -> None:
+        exc = failure.value
+        if isinstance(exc, ChivewallError):
+            click.echo(str(exc), err=True)
+        else:
+            failure.printTraceback(sys.stderr)
+        self.status = ExitStatus.FAILED
+        self._stop_reactor()
+
+    def _stop_reactor(self) -> None:
+        if self.reactor.running:
+            self.reactor.stop()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/chivewall/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions: pure functions and state machines over attrs values and a time."""
--- a/chivewall/environment.py
+++ b/chivewall/environment.py
@@ -1,7 +1,8 @@
 """The environment: what a process gets from outside, handed to every plug-in."""
 
 import random
-from typing import Any, TypeVar
+import sys
+from typing import Any, TextIO, TypeVar
 
 from attrs import define, field
 from twisted.internet.interfaces import IReactorTime
@@ -24,8 +25,26 @@
     random: random.Random
     log: EventLog
     reactor: Any = None
+    stdout: TextIO = field(factory=lambda: sys.stdout)
+    stderr: TextIO = field(factory=lambda: sys.stderr)
     _services: dict[type, Any] = field(factory=dict, init=False)
 
+    @classmethod
+    def build(
+        cls, settings: Settings, reactor: Any, stdout: TextIO, stderr: TextIO
+    ) -> "Environment":
+        """Return the environment of a process on a real reactor."""
+        core = settings.core
+        return cls(
+            settings=settings,
+            clock=reactor,
+            random=random.Random(core.seed),
+            log=EventLog(stderr, instance=core.instance, data_centre=core.data_centre),
+            reactor=reactor,
+            stdout=stdout,
+            stderr=stderr,
+        )
+
     @property
     def now(self) -> float:
         """Seconds on this process's clock."""
--- a/chivewall/errors.py
+++ b/chivewall/errors.py
@@ -42,25 +42,25 @@
     code = ResultCode.PLATFORM_UNAVAILABLE
 
 
-class StoreUnavailable(StoreError):
+class StoreUnavailableError(StoreError):
     """No answer; a write may or may not have taken effect."""
 
 
-class StoreThrottled(StoreError):
+class StoreThrottledError(StoreError):
     """The object API refused the call because of its rate; nothing was written."""
 
 
-class ObjectMissing(StoreError):
+class ObjectMissingError(StoreError):
     """The object does not exist."""
 
 
-class VersionConflict(StoreError):
+class VersionConflictError(StoreError):
     """The object has another version than the conditional write expected."""
 
     code = ResultCode.CONFLICT
 
 
-class ObjectTooLarge(StoreError):
+class ObjectTooLargeError(StoreError):
     """The value is larger than the object API takes."""
 
 
@@ -68,17 +68,17 @@
     """The endpoint failed while it may have been running the work."""
 
 
-class EndpointUnreachable(EndpointError):
+class EndpointUnreachableError(EndpointError):
     """No connection to the endpoint was made, so it can't have run the work."""
 
     code = ResultCode.NO_ENDPOINT
 
 
-class OrderRefused(EndpointError):
+class OrderRefusedError(EndpointError):
     """The endpoint refused an order, for example for an old fencing number."""
 
 
-class LinkBroken(ChivewallError):
+class LinkBrokenError(ChivewallError):
     """The connection to an agent broke or went silent."""
 
     code = ResultCode.OUTCOME_UNKNOWN
--- a/chivewall/events.py
+++ b/chivewall/events.py
@@ -4,6 +4,7 @@
 from typing import Any, TextIO
 
 import structlog
+from twisted.logger import formatEvent
 
 
 class Event(Enum):
@@ -73,4 +74,13 @@
 
     def emit(self, event: Event, **fields: Any) -> None:
         """Write one event with its fields."""
-        self._log.info(event.text, number=event.number, level=event.level, name=event.name, **fields)
+        self._log.info(
+            event.text, number=event.number, level=event.level, name=event.name, **fields
+        )
+
+    def observe(self, event: dict[str, Any]) -> None:
+        """Observe Twisted's log: write unexpected errors as ``TASK_FAILED``."""
+        failure = event.get("log_failure")
+        if failure is not None:
+            text = formatEvent(event) or failure.getErrorMessage()
+            self.emit(Event.TASK_FAILED, error=text, traceback=failure.getTraceback())
--- a/chivewall/interfaces.py
+++ b/chivewall/interfaces.py
@@ -43,24 +43,24 @@
 class ObjectStore(Protocol):
     """The platform's object API.
 
-    Every method returns a Deferred. All may fail with ``StoreUnavailable``
-    (outcome of a write unknown) or ``StoreThrottled`` (nothing written).
+    Every method returns a Deferred. All may fail with ``StoreUnavailableError``
+    (outcome of a write unknown) or ``StoreThrottledError`` (nothing written).
     """
 
     def get(self, key: str) -> Deferred:
-        """Fire with a ``StoredObject``; fails with ``ObjectMissing``."""
+        """Fire with a ``StoredObject``; fails with ``ObjectMissingError``."""
 
     def list(self, prefix: str) -> Deferred:
         """Fire with a tuple of all ``StoredObject`` whose key has the prefix."""
 
     def create(self, key: str, value: bytes) -> Deferred:
-        """Fire with the version; fails with ``VersionConflict`` if the object exists."""
+        """Fire with the version; fails with ``VersionConflictError`` if the object exists."""
 
     def update(self, key: str, value: bytes, version: int) -> Deferred:
-        """Fire with the new version; fails with ``VersionConflict`` on another version."""
+        """Fire with the new version; fails with ``VersionConflictError`` on another version."""
 
     def delete(self, key: str, version: int) -> Deferred:
-        """Fire with ``None``; fails with ``VersionConflict`` on another version."""
+        """Fire with ``None``; fails with ``VersionConflictError`` on another version."""
 
     def watch(self, key: str, after: int, deadline: float) -> Deferred:
         """Fire with the first ``StoredObject`` newer than ``after``, or ``None`` at the deadline.
@@ -140,7 +140,7 @@
         """Fire with an ``EndpointState``; fails with ``EndpointError``."""
 
     def order(self, order: Order) -> Deferred:
-        """Fire with ``None`` when done; fails with ``OrderRefused`` or ``EndpointError``."""
+        """Fire with ``None`` when done; fails with ``OrderRefusedError`` or ``EndpointError``."""
 
 
 class AgentLink(Protocol):
@@ -153,7 +153,7 @@
         """Stop an attempt; no more parts follow."""
 
     def probe(self) -> Deferred:
-        """Fire with a ``LoadReport``; fails with ``LinkBroken``."""
+        """Fire with a ``LoadReport``; fails with ``LinkBrokenError``."""
 
     def exchange_configuration(self, document: bytes) -> Deferred:
         """Offer a configuration document; fire with the peer's newer one or ``b""``."""
--- a/chivewall/kernel.py
+++ b/chivewall/kernel.py
@@ -1,5 +1,7 @@
 """The kernel: the story of a process from its settings to its end."""
 
+from typing import TypeVar
+
 from twisted.internet.defer import Deferred, ensureDeferred
 
 from chivewall.environment import Environment
@@ -8,6 +10,8 @@
 from chivewall.plugins.registry import Registry
 from chivewall.settings import check_section_names
 
+PluginT = TypeVar("PluginT", bound=Plugin)
+
 
 class Application:
     """Loads plug-ins and takes them through their life-cycle hooks.
@@ -44,8 +48,12 @@
             await self.stop()
             raise
 
+    def check(self) -> None:
+        """Load the plug-ins and check their settings without starting anything."""
+        self._load_plugins()
+
     def ready(self) -> bool:
-        """True if every plug-in can serve and no shutdown has begun."""
+        """Return whether every plug-in can serve and no shutdown has begun."""
         return not self.draining and all(plugin.ready() for plugin in self.plugins)
 
     async def shut_down(self) -> None:
@@ -56,6 +64,13 @@
             await self._drain_until(self.env.now + self.env.settings.core.drain_seconds)
         await self.stop()
 
+    def find(self, kind: type[PluginT]) -> PluginT:
+        """Return the loaded plug-in of that class; raises ``LookupError``."""
+        for plugin in self.plugins:
+            if isinstance(plugin, kind):
+                return plugin
+        raise LookupError(f"plug-in {kind.__name__} is not loaded")
+
     async def stop(self) -> None:
         """Run ``stop`` of every started plug-in in reverse order."""
         while self._started:
--- a/chivewall/messages.py
+++ b/chivewall/messages.py
@@ -133,6 +133,6 @@
     origin: str
 
 
-@frozen
-class Drain:
-    """Graceful shutdown: take no new work, finish what is there."""
+@define(eq=False)
+class Drain(Query):
+    """Take no new work; answered when nothing is in flight any more."""
--- a/chivewall/plugins/base.py
+++ b/chivewall/plugins/base.py
@@ -49,5 +49,5 @@
         """Close sockets and stop tasks."""
 
     def ready(self) -> bool:
-        """True if the process can serve as far as this plug-in is concerned."""
+        """Return whether the process can serve as far as this plug-in is concerned."""
         return True
--- /dev/null
+++ b/chivewall/plugins/builtin/configuration.py
@@ -0,0 +1,194 @@
+"""Keeps the voted configuration in force; it never goes back to an older version."""
+
+import json
+from functools import singledispatchmethod
+
+from attrs import define, field, frozen, validators
+from twisted.internet.defer import Deferred
+
+from chivewall.configuration import Configuration, from_document, to_document
+from chivewall.environment import Environment
+from chivewall.errors import ConfigurationError, ObjectMissingError, StoreError
+from chivewall.events import Event
+from chivewall.interfaces import ObjectStore, StoredObject
+from chivewall.messages import ConfigurationSeen, Tick
+from chivewall.plugins.base import Plugin
+from chivewall.plugins.registry import Registry
+from chivewall.task import Inbox, Query, Task
+
+CONFIGURATION_KEY = "config"
+WATCH_SECONDS = 25.0  # one waiting watch costs the object API one call
+RETRY_FIRST = 0.5  # seconds
+RETRY_LIMIT = 10.0  # seconds; below the 13 s in which a change must be in force
+
+
+@frozen
+class ConfigurationSettings:
+    """How the configuration is followed."""
+
+    watch_seconds: float = field(
+        default=WATCH_SECONDS,
+        validator=validators.gt(0),
+        metadata={"help": "Longest wait of one watch, in seconds."},
+    )
+
+
+@frozen
+class Subscribe:
+    """Send ``ConfigurationSeen`` to this inbox for every version that comes into force."""
+
+    inbox: Inbox
+
+
+@define(eq=False)
+class CurrentConfiguration(Query):
+    """Ask for the configuration in force; answered with ``Configuration`` or ``None``."""
+
+
+@frozen
+class ObjectSeen:
+    """The watch fired: the stored object, or ``None`` if nothing changed."""
+
+    stored: StoredObject | None
+
+
+@frozen
+class WatchFailed:
+    """The watch failed."""
+
+    exc: Exception
+
+
+class ConfigurationKeeper(Task):
+    """Owns the configuration in force in this process."""
+
+    def __init__(self, env: Environment, store: ObjectStore, watch_seconds: float) -> None:
+        super().__init__()
+        self.env = env
+        self.store = store
+        self.watch_seconds = watch_seconds
+        self.current: Configuration | None = None
+        self.object_version = 0
+        self.subscribers: list[Inbox] = []
+        self.failures = 0
+
+    def start(self) -> None:
+        """Begin to follow the object."""
+        super().start()
+        self.tell(Tick())
+
+    @singledispatchmethod
+    async def receive(self, message: object) -> None:
+        """Handle one message."""
+        raise TypeError(f"unexpected message {message!r}")
+
+    @receive.register
+    async def _(self, message: Tick) -> None:
+        self.spawn(self._watch(self.object_version))
+
+    @receive.register
+    async def _(self, message: ObjectSeen) -> None:
+        self.failures = 0
+        if message.stored is not None:
+            self.object_version = message.stored.version
+            self._take_stored(message.stored)
+        self.tell(Tick())
+
+    @receive.register
+    async def _(self, message: WatchFailed) -> None:
+        if not isinstance(message.exc, ObjectMissingError):
+            self.env.log.emit(Event.STORE_UNAVAILABLE, error=str(message.exc))
+        delay = min(RETRY_LIMIT, RETRY_FIRST * 2**self.failures) * self.env.random.uniform(0.5, 1)
+        self.failures += 1
+        self.env.clock.callLater(delay, self.tell, Tick())
+
+    @receive.register
+    async def _(self, message: ConfigurationSeen) -> None:
+        self._take(message.configuration, message.origin)
+
+    @receive.register
+    async def _(self, message: Subscribe) -> None:
+        self.subscribers.append(message.inbox)
+        if self.current is not None:
+            message.inbox.put(ConfigurationSeen(self.current, origin="subscription"))
+
+    @receive.register
+    async def _(self, message: CurrentConfiguration) -> None:
+        message.answer(self.current)
+
+    async def _watch(self, after: int) -> None:
+        deadline = self.env.now + self.watch_seconds
+        try:
+            stored = await self.store.watch(CONFIGURATION_KEY, after, deadline)
+        except StoreError as exc:
+            self.tell(WatchFailed(exc))
+        else:
+            self.tell(ObjectSeen(stored))
+
+    def _take_stored(self, stored: StoredObject) -> None:
+        try:
+            configuration = decode_configuration(stored.value)
+        except ConfigurationError as exc:
+            self.env.log.emit(Event.CONFIGURATION_REJECTED, error=str(exc))
+            return
+        self._take(configuration, origin="object API")
+
+    def _take(self, configuration: Configuration, origin: str) -> None:
+        if self.current is not None and configuration.version <= self.current.version:
+            return
+        self.current = configuration
+        self.env.log.emit(
+            Event.CONFIGURATION_IN_FORCE, version=configuration.version, origin=origin
+        )
+        for inbox in self.subscribers:
+            inbox.put(ConfigurationSeen(configuration, origin))
+
+
+class ConfigurationPlugin(Plugin):
+    """Offers the ``ConfigurationKeeper``."""
+
+    name = "configuration"
+    settings_type = ConfigurationSettings
+
+    async def setup(self) -> None:
+        """Offer the keeper."""
+        self.keeper = ConfigurationKeeper(
+            self.env, self.env.require(ObjectStore), self.cfg.watch_seconds
+        )
+        self.env.provide(ConfigurationKeeper, self.keeper)
+
+    async def start(self) -> None:
+        """Begin to follow the object."""
+        self.keeper.start()
+
+    async def stop(self) -> None:
+        """Stop following."""
+        await self.keeper.stop()
+
+    def ready(self) -> bool:
+        """Return whether a configuration is in force."""
+        return self.keeper.current is not None
+
+
+def register(registry: Registry) -> None:
+    """Register the plug-in."""
+    registry.add(ConfigurationPlugin)
+
+
+def encode_configuration(configuration: Configuration) -> bytes:
+    """Return the stored form of a configuration."""
+    return json.dumps(to_document(configuration)).encode()
+
+
+def decode_configuration(value: bytes) -> Configuration:
+    """Read the stored form; raises ``ConfigurationError``."""
+    try:
+        document = json.loads(value)
+    except ValueError as exc:
+        raise ConfigurationError(f"not JSON: {exc}") from exc
+    return from_document(document)
+
+
+def seed_configuration(store: ObjectStore, configuration: Configuration) -> Deferred:
+    """Create the configuration object; fails with ``VersionConflictError`` if there is one."""
+    return store.create(CONFIGURATION_KEY, encode_configuration(configuration))
--- /dev/null
+++ b/chivewall/plugins/builtin/credentials.py
@@ -0,0 +1,87 @@
+"""Tokens that callers' operators and other chivewall processes must show."""
+
+import hmac
+from pathlib import Path
+
+from attrs import field, frozen
+
+from chivewall.errors import SettingsError
+from chivewall.plugins.base import Plugin
+from chivewall.plugins.registry import Registry
+
+
+@frozen
+class CredentialSettings:
+    """Where tokens come from; leaving a check off takes an explicit choice."""
+
+    peer_token_file: str | None = field(
+        default=None, metadata={"help": "File with the token between entries and agents."}
+    )
+    operator_token_file: str | None = field(
+        default=None, metadata={"help": "File with the token of operators."}
+    )
+    disabled: bool = field(
+        default=False, metadata={"help": "True leaves authentication off on purpose."}
+    )
+
+
+@frozen
+class Credentials:
+    """Tokens in force; ``None`` means that the check is off."""
+
+    peer_token: str | None
+    operator_token: str | None
+
+    def peer_allowed(self, shown: str | None) -> bool:
+        """Return whether a process may call this one."""
+        return _matches(self.peer_token, shown)
+
+    def operator_allowed(self, shown: str | None) -> bool:
+        """Return whether an operator may use the operator API."""
+        return _matches(self.operator_token, shown)
+
+
+class CredentialsPlugin(Plugin):
+    """Offers ``Credentials``."""
+
+    name = "credentials"
+    settings_type = CredentialSettings
+
+    async def setup(self) -> None:
+        """Read the token files."""
+        if self.cfg.disabled:
+            self.env.provide(Credentials, Credentials(peer_token=None, operator_token=None))
+            return
+        if self.cfg.peer_token_file is None or self.cfg.operator_token_file is None:
+            raise SettingsError(
+                f"{self.env.settings.source}: credentials: name peer_token_file and "
+                "operator_token_file, or set disabled to true"
+            )
+        self.env.provide(
+            Credentials,
+            Credentials(
+                peer_token=_read_token(self.cfg.peer_token_file),
+                operator_token=_read_token(self.cfg.operator_token_file),
+            ),
+        )
+
+
+def register(registry: Registry) -> None:
+    """Register the plug-in."""
+    registry.add(CredentialsPlugin)
+
+
+def _read_token(path: str) -> str:
+    try:
+        token = Path(path).read_text(encoding="utf-8").strip()
+    except OSError as exc:
+        raise SettingsError(f"credentials: can't read {path}: {exc.strerror}") from exc
+    if not token:
+        raise SettingsError(f"credentials: {path} is empty")
+    return token
+
+
+def _matches(expected: str | None, shown: str | None) -> bool:
+    if expected is None:
+        return True
+    return shown is not None and hmac.compare_digest(expected.encode(), shown.encode())
--- /dev/null
+++ b/chivewall/plugins/builtin/dispatch.py
@@ -0,0 +1,340 @@
+"""Serves requests: one task for each, which tries endpoints until the answer is whole."""
+
+from functools import singledispatchmethod
+
+from attrs import define, evolve, frozen
+from twisted.internet.interfaces import IDelayedCall
+
+from chivewall.decisions.retries import (
+    Failure,
+    GiveUp,
+    RetryBudget,
+    decide,
+    unknown_outcome,
+)
+from chivewall.decisions.routing import Route
+from chivewall.decisions.streams import AnswerStream, Verdict
+from chivewall.environment import Environment
+from chivewall.events import Event
+from chivewall.messages import (
+    Abandon,
+    AttemptBroken,
+    AttemptEnded,
+    AttemptSent,
+    CancelAttempt,
+    ChooseRoute,
+    Drain,
+    EndpointSilent,
+    ReportSeen,
+    Serve,
+    SubmitAttempt,
+    Tick,
+)
+from chivewall.plugins.base import Plugin
+from chivewall.plugins.builtin.directory import Directory
+from chivewall.plugins.registry import Registry
+from chivewall.results import ResultCode, RunState
+from chivewall.task import Query, Task
+from chivewall.work import Attempt, End, Part, PartBody, Refusal, Request, Tokens, Waiting
+
+SILENCE_SECONDS = 3.0  # agents send a part at least every second
+WATCH_SECONDS = 0.5  # between checks for silence and the deadline
+TRY = Tick("try")
+CHECK = Tick("check")
+
+
+@define(eq=False)
+class SpendRetry(Query):
+    """Ask for one retry from the budget of a rank; answered with a bool."""
+
+    request: Request
+
+
+class Dispatch(Task):
+    """Serves one request."""
+
+    def __init__(
+        self, env: Environment, directory: Directory, dispatcher: "Dispatcher", serve: Serve
+    ) -> None:
+        super().__init__()
+        self.env = env
+        self.directory = directory
+        self.dispatcher = dispatcher
+        self.request = serve.request
+        self.sink = serve.sink
+        self.stream = AnswerStream(request_id=self.request.id)
+        self.route: Route | None = None
+        self.attempts = 0
+        self.tries = 0  # attempts and searches that found no endpoint
+        self.heard_at = 0.0  # when the last part of this attempt arrived
+        self.excluded: set[str] = set()
+        self.parts_sent = 0
+        self.over = False
+        self.timer: IDelayedCall | None = None
+
+    def start(self) -> None:
+        """Begin the first attempt."""
+        super().start()
+        self.tell(TRY)
+        self.timer = self.env.clock.callLater(WATCH_SECONDS, self.tell, CHECK)
+
+    async def on_stop(self) -> None:
+        """Stop the timer."""
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+
+    @singledispatchmethod
+    async def receive(self, message: object) -> None:
+        """Handle one message."""
+        raise TypeError(f"unexpected message {message!r}")
+
+    @receive.register
+    async def _(self, message: Tick) -> None:
+        if self.over:
+            return
+        if message == TRY:
+            await self._try()
+            return
+        await self._check()
+        if not self.over:
+            self.timer = self.env.clock.callLater(WATCH_SECONDS, self.tell, CHECK)
+
+    @receive.register
+    async def _(self, message: Part) -> None:
+        if message.report is not None:
+            self.directory.tell(ReportSeen(message.report))
+        if self.over or self.route is None:
+            return
+        verdict, part = self.stream.judge(message)
+        if verdict is Verdict.DROP:
+            self.env.log.emit(Event.PART_DROPPED, request=self.request.id, attempt=message.attempt)
+            return
+        if verdict is Verdict.BROKEN:
+            await self._fail(unknown_outcome(self.request, "parts of the answer are missing"))
+            return
+        self.heard_at = self.env.now
+        if isinstance(part.body, Refusal):
+            await self._fail(part.body)
+        elif not isinstance(part.body, Waiting):
+            self._forward(part.body)
+
+    @receive.register
+    async def _(self, message: AttemptBroken) -> None:
+        if self.over or self.route is None or message.attempt != self.attempts:
+            return
+        if message.sent:
+            refusal = unknown_outcome(self.request, message.reason)
+        else:
+            refusal = Refusal(code=ResultCode.NO_ENDPOINT, message=message.reason, run=RunState.NO)
+        await self._fail(refusal)
+
+    @receive.register
+    async def _(self, message: Abandon) -> None:
+        if not self.over:
+            self._cancel_attempt(failed=False)
+            self._finish("abandoned by the caller")
+
+    async def _try(self) -> None:
+        self.tries += 1
+        query = ChooseRoute(request=self.request, excluded=frozenset(self.excluded))
+        route = await self.directory.ask(query)
+        if route is None:
+            refusal = Refusal(
+                code=ResultCode.NO_ENDPOINT,
+                message=f"no endpoint offers {self.request.work.target!r} now",
+                run=RunState.NO,
+                retry_after=1.0,
+            )
+            await self._decide(Failure(endpoint=None, refusal=refusal))
+            return
+        self.attempts += 1
+        self.route = route
+        self.heard_at = self.env.now
+        self.stream.begin(self.attempts)
+        attempt = Attempt(
+            request=self.request,
+            number=self.attempts,
+            endpoint=route.endpoint,
+            incarnation=route.incarnation,
+            delivered=tuple(self.stream.delivered),
+        )
+        self.directory.tell(AttemptSent(route=route, attempt=attempt))
+        self.directory.tell(SubmitAttempt(attempt=attempt, sink=self.inbox))
+
+    async def _check(self) -> None:
+        now = self.env.now
+        if now >= self.request.deadline:
+            await self._miss_deadline()
+        elif self.route is not None and now - self.heard_at >= SILENCE_SECONDS:
+            endpoint = self.route.endpoint
+            self.directory.tell(EndpointSilent(endpoint=endpoint, reason="no part in time"))
+            await self._fail(unknown_outcome(self.request, "the agent went silent"))
+
+    async def _miss_deadline(self) -> None:
+        run = RunState.NO if self.route is None else RunState.UNKNOWN
+        self._cancel_attempt(failed=False)
+        self._end_with(
+            Refusal(code=ResultCode.DEADLINE_MISSED, message="the deadline passed", run=run)
+        )
+
+    async def _fail(self, refusal: Refusal) -> None:
+        endpoint = self.route.endpoint
+        self.env.log.emit(
+            Event.ATTEMPT_FAILED,
+            request=self.request.id,
+            attempt=self.attempts,
+            endpoint=endpoint,
+            code=refusal.code.name,
+            run=refusal.run.value,
+            reason=refusal.message,
+        )
+        self.excluded.add(endpoint)
+        self._cancel_attempt(failed=refusal.run is not RunState.NO)
+        await self._decide(Failure(endpoint=endpoint, refusal=refusal))
+
+    async def _decide(self, failure: Failure) -> None:
+        decision = decide(self.request, failure, self.tries, self.env.now)
+        if isinstance(decision, GiveUp):
+            self._end_with(decision.refusal)
+            return
+        if failure.endpoint is not None and not await self.dispatcher.ask(SpendRetry(self.request)):
+            self._end_with(evolve(failure.refusal, code=ResultCode.RETRIES_SPENT))
+            return
+        self.env.log.emit(
+            Event.RETRY_DECIDED,
+            request=self.request.id,
+            attempt=self.attempts,
+            reason=decision.reason,
+        )
+        self.env.clock.callLater(max(0.0, decision.at - self.env.now), self.tell, TRY)
+
+    def _forward(self, body: PartBody) -> None:
+        self._put(body)
+        if not isinstance(body, Tokens):
+            self._cancel_attempt(failed=False)
+            self._finish("complete" if not isinstance(body, End) else body.finish_reason)
+
+    def _end_with(self, refusal: Refusal) -> None:
+        self._put(refusal)
+        self._finish(refusal.code.name)
+
+    def _put(self, body: PartBody) -> None:
+        self.sink.put(Part(self.request.id, attempt=0, seq=self.parts_sent, body=body))
+        self.parts_sent += 1
+
+    def _cancel_attempt(self, *, failed: bool) -> None:
+        if self.route is None:
+            return
+        endpoint, self.route = self.route.endpoint, None
+        self.directory.tell(CancelAttempt(self.request.id, self.attempts))
+        self.directory.tell(
+            AttemptEnded(self.request.id, self.attempts, endpoint=endpoint, failed=failed)
+        )
+
+    def _finish(self, outcome: str) -> None:
+        self.over = True
+        self.env.log.emit(
+            Event.REQUEST_ENDED,
+            request=self.request.id,
+            workspace=self.request.workspace,
+            rank=self.request.rank.value,
+            attempts=self.attempts,
+            outcome=outcome,
+        )
+        self.dispatcher.tell(Served(self.request.id))
+
+
+@frozen
+class Served:
+    """A dispatch task has ended its request."""
+
+    request_id: str
+
+
+class Dispatcher(Task):
+    """Owns the dispatch tasks of all requests in flight and the retry budget."""
+
+    def __init__(self, env: Environment, directory: Directory) -> None:
+        super().__init__()
+        self.env = env
+        self.directory = directory
+        self.dispatches: dict[str, Dispatch] = {}
+        self.budget = RetryBudget()
+        self.drain_waiters: list[Drain] = []
+
+    @singledispatchmethod
+    async def receive(self, message: object) -> None:
+        """Handle one message."""
+        raise TypeError(f"unexpected message {message!r}")
+
+    @receive.register
+    async def _(self, message: Serve) -> None:
+        request = message.request
+        self.env.log.emit(
+            Event.REQUEST_ACCEPTED,
+            request=request.id,
+            workspace=request.workspace,
+            rank=request.rank.value,
+            target=request.work.target,
+        )
+        self.budget.earn(request.rank)
+        dispatch = Dispatch(self.env, self.directory, self, message)
+        self.dispatches[request.id] = dispatch
+        dispatch.start()
+
+    @receive.register
+    async def _(self, message: Abandon) -> None:
+        dispatch = self.dispatches.get(message.request_id)
+        if dispatch is not None:
+            dispatch.tell(message)
+
+    @receive.register
+    async def _(self, message: SpendRetry) -> None:
+        message.answer(self.budget.spend(message.request.rank))
+
+    @receive.register
+    async def _(self, message: Served) -> None:
+        dispatch = self.dispatches.pop(message.request_id, None)
+        if dispatch is not None:
+            dispatch.stop()
+        self._answer_drain()
+
+    @receive.register
+    async def _(self, message: Drain) -> None:
+        self.drain_waiters.append(message)
+        self._answer_drain()
+
+    def _answer_drain(self) -> None:
+        if self.dispatches:
+            return
+        for waiter in self.drain_waiters:
+            waiter.answer(None)
+        self.drain_waiters = []
+
+
+class DispatchPlugin(Plugin):
+    """Offers the ``Dispatcher``."""
+
+    name = "dispatch"
+
+    async def setup(self) -> None:
+        """Offer the dispatcher."""
+        self.dispatcher = Dispatcher(self.env, self.env.require(Directory))
+        self.env.provide(Dispatcher, self.dispatcher)
+
+    async def start(self) -> None:
+        """Begin to take requests."""
+        self.dispatcher.start()
+
+    async def drain(self) -> None:
+        """Wait until no request is in flight."""
+        await self.dispatcher.ask(Drain())
+
+    async def stop(self) -> None:
+        """Stop the dispatcher."""
+        await self.dispatcher.stop()
+
+
+def register(registry: Registry) -> None:
+    """Register the plug-in."""
+    registry.add(DispatchPlugin)
--- /dev/null
+++ b/chivewall/plugins/builtin/http_api.py
@@ -0,0 +1,154 @@
+"""The process's HTTP listener: other plug-ins add their routes to it."""
+
+import json
+import math
+from typing import Any
+
+from attrs import field, frozen, validators
+from klein import Klein
+from twisted.internet.defer import CancelledError
+from twisted.internet.interfaces import IListeningPort
+from twisted.logger import Logger
+from twisted.web.server import Request as HttpRequest
+from twisted.web.server import Site
+from werkzeug.exceptions import HTTPException, MethodNotAllowed
+
+from chivewall import chat
+from chivewall.environment import Environment
+from chivewall.errors import RequestError
+from chivewall.kernel import Application
+from chivewall.plugins.base import Plugin
+from chivewall.plugins.registry import Registry
+from chivewall.results import ResultCode, RunState
+from chivewall.work import Refusal
+
+_log = Logger()  # Twisted's log; the daemon forwards it to the event log
+
+
+@frozen
+class HttpApiSettings:
+    """Where the process listens for HTTP."""
+
+    host: str = field(default="127.0.0.1", metadata={"help": "IP address to listen on."})
+    port: int = field(
+        default=0,
+        validator=[validators.ge(0), validators.le(65535)],
+        metadata={"help": "TCP port; 0 takes a free one."},
+    )
+    max_body_bytes: int = field(
+        default=8_000_000,
+        validator=validators.gt(0),
+        metadata={"help": "Largest body of a request, in bytes."},
+    )
+
+
+class HttpApi:
+    """Routes of the process, with health checks and the answers for errors.
+
+    Example: ``api.route("/v1/models", methods=["GET"])(self.list_models)``.
+    """
+
+    def __init__(self, env: Environment, max_body_bytes: int) -> None:
+        self.env = env
+        self.max_body_bytes = max_body_bytes
+        self.app = env.require(Application)
+        self.klein = Klein()
+        self.route = self.klein.route
+        self.route("/healthz", methods=["GET"])(self.show_health)
+        self.route("/readyz", methods=["GET"])(self.show_readiness)
+        self.klein.handle_errors(RequestError)(self.refuse)
+        self.klein.handle_errors(HTTPException)(self.refuse_path)
+        self.klein.handle_errors(Exception)(self.refuse_unexpected)
+
+    def show_health(self, http: HttpRequest) -> bytes:
+        """Answer that the process is alive."""
+        return write_json(http, {"alive": True})
+
+    def show_readiness(self, http: HttpRequest) -> bytes:
+        """Answer whether the process can serve."""
+        ready = self.app.ready()
+        if not ready:
+            http.setResponseCode(ResultCode.NOT_READY.http_status)
+        return write_json(http, {"ready": ready})
+
+    def read_body(self, http: HttpRequest) -> bytes:
+        """Return the body; raises ``RequestError`` if it is over the limit."""
+        body = http.content.read(self.max_body_bytes + 1)
+        if len(body) > self.max_body_bytes:
+            raise RequestError(
+                ResultCode.BODY_TOO_LARGE, f"at most {self.max_body_bytes} bytes are taken"
+            )
+        return body
+
+    def refuse(self, http: HttpRequest, failure: Any) -> bytes:
+        """Answer with a ``RequestError``."""
+        exc: RequestError = failure.value
+        return write_refusal(http, Refusal(code=exc.code, message=str(exc), run=exc.run))
+
+    def refuse_path(self, http: HttpRequest, failure: Any) -> bytes:
+        """Answer for a path or method that no plug-in serves."""
+        code = ResultCode.NOT_FOUND
+        if failure.check(MethodNotAllowed):
+            code = ResultCode.METHOD_NOT_ALLOWED
+        message = f"{http.method.decode('ascii')} {http.path.decode('latin-1')} is not served"
+        return write_refusal(http, Refusal(code=code, message=message, run=RunState.NO))
+
+    def refuse_unexpected(self, http: HttpRequest, failure: Any) -> bytes:
+        """Answer for an error that nobody foresaw, and log it."""
+        if failure.check(CancelledError):
+            return b""
+        _log.failure("request {path} failed", failure=failure, path=http.path)
+        message = "the process met an unexpected error"
+        code = ResultCode.INTERNAL_ERROR
+        return write_refusal(http, Refusal(code=code, message=message, run=code.run))
+
+
+class HttpApiPlugin(Plugin):
+    """Offers ``HttpApi`` and listens when all plug-ins have added their routes."""
+
+    name = "http_api"
+    settings_type = HttpApiSettings
+
+    async def setup(self) -> None:
+        """Offer the routes."""
+        self.api = HttpApi(self.env, self.cfg.max_body_bytes)
+        self.env.provide(HttpApi, self.api)
+
+    async def start(self) -> None:
+        """Bind the port."""
+        self.listener: IListeningPort = self.env.reactor.listenTCP(
+            self.cfg.port, Site(self.api.klein.resource()), interface=self.cfg.host
+        )
+
+    async def stop(self) -> None:
+        """Close the port."""
+        await self.listener.stopListening()
+
+    @property
+    def port(self) -> int:
+        """TCP port that the process listens on."""
+        return self.listener.getHost().port
+
+
+def register(registry: Registry) -> None:
+    """Register the plug-in."""
+    registry.add(HttpApiPlugin)
+
+
+def write_json(http: HttpRequest, value: dict[str, Any]) -> bytes:
+    """Return a JSON body and set its content type."""
+    http.setHeader("Content-Type", "application/json")
+    return json.dumps(value).encode()
+
+
+def write_refusal(http: HttpRequest, refusal: Refusal) -> bytes:
+    """Return the body of a refusal and set its status."""
+    http.setResponseCode(refusal.code.http_status)
+    if refusal.retry_after is not None:
+        http.setHeader("Retry-After", str(math.ceil(refusal.retry_after)))
+    return write_json(http, chat.error(refusal))
+
+
+def write_event(http: HttpRequest, value: dict[str, Any]) -> None:
+    """Send one server-sent event."""
+    http.write(b"data: " + json.dumps(value).encode() + b"\n\n")
--- /dev/null
+++ b/chivewall/plugins/builtin/operator_http.py
@@ -0,0 +1,95 @@
+"""The operators' HTTP API: status of the site as this entry knows it."""
+
+from typing import Any
+
+from twisted.web.server import Request as HttpRequest
+
+from chivewall import __version__
+from chivewall.configuration import Configuration
+from chivewall.decisions.membership import Member
+from chivewall.environment import Environment
+from chivewall.errors import RequestError
+from chivewall.plugins.base import Plugin
+from chivewall.plugins.builtin.configuration import ConfigurationKeeper, CurrentConfiguration
+from chivewall.plugins.builtin.credentials import Credentials
+from chivewall.plugins.builtin.directory import Directory, ListMembers
+from chivewall.plugins.builtin.http_api import HttpApi, write_json
+from chivewall.plugins.registry import Registry
+from chivewall.results import ResultCode
+
+BEARER = "Bearer "
+
+
+class OperatorHttp:
+    """Answers operators; every route checks the operator token first."""
+
+    def __init__(self, env: Environment) -> None:
+        self.env = env
+        self.api = env.require(HttpApi)
+        self.credentials = env.require(Credentials)
+        self.keeper = env.require(ConfigurationKeeper)
+        self.directory = env.require(Directory)
+
+    def add_routes(self) -> None:
+        """Add the operators' routes to the process's HTTP API."""
+        self.api.route("/operator/status", methods=["GET"])(self.show_status)
+
+    async def show_status(self, http: HttpRequest) -> bytes:
+        """Show endpoints and the configuration version in force."""
+        self._authenticate(http)
+        configuration = await self.keeper.ask(CurrentConfiguration())
+        members = await self.directory.ask(ListMembers())
+        status = {
+            "version": __version__,
+            "entry": self.env.settings.core.instance,
+            "data_centre": self.env.settings.core.data_centre,
+            "ready": self.api.app.ready(),
+            "configuration": _describe_configuration(configuration),
+            "endpoints": [_describe_member(one) for one in members],
+        }
+        return write_json(http, status)
+
+    def _authenticate(self, http: HttpRequest) -> None:
+        shown = http.getHeader("Authorization") or ""
+        token = shown.removeprefix(BEARER) if shown.startswith(BEARER) else None
+        if not self.credentials.operator_allowed(token):
+            raise RequestError(ResultCode.UNAUTHENTICATED, "the operator token is missing or wrong")
+
+
+class OperatorHttpPlugin(Plugin):
+    """Adds the operators' routes."""
+
+    name = "operator_http"
+
+    async def setup(self) -> None:
+        """Add the routes."""
+        OperatorHttp(self.env).add_routes()
+
+
+def register(registry: Registry) -> None:
+    """Register the plug-in."""
+    registry.add(OperatorHttpPlugin)
+
+
+def _describe_configuration(configuration: Configuration | None) -> dict[str, Any] | None:
+    if configuration is None:
+        return None
+    return {
+        "version": configuration.version,
+        "author": configuration.author,
+        "reason": configuration.reason,
+    }
+
+
+def _describe_member(member: Member) -> dict[str, Any]:
+    report = member.report
+    return {
+        "endpoint": member.instance.name,
+        "kind": member.instance.kind.value,
+        "data_centre": member.instance.data_centre,
+        "state": member.state.value,
+        "targets": list(member.targets),
+        "role": report.role.value if report is not None else None,
+        "running": report.running if report is not None else None,
+        "configuration_version": report.configuration_version if report is not None else None,
+    }
--- /dev/null
+++ b/chivewall/plugins/builtin/service_http.py
@@ -0,0 +1,146 @@
+"""Reaches a plain service over HTTP."""
+
+from io import BytesIO
+
+import treq
+from attrs import field, frozen, validators
+from twisted.internet.defer import CancelledError, Deferred, ensureDeferred, fail, succeed
+from twisted.internet.error import ConnectError
+from twisted.internet.task import Cooperator
+from twisted.web.client import Agent, FileBodyProducer, HTTPConnectionPool
+from twisted.web.http_headers import Headers
+
+from chivewall.environment import Environment
+from chivewall.errors import EndpointError, OrderRefusedError
+from chivewall.interfaces import (
+    Endpoint,
+    EndpointLoad,
+    EndpointState,
+    Order,
+    RunFailed,
+    RunOutput,
+)
+from chivewall.plugins.base import Plugin
+from chivewall.plugins.registry import Registry
+from chivewall.task import Inbox
+from chivewall.work import Answer, Attempt, Call, EngineRole, Header
+
+CONNECT_TIMEOUT = 2.0  # seconds
+OWN_HEADERS = frozenset(
+    {"connection", "transfer-encoding", "content-length", "keep-alive", "server", "date"}
+)  # set anew by the entry
+
+
+@frozen
+class ServiceHttpSettings:
+    """Where the service is and how much it takes at once."""
+
+    name: str = field(metadata={"help": "Name of the service in caller paths."})
+    host: str = field(metadata={"help": "IP address of the service."})
+    port: int = field(
+        validator=[validators.ge(1), validators.le(65535)], metadata={"help": "TCP port."}
+    )
+    parallel: int = field(
+        default=16, validator=validators.ge(1), metadata={"help": "Calls at once."}
+    )
+
+
+class ServiceHttp:
+    """Implements the ``Endpoint`` protocol for a plain service."""
+
+    def __init__(self, env: Environment, cfg: ServiceHttpSettings) -> None:
+        self.cfg = cfg
+        self.base = f"http://{cfg.host}:{cfg.port}"
+        # A kept-alive connection may have gone silent, and a call that may not
+        # be repeated can't be tried on another one; so each call opens its own.
+        self.pool = HTTPConnectionPool(env.reactor, persistent=False)
+        self.agent = Agent(env.reactor, connectTimeout=CONNECT_TIMEOUT, pool=self.pool)
+        self.cooperator = Cooperator(
+            scheduler=lambda step: env.clock.callLater(0, step), started=True
+        )
+        self.runs: dict[tuple[str, int], Deferred] = {}
+
+    def run(self, attempt: Attempt, sink: Inbox) -> None:
+        """See ``Endpoint.run``."""
+        key = (attempt.request.id, attempt.number)
+        run = ensureDeferred(self._run(attempt, sink))
+        if not run.called:
+            self.runs[key] = run
+        run.addBoth(self._ended, key)
+
+    def cancel(self, request_id: str, attempt: int) -> None:
+        """Do nothing, since a call that was sent can't be taken back."""
+
+    def load(self) -> Deferred:
+        """See ``Endpoint.load``."""
+        return succeed(EndpointLoad(running=len(self.runs), parallel=self.cfg.parallel))
+
+    def state(self) -> Deferred:
+        """See ``Endpoint.state``."""
+        return succeed(EndpointState(role=EngineRole.MIXED, targets=(self.cfg.name,)))
+
+    def order(self, order: Order) -> Deferred:
+        """Refuse, since a plain service takes no orders."""
+        return fail(OrderRefusedError("a plain service takes no orders"))
+
+    def close(self) -> Deferred:
+        """Close idle connections."""
+        return self.pool.closeCachedConnections()
+
+    async def _run(self, attempt: Attempt, sink: Inbox) -> None:
+        key = (attempt.request.id, attempt.number)
+        try:
+            answer = await self._call(attempt.request.work)
+        except CancelledError:
+            raise
+        except Exception as exc:
+            reached = not isinstance(exc, ConnectError)
+            sink.put(RunFailed(*key, reached=reached, reason=str(exc)))
+            return
+        sink.put(RunOutput(*key, answer))
+
+    async def _call(self, work: object) -> Answer:
+        if not isinstance(work, Call):
+            raise EndpointError("a plain service can't run a completion")
+        headers = Headers()
+        for header in work.headers:
+            headers.addRawHeader(header.name, header.value)
+        # Twisted's agent, unlike treq's request, passes compressed bodies on unchanged.
+        response = await self.agent.request(
+            work.method.encode(),
+            f"{self.base}{work.path}".encode(),
+            headers,
+            FileBodyProducer(BytesIO(work.body), cooperator=self.cooperator),
+        )
+        body = await treq.content(response)
+        answered = tuple(
+            Header(name=name.decode("latin-1"), value=value.decode("latin-1"))
+            for name, values in response.headers.getAllRawHeaders()
+            if name.decode("latin-1").lower() not in OWN_HEADERS
+            for value in values
+        )
+        return Answer(status=response.code, headers=answered, body=body)
+
+    def _ended(self, result: object, key: tuple[str, int]) -> None:
+        self.runs.pop(key, None)
+
+
+class ServiceHttpPlugin(Plugin):
+    """Offers the ``Endpoint`` of a plain service."""
+
+    name = "service_http"
+    settings_type = ServiceHttpSettings
+
+    async def setup(self) -> None:
+        """Offer the endpoint."""
+        self.endpoint = ServiceHttp(self.env, self.cfg)
+        self.env.provide(Endpoint, self.endpoint)
+
+    async def stop(self) -> None:
+        """Close the connections."""
+        await self.endpoint.close()
+
+
+def register(registry: Registry) -> None:
+    """Register the plug-in."""
+    registry.add(ServiceHttpPlugin)
--- a/chivewall/results.py
+++ b/chivewall/results.py
@@ -44,12 +44,19 @@
     SHED = (2011, 503, RunState.NO, "Wait for Retry-After; the queue stood too long.")
 
     # Work that was or may have been started.
-    OUTCOME_UNKNOWN = (3001, 504, RunState.UNKNOWN, "Repeat with the same Idempotency-Key to learn.")
+    OUTCOME_UNKNOWN = (
+        3001,
+        504,
+        RunState.UNKNOWN,
+        "Repeat with the same Idempotency-Key to learn.",
+    )
     ENDPOINT_FAILED = (3002, 502, RunState.UNKNOWN, "Send an idempotent request again.")
     CANCELLED = (3003, 499, RunState.UNKNOWN, "The caller closed the connection.")
     DEADLINE_MISSED = (3004, 504, RunState.UNKNOWN, "Allow a later deadline.")
     IN_PROGRESS = (3005, 409, RunState.UNKNOWN, "Repeat later with the same Idempotency-Key.")
 
+    INTERNAL_ERROR = (3006, 500, RunState.UNKNOWN, "Report the request id with the log.")
+
     # Operators.
     CONFLICT = (4001, 409, RunState.NO, "Read the current version, merge and apply again.")
     INVALID_CONFIGURATION = (4002, 422, RunState.NO, "Correct the named keys.")
--- a/chivewall/settings.py
+++ b/chivewall/settings.py
@@ -1,7 +1,6 @@
 """Settings of one process: JSON with comments, checked before anything starts."""
 
 import re
-from collections.abc import Callable
 from enum import Enum
 from pathlib import Path
 from typing import Any, TypeVar
@@ -180,7 +179,9 @@
     checker = Checker(source=settings.source, text=settings.text)
     for name in settings.sections.keys() - known:
         allowed = ", ".join(sorted(known)) or "none"
-        checker.add((name,), settings.sections[name], f"no loaded plug-in reads it; read: {allowed}")
+        checker.add(
+            (name,), settings.sections[name], f"no loaded plug-in reads it; read: {allowed}"
+        )
     checker.raise_problems()
 
 
@@ -198,14 +199,11 @@
     return None if position is None else text.count("\n", 0, position) + 1
 
 
-def _strict(kind: type) -> Callable[[object, type], object]:
-    def check(value: object, _: type) -> object:
-        accepted = (int, float) if kind is float else kind
-        if not isinstance(value, accepted) or (isinstance(value, bool) and kind is not bool):
-            raise ValueError(f"{kind.__name__} is expected")
-        return kind(value)
-
-    return check
+def _strict(value: object, kind: type) -> object:
+    accepted = (int, float) if kind is float else (kind,)
+    if type(value) not in accepted:  # a bool is no number here
+        raise ValueError(f"{kind.__name__} is expected")
+    return kind(value)
 
 
 def _describe(attribute: Any) -> str:
@@ -222,7 +220,7 @@
 def _make_converter() -> cattrs.Converter:
     converter = cattrs.Converter(forbid_extra_keys=True)
     for kind in (str, int, float, bool):
-        converter.register_structure_hook_func(lambda one, kind=kind: one is kind, _strict(kind))
+        converter.register_structure_hook(kind, _strict)
     return converter
 
 
--- /dev/null
+++ b/chivewall/standins/engine_http.py
@@ -0,0 +1,127 @@
+"""HTTP front of the engine stand-in: completions as events, load, state and orders."""
+
+import json
+from typing import Any
+
+from attrs import define, field
+from klein import Klein
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReactorTime
+from twisted.web.server import Request as HttpRequest
+from twisted.web.server import Site
+
+from chivewall.interfaces import EndpointState
+from chivewall.standins.engine import EngineModel, EngineSpeed, Sequence
+from chivewall.work import Completion, EngineRole, Message
+
+FENCE_REFUSED = 409
+
+
+@define(eq=False)
+class EngineServer:
+    """One engine stand-in."""
+
+    clock: IReactorTime
+    models: tuple[str, ...]
+    speed: EngineSpeed = field(factory=EngineSpeed)
+    checks_fence: bool = True
+    orders: list[dict[str, Any]] = field(factory=list)
+    completions: int = 0
+    model: EngineModel = field(init=False)
+    state: EndpointState = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.model = EngineModel(clock=self.clock, speed=self.speed)
+        self.state = EndpointState(role=EngineRole.MIXED, targets=self.models)
+
+    def site(self) -> Site:
+        """Return the site to listen with."""
+        app = Klein()
+        app.route("/v1/chat/completions", methods=["POST"])(self.complete)
+        app.route("/load", methods=["GET"])(self.load)
+        app.route("/state", methods=["GET"])(self.show_state)
+        app.route("/orders", methods=["POST"])(self.order)
+        return Site(app.resource())
+
+    def complete(self, http: HttpRequest) -> Deferred:
+        """Generate; each event carries the index of its token."""
+        body = json.loads(http.content.read())
+        work = Completion(
+            model=body["model"],
+            messages=tuple(Message(one["role"], one["content"]) for one in body["messages"]),
+            prompt_tokens=body["prompt_tokens"],
+            max_tokens=body["max_tokens"],
+            prefix_hashes=tuple(body.get("prefix_hashes", ())),
+        )
+        self.completions += 1
+        done: Deferred = Deferred()
+        sequence_id = body["request_id"]
+        http.setHeader("Content-Type", "text/event-stream")
+        http.notifyFinish().addErrback(lambda _: self._hang_up(sequence_id, done))
+
+        def on_tokens(index: int, texts: tuple[str, ...]) -> None:
+            _send_event(http, {"index": index, "texts": texts})
+
+        def on_end(count: int) -> None:
+            usage = {"prompt_tokens": work.prompt_tokens, "completion_tokens": count}
+            _send_event(http, {"finish_reason": "stop", "usage": usage})
+            done.callback(None)
+
+        self.model.submit(
+            Sequence(
+                id=sequence_id,
+                work=work,
+                priority=body.get("priority", 0),
+                next_token=body.get("resume_from", 0),
+                on_tokens=on_tokens,
+                on_end=on_end,
+            )
+        )
+        return done
+
+    def load(self, http: HttpRequest) -> bytes:
+        """Report the load."""
+        report = {
+            "running": len(self.model.batch),
+            "waiting": len(self.model.waiting),
+            "parallel": self.speed.parallel,
+            "prefill_rate": self.speed.prefill_rate,
+            "decode_rate": 1 / self.speed.step_seconds,
+            "cached_prefixes": list(self.model.cache),
+        }
+        return _json(http, report)
+
+    def show_state(self, http: HttpRequest) -> bytes:
+        """Report role, models and the highest fencing number seen."""
+        state = self.state
+        return _json(
+            http, {"role": state.role.value, "targets": state.targets, "fence": state.fence}
+        )
+
+    def order(self, http: HttpRequest) -> bytes:
+        """Take an order; refuses an old fencing number if it checks them."""
+        body = json.loads(http.content.read())
+        if self.checks_fence and body["fence"] < self.state.fence:
+            http.setResponseCode(FENCE_REFUSED)
+            return _json(http, {"error": "old fencing number", "fence": self.state.fence})
+        self.orders.append(body)
+        self.state = EndpointState(
+            role=EngineRole(body["role"]),
+            targets=tuple(body["targets"]),
+            fence=max(body["fence"], self.state.fence),
+        )
+        return _json(http, {})
+
+    def _hang_up(self, sequence_id: str, done: Deferred) -> None:
+        self.model.cancel(sequence_id)
+        if not done.called:
+            done.callback(None)
+
+
+def _send_event(http: HttpRequest, value: dict[str, Any]) -> None:
+    http.write(b"data: " + json.dumps(value).encode() + b"\n\n")
+
+
+def _json(http: HttpRequest, value: dict[str, Any]) -> bytes:
+    http.setHeader("Content-Type", "application/json")
+    return json.dumps(value).encode()
--- a/chivewall/task.py
+++ b/chivewall/task.py
@@ -5,6 +5,10 @@
 
 from attrs import define, field
 from twisted.internet.defer import CancelledError, Deferred, DeferredQueue, ensureDeferred
+from twisted.logger import Logger
+from twisted.python.failure import Failure
+
+_log = Logger()  # Twisted's log; the daemon forwards it to the event log
 
 
 class Inbox:
@@ -115,14 +119,27 @@
             message = await self.inbox.get()
             if isinstance(message, Stop):
                 break
-            await self.receive(message)
+            await self._handle(message)
         for child in list(self._children):
             child.cancel()
         await self.on_stop()
         message.answer(None)
 
+    async def _handle(self, message: object) -> None:
+        try:
+            await self.receive(message)
+        except CancelledError:
+            raise
+        except Exception as exc:
+            _log.failure("{task} failed on {message}", task=self, message=message)
+            if isinstance(message, Query):
+                message.fail(exc)
+
     def _child_ended(self, result: object, child: Deferred) -> object:
         self._children.discard(child)
-        if getattr(result, "check", None) and result.check(CancelledError):
+        if isinstance(result, Failure) and result.check(CancelledError):
+            return None
+        if isinstance(result, Failure):
+            _log.failure("child of {task} failed", failure=result, task=self)
             return None
         return result
--- /dev/null
+++ b/extras/__init__.py
@@ -0,0 +1,1 @@
+"""Development tools that are not part of the product."""
--- /dev/null
+++ b/tests/test_reference.py
@@ -0,0 +1,31 @@
+"""The reference pages agree with the code."""
+
+import re
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from chivewall.events import Event
+from chivewall.results import ResultCode
+from extras.reference import DOCS, PAGES
+
+
+class ReferenceTest(TestCase):
+    """Guards against tables that were not regenerated after a change."""
+
+    def test_pages_are_current(self):
+        for name, page in PAGES.items():
+            self.assertThat((DOCS / name).read_text(), Equals(page()), f"run make docs: {name}")
+
+    def test_numbers_are_unique(self):
+        for kind in (Event, ResultCode):
+            numbers = [one.number for one in kind]
+            self.assertThat(sorted(set(numbers)), Equals(sorted(numbers)))
+
+    def test_glossary_names_exist_in_the_code(self):
+        glossary = (DOCS / "glossary.md").read_text()
+        sources = "\n".join(
+            path.read_text() for path in sorted((DOCS.parent / "chivewall").rglob("*.py"))
+        )
+        for name in re.findall(r"\| `([A-Za-z_]+)` \|", glossary):
+            self.assertTrue(re.search(rf"\b{name}\b", sources), f"{name} is not in the code")
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,66 @@
+"""Settings files: what is wrong is named with file, line, key, value and what is allowed."""
+
+from pathlib import Path
+
+from testtools import TestCase
+from testtools.matchers import Contains, Equals
+
+from chivewall.errors import SettingsError
+from chivewall.plugins.builtin.http_api import HttpApiSettings
+from chivewall.settings import Role, load, parse
+
+EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
+GOOD = """
+{
+  // comments are allowed
+  "role": "entry", "instance": "entry-1", "data_centre": "Mombasa",
+  "plugins": ["http_api"],
+  "http_api": {"port": 8080},
+}
+"""
+
+
+class SettingsTest(TestCase):
+    """Guards against start-up with wrong or half-checked settings."""
+
+    def failure(self, text, section=None):
+        exc = self.assertRaises(SettingsError, self.read, text, section)
+        return str(exc)
+
+    def read(self, text, section):
+        settings = parse(text, source="site.jsonc")
+        return settings.section(*section) if section else settings
+
+    def test_comments_and_trailing_commas(self):
+        settings = parse(GOOD)
+        self.assertThat(settings.core.role, Equals(Role.ENTRY))
+        self.assertThat(settings.section("http_api", HttpApiSettings).port, Equals(8080))
+
+    def test_all_problems_at_once(self):
+        message = self.failure(GOOD.replace('"entry",', '"king",').replace('"entry-1"', "3"))
+        self.assertThat(message, Contains("site.jsonc:4: role = 'king': allowed: one of 'entry'"))
+        self.assertThat(message, Contains("site.jsonc:4: instance = 3"))
+
+    def test_unknown_key(self):
+        message = self.failure(GOOD.replace('"port"', '"prot"'), ("http_api", HttpApiSettings))
+        self.assertThat(message, Contains("site.jsonc:6: http_api.prot = 8080: unknown key"))
+
+    def test_value_out_of_bounds(self):
+        message = self.failure(GOOD.replace("8080", "99999"), ("http_api", HttpApiSettings))
+        self.assertThat(message, Contains("site.jsonc:6: http_api.port = 99999: allowed: int"))
+
+    def test_bool_is_no_number(self):
+        message = self.failure(GOOD.replace("8080", "true"), ("http_api", HttpApiSettings))
+        self.assertThat(message, Contains("http_api.port = True"))
+
+    def test_missing_key(self):
+        message = self.failure(GOOD.replace('"data_centre": "Mombasa",', ""))
+        self.assertThat(message, Contains("data_centre"))
+        self.assertThat(message, Contains("required"))
+
+    def test_not_json(self):
+        self.assertThat(self.failure("{"), Contains("not JSON with comments"))
+
+    def test_examples_load(self):
+        for path in sorted(EXAMPLES.rglob("*.jsonc")):
+            load(path)
--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,95 @@
+"""The whole path over real sockets: caller, entry, agent, endpoint and back."""
+
+import json
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+import httpx
+import openai
+from testtools import TestCase
+from testtools.matchers import Contains, Equals, HasLength
+
+from tests.utils.daemons import embedded_site
+
+MODEL = "rota-assistant"
+MESSAGES = [{"role": "user", "content": "Who guards tower 4?"}]
+
+
+class WholePathTest(TestCase):
+    """One embedded site serves all tests of the class."""
+
+    @classmethod
+    def setUpClass(cls):
+        super().setUpClass()
+        folder = cls.enterClassContext(TemporaryDirectory())
+        cls.base = cls.enterClassContext(embedded_site(Path(folder)))
+
+    def post(self, body, **headers):
+        content = body if isinstance(body, bytes) else json.dumps(body).encode()
+        return httpx.post(f"{self.base}/v1/chat/completions", content=content, headers=headers)
+
+    def client(self):
+        return openai.OpenAI(base_url=f"{self.base}/v1", api_key="unused", max_retries=0)
+
+    def test_public_client_lists_models(self):
+        names = [one.id for one in self.client().models.list()]
+        self.assertThat(names, Contains(MODEL))
+
+    def test_public_client_completes(self):
+        answer = self.client().chat.completions.create(model=MODEL, messages=MESSAGES, max_tokens=7)
+        self.assertThat(answer.choices[0].message.content.split(), HasLength(7))
+        self.assertThat(answer.usage.completion_tokens, Equals(7))
+        self.assertThat(answer.choices[0].finish_reason, Equals("stop"))
+
+    def test_public_client_streams_the_same_answer(self):
+        # Guards against tokens lost, repeated or reordered on the way.
+        whole = self.client().chat.completions.create(model=MODEL, messages=MESSAGES, max_tokens=9)
+        stream = self.client().chat.completions.create(
+            model=MODEL,
+            messages=MESSAGES,
+            max_tokens=9,
+            stream=True,
+            stream_options={"include_usage": True},
+        )
+        chunks = list(stream)
+        text = "".join(one.choices[0].delta.content or "" for one in chunks if one.choices)
+        self.assertThat(text, Equals(whole.choices[0].message.content))
+        self.assertThat(chunks[-1].usage.completion_tokens, Equals(9))
+
+    def assert_error(self, answer, status, name):
+        self.assertThat(answer.status_code, Equals(status))
+        error = answer.json()["error"]
+        self.assertThat(error["name"], Equals(name))
+        self.assertThat(error["run"], Equals("no"))
+
+    def test_unknown_model(self):
+        answer = self.post({"model": "absent", "messages": MESSAGES})
+        self.assert_error(answer, 404, "UNKNOWN_MODEL")
+
+    def test_bad_json(self):
+        self.assert_error(self.post(b"{"), 400, "BAD_JSON")
+
+    def test_wrong_type_in_json(self):
+        answer = self.post({"model": MODEL, "messages": MESSAGES, "max_tokens": "many"})
+        self.assert_error(answer, 400, "BAD_JSON")
+        self.assertThat(answer.json()["error"]["message"], Contains("max_tokens"))
+
+    def test_unknown_rank(self):
+        answer = self.post({"model": MODEL, "messages": MESSAGES}, **{"X-Rank": "royal"})
+        self.assert_error(answer, 400, "UNKNOWN_RANK")
+
+    def test_deadline_passed(self):
+        answer = self.post({"model": MODEL, "messages": MESSAGES}, **{"X-Deadline-Ms": "0"})
+        self.assert_error(answer, 408, "DEADLINE_PASSED")
+
+    def test_body_over_the_limit(self):
+        self.assert_error(self.post(b" " * 8_000_001), 413, "BODY_TOO_LARGE")
+
+    def test_unknown_service(self):
+        answer = httpx.get(f"{self.base}/services/absent/x")
+        self.assert_error(answer, 404, "UNKNOWN_SERVICE")
+
+    def test_plain_service_takes_any_method(self):
+        for method in ("GET", "POST", "PUT", "DELETE"):
+            answer = httpx.request(method, f"{self.base}/services/shift-booking/shifts?day=1")
+            self.assertThat(answer.is_success, Equals(True), f"{method}: {answer.text}")
--- /dev/null
+++ b/tests/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers that tests share."""
--- /dev/null
+++ b/tests/utils/daemons.py
@@ -0,0 +1,65 @@
+"""Starts daemons of this project as processes and waits until they are ready."""
+
+import socket
+import subprocess
+import sys
+import time
+from contextlib import contextmanager
+from pathlib import Path
+
+import httpx
+
+READY_TRIES = 200
+READY_SECONDS = 0.1
+STOP_SECONDS = 20
+
+
+def free_port() -> int:
+    """Return a loopback port that is free now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+@contextmanager
+def running(arguments: list[str], log: Path):
+    """Run ``python -m ARGUMENTS`` and end it with SIGTERM; yields the process."""
+    with log.open("w") as stream:
+        process = subprocess.Popen(
+            [sys.executable, "-m", *arguments], stdout=stream, stderr=subprocess.STDOUT
+        )
+        try:
+            yield process
+        finally:
+            process.terminate()
+            try:
+                process.wait(STOP_SECONDS)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+                raise
+
+
+def wait_ready(base: str, process: subprocess.Popen, log: Path) -> None:
+    """Poll ``/readyz`` over the network, as a load balancer does."""
+    for _ in range(READY_TRIES):
+        if process.poll() is not None:
+            raise AssertionError(f"the daemon ended early:\n{log.read_text()}")
+        try:
+            if httpx.get(f"{base}/readyz", timeout=1).status_code == 200:
+                return
+        except httpx.TransportError:
+            pass
+        time.sleep(READY_SECONDS)
+    raise AssertionError(f"the daemon is not ready:\n{log.read_text()}")
+
+
+@contextmanager
+def embedded_site(folder: Path):
+    """Run an embedded site; yields its base address."""
+    port = free_port()
+    log = folder / "site.log"
+    with running(["chivewall.demo", "--stay", "--port", str(port)], log) as process:
+        base = f"http://127.0.0.1:{port}"
+        wait_ready(base, process, log)
+        yield base
