Run real entry and agent tasks on a virtual clock in tests

Cause: decisions and failures have to be tested and measured without a network or waiting; bench/site.py builds a site of real tasks with fakes at the endpoint and link interfaces.

--- /dev/null
+++ b/bench/clock.py
@@ -0,0 +1,91 @@
+"""A virtual clock that runs many timers quickly."""
+
+import heapq
+from collections.abc import Callable
+from itertools import count
+from typing import Any
+
+from attrs import define, field
+from twisted.internet.error import AlreadyCalled, AlreadyCancelled
+from twisted.internet.interfaces import IDelayedCall, IReactorTime
+from zope.interface import implementer
+
+
+@implementer(IDelayedCall)
+@define(eq=False)
+class VirtualCall:
+    """A timer of the virtual clock."""
+
+    time: float
+    order: int
+    function: Callable[..., Any]
+    args: tuple[Any, ...]
+    kwargs: dict[str, Any]
+    called: bool = False
+    cancelled: bool = False
+
+    def __lt__(self, other: "VirtualCall") -> bool:
+        return (self.time, self.order) < (other.time, other.order)
+
+    def getTime(self) -> float:  # noqa: N802 - name of the interface
+        """Return when the timer fires."""
+        return self.time
+
+    def active(self) -> bool:
+        """Return whether the timer will still fire."""
+        return not (self.called or self.cancelled)
+
+    def cancel(self) -> None:
+        """Stop the timer; raises as the interface says."""
+        if self.called:
+            raise AlreadyCalled
+        if self.cancelled:
+            raise AlreadyCancelled
+        self.cancelled = True
+
+
+@implementer(IReactorTime)
+@define(eq=False)
+class VirtualClock:
+    """Implements ``IReactorTime``; time passes only in ``run_until``.
+
+    Twisted's own test clock sorts all its timers at every call, which is too
+    slow for the hundreds of thousands of timers of a bench run.
+    """
+
+    now: float = 0.0
+    _calls: list[VirtualCall] = field(factory=list)
+    _order: count = field(factory=count)
+
+    def seconds(self) -> float:
+        """Return the virtual time."""
+        return self.now
+
+    def callLater(  # noqa: N802 - name of the interface
+        self, delay: float, function: Callable[..., Any], *args: Any, **kwargs: Any
+    ) -> VirtualCall:
+        """Call a function later in virtual time."""
+        call = VirtualCall(
+            time=self.now + delay,
+            order=next(self._order),
+            function=function,
+            args=args,
+            kwargs=kwargs,
+        )
+        heapq.heappush(self._calls, call)
+        return call
+
+    def getDelayedCalls(self) -> list[VirtualCall]:  # noqa: N802 - name of the interface
+        """Return the timers that will still fire."""
+        return [one for one in self._calls if one.active()]
+
+    def run_until(self, deadline: float) -> None:
+        """Fire every timer up to ``deadline`` in order, and let that time be now."""
+        while self._calls and self._calls[0].time <= deadline:
+            call = heapq.heappop(self._calls)
+            if call.cancelled:
+                continue
+            self.now = max(self.now, call.time)
+            call.called = True
+            call.function(*call.args, **call.kwargs)
+        self.now = deadline
--- /dev/null
+++ b/bench/fakes.py
@@ -0,0 +1,326 @@
+"""Fakes at the interfaces: endpoints and links in one process on a virtual clock."""
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from attrs import define, evolve, field
+from twisted.internet.defer import Deferred, fail, succeed
+from twisted.internet.interfaces import IReactorTime
+
+from chivewall.errors import EndpointError, LinkBrokenError, OrderRefusedError
+from chivewall.interfaces import (
+    EndpointLoad,
+    EndpointState,
+    Instance,
+    Order,
+    RunFailed,
+    RunOutput,
+)
+from chivewall.messages import Arrive, AttemptBroken, Withdraw
+from chivewall.plugins.builtin.admission import Admission, ReportLoad
+from chivewall.standins.engine import EngineModel, EngineSpeed, Sequence
+from chivewall.task import Inbox
+from chivewall.work import Answer, Attempt, End, EngineRole, Tokens
+
+CALL_SECONDS = 0.02  # run time of one service call
+
+
+@define(eq=False)
+class EngineEndpoint:
+    """Implements ``Endpoint`` around an engine model; remembers what it was told."""
+
+    clock: IReactorTime
+    targets: tuple[str, ...]
+    speed: EngineSpeed = field(factory=EngineSpeed)
+    report_lag: float = 0.0  # seconds
+    down: bool = False
+    checks_fence: bool = True
+    orders: list[Order] = field(factory=list)
+    model: EngineModel = field(init=False)
+    actual: EndpointState = field(init=False)
+    _runs: dict[tuple[str, int], Inbox] = field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        self.model = EngineModel(clock=self.clock, speed=self.speed)
+        self.actual = EndpointState(role=EngineRole.MIXED, targets=self.targets)
+
+    def run(self, attempt: Attempt, sink: Inbox) -> None:
+        """See ``Endpoint.run``."""
+        key = (attempt.request.id, attempt.number)
+        if self.down:
+            sink.put(RunFailed(*key, reached=False, reason="the engine is down"))
+            return
+        work = attempt.request.work
+        self._runs[key] = sink
+
+        def on_tokens(index: int, texts: tuple[str, ...]) -> None:
+            sink.put(RunOutput(*key, Tokens(index=index, texts=texts)))
+
+        def on_end(count: int) -> None:
+            self._runs.pop(key, None)
+            end = End("stop", prompt_tokens=work.prompt_tokens, completion_tokens=count)
+            sink.put(RunOutput(*key, end))
+
+        self.model.submit(
+            Sequence(
+                id=f"{key[0]}/{key[1]}",
+                work=work,
+                priority=list(type(attempt.request.rank)).index(attempt.request.rank),
+                next_token=attempt.resume_from,
+                on_tokens=on_tokens,
+                on_end=on_end,
+            )
+        )
+
+    def cancel(self, request_id: str, attempt: int) -> None:
+        """See ``Endpoint.cancel``."""
+        self._runs.pop((request_id, attempt), None)
+        self.model.cancel(f"{request_id}/{attempt}")
+
+    def crash(self) -> None:
+        """Fail everything that runs and refuse new work until ``recover``."""
+        self.down = True
+        for key, sink in list(self._runs.items()):
+            self.model.cancel(f"{key[0]}/{key[1]}")
+            sink.put(RunFailed(*key, reached=True, reason="the engine crashed"))
+        self._runs.clear()
+
+    def recover(self) -> None:
+        """Come back with an empty cache."""
+        self.down = False
+        self.model.cache.clear()
+
+    def load(self) -> Deferred:
+        """See ``Endpoint.load``; the report is as old as ``report_lag``."""
+        if self.down:
+            return fail(EndpointError("the engine is down"))
+        seen = EndpointLoad(
+            running=len(self.model.batch),
+            waiting=len(self.model.waiting),
+            parallel=self.speed.parallel,
+            prefill_rate=self.speed.prefill_rate,
+            decode_rate=1 / self.speed.step_seconds,
+            cached_prefixes=tuple(self.model.cache),
+        )
+        return later(self.clock, self.report_lag, seen)
+
+    def state(self) -> Deferred:
+        """See ``Endpoint.state``."""
+        return fail(EndpointError("the engine is down")) if self.down else succeed(self.actual)
+
+    def order(self, order: Order) -> Deferred:
+        """See ``Endpoint.order``."""
+        if self.checks_fence and order.fence < self.actual.fence:
+            return fail(OrderRefusedError(f"fencing number {order.fence} is old"))
+        self.orders.append(order)
+        self.actual = EndpointState(role=order.role, targets=order.targets, fence=order.fence)
+        return succeed(None)
+
+
+@define(eq=False)
+class ServiceEndpoint:
+    """Implements ``Endpoint`` for a plain service; the witness of how often a body ran."""
+
+    clock: IReactorTime
+    name: str
+    parallel: int = 16
+    runs: Counter[bytes] = field(factory=Counter)
+    down: bool = False
+    fail_after_run: bool = False  # run the action and lose its answer
+    running: int = 0
+
+    def run(self, attempt: Attempt, sink: Inbox) -> None:
+        """See ``Endpoint.run``."""
+        key = (attempt.request.id, attempt.number)
+        if self.down:
+            sink.put(RunFailed(*key, reached=False, reason="the service is down"))
+            return
+        self.running += 1
+        self.clock.callLater(CALL_SECONDS, self._finish, attempt, sink)
+
+    def cancel(self, request_id: str, attempt: int) -> None:
+        """See ``Endpoint.cancel``; an action that was sent can't be taken back."""
+
+    def load(self) -> Deferred:
+        """See ``Endpoint.load``."""
+        if self.down:
+            return fail(EndpointError("the service is down"))
+        return succeed(EndpointLoad(running=self.running, parallel=self.parallel))
+
+    def state(self) -> Deferred:
+        """See ``Endpoint.state``."""
+        return succeed(EndpointState(role=EngineRole.MIXED, targets=(self.name,)))
+
+    def order(self, order: Order) -> Deferred:
+        """See ``Endpoint.order``."""
+        return fail(OrderRefusedError("a plain service takes no orders"))
+
+    def _finish(self, attempt: Attempt, sink: Inbox) -> None:
+        key = (attempt.request.id, attempt.number)
+        self.running -= 1
+        body = attempt.request.work.body
+        self.runs[body] += 1
+        if self.fail_after_run:
+            sink.put(RunFailed(*key, reached=True, reason="the connection broke"))
+            return
+        answer = Answer(status=201, headers=(), body=f"{self.name}-{self.runs.total()}".encode())
+        sink.put(RunOutput(*key, answer))
+
+
+@define
+class LinkFault:
+    """What goes wrong on the way to one agent; changed while a test runs."""
+
+    delay: float = 0.0  # seconds one way
+    jitter: float = 0.0  # seconds, at most, added at random
+    loss: float = 0.0  # chance that a message needs another 200 ms
+    requests_cut: bool = False  # messages to the agent vanish
+    answers_cut: bool = False  # messages from the agent vanish
+    duplicate: bool = False  # submits arrive twice
+
+
+@define(eq=False)
+class LocalLink:
+    """Implements ``AgentLink`` by calling the agent's admission task after a delay."""
+
+    clock: IReactorTime
+    rng: random.Random
+    agent: Callable[[], Admission | None]
+    fault: LinkFault
+    silent: bool = False  # this connection is lost for good; new ones work
+    closed: bool = False
+    _open: dict[tuple[str, int], Inbox] = field(factory=dict)
+
+    def submit(self, attempt: Attempt, sink: Inbox) -> None:
+        """See ``AgentLink.submit``."""
+        key = (attempt.request.id, attempt.number)
+        admission = self.agent()
+        if admission is None:
+            sink.put(AttemptBroken(*key, sent=False, reason="connection refused"))
+            return
+        self._open[key] = sink
+        relay = Relay(link=self, key=key)
+        for _ in range(2 if self.fault.duplicate else 1):
+            self._send(self._arrive, admission, Arrive(attempt=attempt, sink=relay))
+
+    def cancel(self, request_id: str, attempt: int) -> None:
+        """See ``AgentLink.cancel``."""
+        if self._open.pop((request_id, attempt), None) is not None:
+            admission = self.agent()
+            if admission is not None:
+                self._send(admission.tell, Withdraw(request_id, attempt))
+
+    def probe(self) -> Deferred:
+        """See ``AgentLink.probe``."""
+        admission = self.agent()
+        reply: Deferred = Deferred()
+        if admission is None:
+            return fail(LinkBrokenError("connection refused"))
+        self.clock.callLater(2.0, self._give_up, reply)
+        self._send(self._probe, admission, reply)
+        return reply
+
+    def exchange_configuration(self, document: bytes) -> Deferred:
+        """See ``AgentLink.exchange_configuration``; tests override it where it matters."""
+        return succeed(b"")
+
+    def close(self) -> None:
+        """See ``AgentLink.close``."""
+        self.closed = True
+        for key, sink in list(self._open.items()):
+            sink.put(AttemptBroken(*key, sent=True, reason="the link was closed"))
+        self._open.clear()
+
+    def broken(self) -> None:
+        """Fail what is open, as when the agent's process is killed."""
+        self.close()
+
+    def deliver(self, key: tuple[str, int], message: object) -> None:
+        """Bring a part from the agent to the entry, after the delay."""
+        if self.silent or self.closed or self.fault.answers_cut:
+            return
+        self.clock.callLater(self._delay(), self._hand_over, key, message)
+
+    def _hand_over(self, key: tuple[str, int], message: Any) -> None:
+        sink = self._open.get(key)
+        if sink is None:
+            return
+        if getattr(message, "last", False):
+            self._open.pop(key, None)
+        sink.put(message)
+
+    def _send(self, function: Callable[..., Any], *args: Any) -> None:
+        if not (self.silent or self.closed or self.fault.requests_cut):
+            self.clock.callLater(self._delay(), function, *args)
+
+    def _arrive(self, admission: Admission, arrival: Arrive) -> None:
+        if admission.running:
+            admission.tell(evolve(arrival))
+
+    def _probe(self, admission: Admission, reply: Deferred) -> None:
+        def answer(report: object) -> None:
+            if not (self.silent or self.fault.answers_cut):
+                self.clock.callLater(self._delay(), _fire, reply, report)
+
+        admission.ask(ReportLoad()).addCallback(answer)
+
+    def _give_up(self, reply: Deferred) -> None:
+        if not reply.called:
+            reply.errback(LinkBrokenError("probe timed out"))
+
+    def _delay(self) -> float:
+        delay = self.fault.delay + self.rng.uniform(0, self.fault.jitter)
+        while self.rng.random() < self.fault.loss:
+            delay += 0.2
+        return delay
+
+
+@define(eq=False)
+class Relay:
+    """Stands for the sink of an attempt on the agent's side of a link."""
+
+    link: LocalLink
+    key: tuple[str, int]
+
+    def put(self, message: object) -> None:
+        """Send one part over the link."""
+        self.link.deliver(self.key, message)
+
+
+@define(eq=False)
+class LocalLinks:
+    """Implements ``LinkFactory``; remembers the links it opened."""
+
+    clock: IReactorTime
+    rng: random.Random
+    agents: dict[str, Admission] = field(factory=dict)
+    faults: dict[str, LinkFault] = field(factory=dict)
+    opened: list[LocalLink] = field(factory=list)
+
+    def open(self, instance: Instance) -> LocalLink:
+        """See ``LinkFactory.open``."""
+        fault = self.faults.setdefault(instance.name, LinkFault())
+        link = LocalLink(
+            clock=self.clock,
+            rng=self.rng,
+            agent=lambda: self.agents.get(instance.name),
+            fault=fault,
+        )
+        self.opened.append(link)
+        return link
+
+
+def later(clock: IReactorTime, delay: float, value: object) -> Deferred:
+    """Return a Deferred that fires with a value after a delay."""
+    if delay <= 0:
+        return succeed(value)
+    reply: Deferred = Deferred()
+    clock.callLater(delay, _fire, reply, value)
+    return reply
+
+
+def _fire(reply: Deferred, value: object) -> None:
+    if not reply.called:
+        reply.callback(value)
--- /dev/null
+++ b/bench/site.py
@@ -0,0 +1,164 @@
+"""A site of real entry and agent tasks in one process on a virtual clock."""
+
+import io
+import random
+
+from attrs import define, field
+from twisted.internet.defer import ensureDeferred
+
+from bench.clock import VirtualClock
+from bench.fakes import EngineEndpoint, LocalLinks, ServiceEndpoint
+from chivewall.configuration import Configuration, default_configuration
+from chivewall.environment import Environment
+from chivewall.events import EventLog
+from chivewall.interfaces import Endpoint, Instance, InstanceKind, LinkFactory, ObjectStore
+from chivewall.kernel import Application
+from chivewall.messages import Serve
+from chivewall.plugins.builtin.admission import Admission
+from chivewall.plugins.builtin.configuration import seed_configuration
+from chivewall.plugins.builtin.dispatch import Dispatcher
+from chivewall.settings import CoreSettings, Role, Settings
+from chivewall.standins.objects import MemoryStore
+from chivewall.task import Inbox
+from chivewall.work import Request
+
+ENTRY_PLUGINS = ("configuration", "directory", "dispatch")
+AGENT_PLUGINS = ("configuration", "admission")
+SETTLE_SECONDS = 1.0  # until lists are read and endpoints probed
+
+
+class QuietLog(EventLog):
+    """An event log that writes nothing, for speed; observers still see every event."""
+
+    def __init__(self) -> None:
+        super().__init__(io.StringIO())
+
+    def emit(self, event, **fields):  # noqa: ANN001, ANN003, ANN201, D102
+        for observer in self._observers:
+            observer(event, fields)
+
+
+@define(eq=False)
+class Site:
+    """Entries and agents with their store, links and endpoints.
+
+    Example::
+
+        site = Site(seed=1)
+        site.add_engine("engine-1", "Mombasa", targets=("m",))
+        site.add_entry("entry-1", "Mombasa")
+        site.settle()
+        sink = site.serve("entry-1", request)
+        site.clock.run_until(10)
+    """
+
+    seed: int = 0
+    configuration: Configuration = field(factory=default_configuration)
+    clock: VirtualClock = field(factory=VirtualClock)
+    rng: random.Random = field(init=False)
+    store: MemoryStore = field(init=False)
+    links: LocalLinks = field(init=False)
+    apps: dict[str, Application] = field(factory=dict)
+    endpoints: dict[str, EngineEndpoint | ServiceEndpoint] = field(factory=dict)
+    log: EventLog = field(factory=QuietLog)
+
+    def __attrs_post_init__(self) -> None:
+        self.rng = random.Random(self.seed)
+        self.store = MemoryStore(clock=self.clock)
+        self.links = LocalLinks(clock=self.clock, rng=self.rng)
+        seed_configuration(self.store, self.configuration)
+
+    def add_engine(
+        self, name: str, data_centre: str, targets: tuple[str, ...], **options: object
+    ) -> EngineEndpoint:
+        """Add a model engine with its agent."""
+        endpoint = EngineEndpoint(clock=self.clock, targets=targets, **options)
+        self._add_agent(name, data_centre, InstanceKind.ENGINE, targets, endpoint)
+        return endpoint
+
+    def add_service(self, name: str, data_centre: str, service: str) -> ServiceEndpoint:
+        """Add an endpoint of a plain service with its agent."""
+        endpoint = ServiceEndpoint(clock=self.clock, name=service)
+        self._add_agent(name, data_centre, InstanceKind.SERVICE, (service,), endpoint)
+        return endpoint
+
+    def add_entry(self, name: str, data_centre: str) -> Application:
+        """Add an entry."""
+        env = self._environment(name, data_centre, Role.ENTRY, ENTRY_PLUGINS, {})
+        env.provide(LinkFactory, self.links)
+        return self._start(name, env)
+
+    def start_agent(self, name: str) -> Application:
+        """Start an agent beside an endpoint, or a new one in place of a killed one."""
+        instance = next(one for one in self.store.instance_list if one.name == name)
+        sections = {"admission": {"endpoint": name}}
+        env = self._environment(name, instance.data_centre, Role.AGENT, AGENT_PLUGINS, sections)
+        env.provide(Endpoint, self.endpoints[name])
+        app = self._start(name, env)
+        self.links.agents[name] = env.require(Admission)
+        return app
+
+    def kill_agent(self, name: str) -> None:
+        """End an agent at once, as ``kill -9`` does: its task handles nothing more."""
+        admission = self.links.agents.pop(name)
+        admission.inbox = Inbox()
+        self.apps.pop(name)
+        for link in self.links.opened:
+            if link.agent() is None:
+                link.broken()
+
+    def settle(self) -> None:
+        """Let lists be read and endpoints be probed."""
+        self.clock.run_until(self.clock.now + SETTLE_SECONDS)
+
+    def serve(self, entry: str, request: Request) -> Inbox:
+        """Give a request to an entry; its parts arrive in the returned inbox."""
+        sink = Inbox()
+        dispatcher = self.apps[entry].env.require(Dispatcher)
+        dispatcher.tell(Serve(request=request, sink=sink))
+        return sink
+
+    def _add_agent(
+        self,
+        name: str,
+        data_centre: str,
+        kind: InstanceKind,
+        targets: tuple[str, ...],
+        endpoint: EngineEndpoint | ServiceEndpoint,
+    ) -> None:
+        instance = Instance(
+            name=name, kind=kind, data_centre=data_centre, host=name, port=1, targets=targets
+        )
+        self.store.instance_list = (*self.store.instance_list, instance)
+        self.endpoints[name] = endpoint
+        self.start_agent(name)
+
+    def _environment(
+        self,
+        name: str,
+        data_centre: str,
+        role: Role,
+        plugins: tuple[str, ...],
+        sections: dict[str, object],
+    ) -> Environment:
+        core = CoreSettings(role=role, instance=name, data_centre=data_centre, plugins=plugins)
+        env = Environment(
+            settings=Settings(core=core, sections=sections),
+            clock=self.clock,
+            random=random.Random(f"{self.seed}/{name}"),
+            log=self.log,
+            unix_time=self.clock.seconds,
+        )
+        env.provide(ObjectStore, self.store)
+        return env
+
+    def _start(self, name: str, env: Environment) -> Application:
+        app = Application(env)
+        ensureDeferred(app.start())
+        self.apps[name] = app
+        return app
+
+
+def drain(sink: Inbox) -> list[object]:
+    """Return the messages that wait in an inbox."""
+    return list(sink._queue.pending)  # noqa: SLF001
--- a/chivewall/environment.py
+++ b/chivewall/environment.py
@@ -2,6 +2,8 @@
 
 import random
 import sys
+import time
+from collections.abc import Callable
 from typing import Any, TextIO, TypeVar
 
 from attrs import define, field
@@ -25,6 +27,7 @@
     random: random.Random
     log: EventLog
     reactor: Any = None
+    unix_time: Callable[[], float] = time.time  # only for deadlines that operators set
     stdout: TextIO = field(factory=lambda: sys.stdout)
     stderr: TextIO = field(factory=lambda: sys.stderr)
     _services: dict[type, Any] = field(factory=dict, init=False)
--- a/chivewall/events.py
+++ b/chivewall/events.py
@@ -1,5 +1,6 @@
 """Catalogue of numbered log events and the log that writes them."""
 
+from collections.abc import Callable
 from enum import Enum
 from typing import Any, TextIO
 
@@ -62,6 +63,7 @@
     """
 
     def __init__(self, stream: TextIO, **context: Any) -> None:
+        self._observers: list[Callable[[Event, dict[str, Any]], None]] = []
         self._log = structlog.wrap_logger(
             structlog.WriteLogger(stream),
             processors=[
@@ -72,8 +74,14 @@
             cache_logger_on_first_use=True,
         ).bind(**context)
 
+    def subscribe(self, observer: Callable[[Event, dict[str, Any]], None]) -> None:
+        """Call ``observer`` with every event that is written from now on."""
+        self._observers.append(observer)
+
     def emit(self, event: Event, **fields: Any) -> None:
         """Write one event with its fields."""
+        for observer in self._observers:
+            observer(event, fields)
         self._log.info(
             event.text, number=event.number, level=event.level, name=event.name, **fields
         )
--- a/chivewall/plugins/builtin/admission.py
+++ b/chivewall/plugins/builtin/admission.py
@@ -1,6 +1,5 @@
 """The agent's admission: decides what runs at its endpoint and relays the output."""
 
-import time
 import uuid
 from functools import singledispatchmethod
 
@@ -115,7 +114,7 @@
         if refusal is None:
             self.seen[key] = attempt.request.deadline
             refusal = self.scheduler.offer(
-                attempt, self.configuration, now=self.env.now, unix_time=time.time()
+                attempt, self.configuration, now=self.env.now, unix_time=self.env.unix_time()
             )
         sink = AnswerSink(attempt=attempt, inbox=message.sink)
         if refusal is not None:
@@ -245,10 +244,11 @@
 
     def _start_work(self) -> None:
         while (attempt := self.scheduler.start_next(self.env.now)) is not None:
-            self.env.log.emit(
-                Event.WORK_STARTED, request=attempt.request.id, attempt=attempt.number
-            )
-            self.endpoint.run(attempt, self.inbox)
+            self._launch(attempt)
+
+    def _launch(self, attempt: Attempt) -> None:
+        self.env.log.emit(Event.WORK_STARTED, request=attempt.request.id, attempt=attempt.number)
+        self.endpoint.run(attempt, self.inbox)
 
     def _expire(self) -> None:
         now = self.env.now
