Hold each data centre's plan under a lease and follow it one step at a time

Cause: an engine must never hold conflicting orders, and a process that lost its authority must change nothing. The lease and the desired state stand in one object, so the conditional update is the fence; agents read the plan again just before an order, drain first and check the fencing number themselves, since some engines ignore it. Ruled out: a lease object of its own beside the plan, because a paused holder could then write the plan after losing the lease.

--- a/bench/site.py
+++ b/bench/site.py
@@ -60,6 +60,7 @@
     links: LocalLinks = field(init=False)
     apps: dict[str, Application] = field(factory=dict)
     endpoints: dict[str, EngineEndpoint | ServiceEndpoint] = field(factory=dict)
+    extra_plugins: dict[str, tuple[str, ...]] = field(factory=dict)  # of agents, by name
     log: EventLog = field(factory=QuietLog)
 
     def __attrs_post_init__(self) -> None:
@@ -69,10 +70,16 @@
         seed_configuration(self.store, self.configuration)
 
     def add_engine(
-        self, name: str, data_centre: str, targets: tuple[str, ...], **options: object
+        self,
+        name: str,
+        data_centre: str,
+        targets: tuple[str, ...],
+        extra_plugins: tuple[str, ...] = (),
+        **options: object,
     ) -> EngineEndpoint:
         """Add a model engine with its agent."""
         endpoint = EngineEndpoint(clock=self.clock, targets=targets, **options)
+        self.extra_plugins[name] = extra_plugins
         self._add_agent(name, data_centre, InstanceKind.ENGINE, targets, endpoint)
         return endpoint
 
@@ -82,9 +89,12 @@
         self._add_agent(name, data_centre, InstanceKind.SERVICE, (service,), endpoint)
         return endpoint
 
-    def add_entry(self, name: str, data_centre: str) -> Application:
+    def add_entry(
+        self, name: str, data_centre: str, extra_plugins: tuple[str, ...] = ()
+    ) -> Application:
         """Add an entry."""
-        env = self._environment(name, data_centre, Role.ENTRY, ENTRY_PLUGINS, {})
+        plugins = (*ENTRY_PLUGINS, *extra_plugins)
+        env = self._environment(name, data_centre, Role.ENTRY, plugins, {})
         env.provide(LinkFactory, self.links)
         return self._start(name, env)
 
@@ -92,7 +102,8 @@
         """Start an agent beside an endpoint, or a new one in place of a killed one."""
         instance = next(one for one in self.store.instance_list if one.name == name)
         sections = {"admission": {"endpoint": name}}
-        env = self._environment(name, instance.data_centre, Role.AGENT, AGENT_PLUGINS, sections)
+        plugins = (*AGENT_PLUGINS, *self.extra_plugins.get(name, ()))
+        env = self._environment(name, instance.data_centre, Role.AGENT, plugins, sections)
         env.provide(Endpoint, self.endpoints[name])
         app = self._start(name, env)
         self.links.agents[name] = env.require(Admission)
--- a/chivewall/errors.py
+++ b/chivewall/errors.py
@@ -36,6 +36,12 @@
     code = ResultCode.INVALID_CONFIGURATION
 
 
+class PlanError(ChivewallError):
+    """A plan object can't be read; its orders are not followed."""
+
+    code = ResultCode.INVALID_CONFIGURATION
+
+
 class StoreError(ChivewallError):
     """Base of errors of the object API."""
 
--- a/chivewall/events.py
+++ b/chivewall/events.py
@@ -49,6 +49,9 @@
     PLACEMENT_DECIDED = (602, "info", "role or models of an endpoint decided")
     ORDER_SENT = (603, "info", "order sent to the endpoint")
     ORDER_HELD = (604, "info", "order held back")
+    ORDER_FAILED = (605, "warning", "order refused or lost")
+    PLAN_REJECTED = (606, "warning", "plan object rejected")
+    SLOT_TAKEN = (607, "warning", "the endpoint's slot is held by another process")
 
     def __init__(self, number: int, level: str, text: str) -> None:
         self.number = number
--- a/chivewall/messages.py
+++ b/chivewall/messages.py
@@ -133,6 +133,16 @@
     origin: str
 
 
+@define(eq=False)
+class HoldWork(Query):
+    """Start no work until ``ResumeWork``; answered when nothing runs at the endpoint."""
+
+
+@frozen
+class ResumeWork:
+    """The endpoint may run work again."""
+
+
 @define(eq=False)
 class Drain(Query):
     """Take no new work; answered when nothing is in flight any more."""
--- a/chivewall/plugins/builtin/admission.py
+++ b/chivewall/plugins/builtin/admission.py
@@ -11,7 +11,15 @@
 from chivewall.errors import EndpointError
 from chivewall.events import Event
 from chivewall.interfaces import Endpoint, EndpointLoad, EndpointState, RunFailed, RunOutput
-from chivewall.messages import Arrive, ConfigurationSeen, Drain, Tick, Withdraw
+from chivewall.messages import (
+    Arrive,
+    ConfigurationSeen,
+    Drain,
+    HoldWork,
+    ResumeWork,
+    Tick,
+    Withdraw,
+)
 from chivewall.plugins.base import Plugin
 from chivewall.plugins.builtin.configuration import ConfigurationKeeper, Subscribe
 from chivewall.plugins.registry import Registry
@@ -89,6 +97,7 @@
         self.load = EndpointLoad()
         self.draining = False
         self.drain_waiters: list[Drain] = []
+        self.holds: list[HoldWork] = []
         self.reports = 0
 
     def start(self) -> None:
@@ -188,6 +197,16 @@
         self.drain_waiters.append(message)
         self._answer_drain()
 
+    @receive.register
+    async def _(self, message: HoldWork) -> None:
+        self.holds.append(message)
+        self._answer_holds()
+
+    @receive.register
+    async def _(self, message: ResumeWork) -> None:
+        self.holds = []
+        self._start_work()
+
     def report(self) -> LoadReport:
         """Return a fresh load report."""
         self.reports += 1
@@ -212,7 +231,7 @@
 
     def ready(self) -> bool:
         """Return whether the endpoint answers and a configuration is in force."""
-        return self.state is not None and self.configuration is not None
+        return self.state is not None and self.configuration is not None and not self.holds
 
     async def _poll(self) -> None:
         try:
@@ -243,7 +262,7 @@
         return None
 
     def _start_work(self) -> None:
-        while (attempt := self.scheduler.start_next(self.env.now)) is not None:
+        while not self.holds and (attempt := self.scheduler.start_next(self.env.now)) is not None:
             self._launch(attempt)
 
     def _launch(self, attempt: Attempt) -> None:
@@ -258,6 +277,11 @@
             self._refuse(sink, _not_run(ResultCode.DEADLINE_PASSED, "expired in the queue"))
         self.seen = {key: deadline for key, deadline in self.seen.items() if deadline > now}
 
+    def _answer_holds(self) -> None:
+        if not self.scheduler.running:
+            for hold in self.holds:
+                hold.answer(None)
+
     def _answer_drain(self) -> None:
         if self.sinks:
             return
@@ -281,6 +305,7 @@
         self.scheduler.finish(*key)
         self.sinks.pop(key, None)
         self._answer_drain()
+        self._answer_holds()
         self.env.log.emit(Event.WORK_ENDED, request=key[0], attempt=key[1], outcome=outcome)
         self._start_work()
 
--- /dev/null
+++ b/chivewall/watch.py
@@ -0,0 +1,98 @@
+"""Follows one object of the object API and sends every new version to an inbox."""
+
+from functools import singledispatchmethod
+
+from attrs import frozen
+
+from chivewall.environment import Environment
+from chivewall.errors import ObjectMissingError, StoreError
+from chivewall.events import Event
+from chivewall.interfaces import ObjectStore, StoredObject
+from chivewall.messages import Tick
+from chivewall.task import Inbox, Task
+
+WATCH_SECONDS = 25.0  # longest wait of one watch, which costs the object API one call
+RETRY_FIRST = 0.5  # seconds
+RETRY_LIMIT = 10.0  # seconds; below the 13 s in which a change must be in force
+
+
+@frozen
+class ObjectChanged:
+    """A newer version of the followed object."""
+
+    stored: StoredObject
+
+
+@frozen
+class WatchReturned:
+    """A watch ended with a newer object, or with ``None`` at its deadline."""
+
+    stored: StoredObject | None
+
+
+@frozen
+class WatchFailed:
+    """A watch failed."""
+
+    exc: StoreError
+
+
+class ObjectWatcher(Task):
+    """Owns the watch of one object; retries with jitter and backoff."""
+
+    def __init__(
+        self,
+        env: Environment,
+        store: ObjectStore,
+        key: str,
+        sink: Inbox,
+        watch_seconds: float = WATCH_SECONDS,
+    ) -> None:
+        super().__init__()
+        self.env = env
+        self.store = store
+        self.key = key
+        self.sink = sink
+        self.watch_seconds = watch_seconds
+        self.version = 0
+        self.failures = 0
+
+    def start(self) -> None:
+        """Begin to follow the object."""
+        super().start()
+        self.tell(Tick())
+
+    @singledispatchmethod
+    async def receive(self, message: object) -> None:
+        """Handle one message."""
+        raise TypeError(f"unexpected message {message!r}")
+
+    @receive.register
+    async def _(self, message: Tick) -> None:
+        self.spawn(self._watch())
+
+    @receive.register
+    async def _(self, message: WatchReturned) -> None:
+        self.failures = 0
+        if message.stored is not None:
+            self.version = message.stored.version
+            self.sink.put(ObjectChanged(message.stored))
+        self.tell(Tick())
+
+    @receive.register
+    async def _(self, message: WatchFailed) -> None:
+        if not isinstance(message.exc, ObjectMissingError):
+            self.env.log.emit(Event.STORE_UNAVAILABLE, key=self.key, error=str(message.exc))
+        delay = min(RETRY_LIMIT, RETRY_FIRST * 2 ** min(self.failures, 8))
+        self.failures += 1
+        # Jitter keeps a few hundred processes from returning at once after an outage.
+        self.env.clock.callLater(delay * self.env.random.uniform(0.5, 1), self.tell, Tick())
+
+    async def _watch(self) -> None:
+        deadline = self.env.now + self.watch_seconds
+        try:
+            stored = await self.store.watch(self.key, self.version, deadline)
+        except StoreError as exc:
+            self.tell(WatchFailed(exc))
+        else:
+            self.tell(WatchReturned(stored))
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,103 @@
+"""Orders: an agent brings its endpoint to the desired state, one step at a time."""
+
+from attrs import evolve
+from testtools import TestCase
+from testtools.matchers import Equals, HasLength
+
+from bench.site import Site, drain
+from chivewall.decisions.orders import StepKind, next_step
+from chivewall.interfaces import EndpointState
+from chivewall.plan import DesiredState, Plan, decode_plan, encode_plan, plan_key
+from chivewall.work import End, EngineRole
+from tests.test_virtual_site import completion, expected_text, text_of
+
+KEY = plan_key("Mombasa")
+PREFILL = DesiredState(role=EngineRole.PREFILL, targets=("m",))
+ACTUAL = EndpointState(role=EngineRole.MIXED, targets=("m",), fence=3)
+
+
+def plan(fence=3, desired=PREFILL):
+    return Plan(
+        holder="h",
+        holder_name="entry-1",
+        fence=fence,
+        lease_deadline=1e9,
+        desired={"engine-1": desired},
+    )
+
+
+def step(plan_, actual=ACTUAL, *, deadline=10.0, drained=True, now=0.0):
+    return next_step(
+        plan_, "engine-1", actual, plan_deadline=deadline, drained=drained, now=now
+    ).kind
+
+
+class NextStepTest(TestCase):
+    """Guards against orders that are stale, conflicting or cut running work."""
+
+    def test_old_fencing_number_is_not_sent(self):
+        # Guards engines that ignore fencing numbers: the agent checks for them.
+        self.assertThat(step(plan(fence=2)), Equals(StepKind.WAIT))
+
+    def test_plan_that_was_not_read_recently_is_not_followed(self):
+        self.assertThat(step(plan(), deadline=5.0, now=5.0), Equals(StepKind.WAIT))
+
+    def test_running_work_ends_first(self):
+        self.assertThat(step(plan(), drained=False), Equals(StepKind.DRAIN))
+
+    def test_no_second_order_while_the_endpoint_changes(self):
+        changing = evolve(ACTUAL, changing=True)
+        self.assertThat(step(plan(), changing), Equals(StepKind.WAIT))
+
+    def test_endpoint_as_desired_is_left_alone(self):
+        there = evolve(ACTUAL, role=EngineRole.PREFILL)
+        self.assertThat(step(plan(fence=2), there), Equals(StepKind.NOTHING))
+
+    def test_order_is_sent(self):
+        self.assertThat(step(plan()), Equals(StepKind.SEND))
+
+
+class OrdersTest(TestCase):
+    """Guards the agent's task with a real queue and a fake engine."""
+
+    def setUp(self):
+        super().setUp()
+        self.site = Site(seed=4)
+        self.engine = self.site.add_engine(
+            "engine-1", "Mombasa", targets=("m",), extra_plugins=("orders",)
+        )
+        self.site.add_engine("engine-2", "Mombasa", targets=("m",))
+        self.site.add_entry("entry-1", "Mombasa")
+        self.site.settle()
+
+    def test_change_drains_first_and_cuts_no_answer(self):
+        requests = [completion(f"r{place}", deadline=90, tokens=150) for place in range(6)]
+        sinks = [self.site.serve("entry-1", one) for one in requests]
+        self.site.clock.run_until(2)
+        self.assertTrue(self.engine.model.batch, "the engine should be busy")
+        self.site.store.create(KEY, encode_plan(plan()))
+        self.site.clock.run_until(2.5)
+        self.assertThat(self.engine.orders, HasLength(0))
+        self.site.clock.run_until(60)
+        self.assertThat(self.engine.orders, HasLength(1))
+        self.assertThat(self.engine.actual.role, Equals(EngineRole.PREFILL))
+        for request, sink in zip(requests, sinks, strict=True):
+            parts = drain(sink)
+            self.assertThat(text_of(parts), Equals(expected_text(request)))
+            self.assertIsInstance(parts[-1].body, End)
+
+    def test_engine_serves_again_after_the_change(self):
+        self.site.store.create(KEY, encode_plan(plan()))
+        self.site.clock.run_until(10)
+        self.site.kill_agent("engine-2")
+        sink = self.site.serve("entry-1", completion("after", deadline=60))
+        self.site.clock.run_until(40)
+        self.assertIsInstance(drain(sink)[-1].body, End)
+
+    def test_plan_that_can_not_be_read_changes_nothing(self):
+        self.site.store.create(KEY, b'{"format": 9}')
+        self.site.clock.run_until(10)
+        self.assertThat(self.engine.orders, HasLength(0))
+
+    def test_plan_round_trip(self):
+        self.assertThat(decode_plan(encode_plan(plan())), Equals(plan()))
