--- a/chivewall/plugins/builtin/embedded.py
+++ b/chivewall/plugins/builtin/embedded.py
@@ -6,23 +6,26 @@
 
 from typing import Any
 
-from attrs import field, frozen, validators
+from attrs import evolve, field, frozen, validators
 from twisted.internet.interfaces import IListeningPort
 from twisted.web.server import Site
 
 from chivewall.configuration import default_configuration
 from chivewall.environment import Environment
-from chivewall.interfaces import Instance, InstanceKind, ObjectStore
+from chivewall.interfaces import Instance, InstanceKind, LinkFactory, ObjectStore
 from chivewall.kernel import Application
 from chivewall.plugins.base import Plugin
 from chivewall.plugins.builtin.configuration import seed_configuration
 from chivewall.plugins.builtin.gate import GatePlugin
 from chivewall.plugins.builtin.http_api import HttpApiPlugin
+from chivewall.plugins.builtin.links_grpc import GrpcLinkFactory
 from chivewall.plugins.registry import Registry
-from chivewall.settings import CoreSettings, Role, Settings
+from chivewall.settings import Role, Settings
+from chivewall.standins.delays import DelayedLinks
 from chivewall.standins.engine_http import EngineServer
 from chivewall.standins.objects import MemoryStore
 from chivewall.standins.service_http import BookingService
+from chivewall.standins.weights import WeightStore
 
 LOOPBACK = "127.0.0.1"
 NO_AUTHENTICATION = {"disabled": True}  # everything stays on loopback in one process
@@ -31,13 +34,31 @@
     "store_memory",
     "http_api",
     "configuration",
-    "links_grpc",
     "directory",
     "dispatch",
+    "planner",
     "caller_http",
     "operator_http",
 )
 AGENT_PLUGINS = ("credentials", "store_memory", "configuration")
+ENGINE_PLUGINS = (*AGENT_PLUGINS, "engine_http", "admission", "orders", "gate")
+SERVICE_PLUGINS = (*AGENT_PLUGINS, "service_http", "admission", "gate")
+MS_PER_SECOND = 1000
+
+
+@frozen
+class DataCentreSettings:
+    """What one data centre of the embedded site contains."""
+
+    name: str = field(validator=validators.min_len(1), metadata={"help": "Its name."})
+    engines: int = field(
+        default=1, validator=validators.ge(0), metadata={"help": "Number of model engines."}
+    )
+    services: int = field(
+        default=1,
+        validator=validators.ge(0),
+        metadata={"help": "Number of endpoints of each plain service."},
+    )
 
 
 @frozen
@@ -47,16 +68,23 @@
     port: int = field(
         default=0,
         validator=[validators.ge(0), validators.le(65535)],
-        metadata={"help": "TCP port for callers; 0 takes a free one."},
+        metadata={"help": "TCP port for callers at the first data centre; 0 takes a free one."},
     )
     models: tuple[str, ...] = field(
         default=("rota-assistant",), metadata={"help": "Models that every engine offers."}
     )
-    engines: int = field(
-        default=2, validator=validators.ge(1), metadata={"help": "Number of engines."}
-    )
     services: tuple[str, ...] = field(
-        default=("shift-booking",), metadata={"help": "Plain services, one endpoint each."}
+        default=("shift-booking",), metadata={"help": "Names of the plain services."}
+    )
+    data_centres: tuple[DataCentreSettings, ...] = field(
+        default=(DataCentreSettings(name="Mombasa", engines=2),),
+        validator=validators.min_len(1),
+        metadata={"help": "Data centres, each with one entry."},
+    )
+    delay_ms: float = field(
+        default=0.0,
+        validator=validators.ge(0),
+        metadata={"help": "One-way delay between data centres, in milliseconds."},
     )
 
 
@@ -70,23 +98,21 @@
         """Create the object API with the default configuration."""
         self.store = MemoryStore(clock=self.env.clock)
         await seed_configuration(self.store, default_configuration())
+        self.weights = WeightStore(clock=self.env.clock)
         self.apps: list[Application] = []
         self.listeners: list[IListeningPort] = []
-        self.bookings: dict[str, BookingService] = {}
 
     async def start(self) -> None:
-        """Start stand-ins, agents and the entry, in this order."""
-        engines = [
-            await self._start_engine(f"engine-{place}") for place in range(1, self.cfg.engines + 1)
+        """Start stand-ins and agents, then one entry for each data centre."""
+        for data_centre in self.cfg.data_centres:
+            agents = [*await self._start_engines(data_centre)]
+            agents += await self._start_services(data_centre)
+            self.store.instance_list += tuple(agents)
+        entries = [
+            await self._start_entry(one.name, port=self.cfg.port if place == 0 else 0)
+            for place, one in enumerate(self.cfg.data_centres)
         ]
-        services = [await self._start_service(name) for name in self.cfg.services]
-        self.store.instance_list = (*engines, *services)
-        sections = {
-            "credentials": NO_AUTHENTICATION,
-            "http_api": {"host": LOOPBACK, "port": self.cfg.port},
-        }
-        self.entry = await self._start_app("entry-1", Role.ENTRY, ENTRY_PLUGINS, sections)
-        self.env.provide(HttpApiPlugin, self.entry.find(HttpApiPlugin))
+        self.env.provide(HttpApiPlugin, entries[0].find(HttpApiPlugin))
 
     async def drain(self) -> None:
         """Drain the entry first, then the agents."""
@@ -104,64 +130,94 @@
         """Return whether all parts are ready."""
         return all(app.ready() for app in self.apps)
 
-    async def _start_engine(self, name: str) -> Instance:
-        engine = EngineServer(clock=self.env.clock, models=self.cfg.models)
-        port = self._listen(engine.site())
-        sections = {"engine_http": {"host": LOOPBACK, "port": port}}
-        return await self._start_agent(
-            name, InstanceKind.ENGINE, self.cfg.models, "engine_http", sections
-        )
-
-    async def _start_service(self, name: str) -> Instance:
-        service = self.bookings[name] = BookingService(name=name)
-        port = self._listen(service.site())
-        sections = {"service_http": {"name": name, "host": LOOPBACK, "port": port}}
-        return await self._start_agent(
-            f"{name}-1", InstanceKind.SERVICE, (name,), "service_http", sections
-        )
+    async def _start_engines(self, data_centre: DataCentreSettings) -> list[Instance]:
+        started = []
+        for place in range(1, data_centre.engines + 1):
+            engine = EngineServer(
+                clock=self.env.clock, models=self.cfg.models, weights=self.weights
+            )
+            port = self._listen(engine.site())
+            instance = Instance(
+                name=f"{data_centre.name.lower()}-engine-{place}",
+                kind=InstanceKind.ENGINE,
+                data_centre=data_centre.name,
+                host=LOOPBACK,
+                port=0,
+                targets=self.cfg.models,
+            )
+            sections = {"engine_http": {"host": LOOPBACK, "port": port}}
+            started.append(await self._start_agent(instance, ENGINE_PLUGINS, sections))
+        return started
+
+    async def _start_services(self, data_centre: DataCentreSettings) -> list[Instance]:
+        started = []
+        for name in self.cfg.services:
+            for place in range(1, data_centre.services + 1):
+                port = self._listen(BookingService(name=name).site())
+                instance = Instance(
+                    name=f"{data_centre.name.lower()}-{name}-{place}",
+                    kind=InstanceKind.SERVICE,
+                    data_centre=data_centre.name,
+                    host=LOOPBACK,
+                    port=0,
+                    targets=(name,),
+                )
+                sections = {"service_http": {"name": name, "host": LOOPBACK, "port": port}}
+                started.append(await self._start_agent(instance, SERVICE_PLUGINS, sections))
+        return started
 
     async def _start_agent(
-        self,
-        name: str,
-        kind: InstanceKind,
-        targets: tuple[str, ...],
-        endpoint_plugin: str,
-        sections: dict[str, Any],
+        self, instance: Instance, plugins: tuple[str, ...], sections: dict[str, Any]
     ) -> Instance:
         sections = {
             **sections,
             "credentials": NO_AUTHENTICATION,
-            "admission": {"endpoint": name},
+            "admission": {"endpoint": instance.name},
             "gate": {"host": LOOPBACK},
         }
-        plugins = (*AGENT_PLUGINS, endpoint_plugin, "admission", "gate")
-        app = await self._start_app(name, Role.AGENT, plugins, sections)
-        return Instance(
-            name=name,
-            kind=kind,
-            data_centre=self.env.settings.core.data_centre,
-            host=LOOPBACK,
-            port=app.find(GatePlugin).port,
-            targets=targets,
+        env = self._environment(instance.name, instance.data_centre, Role.AGENT, plugins, sections)
+        app = await self._start_app(env)
+        return evolve(instance, port=app.find(GatePlugin).port)
+
+    async def _start_entry(self, data_centre: str, port: int) -> Application:
+        sections = {
+            "credentials": NO_AUTHENTICATION,
+            "http_api": {"host": LOOPBACK, "port": port},
+        }
+        name = f"{data_centre.lower()}-entry-1"
+        env = self._environment(name, data_centre, Role.ENTRY, ENTRY_PLUGINS, sections)
+        links = DelayedLinks(
+            clock=env.clock,
+            home=data_centre,
+            delay=self.cfg.delay_ms / MS_PER_SECOND,
+            factory=GrpcLinkFactory(env, token=None),
         )
+        env.provide(LinkFactory, links)
+        return await self._start_app(env)
 
-    async def _start_app(
-        self, name: str, role: Role, plugins: tuple[str, ...], sections: dict[str, Any]
-    ) -> Application:
-        outer = self.env.settings.core
-        core = CoreSettings(
+    def _environment(
+        self,
+        name: str,
+        data_centre: str,
+        role: Role,
+        plugins: tuple[str, ...],
+        sections: dict[str, Any],
+    ) -> Environment:
+        core = evolve(
+            self.env.settings.core,
             role=role,
             instance=name,
-            data_centre=outer.data_centre,
+            data_centre=data_centre,
             plugins=plugins,
-            seed=outer.seed,
-            drain_seconds=outer.drain_seconds,
         )
         settings = Settings(core=core, sections=sections, source=f"embedded {name}")
         env = Environment.build(
             settings, self.env.reactor, stdout=self.env.stdout, stderr=self.env.stderr
         )
         env.provide(ObjectStore, self.store)
+        return env
+
+    async def _start_app(self, env: Environment) -> Application:
         app = Application(env)
         await app.start()
         self.apps.append(app)
--- a/chivewall/plugins/builtin/engine_http.py
+++ b/chivewall/plugins/builtin/engine_http.py
@@ -26,7 +26,8 @@
 from chivewall.work import Attempt, Completion, End, EngineRole, PartBody, Rank, Tokens
 
 CONNECT_TIMEOUT = 2.0  # seconds
-CONTROL_TIMEOUT = 5.0  # seconds, for load, state and orders
+CONTROL_TIMEOUT = 5.0  # seconds, for load and state
+ORDER_TIMEOUT = 60.0  # seconds; loading weights takes long
 CONFLICT_STATUS = 409
 OK_STATUS = 200
 PRIORITIES = {rank: place for place, rank in enumerate(Rank)}
@@ -166,7 +167,7 @@
         }
         try:
             response = await treq.post(
-                f"{self.base}/orders", json=body, agent=self.agent, timeout=CONTROL_TIMEOUT
+                f"{self.base}/orders", json=body, agent=self.agent, timeout=ORDER_TIMEOUT
             )
         except Exception as exc:
             raise EndpointError(f"order lost: {exc}") from exc
