Run keyed non-idempotent calls under claims

Cause: the agent sent every call straight to the service, so a repeat with the same Idempotency-Key ran a booking again. An agent now claims the key in a shard object by a conditional update before it sends the call, and records the answer for repeats.

The entry ended a request as not run if its last attempt was refused, even when an earlier attempt may have run, and counted a refusal of a claim as a failure of the agent; both are corrected in dispatch.

Tests: random interleavings of the pure decisions and random walks of real agent tasks over a faulty object API; variants without claims and without conditional updates are caught by the same checks.

--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -127,6 +127,7 @@
     name: str
     parallel: int = 16
     runs: Counter[bytes] = field(factory=Counter)
+    requests: Counter[str] = field(factory=Counter)  # runs by request id
     down: bool = False
     fail_after_run: bool = False  # run the action and lose its answer
     running: int = 0
@@ -162,6 +163,7 @@
         self.running -= 1
         body = attempt.request.work.body
         self.runs[body] += 1
+        self.requests[attempt.request.id] += 1
         if self.fail_after_run:
             sink.put(RunFailed(*key, reached=True, reason="the connection broke"))
             return
--- a/bench/site.py
+++ b/bench/site.py
@@ -15,6 +15,7 @@
 from chivewall.kernel import Application
 from chivewall.messages import Serve
 from chivewall.plugins.builtin.admission import Admission
+from chivewall.plugins.builtin.claims import Claims
 from chivewall.plugins.builtin.configuration import seed_configuration
 from chivewall.plugins.builtin.dispatch import Dispatcher
 from chivewall.settings import CoreSettings, Role, Settings
@@ -24,6 +25,7 @@
 
 ENTRY_PLUGINS = ("configuration", "directory", "dispatch")
 AGENT_PLUGINS = ("configuration", "admission")
+SERVICE_AGENT_PLUGINS = ("configuration", "claims", "admission")
 SETTLE_SECONDS = 1.0  # until lists are read and endpoints probed
 
 
@@ -61,10 +63,12 @@
     apps: dict[str, Application] = field(factory=dict)
     endpoints: dict[str, EngineEndpoint | ServiceEndpoint] = field(factory=dict)
     log: EventLog = field(factory=QuietLog)
+    make_store: type[MemoryStore] = MemoryStore
+    service_plugins: tuple[str, ...] = SERVICE_AGENT_PLUGINS
 
     def __attrs_post_init__(self) -> None:
         self.rng = random.Random(self.seed)
-        self.store = MemoryStore(clock=self.clock)
+        self.store = self.make_store(clock=self.clock)
         self.links = LocalLinks(clock=self.clock, rng=self.rng)
         seed_configuration(self.store, self.configuration)
 
@@ -92,7 +96,9 @@
         """Start an agent beside an endpoint, or a new one in place of a killed one."""
         instance = next(one for one in self.store.instance_list if one.name == name)
         sections = {"admission": {"endpoint": name}}
-        env = self._environment(name, instance.data_centre, Role.AGENT, AGENT_PLUGINS, sections)
+        service = instance.kind is InstanceKind.SERVICE
+        plugins = self.service_plugins if service else AGENT_PLUGINS
+        env = self._environment(name, instance.data_centre, Role.AGENT, plugins, sections)
         env.provide(Endpoint, self.endpoints[name])
         app = self._start(name, env)
         self.links.agents[name] = env.require(Admission)
@@ -102,7 +108,10 @@
         """End an agent at once, as ``kill -9`` does: its task handles nothing more."""
         admission = self.links.agents.pop(name)
         admission.inbox = Inbox()
-        self.apps.pop(name)
+        claims = self.apps.pop(name).env.find(Claims)
+        if claims is not None:
+            claims.receive = _drop
+            claims.inbox = Inbox()
         for link in self.links.opened:
             if link.agent() is None:
                 link.broken()
@@ -159,6 +168,10 @@
         return app
 
 
+async def _drop(message: object) -> None:
+    """Handle a message as a killed process does."""
+
+
 def drain(sink: Inbox) -> list[object]:
     """Return the messages that wait in an inbox."""
     return list(sink._queue.pending)  # noqa: SLF001
--- /dev/null
+++ b/chivewall/decisions/claims.py
@@ -0,0 +1,255 @@
+"""Claims of keyed non-idempotent calls: the state of one shard object and its changes."""
+
+import base64
+import hashlib
+import json
+from enum import Enum
+
+from attrs import evolve, field, frozen
+
+from chivewall.work import Answer, Call, Header, Request
+
+FORMAT = 1  # number of the JSON form of a shard
+SHARD_BYTES = 900_000  # under the object API's limit of 1 MB for a value
+INLINE_BYTES = 2_048  # larger outcomes become objects of their own
+OUTCOME_BYTES = 1_000_000  # the object API's limit; larger outcomes can't be kept
+RESERVE_BYTES = INLINE_BYTES + 128  # room that each open claim needs for its outcome
+SKEW_SECONDS = 60.0  # clocks of instances may differ by this much when claims expire
+
+
+class ClaimState(Enum):
+    """What is known of the call that a claim stands for."""
+
+    CLAIMED = "claimed"
+    DONE = "done"
+    RELEASED = "released"
+
+
+class Verdict(Enum):
+    """What follows from an attempt to claim a key."""
+
+    GRANTED = "granted"
+    REPEAT = "repeat"
+    IN_PROGRESS = "in progress"
+    UNKNOWN = "unknown"
+    KEY_REUSED = "key reused"
+    SHARD_FULL = "shard full"
+
+
+@frozen
+class Outcome:
+    """A stored answer: inline, in an object of its own, or too large to keep."""
+
+    inline: str | None = None
+    object_key: str | None = None
+
+
+@frozen
+class Claim:
+    """One key's record; the times are Unix times."""
+
+    workspace: str
+    fingerprint: str
+    token: str
+    run_until: float  # the request's deadline; the claimant doesn't send after it
+    expires_at: float
+    state: ClaimState = ClaimState.CLAIMED
+    outcome: Outcome | None = None
+
+
+@frozen
+class ShardState:
+    """All claims of one shard, by hashed key."""
+
+    claims: dict[str, Claim] = field(factory=dict)
+
+
+@frozen
+class ClaimKey:
+    """Change: take the key for one run."""
+
+    key: str
+    claim: Claim
+
+
+@frozen
+class RecordOutcome:
+    """Change: keep the answer of the run that the token claimed."""
+
+    key: str
+    token: str
+    outcome: Outcome
+
+
+@frozen
+class ReleaseClaim:
+    """Change: the run that the token claimed never happened and never will."""
+
+    key: str
+    token: str
+
+
+Change = ClaimKey | RecordOutcome | ReleaseClaim
+
+
+@frozen
+class Result:
+    """What a claim got, with the claim that stands in the shard."""
+
+    verdict: Verdict
+    claim: Claim
+
+
+@frozen
+class Decision:
+    """The next state, the results by token and whether the state must be written."""
+
+    state: ShardState
+    results: dict[str, Result]
+    must_write: bool
+
+
+def hashed_key(service: str, workspace: str, key: str) -> str:
+    """Return the key as stored; the same key of another workspace differs."""
+    return _digest(json.dumps([service, workspace, key]).encode())
+
+
+def shard_of(service: str, workspace: str, key: str, shards: int) -> int:
+    """Return the shard of a key."""
+    return int(hashed_key(service, workspace, key)[:8], 16) % shards
+
+
+def fingerprint_of(call: Call) -> str:
+    """Return what must be the same in a repeat: method, path and body."""
+    return _digest(json.dumps([call.method, call.path]).encode() + b"\0" + call.body)
+
+
+def needs_claim(request: Request) -> bool:
+    """Return whether the request runs only under a claim."""
+    return (
+        isinstance(request.work, Call) and not request.work.idempotent and request.key is not None
+    )
+
+
+def decide(state: ShardState, changes: tuple[Change, ...], unix_time: float) -> Decision:
+    """Apply a batch of changes to a shard.
+
+    A release always asks for a write: the new version makes a delayed write of
+    the released claim fail, even if the claim isn't in the shard yet.
+    """
+    claims = dict(prune(state, unix_time).claims)
+    size = len(encode(ShardState(claims)))
+    size += RESERVE_BYTES * sum(one.state is ClaimState.CLAIMED for one in claims.values())
+    results: dict[str, Result] = {}
+    must_write = False
+    for change in changes:
+        found = claims.get(change.key)
+        if isinstance(change, ClaimKey):
+            needed = len(change.key) + len(json.dumps(_claim_to_json(change.claim))) + RESERVE_BYTES
+            result = _claim(found, change.claim, unix_time, room=SHARD_BYTES - size - needed)
+            results[change.claim.token] = result
+            if result.verdict is Verdict.GRANTED and found != result.claim:
+                claims[change.key] = result.claim
+                size += needed
+                must_write = True
+        elif isinstance(change, ReleaseClaim):
+            must_write = True
+            if _is_open(found, change.token):
+                claims[change.key] = evolve(found, state=ClaimState.RELEASED)
+        elif _is_open(found, change.token):
+            claims[change.key] = evolve(found, state=ClaimState.DONE, outcome=change.outcome)
+            must_write = True
+    return Decision(state=ShardState(claims), results=results, must_write=must_write)
+
+
+def prune(state: ShardState, unix_time: float) -> ShardState:
+    """Drop released claims and those that expired longer ago than clocks may differ."""
+    return ShardState(
+        {
+            key: one
+            for key, one in state.claims.items()
+            if one.state is not ClaimState.RELEASED and unix_time < one.expires_at + SKEW_SECONDS
+        }
+    )
+
+
+def may_send(claim: Claim, unix_time: float, deadline: float, now: float) -> bool:
+    """Return whether the claimant may still send the call; checked just before sending."""
+    return now < deadline and unix_time < claim.expires_at
+
+
+def encode(state: ShardState) -> bytes:
+    """Return the JSON form of a shard."""
+    claims = {key: _claim_to_json(one) for key, one in state.claims.items()}
+    return json.dumps({"format": FORMAT, "claims": claims}, separators=(",", ":")).encode()
+
+
+def decode(value: bytes) -> ShardState:
+    """Return the shard of a JSON form; raises ``ValueError`` for another format."""
+    try:
+        raw = json.loads(value)
+        found = raw["format"]
+        claims = raw["claims"]
+        if found == FORMAT:
+            return ShardState({key: _claim_from_json(one) for key, one in claims.items()})
+    except (KeyError, TypeError, AttributeError) as exc:
+        raise ValueError(f"claims shard is damaged: {exc!r}") from exc
+    raise ValueError(f"claims shard has format {found}, not {FORMAT}")
+
+
+def encode_answer(answer: Answer) -> str:
+    """Return the JSON form of an answer."""
+    headers = [[one.name, one.value] for one in answer.headers]
+    body = base64.b64encode(answer.body).decode()
+    return json.dumps([answer.status, headers, body], separators=(",", ":"))
+
+
+def decode_answer(text: str | bytes) -> Answer:
+    """Return the answer of a JSON form."""
+    status, headers, body = json.loads(text)
+    return Answer(
+        status=status,
+        headers=tuple(Header(name=name, value=value) for name, value in headers),
+        body=base64.b64decode(body),
+    )
+
+
+def _claim(found: Claim | None, wanted: Claim, unix_time: float, room: int) -> Result:
+    if found is None or found.state is ClaimState.RELEASED:
+        if room < 0:
+            return Result(Verdict.SHARD_FULL, wanted)
+        return Result(Verdict.GRANTED, wanted)
+    if found.token == wanted.token:
+        return Result(Verdict.GRANTED, found)
+    if found.fingerprint != wanted.fingerprint:
+        return Result(Verdict.KEY_REUSED, found)
+    if found.state is ClaimState.DONE:
+        return Result(Verdict.REPEAT, found)
+    late = unix_time >= found.run_until
+    return Result(Verdict.UNKNOWN if late else Verdict.IN_PROGRESS, found)
+
+
+def _is_open(found: Claim | None, token: str) -> bool:
+    return found is not None and found.token == token and found.state is ClaimState.CLAIMED
+
+
+def _claim_to_json(claim: Claim) -> list:
+    outcome = claim.outcome and [claim.outcome.inline, claim.outcome.object_key]
+    return [
+        claim.workspace,
+        claim.fingerprint,
+        claim.token,
+        claim.run_until,
+        claim.expires_at,
+        claim.state.value,
+        outcome,
+    ]
+
+
+def _claim_from_json(raw: list) -> Claim:
+    *values, state, outcome = raw
+    return Claim(*values, ClaimState(state), outcome and Outcome(*outcome))
+
+
+def _digest(value: bytes) -> str:
+    return hashlib.sha256(value).hexdigest()[:32]
--- a/chivewall/plugins/builtin/admission.py
+++ b/chivewall/plugins/builtin/admission.py
@@ -130,7 +130,7 @@
         if sink is None:
             return
         self._send(sink, message.body)
-        if isinstance(message.body, End | Answer):
+        if isinstance(message.body, End | Answer | Refusal):
             self._end(sink, outcome="complete")
 
     @receive.register
--- a/chivewall/plugins/builtin/dispatch.py
+++ b/chivewall/plugins/builtin/dispatch.py
@@ -70,6 +70,7 @@
         self.excluded: set[str] = set()
         self.parts_sent = 0
         self.over = False
+        self.may_have_run = False  # an earlier attempt ended with its run state unknown
         self.timer: IDelayedCall | None = None
 
     def start(self) -> None:
@@ -114,7 +115,7 @@
             return
         self.heard_at = self.env.now
         if isinstance(part.body, Refusal):
-            await self._fail(part.body)
+            await self._fail(part.body, agent_failed=part.body.code is ResultCode.ENDPOINT_FAILED)
         elif not isinstance(part.body, Waiting):
             self._forward(part.body)
 
@@ -177,7 +178,7 @@
             Refusal(code=ResultCode.DEADLINE_MISSED, message="the deadline passed", run=run)
         )
 
-    async def _fail(self, refusal: Refusal) -> None:
+    async def _fail(self, refusal: Refusal, *, agent_failed: bool = True) -> None:
         endpoint = self.route.endpoint
         self.env.log.emit(
             Event.ATTEMPT_FAILED,
@@ -189,7 +190,8 @@
             reason=refusal.message,
         )
         self.excluded.add(endpoint)
-        self._cancel_attempt(failed=refusal.run is not RunState.NO)
+        self.may_have_run |= refusal.run is not RunState.NO
+        self._cancel_attempt(failed=agent_failed and refusal.run is not RunState.NO)
         await self._decide(Failure(endpoint=endpoint, refusal=refusal))
 
     async def _decide(self, failure: Failure) -> None:
@@ -215,6 +217,8 @@
             self._finish("complete" if not isinstance(body, End) else body.finish_reason)
 
     def _end_with(self, refusal: Refusal) -> None:
+        if self.may_have_run and refusal.run is RunState.NO:
+            refusal = evolve(refusal, run=RunState.UNKNOWN)
         self._put(refusal)
         self._finish(refusal.code.name)
 
--- a/chivewall/plugins/builtin/embedded.py
+++ b/chivewall/plugins/builtin/embedded.py
@@ -134,7 +134,8 @@
             "admission": {"endpoint": name},
             "gate": {"host": LOOPBACK},
         }
-        plugins = (*AGENT_PLUGINS, endpoint_plugin, "admission", "gate")
+        claims = ("claims",) if kind is InstanceKind.SERVICE else ()
+        plugins = (*AGENT_PLUGINS, endpoint_plugin, *claims, "admission", "gate")
         app = await self._start_app(name, Role.AGENT, plugins, sections)
         return Instance(
             name=name,
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,291 @@
+"""Keyed calls through real agent tasks, with the fake service as the witness."""
+
+import random
+
+from attrs import define, field
+from testtools import TestCase
+from testtools.matchers import Equals, LessThan
+
+from bench.site import Site, drain
+from bench.stores import FaultyStore
+from chivewall.interfaces import RunOutput
+from chivewall.messages import Arrive, Drain
+from chivewall.plugins.builtin.claims import CLAIM_SECONDS, RECORD_SECONDS, Claims
+from chivewall.results import ResultCode, RunState
+from chivewall.task import Inbox
+from chivewall.work import Answer, Attempt, Call, Rank, Refusal, Request, Waiting
+
+SERVICE = "shift-booking"
+AGENTS = ("booking-1", "booking-2", "booking-3")
+SEEDS = range(25)
+FAULT_SECONDS = 8.0
+LATENCY = 0.004  # seconds
+
+
+class UnconditionalStore(FaultyStore):
+    """Broken on purpose: every write replaces whatever is there."""
+
+    def create(self, key, value):
+        self.writes += 1
+        return self._call(self._write, key, value)
+
+    def update(self, key, value, version):
+        return self.create(key, value)
+
+
+@define(eq=False)
+class Bench:
+    """Agents of one service and the answers that they gave."""
+
+    seed: int = 0
+    options: dict = field(factory=dict)
+    site: Site = field(init=False)
+    store: FaultyStore = field(init=False)
+    endpoints: list = field(init=False)
+    sinks: dict = field(factory=dict)  # request id -> (key, sink)
+
+    def __attrs_post_init__(self):
+        self.site = Site(seed=self.seed, **{"make_store": FaultyStore, **self.options})
+        for name in AGENTS:
+            self.site.add_service(name, "Mombasa", SERVICE)
+        self.site.settle()
+        self.store = self.site.store
+        self.store.rng = random.Random(self.seed)
+        self.store.latency = LATENCY
+        self.endpoints = [self.site.endpoints[name] for name in AGENTS]
+
+    def call(self, key, agent="booking-1", seconds=5.0, body=None, workspace="w"):
+        admission = self.site.links.agents.get(agent)
+        name = f"r{len(self.sinks)}"
+        sink = Inbox()
+        self.sinks[name] = (key, sink)
+        if admission is None:
+            return sink
+        work = Call(service=SERVICE, method="POST", path="/x", body=body or (key or "-").encode())
+        request = Request(
+            id=name,
+            workspace=workspace,
+            rank=Rank.URGENT,
+            deadline=self.site.clock.now + seconds,
+            work=work,
+            key=key,
+        )
+        attempt = Attempt(request, 1, endpoint=agent, incarnation=admission.incarnation)
+        admission.tell(Arrive(attempt=attempt, sink=sink))
+        return sink
+
+    def wait(self, seconds):
+        self.site.clock.run_until(self.site.clock.now + seconds)
+
+    def restart(self, agent):
+        if agent in self.site.links.agents:
+            self.site.kill_agent(agent)
+            self.site.clock.callLater(0.3, self.site.start_agent, agent)
+
+    def fault(self, target, name, seconds):
+        setattr(target, name, True)
+        self.site.clock.callLater(seconds, setattr, target, name, False)
+
+    def claims(self, agent="booking-1"):
+        return self.site.apps[agent].env.require(Claims)
+
+    def runs(self, key):
+        return sum(one.runs[key.encode()] for one in self.endpoints)
+
+    def problems(self):
+        """Return each broken promise that the witness shows."""
+        bodies = {body for one in self.endpoints for body in one.runs}
+        found = [f"{one} ran twice" for one in bodies if self.runs(one.decode()) > 1]
+        answers = {}
+        for name, (key, sink) in self.sinks.items():
+            body = last(sink)
+            ran = any(one.requests[name] for one in self.endpoints)
+            if isinstance(body, Refusal) and body.run is RunState.NO and ran:
+                found.append(f"{name} ran but was called not run")
+            if isinstance(body, Answer) and answers.setdefault(key, body) != body:
+                found.append(f"{key} has two answers")
+        return found
+
+
+def last(sink):
+    parts = [one.body for one in drain(sink) if not isinstance(one.body, Waiting)]
+    return parts[-1] if parts else None
+
+
+def walk(seed, *, kills=True, services_fail=True, **options):
+    """Run random calls on few keys under random faults, then let every fault end."""
+    bench = Bench(seed=seed, options=options)
+    rng = random.Random(seed)
+    clock, store = bench.site.clock, bench.store
+
+    store.loss = rng.choice((0.0, 0.1, 0.3))
+    for _ in range(60):
+        at = rng.uniform(0, FAULT_SECONDS)
+        agent = rng.choice(AGENTS)
+        clock.callLater(at, bench.call, f"k{rng.randrange(6)}", agent, rng.uniform(0.05, 4.0))
+    for _ in range(4):
+        clock.callLater(
+            rng.uniform(0, FAULT_SECONDS), bench.fault, store, "down", rng.uniform(0.1, 2.5)
+        )
+        if kills:
+            clock.callLater(rng.uniform(0, FAULT_SECONDS), bench.restart, rng.choice(AGENTS))
+        if services_fail:
+            fault = rng.choice(("down", "fail_after_run"))
+            at = rng.uniform(0, FAULT_SECONDS)
+            clock.callLater(at, bench.fault, rng.choice(bench.endpoints), fault, 0.3)
+    bench.wait(FAULT_SECONDS + 3)
+    store.loss, store.down = 0.0, False
+    bench.wait(10)
+    return bench
+
+
+class RandomWalkTest(TestCase):
+    """Guards against double runs and false refusals under faults in any order."""
+
+    def test_promises_hold(self):
+        for seed in SEEDS:
+            self.assertThat(walk(seed).problems(), Equals([]), f"seed {seed}")
+
+    def test_lost_store_responses_block_no_key(self):
+        """A claim that took effect after its claimant gave up must be released."""
+        for seed in SEEDS:
+            bench = walk(seed, kills=False, services_fail=False)
+            for place in range(6):
+                sink = bench.call(f"k{place}", AGENTS[place % 3])
+                bench.wait(1)
+                self.assertIsInstance(last(sink), Answer, f"seed {seed}")
+                self.assertThat(bench.runs(f"k{place}"), Equals(1), f"seed {seed}")
+            self.assertThat(bench.problems(), Equals([]), f"seed {seed}")
+
+    def test_agent_without_claims_is_caught(self):
+        plugins = ("configuration", "admission")
+        self.assertTrue(any(walk(one, service_plugins=plugins).problems() for one in SEEDS))
+
+    def test_claim_without_conditional_update_is_caught(self):
+        found = [walk(one, make_store=UnconditionalStore).problems() for one in SEEDS]
+        self.assertTrue(any("ran twice" in one for each in found for one in each))
+
+
+class ClaimedCallTest(TestCase):
+    """Guards what a caller of a keyed call is told."""
+
+    def setUp(self):
+        super().setUp()
+        self.bench = Bench()
+
+    def code(self, sink):
+        body = last(sink)
+        return (body.code, body.run)
+
+    def test_repeat_at_another_agent_gets_the_first_outcome(self):
+        first = self.bench.call("k")
+        self.bench.wait(1)
+        again = self.bench.call("k", "booking-2")
+        self.bench.wait(1)
+        self.assertThat(last(first).status, Equals(201))
+        self.assertThat(last(again), Equals(last(first)))
+        self.assertThat(self.bench.runs("k"), Equals(1))
+
+    def test_repeat_while_the_first_runs(self):
+        self.bench.call("k")
+        self.bench.wait(0.02)
+        again = self.bench.call("k", "booking-2")
+        self.bench.wait(1)
+        self.assertThat(self.code(again), Equals((ResultCode.IN_PROGRESS, RunState.UNKNOWN)))
+
+    def test_other_request_with_the_same_key(self):
+        self.bench.call("k")
+        self.bench.wait(1)
+        other = self.bench.call("k", body=b"other")
+        self.bench.wait(1)
+        self.assertThat(self.code(other), Equals((ResultCode.KEY_REUSED, RunState.NO)))
+
+    def test_workspaces_have_their_own_keys(self):
+        sinks = [self.bench.call("k", workspace=one, body=one.encode()) for one in ("v", "w")]
+        self.bench.wait(1)
+        self.assertThat([last(one).status for one in sinks], Equals([201, 201]))
+
+    def test_dead_claimant_is_unknown(self):
+        self.bench.call("k", seconds=1.0)
+        self.bench.wait(0.02)
+        self.bench.site.kill_agent("booking-1")
+        self.bench.wait(2)
+        again = self.bench.call("k", "booking-2")
+        self.bench.wait(1)
+        self.assertThat(self.code(again), Equals((ResultCode.OUTCOME_UNKNOWN, RunState.UNKNOWN)))
+
+    def test_unreached_endpoint_releases_the_key(self):
+        self.bench.endpoints[0].down = True
+        first = self.bench.call("k")
+        self.bench.wait(0.1)
+        self.assertThat(last(first).run, Equals(RunState.NO))
+        again = self.bench.call("k", "booking-2")
+        self.bench.wait(1)
+        self.assertIsInstance(last(again), Answer)
+
+    def test_outage_refuses_keyed_calls_only(self):
+        self.bench.store.down = True
+        keyed, plain = self.bench.call("k"), self.bench.call(None)
+        self.bench.wait(CLAIM_SECONDS + 0.1)
+        self.assertThat(self.code(keyed), Equals((ResultCode.CLAIM_UNAVAILABLE, RunState.NO)))
+        self.assertIsInstance(last(plain), Answer)
+        self.bench.store.down = False
+        self.bench.wait(3)
+        self.assertThat(self.bench.runs("k"), Equals(0))
+
+    def test_answer_waits_for_its_record_only_so_long(self):
+        sink = self.bench.call("k")
+        self.bench.wait(0.02)
+        self.bench.store.down = True
+        self.bench.wait(RECORD_SECONDS + 0.1)
+        self.assertIsInstance(last(sink), Answer)
+        drained = self.bench.claims().ask(Drain())
+        self.assertFalse(drained.called)
+        self.bench.store.down = False
+        self.bench.wait(5)
+        self.assertTrue(drained.called)
+        again = self.bench.call("k", "booking-2")
+        self.bench.wait(1)
+        self.assertThat(last(again), Equals(last(sink)))
+
+    def test_paused_claimant_does_not_send_after_the_deadline(self):
+        """A process paused between claim and send must check the deadline again."""
+        claims = self.bench.claims()
+        handle, kept = claims.receive, []
+        sink = self.bench.call("k", seconds=1.0)
+        self.bench.wait(0.005)
+
+        async def keep(message):
+            kept.append(message)
+
+        claims.receive = keep
+        self.bench.wait(2)
+        claims.receive = handle
+        for message in kept:
+            claims.tell(message)
+        self.bench.wait(1)
+        self.assertThat(last(sink).run, Equals(RunState.NO))
+        self.assertThat(self.bench.runs("k"), Equals(0))
+        again = self.bench.call("k", "booking-2")
+        self.bench.wait(1)
+        self.assertIsInstance(last(again), Answer)
+
+    def test_large_outcome_is_stored_apart(self):
+        answer = Answer(status=200, headers=(), body=b"x" * 50_000)
+        claims = self.bench.claims()
+        self.bench.call("k")
+        self.bench.wait(0.02)
+        (place,) = claims.runs
+        claims.tell(RunOutput(*place, answer))
+        self.bench.wait(1)
+        again = self.bench.call("k", "booking-2")
+        self.bench.wait(1)
+        self.assertThat(last(again), Equals(answer))
+
+    def test_concurrent_bookings_share_writes(self):
+        before = self.bench.store.writes
+        for place in range(640):
+            self.bench.call(f"b{place}", seconds=30.0)
+        self.bench.wait(20)
+        self.assertThat(sum(self.bench.runs(f"b{place}") for place in range(640)), Equals(640))
+        self.assertThat(self.bench.store.writes - before, LessThan(2 * 640))
--- /dev/null
+++ b/tests/test_claims_decisions.py
@@ -0,0 +1,259 @@
+"""Pure decisions on claims, under random interleavings of several agents."""
+
+from collections import Counter
+
+from attrs import define, field
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from testtools import TestCase
+from testtools.matchers import Equals, LessThan
+
+from chivewall.decisions import claims
+from chivewall.decisions.claims import (
+    Claim,
+    ClaimKey,
+    ClaimState,
+    Outcome,
+    RecordOutcome,
+    ReleaseClaim,
+    ShardState,
+    Verdict,
+)
+from chivewall.work import Answer, Call, Header
+
+NOW = 1_000.0
+KEYS = ("a", "b")
+AGENTS = 3
+WRITES = ("heard", "unheard", "dropped", "late")
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(("read", "claim", "claim", "give_up", "record", "release", "kill", "land")),
+        st.integers(0, AGENTS - 1),
+        st.sampled_from(KEYS),
+        st.sampled_from(WRITES),
+    ),
+    max_size=60,
+)
+
+
+def claim(token, **changes):
+    values = {"workspace": "w", "fingerprint": "f", "run_until": NOW + 10, "expires_at": NOW + 100}
+    return Claim(token=token, **{**values, **changes})
+
+
+def verdict(state, key, wanted, unix_time=NOW):
+    return claims.decide(state, (ClaimKey(key, wanted),), unix_time).results[wanted.token].verdict
+
+
+@define
+class Process:
+    """One agent's copy of the shard and its tokens."""
+
+    copy: ShardState = field(factory=ShardState)
+    version: int = 0
+    asked: dict = field(factory=dict)  # key -> token whose claim is not yet known
+    ran: dict = field(factory=dict)  # key -> token
+    releases: list = field(factory=list)
+
+
+@define
+class Model:
+    """A shard object with conditional updates and the processes that change it."""
+
+    conditional: bool = True
+    state: ShardState = field(factory=ShardState)
+    version: int = 0
+    late: list = field(factory=list)
+    processes: list = field(factory=lambda: [Process() for _ in range(AGENTS)])
+    runs: Counter = field(factory=Counter)
+    run_tokens: set = field(factory=set)
+    refused: set = field(factory=set)  # tokens reported as not run
+    lost: set = field(factory=set)  # keys with a token of a killed process
+    tokens: int = 0
+
+    def apply(self, version, state):
+        if self.conditional and version != self.version:
+            return False
+        self.state, self.version = state, self.version + 1
+        return True
+
+    def commit(self, process, change, mode):
+        """Return the decision if its writer knows that it holds."""
+        decision = claims.decide(process.copy, (change,), NOW)
+        if not decision.must_write:
+            return decision
+        if mode == "late":
+            self.late.append((process.version, decision.state))
+        elif mode != "dropped" and self.apply(process.version, decision.state):
+            if mode != "heard":
+                return None
+            process.copy, process.version = decision.state, self.version
+            return decision
+        return None
+
+    def step(self, action, agent, key, mode):
+        process = self.processes[agent]
+        getattr(self, action)(process, key, mode)
+
+    def read(self, process, key, mode):
+        process.copy, process.version = self.state, self.version
+
+    def claim(self, process, key, mode):
+        if key not in process.asked:
+            self.tokens += 1
+            process.asked[key] = f"t{self.tokens}"
+        token = process.asked[key]
+        decision = self.commit(process, ClaimKey(key, claim(token)), mode)
+        if decision is None:
+            return
+        del process.asked[key]
+        if decision.results[token].verdict is Verdict.GRANTED:
+            self.runs[key] += 1
+            self.run_tokens.add(token)
+            process.ran[key] = token
+
+    def give_up(self, process, key, mode):
+        token = process.asked.pop(key, None)
+        if token is not None:
+            self.refused.add(token)
+            process.releases.append(ReleaseClaim(key, token))
+
+    def record(self, process, key, mode):
+        if key in process.ran:
+            change = RecordOutcome(key, process.ran[key], Outcome(inline="x"))
+            self.commit(process, change, mode)
+
+    def release(self, process, key, mode):
+        if process.releases and self.commit(process, process.releases[0], mode) is not None:
+            process.releases.pop(0)
+
+    def kill(self, process, key, mode):
+        self.lost.update(process.asked, process.ran, (one.key for one in process.releases))
+        place = self.processes.index(process)
+        self.processes[place] = Process()
+
+    def land(self, process, key, mode):
+        if self.late:
+            self.apply(*self.late.pop(0))
+
+    def heal(self):
+        """End every fault: processes finish what they began; late writes arrive at any time."""
+        for process in self.processes:
+            for key in KEYS:
+                self.give_up(process, key, "heard")
+            while process.releases:
+                self.read(process, "", "heard")
+                self.release(process, "", "heard")
+        while self.late:
+            self.land(None, "", "")
+
+    def problems(self):
+        found = [f"{key} ran {count} times" for key, count in self.runs.items() if count > 1]
+        found += [f"{token} ran after its refusal" for token in self.run_tokens & self.refused]
+        for key, one in self.state.claims.items():
+            if one.state is ClaimState.CLAIMED and not self.runs[key] and key not in self.lost:
+                found.append(f"{key} never ran and is blocked")
+        return found
+
+
+class InterleavingTest(TestCase):
+    """Guards against double runs, false refusals and keys that stay blocked."""
+
+    @settings(max_examples=400, deadline=None)
+    @given(STEPS)
+    def test_keys_run_at_most_once(self, steps):
+        model = Model()
+        for step in steps:
+            model.step(*step)
+        model.heal()
+        self.assertThat(model.problems(), Equals([]))
+
+    def test_update_without_condition_is_caught(self):
+        model = Model(conditional=False)
+        for agent in (0, 1):
+            model.step("claim", agent, "a", "heard")
+        self.assertThat(model.problems(), Equals(["a ran 2 times"]))
+
+    def test_late_write_of_a_released_claim_fails(self):
+        """A write that arrives after its claimant gave up must not block the key."""
+        model = Model()
+        model.step("claim", 0, "a", "late")
+        model.step("give_up", 0, "a", "heard")
+        model.step("release", 0, "a", "heard")
+        model.step("land", 0, "a", "heard")
+        self.assertThat(model.state.claims, Equals({}))
+
+
+class DecisionTest(TestCase):
+    """Guards the answer to each kind of repeat and the form of a shard."""
+
+    def setUp(self):
+        super().setUp()
+        self.open = ShardState({"k": claim("t1")})
+
+    def test_repeat_while_the_first_runs(self):
+        self.assertThat(verdict(self.open, "k", claim("t2")), Equals(Verdict.IN_PROGRESS))
+
+    def test_repeat_of_a_dead_claimant_is_unknown(self):
+        got = verdict(self.open, "k", claim("t2"), unix_time=NOW + 11)
+        self.assertThat(got, Equals(Verdict.UNKNOWN))
+
+    def test_other_request_under_the_same_key(self):
+        other = claim("t2", fingerprint="g")
+        self.assertThat(verdict(self.open, "k", other), Equals(Verdict.KEY_REUSED))
+
+    def test_released_key_runs(self):
+        state = claims.decide(self.open, (ReleaseClaim("k", "t1"),), NOW).state
+        self.assertThat(verdict(state, "k", claim("t2")), Equals(Verdict.GRANTED))
+
+    def test_release_by_another_token_changes_nothing(self):
+        state = claims.decide(self.open, (ReleaseClaim("k", "t9"),), NOW).state
+        self.assertThat(state, Equals(self.open))
+
+    def test_expired_claims_are_pruned_after_the_clock_skew(self):
+        soon, late = NOW + 100, NOW + 100 + claims.SKEW_SECONDS
+        self.assertThat(claims.prune(self.open, soon), Equals(self.open))
+        self.assertThat(claims.prune(self.open, late), Equals(ShardState()))
+        self.assertFalse(claims.may_send(claim("t1"), soon, deadline=9.0, now=1.0))
+
+    def test_full_shard_refuses_and_keeps_room_for_outcomes(self):
+        """A shard over the object API's limit could record no outcome any more."""
+        batch = tuple(ClaimKey(f"{place:032}", claim(f"t{place}")) for place in range(600))
+        decision = claims.decide(ShardState(), batch, NOW)
+        granted = [key for key, one in decision.state.claims.items()]
+        refused = [one for one in decision.results.values() if one.verdict is Verdict.SHARD_FULL]
+        self.assertThat(len(granted) + len(refused), Equals(600))
+        self.assertTrue(refused)
+        outcome = Outcome(inline="x" * claims.INLINE_BYTES)
+        records = tuple(
+            RecordOutcome(key, one.token, outcome) for key, one in decision.state.claims.items()
+        )
+        done = claims.decide(decision.state, records, NOW).state
+        self.assertThat(len(claims.encode(done)), LessThan(1_000_000))
+
+    def test_form_survives(self):
+        change = RecordOutcome("k", "t1", Outcome(object_key="outcomes/x"))
+        state = claims.decide(self.open, (change,), NOW).state
+        self.assertThat(claims.decode(claims.encode(state)), Equals(state))
+
+    def test_answer_survives(self):
+        answer = Answer(status=201, headers=(Header("X-A", "\u00e9"),), body=b"\xff\x00")
+        self.assertThat(claims.decode_answer(claims.encode_answer(answer)), Equals(answer))
+
+    def test_unreadable_shards_raise(self):
+        for value in (b"[]", b"{", b'{"format": 2, "claims": {}}'):
+            self.assertRaises(ValueError, claims.decode, value)
+
+    def test_keys_are_scoped(self):
+        """Workspaces must not see each other's keys."""
+        places = {claims.hashed_key(*one) for one in (("s", "v", "k"), ("s", "w", "k"))}
+        self.assertThat(len(places), Equals(2))
+
+    def test_fingerprint_covers_method_path_and_body(self):
+        calls = [
+            Call("s", "POST", "/a", body=b"1"),
+            Call("s", "PUT", "/a", body=b"1"),
+            Call("s", "POST", "/b", body=b"1"),
+            Call("s", "POST", "/a", body=b"2"),
+        ]
+        self.assertThat(len({claims.fingerprint_of(one) for one in calls}), Equals(4))
