--- a/chivewall/plugins/builtin/claims.py
+++ b/chivewall/plugins/builtin/claims.py
@@ -172,7 +172,8 @@
         shard.state, shard.version = message.state, message.version
         shard.failures = 0
         shard.scheduled = False
-        shard.pending = [one for one in shard.pending if one not in message.changes]
+        done = {id(one) for one in message.changes}
+        shard.pending = [one for one in shard.pending if id(one) not in done]
         for token, result in message.results.items():
             shard.submitted.discard(token)
             run = self.waiting.pop(token, None)
