--- a/bench/site.py
+++ b/bench/site.py
@@ -63,6 +63,7 @@
     apps: dict[str, Application] = field(factory=dict)
     endpoints: dict[str, EngineEndpoint | ServiceEndpoint] = field(factory=dict)
     log: EventLog = field(factory=QuietLog)
+    sections: dict[str, dict[str, object]] = field(factory=dict)  # more settings by agent
     make_store: type[MemoryStore] = MemoryStore
     service_plugins: tuple[str, ...] = SERVICE_AGENT_PLUGINS
 
@@ -95,7 +96,7 @@
     def start_agent(self, name: str) -> Application:
         """Start an agent beside an endpoint, or a new one in place of a killed one."""
         instance = next(one for one in self.store.instance_list if one.name == name)
-        sections = {"admission": {"endpoint": name}}
+        sections = {"admission": {"endpoint": name}, **self.sections.get(name, {})}
         service = instance.kind is InstanceKind.SERVICE
         plugins = self.service_plugins if service else AGENT_PLUGINS
         env = self._environment(name, instance.data_centre, Role.AGENT, plugins, sections)
--- a/chivewall/claim_store.py
+++ b/chivewall/claim_store.py
@@ -51,6 +51,18 @@
     env: Environment
     store: ObjectStore
 
+    async def layout(self, service: str, shards: int) -> int:
+        """Return the number of shards of a service; the first agent's setting stands.
+
+        Raises ``StoreError`` or ``ValueError``.
+        """
+        key = f"claims/{service}/layout"
+        try:
+            return int((await self._bounded(self.store.get(key))).value)
+        except ObjectMissingError:
+            await self._bounded(self.store.create(key, str(shards).encode()))
+            return shards
+
     async def commit(
         self, key: str, state: ShardState, version: int | None, changes: tuple[Change, ...]
     ) -> Committed | CommitFailed:
--- a/chivewall/plugins/builtin/claims.py
+++ b/chivewall/plugins/builtin/claims.py
@@ -3,9 +3,19 @@
 import uuid
 from functools import singledispatchmethod
 
-from attrs import define, field, frozen, validators
-from twisted.internet.defer import Deferred
-
+from attrs import field, frozen, validators
+from twisted.internet.defer import Deferred, ensureDeferred
+
+from chivewall.claim_messages import (
+    FindLayout,
+    Flush,
+    LayoutFound,
+    OutcomeReady,
+    Run,
+    Shard,
+    StartRun,
+    WaitEnded,
+)
 from chivewall.claim_store import (
     BACKOFF_LIMIT,
     CommitFailed,
@@ -26,14 +36,15 @@
     Verdict,
 )
 from chivewall.environment import Environment
+from chivewall.errors import EndpointError, StoreError
 from chivewall.events import Event
-from chivewall.interfaces import Endpoint, ObjectStore, Order, RunFailed, RunOutput
+from chivewall.interfaces import Endpoint, EndpointState, ObjectStore, Order, RunFailed, RunOutput
 from chivewall.messages import Drain, Withdraw
 from chivewall.plugins.base import Plugin
 from chivewall.plugins.registry import Registry
 from chivewall.results import ResultCode
 from chivewall.task import Inbox, Task
-from chivewall.work import Answer, Attempt, PartBody, Refusal
+from chivewall.work import Attempt, PartBody, Refusal
 
 CLAIM_SECONDS = 1.5  # longest wait for a claim before the call is refused as not run
 RECORD_SECONDS = 0.25  # longest delay of an answer for the record of its outcome
@@ -43,10 +54,12 @@
 
 @frozen
 class ClaimsSettings:
-    """How claims are stored; all agents of a service need the same ``shards``."""
+    """How claims are stored."""
 
     shards: int = field(
-        default=64, validator=POSITIVE, metadata={"help": "Shard objects of each service."}
+        default=64,
+        validator=POSITIVE,
+        metadata={"help": "Shard objects of a new service; later its stored number stands."},
     )
     window_ms: float = field(
         default=4.0, validator=POSITIVE, metadata={"help": "Changes of this time share a write."}
@@ -56,62 +69,6 @@
     )
 
 
-@define(eq=False)
-class Run:
-    """One keyed attempt between its start and the record of its outcome."""
-
-    attempt: Attempt
-    sink: Inbox
-    shard: str
-    key: str
-    claim: Claim
-    sent: bool = False
-    answer: Answer | None = None  # held back until its outcome is recorded
-
-
-@define(eq=False)
-class Shard:
-    """The cached copy of a shard object and the changes that wait for it."""
-
-    key: str
-    state: ShardState = field(factory=ShardState)
-    version: int | None = None  # 0 if the object is missing, None if it must be read
-    pending: list[Change] = field(factory=list)
-    submitted: set[str] = field(factory=set)  # tokens whose claim may have been written
-    scheduled: bool = False
-    failures: int = 0
-
-
-@frozen
-class StartRun:
-    """Run an attempt under a claim."""
-
-    attempt: Attempt
-    sink: Inbox
-
-
-@frozen
-class Flush:
-    """Write the pending changes of a shard."""
-
-    shard: str
-
-
-@frozen
-class WaitEnded:
-    """The longest wait of a run for its claim or its record is over."""
-
-    token: str
-
-
-@frozen
-class OutcomeReady:
-    """The outcome of a run can be recorded."""
-
-    run: Run
-    outcome: Outcome
-
-
 class Claims(Task):
     """Owns this agent's cached shards and the keyed calls that it runs."""
 
@@ -124,6 +81,7 @@
         # Not from the seeded source: two lives of a process must not share tokens.
         self.life = uuid.uuid4().hex
         self.tokens = 0
+        self.layouts: dict[str, int] = {}  # number of shards by service
         self.shards: dict[str, Shard] = {}
         self.waiting: dict[str, Run] = {}  # by token, until granted or refused
         self.runs: dict[tuple[str, int], Run] = {}  # sent to the endpoint
@@ -136,11 +94,19 @@
         """Handle one message."""
         raise TypeError(f"unexpected message {message!r}")
 
+    @receive.register
+    async def _(self, message: FindLayout) -> None:
+        self.spawn(self._find_layout(message))
+
+    @receive.register
+    async def _(self, message: LayoutFound) -> None:
+        self.layouts[message.service] = message.shards
+
     @receive.register
     async def _(self, message: StartRun) -> None:
         request = message.attempt.request
         place = (request.work.service, request.workspace, request.key)
-        number = decisions.shard_of(*place, shards=self.cfg.shards)
+        number = decisions.shard_of(*place, shards=self.layouts[request.work.service])
         self.tokens += 1
         run_until = self.env.unix_time() + request.deadline - self.env.now
         claim = Claim(
@@ -243,6 +209,17 @@
         self.drain_waiters.append(message)
         self._answer_drain()
 
+    async def _find_layout(self, query: FindLayout) -> None:
+        try:
+            for service in query.services:
+                if service not in self.layouts:
+                    shards = await self.store.layout(service, self.cfg.shards)
+                    self.tell(LayoutFound(service, shards))
+        except (StoreError, ValueError) as exc:
+            query.fail(EndpointError(f"the number of claims shards is not known: {exc}"))
+        else:
+            query.answer(None)
+
     async def _commit(
         self, key: str, state: ShardState, version: int | None, changes: tuple[Change, ...]
     ) -> None:
@@ -325,7 +302,15 @@
         self.endpoint = endpoint
         self.claims = claims
         self.load = endpoint.load
-        self.state = endpoint.state
+
+    def state(self) -> Deferred:
+        """See ``Endpoint.state``; fails until the number of shards is known."""
+        return ensureDeferred(self._state())
+
+    async def _state(self) -> EndpointState:
+        state = await self.endpoint.state()
+        await self.claims.ask(FindLayout(state.targets))
+        return state
 
     def run(self, attempt: Attempt, sink: Inbox) -> None:
         """See ``Endpoint.run``."""
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -282,6 +282,14 @@
         self.bench.wait(1)
         self.assertThat(last(again), Equals(answer))
 
+    def test_agents_with_other_settings_use_the_stored_number_of_shards(self):
+        """Agents that disagreed on the shard of a key would both run it."""
+        sections = {"booking-2": {"claims": {"shards": 7}}}
+        for seed in SEEDS:
+            bench = walk(seed, sections=sections)
+            self.assertThat(bench.problems(), Equals([]), f"seed {seed}")
+        self.assertThat(bench.claims("booking-2").layouts, Equals({SERVICE: 64}))
+
     def test_concurrent_bookings_share_writes(self):
         before = self.bench.store.writes
         for place in range(640):
