--- a/chivewall/decisions/claims.py
+++ b/chivewall/decisions/claims.py
@@ -9,6 +9,7 @@
 
 from chivewall.work import Answer, Call, Header, Request
 
+SHARDS = 64  # shard objects of a service unless the settings say otherwise
 FORMAT = 1  # number of the JSON form of a shard
 SHARD_BYTES = 900_000  # under the object API's limit of 1 MB for a value
 INLINE_BYTES = 2_048  # larger outcomes become objects of their own
@@ -119,6 +120,15 @@
     return int(hashed_key(service, workspace, key)[:8], 16) % shards
 
 
+def affinity_of(request: Request) -> str:
+    """Return what rendezvous hashing uses for a keyed call, the same for a whole shard.
+
+    A service with another number of shards only gets more write conflicts.
+    """
+    service = request.work.service
+    return f"{service}/{shard_of(service, request.workspace, request.key, SHARDS)}"
+
+
 def fingerprint_of(call: Call) -> str:
     """Return what must be the same in a repeat: method, path and body."""
     return _digest(json.dumps([call.method, call.path]).encode() + b"\0" + call.body)
--- a/chivewall/decisions/routing.py
+++ b/chivewall/decisions/routing.py
@@ -5,6 +5,7 @@
 
 from attrs import frozen
 
+from chivewall.decisions.claims import affinity_of, needs_claim
 from chivewall.decisions.membership import Member
 from chivewall.work import TOKENS_PER_PIECE, Completion, Rank, Request
 
@@ -56,7 +57,7 @@
     affine = affine_member(request, usable)
     for estimate, member in scored[1:]:
         if member is affine and estimate <= best_estimate * BOUNDED_LOAD:
-            best_estimate, best, reason = estimate, member, "prefix affinity within bounded load"
+            best_estimate, best, reason = estimate, member, "affinity within bounded load"
     rejected = tuple(
         Candidate(endpoint=one.instance.name, estimate=round(estimate, 4))
         for estimate, one in scored
@@ -85,7 +86,10 @@
 
 
 def affine_member(request: Request, members: list[Member]) -> Member | None:
-    """Return the endpoint that rendezvous hashing gives to the request's prefix."""
+    """Return the endpoint that rendezvous hashing gives to the request's prefix or shard."""
+    if needs_claim(request):
+        shard = affinity_of(request)
+        return max(members, key=lambda one: _rendezvous(shard, one.instance.name))
     work = request.work
     if not isinstance(work, Completion) or not work.prefix_hashes:
         return None
--- a/chivewall/plugins/builtin/claims.py
+++ b/chivewall/plugins/builtin/claims.py
@@ -57,7 +57,7 @@
     """How claims are stored."""
 
     shards: int = field(
-        default=64,
+        default=decisions.SHARDS,
         validator=POSITIVE,
         metadata={"help": "Shard objects of a new service; later its stored number stands."},
     )
--- /dev/null
+++ b/tests/test_claims_entry.py
@@ -0,0 +1,103 @@
+"""Keyed calls through entries: repeats, run states over several attempts, affinity."""
+
+from collections import Counter
+
+from testtools import TestCase
+from testtools.matchers import Equals, GreaterThan
+
+from bench.site import Site, drain
+from bench.stores import FaultyStore
+from chivewall.events import Event
+from chivewall.results import RunState
+from chivewall.work import Answer, Call, Rank, Refusal, Request
+
+SERVICE = "shift-booking"
+AGENTS = ("booking-1", "booking-2", "booking-3")
+
+
+class KeyedCallTest(TestCase):
+    """Guards repeats that reach other agents through other entries."""
+
+    def setUp(self):
+        super().setUp()
+        self.site = Site(seed=3, make_store=FaultyStore)
+        for name in AGENTS:
+            self.site.add_service(name, "Mombasa", SERVICE)
+        for name in ("entry-1", "entry-2"):
+            self.site.add_entry(name, "Mombasa")
+        self.site.settle()
+        self.site.store.latency = 0.004
+        self.endpoints = [self.site.endpoints[name] for name in AGENTS]
+        self.events = []
+        self.site.log.subscribe(lambda event, fields: self.events.append((event, fields)))
+
+    def call(self, name, key="k", entry="entry-1", seconds=8.0):
+        request = Request(
+            id=name,
+            workspace="w",
+            rank=Rank.URGENT,
+            deadline=self.site.clock.now + seconds,
+            work=Call(service=SERVICE, method="POST", path="/x", body=key.encode()),
+            key=key,
+        )
+        return self.site.serve(entry, request)
+
+    def wait(self, seconds):
+        self.site.clock.run_until(self.site.clock.now + seconds)
+
+    def runs(self, key="k"):
+        return sum(one.runs[key.encode()] for one in self.endpoints)
+
+    def test_repeat_through_another_entry(self):
+        sinks = []
+        for place in range(8):
+            sinks.append(self.call(f"r{place}", entry=f"entry-{place % 2 + 1}"))
+            self.wait(1)
+        bodies = {drain(one)[-1].body for one in sinks}
+        self.assertThat(len(bodies), Equals(1))
+        self.assertIsInstance(bodies.pop(), Answer)
+        self.assertThat(self.runs(), Equals(1))
+
+    def test_agent_killed_after_the_run_began(self):
+        sink = self.call("r")
+        self.wait(0.025)
+        busy = next(name for name in AGENTS if self.site.endpoints[name].running)
+        self.site.kill_agent(busy)
+        self.wait(10)
+        body = drain(sink)[-1].body
+        self.assertThat((body.run, self.runs()), Equals((RunState.UNKNOWN, 1)))
+
+    def test_refusal_after_an_attempt_that_may_have_run(self):
+        """The last refusal, as not run, hid that an earlier attempt had run."""
+        for endpoint in self.endpoints:
+            endpoint.fail_after_run = True
+        sink = self.call("r", seconds=2.5)
+        self.wait(0.025)
+        self.site.store.down = True
+        self.wait(10)
+        body = drain(sink)[-1].body
+        self.assertIsInstance(body, Refusal)
+        self.assertThat((body.run, self.runs()), Equals((RunState.UNKNOWN, 1)))
+
+    def test_refused_claims_evict_no_agent(self):
+        """A repeat of a running call counted as a failure of the agent."""
+        for name in AGENTS:
+            self.site.endpoints[name].fail_after_run = True
+        self.call("r0", seconds=3.0)
+        self.wait(0.1)
+        self.events.clear()
+        for place in range(1, 4):
+            self.call(f"r{place}", seconds=1.0)
+        self.wait(2)
+        codes = Counter(f["code"] for event, f in self.events if event is Event.ATTEMPT_FAILED)
+        changed = [fields for event, fields in self.events if event is Event.MEMBER_CHANGED]
+        self.assertThat(codes["IN_PROGRESS"], GreaterThan(2))
+        self.assertThat(changed, Equals([]))
+
+    def test_keys_of_a_shard_go_to_one_agent(self):
+        """Conflicts are rare only if one agent writes a shard."""
+        for place in range(4):
+            self.call(f"r{place}", entry=f"entry-{place % 2 + 1}")
+            self.wait(0.5)
+        chosen = {f["endpoint"] for event, f in self.events if event is Event.ROUTE_CHOSEN}
+        self.assertThat(len(chosen), Equals(1))
