Test the run state over several attempts at the entry

Cause: the check of the last refusal passed without the correction in dispatch; it now ends on CLAIM_UNAVAILABLE and fails without it. A change to how refusals count against an agent is taken back, since no test showed a need for it: each refusal carries a load report, which clears the count.

--- a/chivewall/plugins/builtin/dispatch.py
+++ b/chivewall/plugins/builtin/dispatch.py
@@ -115,7 +115,7 @@
             return
         self.heard_at = self.env.now
         if isinstance(part.body, Refusal):
-            await self._fail(part.body, agent_failed=part.body.code is ResultCode.ENDPOINT_FAILED)
+            await self._fail(part.body)
         elif not isinstance(part.body, Waiting):
             self._forward(part.body)
 
@@ -178,7 +178,7 @@
             Refusal(code=ResultCode.DEADLINE_MISSED, message="the deadline passed", run=run)
         )
 
-    async def _fail(self, refusal: Refusal, *, agent_failed: bool = True) -> None:
+    async def _fail(self, refusal: Refusal) -> None:
         endpoint = self.route.endpoint
         self.env.log.emit(
             Event.ATTEMPT_FAILED,
@@ -191,7 +191,7 @@
         )
         self.excluded.add(endpoint)
         self.may_have_run |= refusal.run is not RunState.NO
-        self._cancel_attempt(failed=agent_failed and refusal.run is not RunState.NO)
+        self._cancel_attempt(failed=refusal.run is not RunState.NO)
         await self._decide(Failure(endpoint=endpoint, refusal=refusal))
 
     async def _decide(self, failure: Failure) -> None:
--- a/tests/test_claims_entry.py
+++ b/tests/test_claims_entry.py
@@ -8,8 +8,8 @@
 from bench.site import Site, drain
 from bench.stores import FaultyStore
 from chivewall.events import Event
-from chivewall.results import RunState
-from chivewall.work import Answer, Call, Rank, Refusal, Request
+from chivewall.results import ResultCode, RunState
+from chivewall.work import Answer, Call, Rank, Request
 
 SERVICE = "shift-booking"
 AGENTS = ("booking-1", "booking-2", "booking-3")
@@ -71,16 +71,16 @@
         """The last refusal, as not run, hid that an earlier attempt had run."""
         for endpoint in self.endpoints:
             endpoint.fail_after_run = True
-        sink = self.call("r", seconds=2.5)
+        sink = self.call("r", seconds=1.65)  # no time is left for a third attempt
         self.wait(0.025)
         self.site.store.down = True
         self.wait(10)
         body = drain(sink)[-1].body
-        self.assertIsInstance(body, Refusal)
+        self.assertThat(body.code, Equals(ResultCode.CLAIM_UNAVAILABLE))
         self.assertThat((body.run, self.runs()), Equals((RunState.UNKNOWN, 1)))
 
     def test_refused_claims_evict_no_agent(self):
-        """A repeat of a running call counted as a failure of the agent."""
+        """Repeats of a running call must not make its agent look dead."""
         for name in AGENTS:
             self.site.endpoints[name].fail_after_run = True
         self.call("r0", seconds=3.0)
