--- a/bench/site.py
+++ b/bench/site.py
@@ -15,6 +15,7 @@
 from chivewall.kernel import Application
 from chivewall.messages import Serve
 from chivewall.plugins.builtin.admission import Admission
+from chivewall.plugins.builtin.claims import Claims
 from chivewall.plugins.builtin.configuration import seed_configuration
 from chivewall.plugins.builtin.dispatch import Dispatcher
 from chivewall.settings import CoreSettings, Role, Settings
@@ -24,6 +25,7 @@
 
 ENTRY_PLUGINS = ("configuration", "directory", "dispatch")
 AGENT_PLUGINS = ("configuration", "admission")
+SERVICE_AGENT_PLUGINS = ("configuration", "claims", "admission")
 SETTLE_SECONDS = 1.0  # until lists are read and endpoints probed
 
 
@@ -62,10 +64,13 @@
     endpoints: dict[str, EngineEndpoint | ServiceEndpoint] = field(factory=dict)
     extra_plugins: dict[str, tuple[str, ...]] = field(factory=dict)  # of agents, by name
     log: EventLog = field(factory=QuietLog)
+    sections: dict[str, dict[str, object]] = field(factory=dict)  # more settings by agent
+    make_store: type[MemoryStore] = MemoryStore
+    service_plugins: tuple[str, ...] = SERVICE_AGENT_PLUGINS
 
     def __attrs_post_init__(self) -> None:
         self.rng = random.Random(self.seed)
-        self.store = MemoryStore(clock=self.clock)
+        self.store = self.make_store(clock=self.clock)
         self.links = LocalLinks(clock=self.clock, rng=self.rng)
         seed_configuration(self.store, self.configuration)
 
@@ -101,8 +106,10 @@
     def start_agent(self, name: str) -> Application:
         """Start an agent beside an endpoint, or a new one in place of a killed one."""
         instance = next(one for one in self.store.instance_list if one.name == name)
-        sections = {"admission": {"endpoint": name}}
-        plugins = (*AGENT_PLUGINS, *self.extra_plugins.get(name, ()))
+        sections = {"admission": {"endpoint": name}, **self.sections.get(name, {})}
+        service = instance.kind is InstanceKind.SERVICE
+        usual = self.service_plugins if service else AGENT_PLUGINS
+        plugins = (*usual, *self.extra_plugins.get(name, ()))
         env = self._environment(name, instance.data_centre, Role.AGENT, plugins, sections)
         env.provide(Endpoint, self.endpoints[name])
         app = self._start(name, env)
@@ -113,7 +120,10 @@
         """End an agent at once, as ``kill -9`` does: its task handles nothing more."""
         admission = self.links.agents.pop(name)
         admission.inbox = Inbox()
-        self.apps.pop(name)
+        claims = self.apps.pop(name).env.find(Claims)
+        if claims is not None:
+            claims.receive = _drop
+            claims.inbox = Inbox()
         for link in self.links.opened:
             if link.agent() is None:
                 link.broken()
@@ -170,6 +180,10 @@
         return app
 
 
+async def _drop(message: object) -> None:
+    """Handle a message as a killed process does."""
+
+
 def drain(sink: Inbox) -> list[object]:
     """Return the messages that wait in an inbox."""
     return list(sink._queue.pending)  # noqa: SLF001
--- a/chivewall/plugins/builtin/dispatch.py
+++ b/chivewall/plugins/builtin/dispatch.py
@@ -70,6 +70,7 @@
         self.excluded: set[str] = set()
         self.parts_sent = 0
         self.over = False
+        self.may_have_run = False  # an earlier attempt ended with its run state unknown
         self.timer: IDelayedCall | None = None
 
     def start(self) -> None:
@@ -189,6 +190,7 @@
             reason=refusal.message,
         )
         self.excluded.add(endpoint)
+        self.may_have_run |= refusal.run is not RunState.NO
         self._cancel_attempt(failed=refusal.run is not RunState.NO)
         await self._decide(Failure(endpoint=endpoint, refusal=refusal))
 
@@ -215,6 +217,8 @@
             self._finish("complete" if not isinstance(body, End) else body.finish_reason)
 
     def _end_with(self, refusal: Refusal) -> None:
+        if self.may_have_run and refusal.run is RunState.NO:
+            refusal = evolve(refusal, run=RunState.UNKNOWN)
         self._put(refusal)
         self._finish(refusal.code.name)
 
--- a/chivewall/plugins/builtin/embedded.py
+++ b/chivewall/plugins/builtin/embedded.py
@@ -42,7 +42,7 @@
 )
 AGENT_PLUGINS = ("credentials", "store_memory", "configuration")
 ENGINE_PLUGINS = (*AGENT_PLUGINS, "engine_http", "admission", "orders", "gate")
-SERVICE_PLUGINS = (*AGENT_PLUGINS, "service_http", "admission", "gate")
+SERVICE_PLUGINS = (*AGENT_PLUGINS, "service_http", "claims", "admission", "gate")
 MS_PER_SECOND = 1000
 
 
