Divide an endpoint by rank, workspace and deadline

Cause: the agent served ranks in strict order, FIFO within a rank, so a flood of one rank or workspace starved the others, and hopeless work expired in the queue. Ranks now hold credits in endpoint seconds for their guaranteed share, workspaces share a rank by start-time fair queueing, and work that can't meet its deadline is refused early as not run.

--- a/chivewall/decisions/admission.py
+++ b/chivewall/decisions/admission.py
@@ -1,131 +1,301 @@
 """Decides at the agent which attempts run, wait or are refused."""
 
-from collections import deque
+import math
 
 from attrs import define, field, frozen
 
 from chivewall.configuration import Configuration, LimitName
+from chivewall.decisions.estimates import Capacity, Cost, OutputLengths
+from chivewall.decisions.limits import Limiter, limit_for
+from chivewall.decisions.shares import Entry, RankCredits, RankQueue, workspace_weight
+from chivewall.decisions.waits import Backlog, queue_wait
 from chivewall.results import ResultCode, RunState
 from chivewall.work import Attempt, Completion, Rank, Refusal
 
 RANKS = tuple(Rank)
+PREFILL_FRACTION = 0.5  # of the urgent first-token target that other prefills may take up
+PEAK_SECONDS = 30.0  # time constant with which the reserve for urgent work shrinks
+STANDING_SECONDS = 5.0  # after which a queue that never emptied is shed
+OVERRUN_FRACTION = 0.1  # of its estimate that an attempt is assumed to need at least
+MIN_RETRY_SECONDS = 1.0
 
 
 @frozen
-class Capacity:
-    """What the endpoint can do."""
+class Start:
+    """An attempt that runs now, and why it was its turn."""
 
-    parallel: int  # attempts at once
-    prefill_rate: float = 0.0  # tokens a second; 0 for a plain service
-    decode_rate: float = 0.0  # tokens a second for one stream
+    attempt: Attempt
+    reason: str
+    waited: float  # seconds
 
 
-@define
+@frozen
+class Dropped:
+    """A queued attempt that is refused without having run."""
+
+    attempt: Attempt
+    refusal: Refusal
+
+
+@define(eq=False)
 class Scheduler:
-    """Queue of one endpoint: urgent work first, within the endpoint's capacity."""
+    """Queue of one endpoint, divided by rank, workspace and deadline.
+
+    An accepted attempt starts, is withdrawn or is refused before its deadline.
+    A rank whose queue is never empty gets its share of the endpoint seconds,
+    so with B endpoint seconds of its rank ahead, an attempt starts within about
+    B / share seconds plus the longest run. Patient work is refused after its
+    acceptance only when its deadline leaves less than its own run time.
+    """
 
     capacity: Capacity
-    queues: dict[Rank, deque[Attempt]] = field(factory=lambda: {one: deque() for one in Rank})
-    running: dict[tuple[str, int], Attempt] = field(factory=dict)
+    cfg: Configuration | None = None
+    lengths: OutputLengths = field(factory=OutputLengths)
+    limiter: Limiter = field(factory=Limiter)
+    credits: RankCredits = field(factory=RankCredits)
+    queues: dict[Rank, RankQueue] = field(factory=lambda: {one: RankQueue() for one in Rank})
+    queued: dict[tuple[str, int], Entry] = field(factory=dict)
+    running: dict[tuple[str, int], Entry] = field(factory=dict)
+    doomed: list[Dropped] = field(factory=list)
+    standing: dict[Rank, float] = field(factory=dict)  # since when a queue is not empty
+    urgent_peak: float = 0.0  # recent number of urgent attempts at once
+    peak_at: float = 0.0
 
     def offer(
         self, attempt: Attempt, cfg: Configuration, *, now: float, unix_time: float
     ) -> Refusal | None:
         """Queue an attempt, or return why it is refused."""
-        refusal = self._over_limit(attempt, cfg, unix_time) or self._hopeless(attempt, now)
+        self.cfg = cfg
+        cost = self.lengths.cost(attempt, self.capacity)
+        share = limit_for(attempt, LimitName.WORKSPACE_SHARE, cfg, unix_time)
+        weight = workspace_weight(share.value)
+        rank, workspace = attempt.request.rank, attempt.request.workspace
+        own = self.queues[rank].ahead(workspace, weight)
+        wait = queue_wait(self._backlog(now), rank, own)
+        refusal = self.limiter.check(
+            attempt, cost, self.capacity, cfg=cfg, unix_time=unix_time, wait=wait
+        ) or _hopeless(attempt, cost, now, wait)
         if refusal is None:
-            self.queues[attempt.request.rank].append(attempt)
+            self._push(Entry(attempt=attempt, cost=cost, weight=weight, queued_at=now), now)
         return refusal
 
-    def start_next(self, now: float) -> Attempt | None:
-        """Return the next attempt to run, or ``None`` if none may start now."""
+    def start_next(self, now: float) -> Start | None:
+        """Return the next attempt to run, or ``None`` if none may start now.
+
+        Attempts that can no longer meet their deadline are left in ``doomed``.
+        """
         if len(self.running) >= self.capacity.parallel:
             return None
-        for rank in RANKS:
-            if self.queues[rank]:
-                attempt = self.queues[rank].popleft()
-                self.running[key_of(attempt)] = attempt
-                return attempt
+        reserve = self._reserve(now)
+        for rank in self.credits.order():
+            entry = self._feasible_head(rank, now)
+            if entry is None or not self._has_slot(rank, reserve):
+                continue
+            if not self._fits_kv(entry):
+                return None  # smaller work of other ranks would keep it waiting for ever
+            if rank is Rank.URGENT or self._fits_prefill(entry):
+                return self._start(entry, now)
         return None
 
-    def finish(self, request_id: str, number: int) -> None:
-        """Forget an attempt, whether it was queued or running."""
-        self.running.pop((request_id, number), None)
-        for queue in self.queues.values():
-            for attempt in queue:
-                if key_of(attempt) == (request_id, number):
-                    queue.remove(attempt)
-                    return
-
-    def expired(self, now: float) -> list[Attempt]:
-        """Remove and return queued attempts whose deadline has passed."""
-        late = [
-            one for queue in self.queues.values() for one in queue if one.request.deadline <= now
-        ]
-        for attempt in late:
-            self.queues[attempt.request.rank].remove(attempt)
-        return late
-
-    def waits(self) -> tuple[float, ...]:
+    def first_token(self, request_id: str, number: int) -> bool:
+        """Note that an attempt has output; return whether this ended its prefill."""
+        entry = self.running.get((request_id, number))
+        if entry is None or not entry.prefilling:
+            return False
+        entry.prefilling = False
+        return True
+
+    def finish(
+        self, request_id: str, number: int, *, now: float, output_tokens: int | None = None
+    ) -> None:
+        """Forget an attempt, queued or running; learn from the length of a complete answer."""
+        key = (request_id, number)
+        if key in self.queued:
+            self._unqueue(self.queued[key])
+            return
+        entry = self.running.pop(key, None)
+        if entry is None:
+            return
+        request = entry.attempt.request
+        self.limiter.remove(request.workspace, entry.cost.tokens)
+        if isinstance(request.work, Completion) and output_tokens is not None:
+            self.lengths.learn(request.workspace, request.work.model, output_tokens)
+        spent = max(0.0, now - entry.started_at - entry.cost.prefill) / entry.cost.parallel
+        self._charge(entry, spent + entry.cost.prefill - entry.cost.seconds)
+
+    def shed(self, now: float) -> None:
+        """Move queued attempts that can't meet their deadline to ``doomed``.
+
+        Costs a scan of the queues, so it runs at each tick and not at each start.
+        """
+        for rank in reversed(RANKS):
+            for entry in list(self.queues[rank].entries()):
+                if _late(entry, now):
+                    self._doom(entry, now, ResultCode.HOPELESS, "too late to finish in time")
+            since = self.standing.get(rank, now)
+            if rank is not Rank.PATIENT and now - since >= STANDING_SECONDS:
+                self._shed_standing(rank, now)
+
+    def take_doomed(self) -> list[Dropped]:
+        """Return and forget the attempts to refuse."""
+        taken, self.doomed = self.doomed, []
+        return taken
+
+    def waits(self, now: float) -> tuple[float, ...]:
         """Return the estimated queueing time of a new attempt of each rank, in seconds."""
-        busy = len(self.running) >= self.capacity.parallel
-        ahead = 0.0
-        waits = []
-        for rank in RANKS:
-            ahead += sum(self.seconds(one) for one in self.queues[rank])
-            waits.append(ahead / self.capacity.parallel if busy else 0.0)
-        return tuple(waits)
-
-    def seconds(self, attempt: Attempt) -> float:
-        """Return the estimated run time of an attempt."""
-        work = attempt.request.work
-        if not isinstance(work, Completion):
-            return 0.05
-        prefill = work.prompt_tokens / self.capacity.prefill_rate
-        return prefill + work.max_tokens / self.capacity.decode_rate
+        backlog = self._backlog(now)
+        return tuple(queue_wait(backlog, one, backlog.queued[one]) for one in RANKS)
 
     def idle(self) -> bool:
         """Return whether nothing is queued or running."""
-        return not self.running and not any(self.queues.values())
+        return not self.running and not self.queued
 
-    def _over_limit(self, attempt: Attempt, cfg: Configuration, unix_time: float) -> Refusal | None:
-        work = attempt.request.work
-        if not isinstance(work, Completion):
-            return None
-        asked = {
-            LimitName.PROMPT_TOKENS: work.prompt_tokens,
-            LimitName.OUTPUT_TOKENS: work.max_tokens,
-        }
-        for name, tokens in asked.items():
-            limit = cfg.limit(
-                name,
-                workspace=attempt.request.workspace,
-                model=work.model,
-                rank=attempt.request.rank,
-                unix_time=unix_time,
-            )
-            if tokens > limit.value:
-                return Refusal(
-                    code=ResultCode.OVER_LIMIT,
-                    message=f"{tokens} {name.value} asked, {limit.value:g} allowed",
-                    run=RunState.NO,
-                    limit=limit.source,
-                    reason=limit.reason,
-                )
-        return None
+    def _push(self, entry: Entry, now: float) -> None:
+        request = entry.attempt.request
+        if not self.queues[request.rank].size:
+            self.standing[request.rank] = now
+        self.queues[request.rank].push(entry)
+        self.queued[key_of(entry.attempt)] = entry
+        self.limiter.add(request.workspace, entry.cost.tokens)
+        if request.rank is Rank.URGENT:
+            present = self.queues[Rank.URGENT].size + self._running_urgent()
+            self.urgent_peak = max(float(present), self._decayed_peak(now))
+            self.peak_at = now
 
-    def _hopeless(self, attempt: Attempt, now: float) -> Refusal | None:
-        wait = self.waits()[RANKS.index(attempt.request.rank)]
-        if now + wait < attempt.request.deadline:
-            return None
-        return Refusal(
-            code=ResultCode.HOPELESS,
-            message=f"the queue takes {wait:.1f} s, past the deadline",
+    def _unqueue(self, entry: Entry) -> None:
+        request = entry.attempt.request
+        del self.queued[key_of(entry.attempt)]
+        self.queues[request.rank].remove(entry)
+        self.limiter.remove(request.workspace, entry.cost.tokens)
+        if not self.queues[request.rank].size:
+            self.standing.pop(request.rank, None)
+
+    def _start(self, entry: Entry, now: float) -> Start:
+        rank = entry.attempt.request.rank
+        reason = "within its guaranteed share"
+        if self.credits.credits[rank] < 0:
+            reason = "unused capacity in rank order"
+        del self.queued[key_of(entry.attempt)]
+        entry.guaranteed = self.credits.credits[rank] >= 0 and self._contested(rank)
+        self._charge(entry, entry.cost.seconds)
+        self.queues[rank].start(entry)
+        if not self.queues[rank].size:
+            self.standing.pop(rank, None)
+        entry.started_at = now
+        self.running[key_of(entry.attempt)] = entry
+        return Start(attempt=entry.attempt, reason=reason, waited=now - entry.queued_at)
+
+    def _contested(self, rank: Rank) -> bool:
+        return any(self.queues[one].size for one in RANKS if one is not rank)
+
+    def _charge(self, entry: Entry, seconds: float) -> None:
+        self.credits.charge(
+            entry.attempt.request.rank,
+            seconds,
+            shares=self._shares(),
+            waiting=frozenset(one for one in RANKS if self.queues[one].size),
+            guaranteed=entry.guaranteed,
+        )
+
+    def _shares(self) -> dict[Rank, float]:
+        if self.cfg is None:
+            return dict.fromkeys(RANKS, 0.0)
+        return {one: self.cfg.ranks[one].share for one in RANKS}
+
+    def _feasible_head(self, rank: Rank, now: float) -> Entry | None:
+        while (entry := self.queues[rank].head()) is not None and _late(entry, now):
+            self._doom(entry, now, ResultCode.HOPELESS, "too late to finish in time")
+        return entry
+
+    def _has_slot(self, rank: Rank, reserve: int) -> bool:
+        if rank is Rank.URGENT:
+            return True
+        return len(self.running) - self._running_urgent() < self.capacity.parallel - reserve
+
+    def _running_urgent(self) -> int:
+        return sum(one.attempt.request.rank is Rank.URGENT for one in self.running.values())
+
+    def _reserve(self, now: float) -> int:
+        """Slots kept for urgent work: its recent peak and one more, at most its share."""
+        most = math.floor(self._shares()[Rank.URGENT] * self.capacity.parallel)
+        peak = self._decayed_peak(now)
+        return min(most, math.ceil(peak) + 1 if peak >= 1 else 1)
+
+    def _decayed_peak(self, now: float) -> float:
+        return self.urgent_peak * math.exp(-(now - self.peak_at) / PEAK_SECONDS)
+
+    def _fits_kv(self, entry: Entry) -> bool:
+        total = self.capacity.kv_total_tokens
+        held = sum(one.cost.tokens for one in self.running.values())
+        return not total or held + entry.cost.tokens <= total or not self.running
+
+    def _fits_prefill(self, entry: Entry) -> bool:
+        """Limit prefills that would keep urgent work from its first token; one always may run."""
+        started = sum(
+            one.cost.prefill
+            for one in self.running.values()
+            if one.prefilling and one.attempt.request.rank is not Rank.URGENT
+        )
+        budget = self.cfg.ranks[Rank.URGENT].first_token_ms / 1000 * PREFILL_FRACTION
+        return started == 0 or started + entry.cost.prefill <= budget
+
+    def _backlog(self, now: float) -> Backlog:
+        running = self.running.values()
+        reserve = self._reserve(now)
+        full = len(running) >= self.capacity.parallel
+        left = sum(_remaining(one, now) for one in running)
+        return Backlog(
+            queued={one: self.queues[one].seconds for one in RANKS},
+            shares=self._shares(),
+            busy=frozenset(one for one in RANKS if full or not self._has_slot(one, reserve)),
+            slot_seconds=left / max(1, self.capacity.parallel) ** 2,
+            prefill_seconds=sum(one.cost.prefill for one in running if one.prefilling),
+        )
+
+    def _doom(self, entry: Entry, now: float, code: ResultCode, message: str) -> None:
+        rank = entry.attempt.request.rank
+        self._unqueue(entry)
+        wait = self.waits(now)[RANKS.index(rank)]
+        refusal = Refusal(
+            code=code,
+            message=message,
             run=RunState.NO,
-            retry_after=wait,
+            retry_after=max(MIN_RETRY_SECONDS, wait),
         )
+        self.doomed.append(Dropped(attempt=entry.attempt, refusal=refusal))
+
+    def _shed_standing(self, rank: Rank, now: float) -> None:
+        """Shed what can't make it even if its rank got every slot that higher ranks leave."""
+        ahead = sum(self.queues[one].seconds for one in RANKS[: RANKS.index(rank)])
+        entries = sorted(self.queues[rank].entries(), key=lambda one: one.attempt.request.deadline)
+        for entry in entries:
+            if now + ahead + entry.cost.run_seconds > entry.attempt.request.deadline:
+                self._doom(entry, now, ResultCode.SHED, "the queue has stood too long")
+            else:
+                ahead += entry.cost.seconds
 
 
 def key_of(attempt: Attempt) -> tuple[str, int]:
     """Return what identifies an attempt."""
     return attempt.request.id, attempt.number
+
+
+def _late(entry: Entry, now: float) -> bool:
+    return now + entry.cost.run_seconds > entry.attempt.request.deadline
+
+
+def _remaining(entry: Entry, now: float) -> float:
+    least = entry.cost.run_seconds * OVERRUN_FRACTION
+    return max(entry.cost.run_seconds - (now - entry.started_at), least)
+
+
+def _hopeless(attempt: Attempt, cost: Cost, now: float, wait: float) -> Refusal | None:
+    if now + wait + cost.run_seconds <= attempt.request.deadline:
+        return None
+    return Refusal(
+        code=ResultCode.HOPELESS,
+        message=f"{wait:.1f} s of queue and {cost.run_seconds:.1f} s of run time "
+        "end past the deadline",
+        run=RunState.NO,
+        retry_after=max(MIN_RETRY_SECONDS, wait),
+    )
--- /dev/null
+++ b/chivewall/decisions/estimates.py
@@ -0,0 +1,79 @@
+"""Estimates what an attempt costs its endpoint, with output lengths learned from past answers."""
+
+from collections import OrderedDict
+
+from attrs import define, field, frozen
+
+from chivewall.work import Attempt, Completion
+
+PRIOR_OUTPUT_TOKENS = 256.0  # until learned; callers often set max_tokens far above their need
+LEARNING_WEIGHT = 0.1  # of one more answer in the learned length
+MAX_LEARNED = 8192  # pairs kept; above the 300 workspaces x 20 models of the design capacity
+CALL_SECONDS = 0.05  # expected run time of a plain service call
+
+
+@frozen
+class Capacity:
+    """What the endpoint can do."""
+
+    parallel: int  # attempts at once
+    prefill_rate: float = 0.0  # tokens a second; 0 for a plain service
+    decode_rate: float = 0.0  # tokens a second for one stream
+    kv_total_tokens: int = 0  # 0 if unknown
+
+
+@frozen
+class Cost:
+    """Estimated use of the endpoint by one attempt."""
+
+    prefill: float  # seconds
+    decode: float  # seconds
+    tokens: int  # prompt and expected output, in the KV cache
+    parallel: int = 1  # slots of the endpoint
+
+    @property
+    def run_seconds(self) -> float:
+        """Seconds from start to end."""
+        return self.prefill + self.decode
+
+    @property
+    def seconds(self) -> float:
+        """Endpoint seconds: a prefill holds up the whole batch, a decode takes one slot of it."""
+        return self.prefill + self.decode / self.parallel
+
+
+@define
+class OutputLengths:
+    """Learned output length of each workspace and model, least recently used pairs dropped."""
+
+    learned: OrderedDict[tuple[str, str], float] = field(factory=OrderedDict)
+
+    def learn(self, workspace: str, model: str, tokens: int) -> None:
+        """Take the length of a complete answer into account."""
+        key = (workspace, model)
+        before = self.learned.pop(key, float(tokens))
+        self.learned[key] = before + LEARNING_WEIGHT * (tokens - before)
+        if len(self.learned) > MAX_LEARNED:
+            self.learned.popitem(last=False)
+
+    def expected(self, workspace: str, work: Completion) -> float:
+        """Return the expected length of an answer in tokens."""
+        learned = self.learned.get((workspace, work.model), PRIOR_OUTPUT_TOKENS)
+        return min(float(work.max_tokens), learned)
+
+    def cost(self, attempt: Attempt, capacity: Capacity) -> Cost:
+        """Return the estimated cost of an attempt."""
+        work = attempt.request.work
+        if not isinstance(work, Completion):
+            return Cost(
+                prefill=0.0, decode=CALL_SECONDS, tokens=0, parallel=max(1, capacity.parallel)
+            )
+        output = self.expected(attempt.request.workspace, work)
+        left = max(1.0, output - attempt.resume_from)
+        prompt = work.prompt_tokens + attempt.resume_from
+        return Cost(
+            prefill=prompt / capacity.prefill_rate if capacity.prefill_rate else 0.0,
+            decode=left / capacity.decode_rate if capacity.decode_rate else 0.0,
+            tokens=int(prompt + left),
+            parallel=max(1, capacity.parallel),
+        )
--- /dev/null
+++ b/chivewall/decisions/limits.py
@@ -0,0 +1,107 @@
+"""Checks the voted limits and the endpoint's KV cache for an arriving attempt."""
+
+from attrs import define, field
+
+from chivewall.configuration import Configuration, LimitName, LimitValue
+from chivewall.decisions.estimates import Capacity, Cost
+from chivewall.results import ResultCode, RunState
+from chivewall.work import Attempt, Completion, Refusal
+
+
+@define
+class InFlight:
+    """What one workspace has queued and running at this endpoint."""
+
+    requests: int = 0
+    tokens: int = 0
+
+
+@define
+class Limiter:
+    """Counts work in flight per workspace and refuses what exceeds a limit."""
+
+    in_flight: dict[str, InFlight] = field(factory=dict)
+
+    def add(self, workspace: str, tokens: int) -> None:
+        """Count an accepted attempt."""
+        count = self.in_flight.setdefault(workspace, InFlight())
+        count.requests += 1
+        count.tokens += tokens
+
+    def remove(self, workspace: str, tokens: int) -> None:
+        """Stop counting an attempt that ended."""
+        count = self.in_flight[workspace]
+        count.requests -= 1
+        count.tokens -= tokens
+        if not count.requests:
+            del self.in_flight[workspace]
+
+    def check(
+        self,
+        attempt: Attempt,
+        cost: Cost,
+        capacity: Capacity,
+        *,
+        cfg: Configuration,
+        unix_time: float,
+        wait: float,
+    ) -> Refusal | None:
+        """Return why an attempt exceeds a limit, if it does.
+
+        ``wait`` is the queueing time in seconds after which work in flight has
+        ended; only limits on work in flight carry it as Retry-After, since a
+        request that is too large in itself stays so.
+        """
+        for name, asked in self._asked(attempt, cost, wait).items():
+            limit = limit_for(attempt, name, cfg, unix_time)
+            if asked > limit.value:
+                lasting = name in (LimitName.PROMPT_TOKENS, LimitName.OUTPUT_TOKENS)
+                return _over(limit, asked, None if lasting else max(1.0, wait))
+        if 0 < capacity.kv_total_tokens < cost.tokens:
+            return Refusal(
+                code=ResultCode.OVER_LIMIT,
+                message=f"{cost.tokens} tokens of KV cache needed, "
+                f"{capacity.kv_total_tokens} available",
+                run=RunState.NO,
+                limit="KV cache of the endpoint",
+                reason="prompt and expected output must fit in the endpoint's KV cache",
+            )
+        return None
+
+    def _asked(self, attempt: Attempt, cost: Cost, wait: float) -> dict[LimitName, float]:
+        work = attempt.request.work
+        count = self.in_flight.get(attempt.request.workspace, InFlight())
+        asked: dict[LimitName, float] = {}
+        if isinstance(work, Completion):
+            asked[LimitName.PROMPT_TOKENS] = work.prompt_tokens
+            asked[LimitName.OUTPUT_TOKENS] = work.max_tokens
+            asked[LimitName.TOKENS_IN_FLIGHT] = count.tokens + cost.tokens
+        asked[LimitName.REQUESTS_IN_FLIGHT] = count.requests + 1
+        asked[LimitName.QUEUE_SECONDS] = wait
+        return asked
+
+
+def limit_for(
+    attempt: Attempt, name: LimitName, cfg: Configuration, unix_time: float
+) -> LimitValue:
+    """Return the limit in force for an attempt."""
+    request = attempt.request
+    return cfg.limit(
+        name,
+        workspace=request.workspace,
+        model=request.work.target,
+        rank=request.rank,
+        unix_time=unix_time,
+    )
+
+
+def _over(limit: LimitValue, asked: float, retry_after: float | None) -> Refusal:
+    queue = limit.name is LimitName.QUEUE_SECONDS
+    return Refusal(
+        code=ResultCode.QUEUE_FULL if queue else ResultCode.OVER_LIMIT,
+        message=f"{asked:g} {limit.name.value} asked, {limit.value:g} allowed",
+        run=RunState.NO,
+        retry_after=retry_after,
+        limit=limit.source,
+        reason=limit.reason,
+    )
--- /dev/null
+++ b/chivewall/decisions/shares.py
@@ -0,0 +1,181 @@
+"""Divides an endpoint between ranks and a rank between workspaces."""
+
+import heapq
+from collections.abc import Iterator
+
+from attrs import define, field
+
+from chivewall.decisions.estimates import Cost
+from chivewall.work import Attempt, Rank
+
+RANKS = tuple(Rank)
+BURST_SECONDS = 2.0  # of its share that a rank without queued work may save for a burst
+MIN_CHARGE_SECONDS = 0.001  # keeps the order moving when the endpoint reports no speed
+MAX_IDLE_TAGS = 1024  # above the 300 workspaces of the design capacity
+MAX_WORKSPACE_SHARE = 0.99  # keeps the weight of a workspace finite
+
+
+@define(eq=False)
+class Entry:
+    """A queued or running attempt with its estimated cost."""
+
+    attempt: Attempt
+    cost: Cost
+    weight: float  # of its workspace within the rank
+    queued_at: float
+    started_at: float | None = None
+    prefilling: bool = True
+    guaranteed: bool = False  # started from its rank's share while other ranks waited
+    removed: bool = False
+
+
+@define
+class RankCredits:
+    """Endpoint seconds that each rank may still claim under its guaranteed share.
+
+    Each started second is divided by share among the ranks and debited to the
+    rank that uses it. A rank with work and credit goes before one without
+    credit, so a rank whose queue is never empty gets its share of the started
+    seconds, less at most one attempt. Seconds that nobody else claimed are
+    not debited below zero, so a rank pays no debt for using idle capacity.
+    """
+
+    credits: dict[Rank, float] = field(factory=lambda: dict.fromkeys(RANKS, 0.0))
+
+    def order(self) -> list[Rank]:
+        """Return the ranks in the order in which they may start work."""
+        return sorted(RANKS, key=lambda rank: (self.credits[rank] < 0, RANKS.index(rank)))
+
+    def charge(
+        self,
+        rank: Rank,
+        seconds: float,
+        *,
+        shares: dict[Rank, float],
+        waiting: frozenset[Rank],
+        guaranteed: bool,
+    ) -> None:
+        """Account for seconds that a rank uses while the ranks in ``waiting`` have queues.
+
+        Negative seconds correct an estimate that was too high.
+        """
+        for other, share in shares.items():
+            grown = self.credits[other] + share * seconds
+            cap = max(self.credits[other], share * BURST_SECONDS)
+            self.credits[other] = grown if other in waiting else min(grown, cap)
+        credit = self.credits[rank]
+        if guaranteed:
+            self.credits[rank] = credit - seconds
+        elif seconds > 0:
+            self.credits[rank] = max(credit - seconds, min(credit, 0.0))
+
+
+@define(eq=False)
+class WorkspaceQueue:
+    """Queued attempts of one workspace, earliest deadline first."""
+
+    tag: float = 0.0  # virtual time at which its next attempt is due
+    weight: float = 1.0
+    live: int = 0
+    seconds: float = 0.0  # estimated cost of its queued attempts
+    heap: list[tuple[float, int, Entry]] = field(factory=list)
+
+    def head(self) -> Entry:
+        """Return the entry with the earliest deadline."""
+        while self.heap[0][2].removed:
+            heapq.heappop(self.heap)
+        return self.heap[0][2]
+
+
+@define(eq=False)
+class RankQueue:
+    """Queue of one rank: start-time fair queueing between its workspaces.
+
+    An attempt advances its workspace's virtual time by cost / weight. With a
+    weight of share / (1 - share), a workspace that competes with one of the
+    default share of 0.5 gets exactly its own share, and less with more of them.
+    """
+
+    seconds: float = 0.0  # estimated cost of all queued attempts
+    size: int = 0
+    virtual: float = 0.0
+    weight: float = 0.0  # of all workspaces with queued attempts
+    serial: int = 0
+    workspaces: dict[str, WorkspaceQueue] = field(factory=dict)
+    order: list[tuple[float, int, str]] = field(factory=list)
+    tags: dict[str, float] = field(factory=dict)  # of workspaces whose queue ran empty
+
+    def push(self, entry: Entry) -> None:
+        """Queue an entry."""
+        self.serial += 1
+        name = entry.attempt.request.workspace
+        queue = self.workspaces.get(name)
+        if queue is None:
+            queue = WorkspaceQueue(
+                tag=max(self.virtual, self.tags.pop(name, 0.0)), weight=entry.weight
+            )
+            self.workspaces[name] = queue
+            self.weight += queue.weight
+            heapq.heappush(self.order, (queue.tag, self.serial, name))
+        heapq.heappush(queue.heap, (entry.attempt.request.deadline, self.serial, entry))
+        queue.live += 1
+        queue.seconds += entry.cost.seconds
+        self.size += 1
+        self.seconds += entry.cost.seconds
+
+    def head(self) -> Entry | None:
+        """Return the entry whose turn it is."""
+        while self.order:
+            tag, _, name = self.order[0]
+            queue = self.workspaces.get(name)
+            if queue is not None and queue.tag == tag:
+                return queue.head()
+            heapq.heappop(self.order)
+        return None
+
+    def start(self, entry: Entry) -> None:
+        """Remove the entry whose turn it is and charge its workspace."""
+        name = entry.attempt.request.workspace
+        queue = self.workspaces[name]
+        self.virtual = max(self.virtual, queue.tag)
+        queue.tag += max(entry.cost.seconds, MIN_CHARGE_SECONDS) / entry.weight
+        self.serial += 1
+        heapq.heappush(self.order, (queue.tag, self.serial, name))
+        self.remove(entry)
+
+    def remove(self, entry: Entry) -> None:
+        """Remove a queued entry."""
+        name = entry.attempt.request.workspace
+        queue = self.workspaces[name]
+        entry.removed = True
+        queue.live -= 1
+        queue.seconds = max(0.0, queue.seconds - entry.cost.seconds)
+        self.size -= 1
+        self.seconds = max(0.0, self.seconds - entry.cost.seconds) if self.size else 0.0
+        if not queue.live:
+            self._forget(name, queue)
+
+    def ahead(self, workspace: str, weight: float) -> float:
+        """Return the endpoint seconds of this rank that run before a new attempt."""
+        queue = self.workspaces.get(workspace)
+        if queue is None:
+            return 0.0
+        return min(self.seconds, queue.seconds * max(1.0, self.weight / weight))
+
+    def entries(self) -> Iterator[Entry]:
+        """Iterate over the queued entries, in no particular order."""
+        for queue in self.workspaces.values():
+            yield from (entry for _, _, entry in queue.heap if not entry.removed)
+
+    def _forget(self, name: str, queue: WorkspaceQueue) -> None:
+        del self.workspaces[name]
+        self.weight = max(0.0, self.weight - queue.weight) if self.workspaces else 0.0
+        if len(self.tags) >= MAX_IDLE_TAGS:
+            self.tags = {one: tag for one, tag in self.tags.items() if tag > self.virtual}
+        self.tags[name] = queue.tag
+
+
+def workspace_weight(share: float) -> float:
+    """Return the weight of a workspace from its ``workspace_share``."""
+    bounded = min(share, MAX_WORKSPACE_SHARE)
+    return bounded / (1.0 - bounded)
--- a/chivewall/events.py
+++ b/chivewall/events.py
@@ -33,6 +33,7 @@
     WORK_REFUSED = (302, "info", "work refused before it ran")
     WORK_ENDED = (303, "info", "work ended at the endpoint")
     CLAIM_DECIDED = (304, "info", "claim of an idempotency key decided")
+    WORK_CHOSEN = (305, "info", "queued work chosen to run")
 
     LINK_OPENED = (400, "info", "connection to an agent opened")
     LINK_BROKEN = (401, "warning", "connection to an agent broke or went silent")
--- a/chivewall/plugins/builtin/admission.py
+++ b/chivewall/plugins/builtin/admission.py
@@ -6,7 +6,8 @@
 from attrs import define, evolve, field, frozen, validators
 
 from chivewall.configuration import Configuration
-from chivewall.decisions.admission import Capacity, Scheduler, key_of
+from chivewall.decisions.admission import Scheduler, key_of
+from chivewall.decisions.estimates import Capacity
 from chivewall.environment import Environment
 from chivewall.errors import EndpointError
 from chivewall.events import Event
@@ -121,7 +122,14 @@
             self._refuse(sink, refusal)
             return
         self.sinks[key] = sink
-        self.env.log.emit(Event.WORK_QUEUED, request=attempt.request.id, attempt=attempt.number)
+        self.env.log.emit(
+            Event.WORK_QUEUED,
+            request=attempt.request.id,
+            attempt=attempt.number,
+            rank=attempt.request.rank.value,
+            workspace=attempt.request.workspace,
+            waits=self.scheduler.waits(self.env.now),
+        )
         self._start_work()
 
     @receive.register
@@ -129,9 +137,13 @@
         sink = self.sinks.get((message.request_id, message.attempt))
         if sink is None:
             return
+        prefilled = self.scheduler.first_token(message.request_id, message.attempt)
         self._send(sink, message.body)
         if isinstance(message.body, End | Answer):
-            self._end(sink, outcome="complete")
+            tokens = message.body.completion_tokens if isinstance(message.body, End) else None
+            self._end(sink, outcome="complete", output_tokens=tokens)
+        elif prefilled:
+            self._start_work()
 
     @receive.register
     async def _(self, message: RunFailed) -> None:
@@ -167,6 +179,7 @@
             parallel=message.load.parallel,
             prefill_rate=message.load.prefill_rate,
             decode_rate=message.load.decode_rate,
+            kv_total_tokens=message.load.kv_total_tokens,
         )
         self._start_work()
 
@@ -197,7 +210,7 @@
             incarnation=self.incarnation,
             targets=self.state.targets if self.state is not None else (),
             role=self.state.role if self.state is not None else EngineRole.MIXED,
-            waits=self.scheduler.waits(),
+            waits=self.scheduler.waits(self.env.now),
             running=len(self.scheduler.running),
             parallel=self.load.parallel,
             prefill_rate=self.load.prefill_rate,
@@ -243,8 +256,16 @@
         return None
 
     def _start_work(self) -> None:
-        while (attempt := self.scheduler.start_next(self.env.now)) is not None:
-            self._launch(attempt)
+        while (start := self.scheduler.start_next(self.env.now)) is not None:
+            self.env.log.emit(
+                Event.WORK_CHOSEN,
+                request=start.attempt.request.id,
+                attempt=start.attempt.number,
+                reason=start.reason,
+                waited=round(start.waited, 3),
+            )
+            self._launch(start.attempt)
+        self._refuse_doomed()
 
     def _launch(self, attempt: Attempt) -> None:
         self.env.log.emit(Event.WORK_STARTED, request=attempt.request.id, attempt=attempt.number)
@@ -252,12 +273,16 @@
 
     def _expire(self) -> None:
         now = self.env.now
-        for attempt in self.scheduler.expired(now):
-            sink = self.sinks.pop(key_of(attempt))
-            self._answer_drain()
-            self._refuse(sink, _not_run(ResultCode.DEADLINE_PASSED, "expired in the queue"))
+        self.scheduler.shed(now)
+        self._start_work()
         self.seen = {key: deadline for key, deadline in self.seen.items() if deadline > now}
 
+    def _refuse_doomed(self) -> None:
+        for dropped in self.scheduler.take_doomed():
+            sink = self.sinks.pop(key_of(dropped.attempt))
+            self._refuse(sink, dropped.refusal)
+            self._answer_drain()
+
     def _answer_drain(self) -> None:
         if self.sinks:
             return
@@ -276,9 +301,9 @@
         )
         self._send(sink, refusal)
 
-    def _end(self, sink: AnswerSink, outcome: str) -> None:
+    def _end(self, sink: AnswerSink, outcome: str, output_tokens: int | None = None) -> None:
         key = key_of(sink.attempt)
-        self.scheduler.finish(*key)
+        self.scheduler.finish(*key, now=self.env.now, output_tokens=output_tokens)
         self.sinks.pop(key, None)
         self._answer_drain()
         self.env.log.emit(Event.WORK_ENDED, request=key[0], attempt=key[1], outcome=outcome)
