Test admission decisions in floods; keep shares when prefills dominate

Cause: the reserve of slots for urgent work bound lower ranks even below their share, while urgent prefills hold up the batch; and corrections by elapsed time charged a decode for the prefills of other attempts. The reserve now yields to a rank below its share in an urgent flood, and decode is corrected by the true number of tokens.

--- a/chivewall/decisions/admission.py
+++ b/chivewall/decisions/admission.py
@@ -89,7 +89,7 @@
         reserve = self._reserve(now)
         for rank in self.credits.order():
             entry = self._feasible_head(rank, now)
-            if entry is None or not self._has_slot(rank, reserve):
+            if entry is None or not self._may_take_slot(rank, reserve):
                 continue
             if not self._fits_kv(entry):
                 return None  # smaller work of other ranks would keep it waiting for ever
@@ -120,8 +120,7 @@
         self.limiter.remove(request.workspace, entry.cost.tokens)
         if isinstance(request.work, Completion) and output_tokens is not None:
             self.lengths.learn(request.workspace, request.work.model, output_tokens)
-        spent = max(0.0, now - entry.started_at - entry.cost.prefill) / entry.cost.parallel
-        self._charge(entry, spent + entry.cost.prefill - entry.cost.seconds)
+        self._charge(entry, self._decode_spent(entry, now, output_tokens) - entry.cost.decode_share)
 
     def shed(self, now: float) -> None:
         """Move queued attempts that can't meet their deadline to ``doomed``.
@@ -197,6 +196,20 @@
             guaranteed=entry.guaranteed,
         )
 
+    def _decode_spent(self, entry: Entry, now: float, output_tokens: int | None) -> float:
+        """Return the endpoint seconds of decode that an ended attempt used.
+
+        Counted in tokens where they are known, since the elapsed time contains
+        the prefills of other attempts, which are charged to those.
+        """
+        if output_tokens is not None and self.capacity.decode_rate:
+            fresh = max(0, output_tokens - entry.attempt.resume_from)
+            return fresh / self.capacity.decode_rate / entry.cost.parallel
+        elapsed = max(0.0, now - entry.started_at - entry.cost.prefill)
+        if isinstance(entry.attempt.request.work, Completion):
+            elapsed = min(elapsed, entry.cost.decode)
+        return elapsed / entry.cost.parallel
+
     def _shares(self) -> dict[Rank, float]:
         if self.cfg is None:
             return dict.fromkeys(RANKS, 0.0)
@@ -207,7 +220,18 @@
             self._doom(entry, now, ResultCode.HOPELESS, "too late to finish in time")
         return entry
 
-    def _has_slot(self, rank: Rank, reserve: int) -> bool:
+    def _may_take_slot(self, rank: Rank, reserve: int) -> bool:
+        """Return whether a rank may use a free slot.
+
+        While urgent work beyond its share is queued, the reserve doesn't bind
+        a rank that is below its own share: slots are no measure of endpoint
+        seconds when urgent prefills hold up the batch.
+        """
+        credit = self.credits.credits
+        flood = self.queues[Rank.URGENT].size > 0 > credit[Rank.URGENT]
+        return self._outside_reserve(rank, reserve) or (flood and credit[rank] >= 0)
+
+    def _outside_reserve(self, rank: Rank, reserve: int) -> bool:
         if rank is Rank.URGENT:
             return True
         return len(self.running) - self._running_urgent() < self.capacity.parallel - reserve
@@ -247,7 +271,7 @@
         return Backlog(
             queued={one: self.queues[one].seconds for one in RANKS},
             shares=self._shares(),
-            busy=frozenset(one for one in RANKS if full or not self._has_slot(one, reserve)),
+            busy=frozenset(one for one in RANKS if full or not self._outside_reserve(one, reserve)),
             slot_seconds=left / max(1, self.capacity.parallel) ** 2,
             prefill_seconds=sum(one.cost.prefill for one in running if one.prefilling),
         )
--- a/chivewall/decisions/estimates.py
+++ b/chivewall/decisions/estimates.py
@@ -39,7 +39,12 @@
     @property
     def seconds(self) -> float:
         """Endpoint seconds: a prefill holds up the whole batch, a decode takes one slot of it."""
-        return self.prefill + self.decode / self.parallel
+        return self.prefill + self.decode_share
+
+    @property
+    def decode_share(self) -> float:
+        """Endpoint seconds of the decode alone."""
+        return self.decode / self.parallel
 
 
 @define
--- /dev/null
+++ b/tests/test_admission_decisions.py
@@ -0,0 +1,270 @@
+"""Admission decisions, driven without a network and with time as an argument."""
+
+from unittest.mock import patch
+
+from attrs import evolve
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from testtools import TestCase
+from testtools.matchers import Equals, GreaterThan, LessThan
+
+from chivewall.configuration import LimitName, LimitOverride, default_configuration
+from chivewall.decisions.admission import Scheduler
+from chivewall.decisions.estimates import Capacity, OutputLengths
+from chivewall.decisions.shares import RankQueue
+from chivewall.results import ResultCode, RunState
+from chivewall.work import Attempt, Completion, Message, Rank, Request
+
+CFG = default_configuration()
+OPEN = evolve(
+    CFG,
+    limits=evolve(CFG.limits, requests_in_flight=1e9, tokens_in_flight=1e12, queue_seconds=1e9),
+)
+CAPACITY = Capacity(parallel=8, prefill_rate=20_000.0, decode_rate=50.0)
+FAR = 1e9  # a deadline that never matters, seconds
+RANKS = tuple(Rank)
+
+
+def attempt(name, rank=Rank.PATIENT, workspace="w", deadline=FAR, prompt=100, output=50):
+    work = Completion(
+        model="m", messages=(Message("user", "x"),), prompt_tokens=prompt, max_tokens=output
+    )
+    request = Request(id=name, workspace=workspace, rank=rank, deadline=deadline, work=work)
+    return Attempt(request=request, number=1, endpoint="e", incarnation="i")
+
+
+class Driver:
+    """Runs a scheduler against an endpoint whose prefills hold up the whole batch."""
+
+    def __init__(self, capacity=CAPACITY, cfg=OPEN):
+        self.scheduler = Scheduler(capacity=capacity)
+        self.cfg = cfg
+        self.now = 0.0
+        self.started = []
+        self.most = 0
+        self.left = {}  # seconds of decode of each running attempt
+        self.stall = 0.0  # seconds of prefill before the batch goes on
+
+    def offer(self, one):
+        return self.scheduler.offer(one, self.cfg, now=self.now, unix_time=self.now)
+
+    def start(self):
+        while (start := self.scheduler.start_next(self.now)) is not None:
+            self.started.append(start.attempt)
+            key = (start.attempt.request.id, 1)
+            self.scheduler.first_token(*key)
+            self.left[key] = self.scheduler.running[key].cost.decode
+            self.stall += self.scheduler.running[key].cost.prefill
+        self.most = max(self.most, len(self.scheduler.running))
+
+    def step(self):
+        """Run until the next attempt ends, then start what may start."""
+        key = min(self.left, key=self.left.get)
+        spent = self.left.pop(key)
+        self.left = {one: seconds - spent for one, seconds in self.left.items()}
+        self.now += spent + self.stall
+        self.stall = 0.0
+        tokens = self.scheduler.running[key].attempt.request.work.max_tokens
+        self.scheduler.finish(*key, now=self.now, output_tokens=tokens)
+        self.start()
+
+    def seconds(self, choose):
+        """Return the endpoint seconds of started work, from its true output length."""
+        works = [one.request.work for one in self.started if choose(one.request)]
+        return sum(one.prompt_tokens / 20_000 + one.max_tokens / 50 / 8 for one in works)
+
+
+SIZES = st.lists(st.tuples(st.integers(1, 4000), st.integers(1, 200)), min_size=3, max_size=3)
+
+
+class ShareTest(TestCase):
+    """Guards against a flood of one rank or workspace that starves another."""
+
+    @settings(max_examples=25, deadline=None, derandomize=True)
+    @given(flood=st.sampled_from(RANKS), sizes=SIZES)
+    def test_each_rank_keeps_its_share_in_a_flood_of_any_rank(self, flood, sizes):
+        driver = Driver()
+        for place, rank in enumerate(RANKS):
+            prompt, output = sizes[place]
+            for number in range(900 if rank is flood else 300):
+                one = attempt(f"{rank}{number}", rank, prompt=prompt, output=output)
+                self.assertIsNone(driver.offer(one))
+        driver.start()
+        while all(queue.size for queue in driver.scheduler.queues.values()):
+            driver.step()
+        total = driver.seconds(lambda _: True)
+        slack = 2 * CAPACITY.parallel * max(p / 20_000 + o / 50 / 8 for p, o in sizes)
+        for rank in RANKS:
+            kept = driver.seconds(lambda one, rank=rank: one.rank is rank)
+            self.assertThat(kept, GreaterThan(CFG.ranks[rank].share * total - slack))
+
+    @settings(max_examples=25, deadline=None, derandomize=True)
+    @given(before=st.integers(1, 60), share=st.sampled_from((0.2, 0.35, 0.5)))
+    def test_workspace_takes_no_more_than_its_share_while_another_waits(self, before, share):
+        exception = LimitOverride(
+            id="x", limit=LimitName.WORKSPACE_SHARE, value=share, reason="vote", author="a",
+            expires_at=FAR, workspace="greedy",
+        )  # fmt: skip
+        driver = Driver(cfg=evolve(OPEN, exceptions=(exception,)))
+        for number in range(400):
+            driver.offer(attempt(f"g{number}", workspace="greedy"))
+        driver.start()
+        for _ in range(before):
+            driver.step()
+        for number in range(100):
+            driver.offer(attempt(f"o{number}", workspace="other"))
+        first = len(driver.started)
+        while driver.scheduler.queues[Rank.PATIENT].workspaces.keys() == {"greedy", "other"}:
+            driver.step()
+        contested = driver.started[first:]
+        greedy = sum(one.request.workspace == "greedy" for one in contested)
+        self.assertThat(greedy, LessThan(share * len(contested) + 3))
+
+    def test_patient_attempt_starts_within_its_bound_in_an_urgent_flood(self):
+        driver = Driver()
+        for number in range(2000):
+            driver.offer(attempt(f"u{number}", Rank.URGENT))
+        driver.start()
+        for number in range(20):
+            driver.offer(attempt(f"p{number}"))
+        cost = driver.scheduler.lengths.cost(attempt("p"), CAPACITY)
+        bound = 20 * cost.seconds / CFG.ranks[Rank.PATIENT].share + cost.run_seconds
+        while driver.scheduler.queues[Rank.PATIENT].size:
+            driver.step()
+        self.assertThat(driver.now, LessThan(bound))
+        self.assertTrue(driver.scheduler.queues[Rank.URGENT].size)
+
+
+class CapacityTest(TestCase):
+    """Guards against overload of the endpoint and against work that is lost or stuck."""
+
+    @settings(max_examples=60, deadline=None, derandomize=True)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(RANKS), st.sampled_from("abc"), st.floats(0.5, 60),
+                st.integers(1, 9000), st.integers(1, 300), st.integers(0, 2),
+            ),
+            max_size=60,
+        )
+    )  # fmt: skip
+    def test_everything_ends_once_and_capacity_holds(self, works):
+        capacity = evolve(CAPACITY, kv_total_tokens=10_000)
+        driver = Driver(capacity=capacity)
+        accepted, dropped = set(), []
+        for number, (rank, workspace, deadline, prompt, output, steps) in enumerate(works):
+            one = attempt(f"r{number}", rank, workspace, driver.now + deadline, prompt, output)
+            refusal = driver.offer(one)
+            if refusal is None:
+                accepted.add(one.request.id)
+            else:
+                self.assertThat(refusal.run, Equals(RunState.NO))
+            driver.start()
+            for _ in range(min(steps, len(driver.scheduler.running))):
+                driver.step()
+                driver.scheduler.shed(driver.now)
+            held = sum(each.cost.tokens for each in driver.scheduler.running.values())
+            self.assertThat(held, LessThan(10_001))
+        while driver.scheduler.running:
+            driver.step()
+        dropped = driver.scheduler.take_doomed()
+        names = [one.request.id for one in driver.started]
+        refused = [one.attempt.request.id for one in dropped]
+        self.assertThat(sorted(names + refused), Equals(sorted(accepted)))
+        self.assertTrue(all(one.refusal.run is RunState.NO for one in dropped))
+        self.assertTrue(all(one.refusal.retry_after >= 1 for one in dropped))
+        self.assertThat(driver.most, LessThan(capacity.parallel + 1))
+        self.assertTrue(driver.scheduler.idle())
+        self.assertThat(driver.scheduler.limiter.in_flight, Equals({}))
+
+    @settings(max_examples=60, deadline=None, derandomize=True)
+    @given(
+        st.lists(st.tuples(st.sampled_from(RANKS), st.integers(1, 5000), st.booleans()),
+                 max_size=40)
+    )  # fmt: skip
+    def test_more_load_never_shortens_waits(self, works):
+        driver = Driver()
+        before = driver.scheduler.waits(0.0)
+        for number, (rank, prompt, start) in enumerate(works):
+            driver.offer(attempt(f"r{number}", rank, f"w{number % 3}", prompt=prompt))
+            waits = driver.scheduler.waits(0.0)
+            for old, new in zip(before, waits, strict=True):
+                self.assertThat(new, GreaterThan(old - 1e-9))
+            if start:
+                driver.start()
+            before = driver.scheduler.waits(0.0)
+
+    def test_urgent_work_finds_a_slot_and_no_long_queue_of_prefills(self):
+        driver = Driver()
+        for number in range(50):
+            driver.offer(attempt(f"p{number}", prompt=10_000))
+        first = driver.scheduler.start_next(0.0)
+        self.assertIsNone(driver.scheduler.start_next(0.0))  # its prefill takes the budget
+        driver.scheduler.first_token(first.attempt.request.id, 1)
+        driver.start()
+        self.assertThat(len(driver.scheduler.running), Equals(CAPACITY.parallel - 1))
+        driver.offer(attempt("u", Rank.URGENT))
+        driver.start()
+        self.assertThat(driver.started[-1].request.id, Equals("u"))
+
+    def test_cost_of_a_decision_does_not_grow_with_the_queue(self):
+        """Guards against scans at each start and an order heap that grows without bound."""
+        driver = Driver()
+        for number in range(5000):
+            driver.offer(attempt(f"r{number}", workspace=f"w{number % 300}"))
+        queue = driver.scheduler.queues[Rank.PATIENT]
+        with patch.object(RankQueue, "entries", side_effect=AssertionError("scan")):
+            driver.start()
+            for _ in range(1000):
+                driver.step()
+        self.assertThat(queue.size, Equals(5000 - len(driver.started)))
+        self.assertThat(len(queue.order), LessThan(2 * 300))
+
+
+class RefusalTest(TestCase):
+    """Guards against refusals without a true cause, and work left to expire."""
+
+    def test_limits_name_source_and_reason(self):
+        limits = evolve(CFG.limits, requests_in_flight=1, tokens_in_flight=500)
+        driver = Driver(cfg=evolve(CFG, limits=limits))
+        too_many_tokens = driver.offer(attempt("a", prompt=600))
+        self.assertIn("default tokens_in_flight", too_many_tokens.limit)
+        self.assertIsNone(driver.offer(attempt("b")))
+        self.assertIsNone(driver.offer(attempt("c", workspace="other")))
+        refusal = driver.offer(attempt("d"))
+        self.assertThat(refusal.code, Equals(ResultCode.OVER_LIMIT))
+        self.assertIn("default requests_in_flight", refusal.limit)
+        self.assertThat(refusal.reason, Equals(CFG.reason))
+        driver.scheduler.finish("b", 1, now=0.0)
+        self.assertIsNone(driver.offer(attempt("e")))
+
+    def test_hopeless_work_is_refused_early_with_retry_after(self):
+        driver = Driver()
+        for number in range(200):
+            driver.offer(attempt(f"r{number}", Rank.STANDARD))
+        driver.start()
+        refusal = driver.offer(attempt("late", Rank.STANDARD, deadline=5.0))
+        self.assertThat(refusal.code, Equals(ResultCode.HOPELESS))
+        self.assertThat(refusal.retry_after, GreaterThan(5.0))
+        newcomer = attempt("other", Rank.STANDARD, workspace="other", deadline=5.0)
+        self.assertIsNone(driver.offer(newcomer), "another workspace's queue is not its own")
+
+    def test_standing_queue_sheds_standard_and_keeps_patient(self):
+        driver = Driver()
+        for number in range(100):
+            driver.offer(attempt(f"s{number}", Rank.STANDARD, deadline=16.0))
+            driver.offer(attempt(f"p{number}", deadline=200.0))
+        driver.scheduler.shed(6.0)
+        dropped = driver.scheduler.take_doomed()
+        self.assertTrue(dropped)
+        for one in dropped:
+            self.assertThat(one.attempt.request.rank, Equals(Rank.STANDARD))
+            self.assertThat(one.refusal.code, Equals(ResultCode.SHED))
+
+    def test_output_length_is_learned_for_each_workspace(self):
+        lengths = OutputLengths()
+        work = attempt("a", output=4000).request.work
+        for _ in range(50):
+            lengths.learn("short", "m", 20)
+        self.assertThat(lengths.expected("short", work), Equals(20.0))
+        self.assertThat(lengths.expected("other", work), GreaterThan(100.0))
