--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -9,6 +9,7 @@
 from twisted.internet.defer import Deferred, fail, succeed
 from twisted.internet.interfaces import IReactorTime
 
+from chivewall.configuration import Configuration
 from chivewall.errors import EndpointError, LinkBrokenError, OrderRefusedError
 from chivewall.interfaces import (
     EndpointLoad,
@@ -18,11 +19,18 @@
     RunFailed,
     RunOutput,
 )
-from chivewall.messages import Arrive, AttemptBroken, Withdraw
+from chivewall.messages import Arrive, AttemptBroken, ConfigurationSeen, Withdraw
 from chivewall.plugins.builtin.admission import Admission, ReportLoad
+from chivewall.plugins.builtin.configuration import (
+    ConfigurationKeeper,
+    CurrentConfiguration,
+    decode_configuration,
+    encode_configuration,
+)
+from chivewall.results import ResultCode
 from chivewall.standins.engine import EngineModel, EngineSpeed, Sequence
 from chivewall.task import Inbox
-from chivewall.work import Answer, Attempt, End, EngineRole, Tokens
+from chivewall.work import Answer, Attempt, End, EngineRole, Part, Refusal, Tokens
 
 CALL_SECONDS = 0.02  # run time of one service call
 
@@ -189,6 +197,7 @@
     rng: random.Random
     agent: Callable[[], Admission | None]
     fault: LinkFault
+    keeper: Callable[[], ConfigurationKeeper | None] = lambda: None
     silent: bool = False  # this connection is lost for good; new ones work
     closed: bool = False
     _open: dict[tuple[str, int], Inbox] = field(factory=dict)
@@ -197,7 +206,7 @@
         """See ``AgentLink.submit``."""
         key = (attempt.request.id, attempt.number)
         admission = self.agent()
-        if admission is None:
+        if admission is None or self.closed:
             sink.put(AttemptBroken(*key, sent=False, reason="connection refused"))
             return
         self._open[key] = sink
@@ -216,15 +225,21 @@
         """See ``AgentLink.probe``."""
         admission = self.agent()
         reply: Deferred = Deferred()
-        if admission is None:
+        if admission is None or self.closed:
             return fail(LinkBrokenError("connection refused"))
         self.clock.callLater(2.0, self._give_up, reply)
         self._send(self._probe, admission, reply)
         return reply
 
     def exchange_configuration(self, document: bytes) -> Deferred:
-        """See ``AgentLink.exchange_configuration``; tests override it where it matters."""
-        return succeed(b"")
+        """See ``AgentLink.exchange_configuration``; takes and answers as the gate does."""
+        keeper = self.keeper()
+        if self.closed or keeper is None:
+            return fail(LinkBrokenError("connection refused"))
+        reply: Deferred = Deferred()
+        self.clock.callLater(2.0, self._give_up, reply)
+        self._send(self._exchange, keeper, document, reply)
+        return reply
 
     def close(self) -> None:
         """See ``AgentLink.close``."""
@@ -247,7 +262,7 @@
         sink = self._open.get(key)
         if sink is None:
             return
-        if getattr(message, "last", False):
+        if getattr(message, "last", False) and not _is_duplicate_notice(message):
             self._open.pop(key, None)
         sink.put(message)
 
@@ -266,9 +281,22 @@
 
         admission.ask(ReportLoad()).addCallback(answer)
 
+    def _exchange(self, keeper: ConfigurationKeeper, document: bytes, reply: Deferred) -> None:
+        offered = decode_configuration(document) if document else None
+        if offered is not None:
+            keeper.tell(ConfigurationSeen(offered, origin="entry"))
+
+        def answer(current: Configuration | None) -> None:
+            newer = current is not None and (offered is None or current.version > offered.version)
+            document = encode_configuration(current) if newer else b""
+            if not (self.silent or self.fault.answers_cut):
+                self.clock.callLater(self._delay(), _fire, reply, document)
+
+        keeper.ask(CurrentConfiguration()).addCallback(answer)
+
     def _give_up(self, reply: Deferred) -> None:
         if not reply.called:
-            reply.errback(LinkBrokenError("probe timed out"))
+            reply.errback(LinkBrokenError("no answer in time"))
 
     def _delay(self) -> float:
         delay = self.fault.delay + self.rng.uniform(0, self.fault.jitter)
@@ -296,6 +324,7 @@
     clock: IReactorTime
     rng: random.Random
     agents: dict[str, Admission] = field(factory=dict)
+    keepers: dict[str, ConfigurationKeeper] = field(factory=dict)
     faults: dict[str, LinkFault] = field(factory=dict)
     opened: list[LocalLink] = field(factory=list)
 
@@ -306,6 +335,7 @@
             clock=self.clock,
             rng=self.rng,
             agent=lambda: self.agents.get(instance.name),
+            keeper=lambda: self.keepers.get(instance.name),
             fault=fault,
         )
         self.opened.append(link)
@@ -321,6 +351,11 @@
     return reply
 
 
+def _is_duplicate_notice(part: Part) -> bool:
+    """Return whether a refusal is about the second arrival of a duplicated submit."""
+    return isinstance(part.body, Refusal) and part.body.code is ResultCode.DUPLICATE_ATTEMPT
+
+
 def _fire(reply: Deferred, value: object) -> None:
     if not reply.called:
         reply.callback(value)
--- a/bench/site.py
+++ b/bench/site.py
@@ -15,7 +15,7 @@
 from chivewall.kernel import Application
 from chivewall.messages import Serve
 from chivewall.plugins.builtin.admission import Admission
-from chivewall.plugins.builtin.configuration import seed_configuration
+from chivewall.plugins.builtin.configuration import ConfigurationKeeper, seed_configuration
 from chivewall.plugins.builtin.dispatch import Dispatcher
 from chivewall.settings import CoreSettings, Role, Settings
 from chivewall.standins.objects import MemoryStore
@@ -96,11 +96,13 @@
         env.provide(Endpoint, self.endpoints[name])
         app = self._start(name, env)
         self.links.agents[name] = env.require(Admission)
+        self.links.keepers[name] = env.require(ConfigurationKeeper)
         return app
 
     def kill_agent(self, name: str) -> None:
         """End an agent at once, as ``kill -9`` does: its task handles nothing more."""
         admission = self.links.agents.pop(name)
+        self.links.keepers.pop(name)
         admission.inbox = Inbox()
         self.apps.pop(name)
         for link in self.links.opened:
--- a/chivewall/decisions/membership.py
+++ b/chivewall/decisions/membership.py
@@ -1,17 +1,30 @@
 """Which endpoints exist and which may get new work, as one observer knows it."""
 
+import hashlib
+import random
+from collections.abc import Iterable
 from enum import Enum
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from chivewall.interfaces import Instance, InstanceKind
 from chivewall.work import LoadReport
 
 FAILURES_TO_SUSPECT = 2  # one failure alone is often a single lost connection
-LEAVING_GRACE = 0.0  # seconds; new work stops as soon as the leave is known
 PROBE_FIRST = 0.5  # seconds until a suspected endpoint is probed
-PROBE_LIMIT = 8.0  # seconds between probes at most
+PROBE_LIMIT = 8.0  # seconds between probes of a suspect at most
+PROBE_JITTER = 0.25  # share of the interval that varies, so that observers spread
+PROBE_PENDING = 4.0  # seconds until a probe without a result is repeated; above its timeout
+IDLE_SECONDS = 2.5  # between reports of a live member; below the 3 s for news of a leave
+IDLE_PROBES_PER_SECOND = 2.0  # of one observer, about 2 KB/s at 1 KB for a probe and its report
 CUT_OFF_SHARE = 0.5  # above this share of suspects the observer doubts itself
+SUBSET_SIZE = 16  # endpoints that one observer uses for one target
+SUBSET_REMOTE = 4  # places of those kept for other data centres, for when the own one fails
+MISSING_READS = 2  # reads of the list without an endpoint until it counts as gone
+SMOOTHING = 0.2  # weight of a new sample of round trip or loss
+BELIEF_SECONDS = 10.0  # reports may lag; a prefix sent longer ago must be in the report
+BELIEF_LIMIT = 64  # prefixes remembered for one endpoint
+PAST_LIMIT = 8  # earlier incarnations remembered for one endpoint
 
 
 class MemberState(Enum):
@@ -19,22 +32,39 @@
 
     UNKNOWN = "unknown"  # listed, but no report yet
     LIVE = "live"
-    SUSPECT = "suspect"
+    SUSPECT = "suspect"  # failed, silent or not ready
     LEAVING = "leaving"
 
 
-@define
+@frozen
+class Change:
+    """A member whose state changed, and why."""
+
+    member: "Member"
+    reason: str
+    gone: bool = False  # no longer known
+    replaced: bool = False  # connections to the earlier instance are of no use
+
+
+@define(eq=False)
 class Member:
     """What an observer knows of one endpoint."""
 
     instance: Instance
     state: MemberState = MemberState.UNKNOWN
     report: LoadReport | None = None
-    round_trip: float = 0.0  # seconds
-    failures: int = 0
+    round_trip: float = 0.0  # seconds, smoothed
+    loss: float = 0.0  # share of failed exchanges, smoothed
+    failures: int = 0  # since the last report
+    failed_probes: int = 0  # since the last report
     probe_at: float = 0.0  # deadline of the next probe
-    outstanding: dict[tuple[str, int], float] = field(factory=dict)  # seconds of work by attempt
-    sent_since_report: dict[tuple[str, int], float] = field(factory=dict)
+    missing_reads: int = 0
+    used: bool = False  # in the subset of a target
+    past: tuple[str, ...] = ()  # earlier incarnations
+    work: dict[tuple[str, int], float] = field(factory=dict)  # own work in flight, seconds
+    fresh: set[tuple[str, int]] = field(factory=set)  # of that, what no report can include
+    fresh_seconds: float = 0.0
+    sent_prefixes: dict[str, float] = field(factory=dict)  # prefix to when it was sent
 
     @property
     def targets(self) -> tuple[str, ...]:
@@ -43,106 +73,253 @@
             return self.report.targets
         return self.instance.targets
 
+    def add_work(
+        self, key: tuple[str, int], seconds: float, prefixes: tuple[str, ...], now: float
+    ) -> None:
+        """Count an attempt that was just sent."""
+        self.work[key] = seconds
+        self.fresh.add(key)
+        self.fresh_seconds += seconds
+        for prefix in prefixes:
+            self.sent_prefixes.pop(prefix, None)
+            self.sent_prefixes[prefix] = now
+        while len(self.sent_prefixes) > BELIEF_LIMIT:
+            del self.sent_prefixes[next(iter(self.sent_prefixes))]
+
+    def end_work(self, key: tuple[str, int]) -> None:
+        """Forget an attempt that has ended."""
+        seconds = self.work.pop(key, 0.0)
+        if key in self.fresh:
+            self.fresh.discard(key)
+            self.fresh_seconds = max(0.0, self.fresh_seconds - seconds)
+
+    def caches(self, prefix: str) -> bool:
+        """Return whether the endpoint is believed to hold a prefix."""
+        reported = self.report is not None and prefix in self.report.cached_prefixes
+        return reported or prefix in self.sent_prefixes
+
+    def take_report(self, report: LoadReport, now: float) -> None:
+        """Replace what was believed by what the agent says."""
+        if self.report is not None and self.report.incarnation != report.incarnation:
+            self.past = (*self.past, self.report.incarnation)[-PAST_LIMIT:]
+            self.sent_prefixes = {}
+        self.report = report
+        self.failures = self.failed_probes = 0
+        self.fresh.clear()
+        self.fresh_seconds = 0.0
+        oldest = now - BELIEF_SECONDS
+        self.sent_prefixes = {
+            prefix: sent_at for prefix, sent_at in self.sent_prefixes.items() if sent_at >= oldest
+        }
+
 
 @define
 class Fleet:
-    """All endpoints that an observer knows."""
+    """All endpoints that an observer knows, with an index by target.
+
+    The observer uses a bounded subset of the endpoints of a target, so that
+    hundreds of entries and agents are not all connected to each other.
+    """
 
+    observer: str = ""
+    home: str = ""  # data centre of the observer
+    rng: random.Random = field(factory=random.Random)
     members: dict[str, Member] = field(factory=dict)
+    cut_off: bool = False  # so many seem dead that the observer itself may be cut off
+    _subsets: dict[str, list[Member]] = field(factory=dict)
+    _weights: dict[str, bytes] = field(factory=dict)
 
-    def merge_list(self, instances: tuple[Instance, ...], now: float) -> list[Member]:
-        """Take in the platform's instance list; return members whose state changed."""
-        changed = []
+    def merge_list(self, instances: tuple[Instance, ...], now: float) -> list[Change]:
+        """Take in the platform's instance list; an empty one changes nothing."""
         listed = {one.name: one for one in instances if one.kind is not InstanceKind.ENTRY}
+        if not listed:
+            return []
+        changes = []
+        before = {name: self.members[name].instance for name in listed.keys() & self.members.keys()}
         for name, instance in listed.items():
-            member = self.members.get(name)
-            if member is None:
-                self.members[name] = Member(instance=instance, probe_at=now)
-                continue
-            moved = (member.instance.host, member.instance.port) != (instance.host, instance.port)
-            member.instance = instance
-            if moved:
-                member.state, member.report, member.probe_at = MemberState.UNKNOWN, None, now
-                changed.append(member)
-            elif instance.leaving and member.state is not MemberState.LEAVING:
-                member.state = MemberState.LEAVING
-                changed.append(member)
-        gone = self.members.keys() - listed.keys()
-        return changed + [self._forget(name) for name in sorted(gone)]
+            change = self._merge_instance(name, instance, now)
+            if change is not None:
+                changes.append(change)
+        changes += self._drop_missing(listed.keys())
+        if changes or any(before.get(name) != one for name, one in listed.items()):
+            self._reindex()
+        return changes
 
     def merge_report(
         self, report: LoadReport, round_trip: float | None, now: float
-    ) -> Member | None:
-        """Take in a load report; return the member if its state changed."""
+    ) -> Change | None:
+        """Take in a load report; ``round_trip`` is given for the answer to a probe."""
         member = self.members.get(report.endpoint)
-        if member is None or _older(report, member.report):
+        if member is None or _outdated(report, member, probed=round_trip is not None):
             return None
-        before = member.state
-        member.report = report
-        member.sent_since_report = {}
-        member.failures = 0
-        if round_trip is not None:
-            member.round_trip = round_trip
-        member.state = MemberState.LIVE
-        if report.leaving or member.instance.leaving:
-            member.state = MemberState.LEAVING
-        elif not report.ready:
-            member.state = MemberState.SUSPECT
-            member.probe_at = now + PROBE_FIRST
-        return member if member.state is not before else None
+        before, targets, state = member.report, member.targets, member.state
+        member.take_report(report, now)
+        self._measure(member, round_trip)
+        member.state = _state_of(report, member.instance)
+        member.probe_at = now + self._interval(member)
+        if member.state is state and member.targets == targets:
+            return None
+        self._reindex()
+        if member.state is state:
+            return None
+        replaced = before is not None and before.incarnation != report.incarnation
+        return Change(member=member, reason="load report", replaced=replaced)
 
-    def count_failure(self, endpoint: str, now: float, *, silent: bool) -> Member | None:
-        """Count a failed attempt or probe; return the member if its state changed."""
+    def count_failure(
+        self, endpoint: str, now: float, *, silent: bool, incarnation: str | None = None
+    ) -> Change | None:
+        """Count a failed attempt or probe; one of an earlier incarnation is ignored."""
         member = self.members.get(endpoint)
-        if member is None:
+        if member is None or (incarnation is not None and incarnation in member.past):
             return None
         member.failures += 1
-        backoff = PROBE_FIRST * 2 ** min(member.failures, 10)
-        member.probe_at = now + min(PROBE_LIMIT, backoff)
+        member.loss += SMOOTHING * (1.0 - member.loss)
         enough = silent or member.failures >= FAILURES_TO_SUSPECT
-        if not enough or member.state is MemberState.SUSPECT:
+        if not enough or member.state is not MemberState.LIVE:
             return None
         member.state = MemberState.SUSPECT
-        return member
+        member.probe_at = now + self._jitter(PROBE_FIRST)
+        self._reindex()
+        return Change(member=member, reason="silent" if silent else "failures")
 
-    def cut_off(self) -> bool:
-        """Return whether so many endpoints seem dead that the observer itself may be cut off."""
-        known = [one for one in self.members.values() if one.report is not None]
-        suspects = [one for one in known if one.state is MemberState.SUSPECT]
-        return len(known) > 1 and len(suspects) > CUT_OFF_SHARE * len(known)
+    def count_failed_probe(self, endpoint: str, now: float) -> Change | None:
+        """Count a probe without an answer; the next one follows with backoff."""
+        member = self.members.get(endpoint)
+        if member is None:
+            return None
+        change = self.count_failure(endpoint, now, silent=False)
+        member.failed_probes += 1
+        backoff = min(PROBE_LIMIT, PROBE_FIRST * 2 ** min(member.failed_probes - 1, 10))
+        member.probe_at = now + self._jitter(backoff)
+        return change
 
     def selectable(self, target: str) -> list[Member]:
         """Return the members that may get new work for a model or service.
 
-        Suspects are included while the observer may itself be cut off.
+        Endpoints that seem dead are included while the observer may itself be cut off.
         """
-        states = {MemberState.LIVE}
-        if self.cut_off():
-            states.add(MemberState.SUSPECT)
-        return [
-            one
-            for one in self.members.values()
-            if one.report is not None and one.state in states and target in one.targets
-        ]
+        return [one for one in self._subsets.get(target, ()) if self._usable(one)]
+
+    def targets(self) -> tuple[str, ...]:
+        """Return the names of all models and services that endpoints offer."""
+        return tuple(sorted(self._subsets))
 
     def due_probes(self, now: float) -> list[Member]:
         """Return the members to probe now and set their next probe deadline."""
-        due = [
-            one
-            for one in self.members.values()
-            if one.state in (MemberState.UNKNOWN, MemberState.SUSPECT) and one.probe_at <= now
-        ]
+        due = [one for one in self.members.values() if one.used and one.probe_at <= now]
         for member in due:
-            member.probe_at = now + PROBE_LIMIT
+            member.probe_at = now + PROBE_PENDING
         return due
 
-    def _forget(self, name: str) -> Member:
-        member = self.members.pop(name)
-        member.state = MemberState.LEAVING
-        return member
+    def _merge_instance(self, name: str, instance: Instance, now: float) -> Change | None:
+        member = self.members.get(name)
+        if member is None:
+            member = Member(instance=instance, probe_at=now)
+            if instance.leaving:
+                member.state = MemberState.LEAVING
+            self.members[name] = member
+            return Change(member=member, reason="listed")
+        member.missing_reads = 0
+        known, member.instance = member.instance, instance
+        if (known.host, known.port) != (instance.host, instance.port):
+            past = (*member.past, member.report.incarnation) if member.report else member.past
+            fresh = Member(instance=instance, probe_at=now, past=past[-PAST_LIMIT:])
+            self.members[name] = fresh
+            return Change(member=fresh, reason="replaced at another address", replaced=True)
+        if instance.leaving and member.state is not MemberState.LEAVING:
+            member.state = MemberState.LEAVING
+            return Change(member=member, reason="listed as leaving")
+        return None
+
+    def _drop_missing(self, listed: Iterable[str]) -> list[Change]:
+        changes = []
+        for name in sorted(self.members.keys() - set(listed)):
+            member = self.members[name]
+            member.missing_reads += 1
+            answers = member.used and member.state is MemberState.LIVE
+            if member.missing_reads < MISSING_READS or answers or self.cut_off:
+                continue
+            del self.members[name]
+            self._weights.pop(name, None)
+            changes.append(Change(member=member, reason="no longer listed", gone=True))
+        return changes
+
+    def _measure(self, member: Member, round_trip: float | None) -> None:
+        member.loss *= 1.0 - SMOOTHING
+        if round_trip is None:
+            return
+        if member.round_trip == 0.0:
+            member.round_trip = round_trip
+        member.round_trip += SMOOTHING * (round_trip - member.round_trip)
+
+    def _interval(self, member: Member) -> float:
+        if member.state is MemberState.SUSPECT:
+            return self._jitter(PROBE_FIRST * 2)
+        used = sum(one.used for one in self.members.values())
+        return self._jitter(max(IDLE_SECONDS, used / IDLE_PROBES_PER_SECOND))
+
+    def _jitter(self, seconds: float) -> float:
+        return seconds * (1 - self.rng.uniform(0, PROBE_JITTER))
+
+    def _usable(self, member: Member) -> bool:
+        if member.report is None:
+            return False
+        held = self.cut_off and seems_dead(member) and member.report.ready
+        return member.state is MemberState.LIVE or held
+
+    def _reindex(self) -> None:
+        """Choose the subsets again; runs when a state or the list changes, not for a request."""
+        known = [one for one in self.members.values() if one.report is not None]
+        dead = sum(seems_dead(one) for one in known)
+        self.cut_off = len(known) > 1 and dead > CUT_OFF_SHARE * len(known)
+        by_target: dict[str, list[Member]] = {}
+        for member in self.members.values():
+            member.used = False
+            for target in member.targets:
+                by_target.setdefault(target, []).append(member)
+        self._subsets = {target: self._subset(found) for target, found in by_target.items()}
+        for subset in self._subsets.values():
+            for member in subset:
+                member.used = True
+
+    def _subset(self, found: list[Member]) -> list[Member]:
+        if len(found) <= SUBSET_SIZE:
+            return found
+        ordered = sorted(found, key=self._preference)
+        local = [one for one in ordered if one.instance.data_centre == self.home]
+        remote = [one for one in ordered if one.instance.data_centre != self.home]
+        places = max(SUBSET_SIZE - len(remote), SUBSET_SIZE - SUBSET_REMOTE)
+        chosen = local[:places]
+        return chosen + remote[: SUBSET_SIZE - len(chosen)]
+
+    def _preference(self, member: Member) -> tuple[bool, bool, bytes]:
+        name = member.instance.name
+        if name not in self._weights:
+            self._weights[name] = rendezvous(self.observer, name)
+        # While the observer may be cut off, others are no better than those that seem dead.
+        avoided = seems_dead(member) and not self.cut_off
+        return (member.state is MemberState.LEAVING, avoided, self._weights[name])
+
+
+def seems_dead(member: Member) -> bool:
+    """Return whether a member failed; one that answers that it isn't ready is not dead."""
+    return member.state is MemberState.SUSPECT and member.failures > 0
+
+
+def rendezvous(key: str, name: str) -> bytes:
+    """Return the weight of a name for a key; equal inputs weigh the same everywhere."""
+    return hashlib.blake2b(f"{key}/{name}".encode(), digest_size=8).digest()
+
+
+def _state_of(report: LoadReport, instance: Instance) -> MemberState:
+    if report.leaving or instance.leaving:
+        return MemberState.LEAVING
+    return MemberState.LIVE if report.ready else MemberState.SUSPECT
 
 
-def _older(report: LoadReport, known: LoadReport | None) -> bool:
-    if known is None or known.incarnation != report.incarnation:
-        return False
-    return report.sequence < known.sequence
+def _outdated(report: LoadReport, member: Member, *, probed: bool) -> bool:
+    known = member.report
+    if known is not None and known.incarnation == report.incarnation:
+        return report.sequence < known.sequence
+    # After an address change only the instance now at the address can answer a probe.
+    return report.incarnation in member.past and not (probed and known is None)
--- /dev/null
+++ b/chivewall/decisions/outputs.py
@@ -0,0 +1,43 @@
+"""Learns how long answers are, from the answers that this process has passed on."""
+
+from attrs import define, field
+
+from chivewall.work import Completion, Request
+
+SMOOTHING = 0.1  # weight of a new answer
+ANSWERS_TO_TRUST = 5  # below this, max_tokens is the only bound
+PAIRS_LIMIT = 2048  # pairs of workspace and model; the one that was idle longest is forgotten
+
+
+@define
+class Length:
+    """Answers of one workspace and model."""
+
+    mean: float = 0.0  # tokens
+    answers: int = 0
+
+
+@define
+class OutputLengths:
+    """Smoothed output length by workspace and model."""
+
+    _lengths: dict[tuple[str, str], Length] = field(factory=dict, init=False)
+
+    def learn(self, request: Request, tokens: int) -> None:
+        """Take in the length of one complete answer."""
+        pair = (request.workspace, request.work.target)
+        length = self._lengths.pop(pair, None) or Length(mean=float(tokens))
+        length.mean += SMOOTHING * (tokens - length.mean)
+        length.answers += 1
+        self._lengths[pair] = length
+        if len(self._lengths) > PAIRS_LIMIT:
+            del self._lengths[next(iter(self._lengths))]
+
+    def expected(self, request: Request) -> float | None:
+        """Return the expected output tokens, or ``None`` if too few answers were seen."""
+        if not isinstance(request.work, Completion):
+            return None
+        length = self._lengths.get((request.workspace, request.work.target))
+        if length is None or length.answers < ANSWERS_TO_TRUST:
+            return None
+        return length.mean
--- a/chivewall/decisions/retries.py
+++ b/chivewall/decisions/retries.py
@@ -1,22 +1,46 @@
-"""Decides whether a failed attempt is tried again."""
+"""Decides whether a failed attempt is tried again, and what a refusal may claim."""
 
-from attrs import define, field, frozen
+import random
+from enum import Enum
+
+from attrs import define, evolve, field, frozen
 
 from chivewall.results import ResultCode, RunState
 from chivewall.work import Call, Rank, Refusal, Request
 
 BACKOFF_BASE = 0.05  # seconds
 BACKOFF_LIMIT = 2.0  # seconds
+RETRY_AFTER = 1.0  # seconds to wait after a refusal for overload that names no time
+WAIT_JITTER = 0.25  # share of a wait that is added at random, so that waiters spread
 BUDGET_PER_REQUEST = 0.2  # retries that each first attempt earns for its rank
 BUDGET_RESERVE = 10.0  # retries that a rank may spend without having earned them
 FINAL_CODES = frozenset(
-    {ResultCode.OVER_LIMIT, ResultCode.KEY_REUSED, ResultCode.BODY_TOO_LARGE}
+    {ResultCode.KEY_REUSED, ResultCode.BODY_TOO_LARGE, ResultCode.DEADLINE_PASSED}
 )  # another agent would answer the same
+OVERLOAD_CODES = frozenset(
+    {
+        ResultCode.OVER_LIMIT,
+        ResultCode.HOPELESS,
+        ResultCode.QUEUE_FULL,
+        ResultCode.SHED,
+        ResultCode.NO_ENDPOINT,
+        ResultCode.NOT_READY,
+        ResultCode.CLAIM_UNAVAILABLE,
+    }
+)  # passes with time
+MOVED_CODES = frozenset({ResultCode.STALE_INCARNATION, ResultCode.DRAINING})
+
+
+class Cost(Enum):
+    """What a retry takes from the budget of its rank."""
+
+    BUDGET = "budget"
+    FREE = "free"  # a wait that the agent or the claim asked for can't build up a storm
 
 
 @frozen
 class Failure:
-    """How an attempt failed."""
+    """How an attempt or the search for an endpoint failed."""
 
     endpoint: str | None
     refusal: Refusal
@@ -28,6 +52,8 @@
 
     at: float
     reason: str
+    cost: Cost = Cost.BUDGET
+    exclude: bool = True  # prefer other endpoints than the one that failed
 
 
 @frozen
@@ -37,6 +63,43 @@
     refusal: Refusal
 
 
+@define
+class RunLedger:
+    """Collects what the attempts of one request reveal about whether its work ran.
+
+    An attempt counts as possibly run from the moment it is handed to a link
+    until the agent, or the link, states that it was not run.
+    """
+
+    _out: set[int] = field(factory=set, init=False)
+    _doubtful: bool = field(default=False, init=False)
+
+    @property
+    def run(self) -> RunState:
+        """``NO`` only if no attempt can have run and none can run later."""
+        return RunState.UNKNOWN if self._out or self._doubtful else RunState.NO
+
+    def sent(self, attempt: int) -> None:
+        """Count an attempt that was handed to a link."""
+        self._out.add(attempt)
+
+    def ended(self, attempt: int, run: RunState) -> None:
+        """Take in what is known at the end of an attempt."""
+        self._out.discard(attempt)
+        self._doubtful = self._doubtful or run is not RunState.NO
+
+    def truthful(self, refusal: Refusal) -> Refusal:
+        """Return the refusal with a run state, and a code, that hold for all attempts."""
+        if refusal.run is not RunState.NO or self.run is RunState.NO:
+            return refusal
+        if refusal.code.run is not RunState.NO:
+            return evolve(refusal, run=RunState.UNKNOWN)
+        message = f"an earlier attempt may have run; the last one: {refusal.message}"
+        return evolve(
+            refusal, code=ResultCode.OUTCOME_UNKNOWN, message=message, run=RunState.UNKNOWN
+        )
+
+
 @define
 class RetryBudget:
     """Limits retries to a share of the requests of a rank, so that no storm builds up."""
@@ -67,21 +130,52 @@
     return request.work.idempotent or request.key is not None
 
 
-def decide(request: Request, failure: Failure, tries: int, now: float) -> Retry | GiveUp:
+def decide(
+    request: Request, failure: Failure, ledger: RunLedger, tries: int, now: float
+) -> Retry | GiveUp:
     """Decide what follows a failed attempt, apart from the retry budget.
 
     ``tries`` counts attempts so far, with searches that found no endpoint.
     """
     refusal = failure.refusal
-    if refusal.code in FINAL_CODES or not may_repeat(request, refusal.run):
-        return GiveUp(refusal)
-    delay = min(BACKOFF_LIMIT, BACKOFF_BASE * 2 ** max(0, tries - 1))
-    if refusal.code in (ResultCode.STALE_INCARNATION, ResultCode.DRAINING):
-        delay = 0.0
-    at = now + delay
+    if refusal.code in FINAL_CODES or not may_repeat(request, ledger.run):
+        return GiveUp(ledger.truthful(refusal))
+    if refusal.code is ResultCode.OVER_LIMIT and refusal.retry_after is None:
+        return GiveUp(ledger.truthful(refusal))
+    reason = f"{refusal.code.name}, run {refusal.run.value}"
+    backoff = min(BACKOFF_LIMIT, BACKOFF_BASE * 2 ** min(10, max(0, tries - 1)))
+    if refusal.code is ResultCode.IN_PROGRESS:
+        pause = max(backoff, min(BACKOFF_LIMIT, refusal.retry_after or 0.0))
+        retry = Retry(at=now + pause, reason=reason, cost=Cost.FREE, exclude=False)
+    elif failure.endpoint is None:
+        pause = max(backoff, refusal.retry_after or 0.0)
+        retry = Retry(at=now + pause, reason=reason, cost=Cost.FREE)
+    elif asks_to_wait(refusal):
+        retry = Retry(at=now, reason=f"{reason}; another endpoint first")
+    else:
+        retry = Retry(at=now + backoff, reason=reason)
+    if retry.at >= request.deadline:
+        return GiveUp(ledger.truthful(refusal))
+    return retry
+
+
+def asks_to_wait(refusal: Refusal | None) -> bool:
+    """Return whether the refusal is one that passes with time."""
+    return refusal is not None and refusal.code in OVERLOAD_CODES | MOVED_CODES
+
+
+def wait_after(request: Request, refusal: Refusal, now: float, rng: random.Random) -> Retry | None:
+    """Return the wait that follows when no other endpoint is left or the budget is spent.
+
+    ``None`` if the refusal isn't for overload or the deadline is too near.
+    """
+    if not asks_to_wait(refusal):
+        return None
+    pause = refusal.retry_after if refusal.retry_after is not None else RETRY_AFTER
+    at = now + max(BACKOFF_BASE, pause) * (1 + rng.uniform(0, WAIT_JITTER))
     if at >= request.deadline:
-        return GiveUp(refusal)
-    return Retry(at=at, reason=f"{refusal.code.name}, run {refusal.run.value}")
+        return None
+    return Retry(at=at, reason=f"waits for Retry-After of {refusal.code.name}", cost=Cost.FREE)
 
 
 def unknown_outcome(request: Request, message: str) -> Refusal:
--- a/chivewall/decisions/routing.py
+++ b/chivewall/decisions/routing.py
@@ -1,16 +1,18 @@
 """Chooses the endpoint of an attempt from a few candidates."""
 
-import hashlib
 import random
 
 from attrs import frozen
 
-from chivewall.decisions.membership import Member
+from chivewall.decisions.membership import Member, rendezvous
 from chivewall.work import TOKENS_PER_PIECE, Completion, Rank, Request
 
 RANDOM_CANDIDATES = 2
 DEFAULT_CALL_SECONDS = 0.05  # expected time of a plain service call
 BOUNDED_LOAD = 1.25  # the affine endpoint may be this much worse than the best candidate
+KEY_HOME_EXTRA = 1.0  # seconds that a keyed call may wait longer to avoid a write conflict
+LOSS_SECONDS = 3.0  # cost of a lost message: the time until silence is noticed
+KV_SHORT_SECONDS = 1.0  # estimated wait for KV cache space, for each time the work exceeds it
 RANKS = tuple(Rank)
 
 
@@ -32,6 +34,7 @@
     service_seconds: float  # of that, the part that occupies the endpoint
     reason: str
     rejected: tuple[Candidate, ...] = ()
+    reused: bool = False  # it failed this request before, and no other endpoint is left
 
 
 def choose(
@@ -40,87 +43,128 @@
     excluded: frozenset[str],
     home: str,
     rng: random.Random,
+    expected_output: float | None = None,
 ) -> Route | None:
     """Return the route of the next attempt, or ``None`` if no endpoint can take it.
 
     ``home`` is the data centre of the entry. Endpoints in ``excluded`` failed
     this request before and are used only if no other is left.
+    ``expected_output`` is the learned output length in tokens.
     """
-    usable = [one for one in members if one.instance.name not in excluded] or members
+    fresh = [one for one in members if one.instance.name not in excluded]
+    usable = fresh or members
     if not usable:
         return None
-    sampled = sample(request, usable, home, rng)
-    scored = sorted(((estimate_finish(request, one), one) for one in sampled), key=lambda s: s[0])
-    best_estimate, best = scored[0]
-    reason = "lowest estimated finish"
-    affine = affine_member(request, usable)
-    for estimate, member in scored[1:]:
-        if member is affine and estimate <= best_estimate * BOUNDED_LOAD:
-            best_estimate, best, reason = estimate, member, "prefix affinity within bounded load"
+    preferred = preferred_member(request, usable)
+    scored = sorted(
+        (
+            (estimate_finish(request, one, expected_output), one)
+            for one in sample(usable, preferred, home, rng)
+        ),
+        key=lambda pair: pair[0],
+    )
+    estimate, best, reason = _pick(request, scored, preferred)
     rejected = tuple(
-        Candidate(endpoint=one.instance.name, estimate=round(estimate, 4))
-        for estimate, one in scored
+        Candidate(endpoint=one.instance.name, estimate=round(other, 4))
+        for other, one in scored
         if one is not best
     )
     return Route(
         endpoint=best.instance.name,
         incarnation=best.report.incarnation,
-        estimate=round(best_estimate, 4),
-        service_seconds=service_seconds(request, best),
+        estimate=round(estimate, 4),
+        service_seconds=service_seconds(request, best, expected_output),
         reason=reason,
         rejected=rejected,
+        reused=not fresh,
     )
 
 
-def sample(request: Request, members: list[Member], home: str, rng: random.Random) -> list[Member]:
-    """Return the affine endpoint and random ones, those of the home data centre first."""
+def _pick(
+    request: Request, scored: list[tuple[float, Member]], preferred: Member | None
+) -> tuple[float, Member, str]:
+    lowest, best = scored[0]
+    if best is preferred:
+        return lowest, best, "lowest estimated finish, and preferred by hash"
+    for estimate, member in scored[1:]:
+        if member is not preferred:
+            continue
+        if request.key is not None and estimate <= lowest + KEY_HOME_EXTRA:
+            return estimate, member, "home of the idempotency key"
+        if request.key is None and estimate <= lowest * BOUNDED_LOAD:
+            return estimate, member, "prefix affinity within bounded load"
+    return lowest, best, "lowest estimated finish"
+
+
+def sample(
+    members: list[Member], preferred: Member | None, home: str, rng: random.Random
+) -> list[Member]:
+    """Return the preferred endpoint and random ones, those of the home data centre first."""
     local = [one for one in members if one.instance.data_centre == home]
     pool = local if len(local) >= RANDOM_CANDIDATES else members
     chosen = rng.sample(pool, min(RANDOM_CANDIDATES, len(pool)))
     if pool is local and len(local) < len(members):
         chosen.append(rng.choice(members))
-    affine = affine_member(request, members)
-    unique = {id(one): one for one in (*chosen, *([affine] if affine else []))}
+    unique = {id(one): one for one in (*chosen, *([preferred] if preferred else []))}
     return list(unique.values())
 
 
-def affine_member(request: Request, members: list[Member]) -> Member | None:
-    """Return the endpoint that rendezvous hashing gives to the request's prefix."""
+def preferred_member(request: Request, members: list[Member]) -> Member | None:
+    """Return the endpoint that rendezvous hashing gives to the key or the prefix."""
     work = request.work
-    if not isinstance(work, Completion) or not work.prefix_hashes:
+    if isinstance(work, Completion):
+        token = work.prefix_hashes[0] if work.prefix_hashes else None
+    else:
+        token = request.key
+    if token is None:
         return None
-    prefix = work.prefix_hashes[0]
-    return max(members, key=lambda one: _rendezvous(prefix, one.instance.name))
+    return max(members, key=lambda one: rendezvous(token, one.instance.name))
 
 
-def estimate_finish(request: Request, member: Member) -> float:
+def estimate_finish(
+    request: Request, member: Member, expected_output: float | None = None
+) -> float:
     """Return the estimated seconds until the request is complete at the endpoint."""
     report = member.report
-    own = sum(member.sent_since_report.values()) / max(1, report.parallel)
+    own = member.fresh_seconds / max(1, report.parallel)
     wait = report.waits[RANKS.index(request.rank)]
-    return member.round_trip + wait + own + service_seconds(request, member)
+    travel = member.round_trip + member.loss * LOSS_SECONDS
+    service = service_seconds(request, member, expected_output)
+    return travel + wait + own + _kv_wait(request, member, expected_output) + service
 
 
-def service_seconds(request: Request, member: Member) -> float:
+def service_seconds(
+    request: Request, member: Member, expected_output: float | None = None
+) -> float:
     """Return the estimated seconds that the request occupies the endpoint."""
     work = request.work
     if not isinstance(work, Completion):
         return DEFAULT_CALL_SECONDS
     report = member.report
-    left = prefill_left(work, report.cached_prefixes)
+    left = prefill_left(work, member)
     prefill = left / report.prefill_rate if report.prefill_rate else 0.0
-    decode = work.max_tokens / report.decode_rate if report.decode_rate else 0.0
-    return prefill + decode
+    output = _output_tokens(work, expected_output)
+    return prefill + (output / report.decode_rate if report.decode_rate else 0.0)
 
 
-def prefill_left(work: Completion, cached: tuple[str, ...]) -> int:
-    """Return the prompt tokens that a prefix cache doesn't cover."""
+def prefill_left(work: Completion, member: Member) -> int:
+    """Return the prompt tokens that the endpoint's prefix cache doesn't cover."""
     covered = 0
     for place, prefix in enumerate(work.prefix_hashes, start=1):
-        if prefix in cached:
-            covered = place * TOKENS_PER_PIECE
+        if not member.caches(prefix):
+            break  # hashes are chained: a later block is of no use without this one
+        covered = place * TOKENS_PER_PIECE
     return max(0, work.prompt_tokens - covered)
 
 
-def _rendezvous(prefix: str, name: str) -> bytes:
-    return hashlib.blake2b(f"{prefix}/{name}".encode(), digest_size=8).digest()
+def _output_tokens(work: Completion, expected_output: float | None) -> float:
+    return work.max_tokens if expected_output is None else min(work.max_tokens, expected_output)
+
+
+def _kv_wait(request: Request, member: Member, expected_output: float | None) -> float:
+    work = request.work
+    free = member.report.kv_free_tokens
+    if not isinstance(work, Completion) or free <= 0:
+        return 0.0  # 0 means that the engine doesn't report it
+    need = work.prompt_tokens + _output_tokens(work, expected_output)
+    return KV_SHORT_SECONDS * max(0.0, need / free - 1)
--- a/chivewall/messages.py
+++ b/chivewall/messages.py
@@ -51,6 +51,15 @@
     attempt: int
     endpoint: str
     failed: bool
+    incarnation: str | None = None  # that the attempt was addressed to
+
+
+@frozen
+class OutputSeen:
+    """A complete answer had this many tokens."""
+
+    request: Request
+    tokens: int
 
 
 @frozen
@@ -67,6 +76,8 @@
 
     endpoint: str
     reason: str
+    incarnation: str | None = None  # of the attempt that noticed it
+    key: tuple[str, int] | None = None  # request and attempt that noticed it
 
 
 @frozen
@@ -83,6 +94,7 @@
 
     request_id: str
     attempt: int
+    endpoint: str
 
 
 @frozen
--- a/chivewall/plugins/builtin/directory.py
+++ b/chivewall/plugins/builtin/directory.py
@@ -3,11 +3,13 @@
 from functools import singledispatchmethod
 
 from attrs import define, field, frozen, validators
+from twisted.internet.interfaces import IDelayedCall
 
-from chivewall.decisions.membership import Fleet, Member
+from chivewall.decisions.membership import Change, Fleet
+from chivewall.decisions.outputs import OutputLengths
 from chivewall.decisions.routing import Route, choose
 from chivewall.environment import Environment
-from chivewall.errors import LinkBrokenError, StoreError
+from chivewall.errors import ConfigurationError, LinkBrokenError, StoreError
 from chivewall.events import Event
 from chivewall.interfaces import AgentLink, Instance, LinkFactory, ObjectStore
 from chivewall.messages import (
@@ -16,12 +18,20 @@
     AttemptSent,
     CancelAttempt,
     ChooseRoute,
+    ConfigurationSeen,
     EndpointSilent,
+    OutputSeen,
     ReportSeen,
     SubmitAttempt,
     Tick,
 )
 from chivewall.plugins.base import Plugin
+from chivewall.plugins.builtin.configuration import (
+    ConfigurationKeeper,
+    CurrentConfiguration,
+    decode_configuration,
+    encode_configuration,
+)
 from chivewall.plugins.registry import Registry
 from chivewall.task import Query, Task
 from chivewall.work import LoadReport
@@ -60,6 +70,15 @@
     instances: tuple[Instance, ...]
 
 
+@frozen
+class ProbeFailed:
+    """A probe got no answer over this link."""
+
+    endpoint: str
+    reason: str
+    link: AgentLink
+
+
 class Directory(Task):
     """Owns what this entry knows of the fleet, and its links."""
 
@@ -69,9 +88,14 @@
         self.list_seconds = list_seconds
         self.store = env.require(ObjectStore)
         self.factory = env.require(LinkFactory)
+        self.keeper = env.find(ConfigurationKeeper)
         self.home = env.settings.core.data_centre
-        self.fleet = Fleet()
+        self.fleet = Fleet(observer=env.settings.core.instance, home=self.home, rng=env.random)
         self.links: dict[str, AgentLink] = {}
+        self.carriers: dict[tuple[str, int], AgentLink] = {}  # by attempt in flight
+        self.lengths = OutputLengths()
+        self.exchanged: dict[str, tuple[str, int, int]] = {}  # by endpoint
+        self.timers: dict[Tick, IDelayedCall] = {}
 
     def start(self) -> None:
         """Begin to read the instance list and to probe."""
@@ -80,9 +104,13 @@
         self.tell(PROBE)
 
     async def on_stop(self) -> None:
-        """Close all links."""
+        """Close all links and stop the timers."""
+        for timer in self.timers.values():
+            if timer.active():
+                timer.cancel()
         for link in self.links.values():
             link.close()
+        self.links.clear()
 
     @singledispatchmethod
     async def receive(self, message: object) -> None:
@@ -93,38 +121,55 @@
     async def _(self, message: Tick) -> None:
         if message == LIST:
             self.spawn(self._read_list())
-            self.env.clock.callLater(self.list_seconds, self.tell, LIST)
+            self._set_timer(LIST, self.list_seconds)
             return
         for member in self.fleet.due_probes(self.env.now):
             self.spawn(self._probe(member.instance))
-        self.env.clock.callLater(PROBE_TICK_SECONDS, self.tell, PROBE)
+        self._set_timer(PROBE, PROBE_TICK_SECONDS)
 
     @receive.register
     async def _(self, message: InstancesSeen) -> None:
-        for member in self.fleet.merge_list(message.instances, self.env.now):
-            self._log_change(member, reason="instance list")
-            if member.instance.name not in self.fleet.members or member.report is None:
-                self._close_link(member.instance.name)
+        for change in self.fleet.merge_list(message.instances, self.env.now):
+            self._take_change(change)
 
     @receive.register
     async def _(self, message: ReportSeen) -> None:
-        changed = self.fleet.merge_report(message.report, message.round_trip, self.env.now)
-        if changed is not None:
-            self._log_change(changed, reason="load report")
+        report = message.report
+        self._take_change(self.fleet.merge_report(report, message.round_trip, self.env.now))
+        self._compare_versions(report)
 
     @receive.register
     async def _(self, message: EndpointSilent) -> None:
+        carrier = self.carriers.get(message.key)
+        if carrier is not None and carrier is not self.links.get(message.endpoint):
+            return  # that connection was replaced since; the new one stays open
+        self.env.log.emit(Event.LINK_BROKEN, endpoint=message.endpoint, reason=message.reason)
+        self._close_link(message.endpoint)
+        self._take_change(
+            self.fleet.count_failure(
+                message.endpoint, self.env.now, silent=True, incarnation=message.incarnation
+            )
+        )
+
+    @receive.register
+    async def _(self, message: ProbeFailed) -> None:
+        if self.links.get(message.endpoint) is not message.link:
+            return
         self.env.log.emit(Event.LINK_BROKEN, endpoint=message.endpoint, reason=message.reason)
         self._close_link(message.endpoint)
-        changed = self.fleet.count_failure(message.endpoint, self.env.now, silent=True)
-        if changed is not None:
-            self._log_change(changed, reason=message.reason)
+        self._take_change(self.fleet.count_failed_probe(message.endpoint, self.env.now))
 
     @receive.register
     async def _(self, message: ChooseRoute) -> None:
         request = message.request
-        members = self.fleet.selectable(request.work.target)
-        route = choose(request, members, message.excluded, self.home, self.env.random)
+        route = choose(
+            request,
+            self.fleet.selectable(request.work.target),
+            message.excluded,
+            self.home,
+            self.env.random,
+            self.lengths.expected(request),
+        )
         self._log_route(request.id, route)
         message.answer(route)
 
@@ -133,17 +178,28 @@
         member = self.fleet.members.get(message.route.endpoint)
         if member is not None:
             key = (message.attempt.request.id, message.attempt.number)
-            member.sent_since_report[key] = message.route.service_seconds
+            prefixes = getattr(message.attempt.request.work, "prefix_hashes", ())
+            member.add_work(key, message.route.service_seconds, prefixes, self.env.now)
 
     @receive.register
     async def _(self, message: AttemptEnded) -> None:
         member = self.fleet.members.get(message.endpoint)
         if member is not None:
-            member.sent_since_report.pop((message.request_id, message.attempt), None)
+            member.end_work((message.request_id, message.attempt))
+        self.carriers.pop((message.request_id, message.attempt), None)
         if message.failed:
-            changed = self.fleet.count_failure(message.endpoint, self.env.now, silent=False)
-            if changed is not None:
-                self._log_change(changed, reason="failed attempts")
+            self._take_change(
+                self.fleet.count_failure(
+                    message.endpoint,
+                    self.env.now,
+                    silent=False,
+                    incarnation=message.incarnation,
+                )
+            )
+
+    @receive.register
+    async def _(self, message: OutputSeen) -> None:
+        self.lengths.learn(message.request, message.tokens)
 
     @receive.register
     async def _(self, message: SubmitAttempt) -> None:
@@ -154,17 +210,19 @@
             reason = "the endpoint has left"
             message.sink.put(AttemptBroken(request_id, attempt.number, sent=False, reason=reason))
             return
-        self._link(member.instance).submit(attempt, message.sink)
+        link = self._link(member.instance)
+        self.carriers[attempt.request.id, attempt.number] = link
+        link.submit(attempt, message.sink)
 
     @receive.register
     async def _(self, message: CancelAttempt) -> None:
-        for link in self.links.values():
+        link = self.carriers.get((message.request_id, message.attempt))
+        if link is not None:
             link.cancel(message.request_id, message.attempt)
 
     @receive.register
     async def _(self, message: ListTargets) -> None:
-        targets = {name for one in self.fleet.members.values() for name in one.targets}
-        message.answer(tuple(sorted(targets)))
+        message.answer(self.fleet.targets())
 
     @receive.register
     async def _(self, message: ListMembers) -> None:
@@ -180,12 +238,43 @@
 
     async def _probe(self, instance: Instance) -> None:
         sent_at = self.env.now
+        link = self._link(instance)
         try:
-            report: LoadReport = await self._link(instance).probe()
+            report: LoadReport = await link.probe()
         except LinkBrokenError as exc:
-            self.tell(EndpointSilent(endpoint=instance.name, reason=str(exc)))
+            self.tell(ProbeFailed(endpoint=instance.name, reason=str(exc), link=link))
             return
-        self.tell(ReportSeen(report, round_trip=self.env.now - sent_at))
+        if self.links.get(instance.name) is link:
+            self.tell(ReportSeen(report, round_trip=self.env.now - sent_at))
+
+    def _compare_versions(self, report: LoadReport) -> None:
+        """Exchange documents once for each endpoint and pair of versions that differ."""
+        member = self.fleet.members.get(report.endpoint)
+        if self.keeper is None or member is None or member.report is None:
+            return
+        if member.report.incarnation == report.incarnation:
+            self.spawn(self._exchange(member.instance, report))
+
+    async def _exchange(self, instance: Instance, report: LoadReport) -> None:
+        current = await self.keeper.ask(CurrentConfiguration())
+        version = current.version if current is not None else 0
+        pair = (report.incarnation, report.configuration_version, version)
+        if report.configuration_version == version or self.exchanged.get(instance.name) == pair:
+            return
+        self.exchanged[instance.name] = pair
+        document = encode_configuration(current) if current is not None else b""
+        try:
+            newer = await self._link(instance).exchange_configuration(document)
+            if newer:
+                seen = ConfigurationSeen(decode_configuration(newer), origin=instance.name)
+                self.keeper.tell(seen)
+        except LinkBrokenError:
+            self.exchanged.pop(instance.name, None)  # the next report tries again
+        except ConfigurationError as exc:
+            self.env.log.emit(Event.CONFIGURATION_REJECTED, error=str(exc))
+
+    def _set_timer(self, tick: Tick, seconds: float) -> None:
+        self.timers[tick] = self.env.clock.callLater(seconds, self.tell, tick)
 
     def _link(self, instance: Instance) -> AgentLink:
         if instance.name not in self.links:
@@ -198,13 +287,21 @@
         if link is not None:
             link.close()
 
-    def _log_change(self, member: Member, reason: str) -> None:
+    def _take_change(self, change: Change | None) -> None:
+        if change is None:
+            return
+        name = change.member.instance.name
+        if change.gone or change.replaced:
+            self._close_link(name)
+            self.exchanged.pop(name, None)
         self.env.log.emit(
             Event.MEMBER_CHANGED,
-            endpoint=member.instance.name,
-            state=member.state.value,
-            reason=reason,
+            endpoint=name,
+            state="gone" if change.gone else change.member.state.value,
+            reason=change.reason,
         )
+        if self.fleet.cut_off:
+            self.env.log.emit(Event.EVICTION_HELD, endpoint=name, reason="most agents seem dead")
 
     def _log_route(self, request_id: str, route: Route | None) -> None:
         if route is None:
--- a/chivewall/plugins/builtin/dispatch.py
+++ b/chivewall/plugins/builtin/dispatch.py
@@ -6,11 +6,16 @@
 from twisted.internet.interfaces import IDelayedCall
 
 from chivewall.decisions.retries import (
+    Cost,
     Failure,
     GiveUp,
+    Retry,
     RetryBudget,
+    RunLedger,
+    asks_to_wait,
     decide,
     unknown_outcome,
+    wait_after,
 )
 from chivewall.decisions.routing import Route
 from chivewall.decisions.streams import AnswerStream, Verdict
@@ -25,6 +30,7 @@
     ChooseRoute,
     Drain,
     EndpointSilent,
+    OutputSeen,
     ReportSeen,
     Serve,
     SubmitAttempt,
@@ -68,20 +74,24 @@
         self.tries = 0  # attempts and searches that found no endpoint
         self.heard_at = 0.0  # when the last part of this attempt arrived
         self.excluded: set[str] = set()
+        self.refusal: Refusal | None = None  # the last one of an endpoint, until a wait
+        self.ledger = RunLedger()
         self.parts_sent = 0
         self.over = False
         self.timer: IDelayedCall | None = None
+        self.retry_timer: IDelayedCall | None = None
 
     def start(self) -> None:
         """Begin the first attempt."""
         super().start()
         self.tell(TRY)
-        self.timer = self.env.clock.callLater(WATCH_SECONDS, self.tell, CHECK)
+        self._watch()
 
     async def on_stop(self) -> None:
-        """Stop the timer."""
-        if self.timer is not None and self.timer.active():
-            self.timer.cancel()
+        """Stop the timers."""
+        for timer in (self.timer, self.retry_timer):
+            if timer is not None and timer.active():
+                timer.cancel()
 
     @singledispatchmethod
     async def receive(self, message: object) -> None:
@@ -97,7 +107,7 @@
             return
         await self._check()
         if not self.over:
-            self.timer = self.env.clock.callLater(WATCH_SECONDS, self.tell, CHECK)
+            self._watch()
 
     @receive.register
     async def _(self, message: Part) -> None:
@@ -105,6 +115,8 @@
             self.directory.tell(ReportSeen(message.report))
         if self.over or self.route is None:
             return
+        if _is_duplicate_notice(message):
+            return  # the attempt itself arrived as well; its parts follow
         verdict, part = self.stream.judge(message)
         if verdict is Verdict.DROP:
             self.env.log.emit(Event.PART_DROPPED, request=self.request.id, attempt=message.attempt)
@@ -114,7 +126,7 @@
             return
         self.heard_at = self.env.now
         if isinstance(part.body, Refusal):
-            await self._fail(part.body)
+            await self._fail(part.body, failed=part.body.code is ResultCode.ENDPOINT_FAILED)
         elif not isinstance(part.body, Waiting):
             self._forward(part.body)
 
@@ -138,6 +150,10 @@
         self.tries += 1
         query = ChooseRoute(request=self.request, excluded=frozenset(self.excluded))
         route = await self.directory.ask(query)
+        refusal, self.refusal = self.refusal, None
+        if route is not None and route.reused and asks_to_wait(refusal):
+            self._wait_or_end(refusal)
+            return
         if route is None:
             refusal = Refusal(
                 code=ResultCode.NO_ENDPOINT,
@@ -158,6 +174,7 @@
             incarnation=route.incarnation,
             delivered=tuple(self.stream.delivered),
         )
+        self.ledger.sent(self.attempts)
         self.directory.tell(AttemptSent(route=route, attempt=attempt))
         self.directory.tell(SubmitAttempt(attempt=attempt, sink=self.inbox))
 
@@ -166,18 +183,29 @@
         if now >= self.request.deadline:
             await self._miss_deadline()
         elif self.route is not None and now - self.heard_at >= SILENCE_SECONDS:
-            endpoint = self.route.endpoint
-            self.directory.tell(EndpointSilent(endpoint=endpoint, reason="no part in time"))
+            self.directory.tell(
+                EndpointSilent(
+                    endpoint=self.route.endpoint,
+                    reason="no part in time",
+                    incarnation=self.route.incarnation,
+                    key=(self.request.id, self.attempts),
+                )
+            )
             await self._fail(unknown_outcome(self.request, "the agent went silent"))
 
+    def _watch(self) -> None:
+        until_deadline = max(0.0, self.request.deadline - self.env.now)
+        delay = min(WATCH_SECONDS, until_deadline)
+        self.timer = self.env.clock.callLater(delay, self.tell, CHECK)
+
     async def _miss_deadline(self) -> None:
-        run = RunState.NO if self.route is None else RunState.UNKNOWN
+        run = self.ledger.run  # an attempt that is still out may have run
         self._cancel_attempt(failed=False)
         self._end_with(
             Refusal(code=ResultCode.DEADLINE_MISSED, message="the deadline passed", run=run)
         )
 
-    async def _fail(self, refusal: Refusal) -> None:
+    async def _fail(self, refusal: Refusal, *, failed: bool = True) -> None:
         endpoint = self.route.endpoint
         self.env.log.emit(
             Event.ATTEMPT_FAILED,
@@ -188,33 +216,52 @@
             run=refusal.run.value,
             reason=refusal.message,
         )
-        self.excluded.add(endpoint)
-        self._cancel_attempt(failed=refusal.run is not RunState.NO)
+        self.ledger.ended(self.attempts, refusal.run)
+        if refusal.code is not ResultCode.IN_PROGRESS:
+            self.excluded.add(endpoint)
+            self.refusal = refusal
+        self._cancel_attempt(failed=failed)
         await self._decide(Failure(endpoint=endpoint, refusal=refusal))
 
     async def _decide(self, failure: Failure) -> None:
-        decision = decide(self.request, failure, self.tries, self.env.now)
+        decision = decide(self.request, failure, self.ledger, self.tries, self.env.now)
         if isinstance(decision, GiveUp):
             self._end_with(decision.refusal)
+        elif decision.cost is Cost.FREE or await self.dispatcher.ask(SpendRetry(self.request)):
+            self._schedule(decision)
+        else:
+            self._wait_or_end(failure.refusal, code=ResultCode.RETRIES_SPENT)
+
+    def _wait_or_end(self, refusal: Refusal, code: ResultCode | None = None) -> None:
+        """Wait as the refusal asks and then use every endpoint again, or end with it."""
+        wait = wait_after(self.request, refusal, self.env.now, self.env.random)
+        if wait is None:
+            self._end_with(evolve(refusal, code=code or refusal.code))
             return
-        if failure.endpoint is not None and not await self.dispatcher.ask(SpendRetry(self.request)):
-            self._end_with(evolve(failure.refusal, code=ResultCode.RETRIES_SPENT))
-            return
+        self.excluded.clear()
+        self._schedule(wait)
+
+    def _schedule(self, retry: Retry) -> None:
         self.env.log.emit(
             Event.RETRY_DECIDED,
             request=self.request.id,
             attempt=self.attempts,
-            reason=decision.reason,
+            reason=retry.reason,
+            excluded=sorted(self.excluded),
         )
-        self.env.clock.callLater(max(0.0, decision.at - self.env.now), self.tell, TRY)
+        delay = max(0.0, retry.at - self.env.now)
+        self.retry_timer = self.env.clock.callLater(delay, self.tell, TRY)
 
     def _forward(self, body: PartBody) -> None:
         self._put(body)
+        if isinstance(body, End):
+            self.directory.tell(OutputSeen(self.request, body.completion_tokens))
         if not isinstance(body, Tokens):
             self._cancel_attempt(failed=False)
             self._finish("complete" if not isinstance(body, End) else body.finish_reason)
 
     def _end_with(self, refusal: Refusal) -> None:
+        refusal = self.ledger.truthful(refusal)
         self._put(refusal)
         self._finish(refusal.code.name)
 
@@ -225,10 +272,17 @@
     def _cancel_attempt(self, *, failed: bool) -> None:
         if self.route is None:
             return
-        endpoint, self.route = self.route.endpoint, None
-        self.directory.tell(CancelAttempt(self.request.id, self.attempts))
+        endpoint, incarnation = self.route.endpoint, self.route.incarnation
+        self.route = None
+        self.directory.tell(CancelAttempt(self.request.id, self.attempts, endpoint))
         self.directory.tell(
-            AttemptEnded(self.request.id, self.attempts, endpoint=endpoint, failed=failed)
+            AttemptEnded(
+                self.request.id,
+                self.attempts,
+                endpoint=endpoint,
+                failed=failed,
+                incarnation=incarnation,
+            )
         )
 
     def _finish(self, outcome: str) -> None:
@@ -338,3 +392,7 @@
 def register(registry: Registry) -> None:
     """Register the plug-in."""
     registry.add(DispatchPlugin)
+
+
+def _is_duplicate_notice(part: Part) -> bool:
+    return isinstance(part.body, Refusal) and part.body.code is ResultCode.DUPLICATE_ATTEMPT
--- a/chivewall/plugins/builtin/links_grpc.py
+++ b/chivewall/plugins/builtin/links_grpc.py
@@ -1,9 +1,13 @@
 """Links from an entry to agents over gRPC, one channel for each agent."""
 
 import asyncio
+from collections.abc import Coroutine
+from typing import Any
 
+from attrs import define
 from grpclib.client import Channel
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.python.failure import Failure
 
 from chivewall.environment import Environment
 from chivewall.errors import LinkBrokenError
@@ -23,6 +27,16 @@
 TOKEN_METADATA = "authorization"  # noqa: S105 - the name of a metadata key
 
 
+@define(eq=False)
+class OpenAttempt:
+    """An attempt on its way over a link."""
+
+    attempt: Attempt
+    sink: Inbox
+    sent: bool = False
+    task: asyncio.Task | None = None
+
+
 class GrpcLink:
     """Implements the ``AgentLink`` protocol."""
 
@@ -32,39 +46,66 @@
         self.channel = Channel(instance.host, instance.port)
         self.stub = AgentStub(self.channel)
         self.metadata = {TOKEN_METADATA: token} if token is not None else {}
-        self.running: dict[tuple[str, int], asyncio.Task] = {}
+        self.running: dict[tuple[str, int], OpenAttempt] = {}
+        self.calls: set[asyncio.Task] = set()  # probes and exchanges
+        self.closed = False
 
     def submit(self, attempt: Attempt, sink: Inbox) -> None:
         """See ``AgentLink.submit``."""
         key = (attempt.request.id, attempt.number)
-        task = asyncio.ensure_future(self._submit(attempt, sink))
-        self.running[key] = task
-        task.add_done_callback(lambda _: self.running.pop(key, None))
+        if self.closed:
+            sink.put(AttemptBroken(*key, sent=False, reason="the link was closed"))
+            return
+        opened = OpenAttempt(attempt=attempt, sink=sink)
+        self.running[key] = opened
+        opened.task = asyncio.ensure_future(self._submit(opened))
+        opened.task.add_done_callback(lambda _: self.running.pop(key, None))
 
     def cancel(self, request_id: str, attempt: int) -> None:
         """See ``AgentLink.cancel``."""
-        task = self.running.pop((request_id, attempt), None)
-        if task is not None:
-            task.cancel()
+        opened = self.running.pop((request_id, attempt), None)
+        if opened is not None:
+            opened.task.cancel()
 
     def probe(self) -> Deferred:
         """See ``AgentLink.probe``."""
-        return Deferred.fromFuture(asyncio.ensure_future(self._probe()))
+        return self._call(self._probe())
 
     def exchange_configuration(self, document: bytes) -> Deferred:
         """See ``AgentLink.exchange_configuration``."""
-        return Deferred.fromFuture(asyncio.ensure_future(self._exchange(document)))
+        return self._call(self._exchange(document))
 
     def close(self) -> None:
         """See ``AgentLink.close``."""
-        self.channel.close()
-
-    async def _submit(self, attempt: Attempt, sink: Inbox) -> None:
-        sent = False
+        if self.closed:
+            return
+        self.closed = True
+        for key, opened in list(self.running.items()):
+            opened.task.cancel()
+            opened.sink.put(AttemptBroken(*key, sent=opened.sent, reason="the link was closed"))
+        self.running.clear()
+        for call in list(self.calls):
+            call.cancel()
+        # The streams of cancelled tasks are reset before their connection closes.
+        asyncio.get_running_loop().call_soon(self.channel.close)
+
+    def _call(self, work: Coroutine[Any, Any, Any]) -> Deferred:
+        call = asyncio.ensure_future(work)
+        self.calls.add(call)
+        call.add_done_callback(self.calls.discard)
+        return Deferred.fromFuture(call).addErrback(self._closed_call)
+
+    def _closed_call(self, failure: Failure) -> Failure:
+        if failure.check(asyncio.CancelledError, CancelledError):
+            raise LinkBrokenError(f"the link to {self.instance.name} was closed")
+        return failure
+
+    async def _submit(self, opened: "OpenAttempt") -> None:
+        attempt, sink = opened.attempt, opened.sink
         try:
             await asyncio.wait_for(self.channel.__connect__(), CONNECT_TIMEOUT)
             async with self.stub.Submit.open(metadata=self.metadata) as stream:
-                sent = True
+                opened.sent = True
                 await stream.send_message(encode_attempt(attempt, self.env.now), end=True)
                 async for message in stream:
                     part = decode_part(message)
@@ -76,7 +117,8 @@
             raise
         except Exception as exc:
             reason = f"{type(exc).__name__}: {exc}"
-        sink.put(AttemptBroken(attempt.request.id, attempt.number, sent=sent, reason=reason))
+        key = (attempt.request.id, attempt.number)
+        sink.put(AttemptBroken(*key, sent=opened.sent, reason=reason))
 
     async def _probe(self) -> object:
         try:
