Draw candidates by weight and test the entry's decisions under faults

Cause: with reports 5 s late, 20 entries that take the lowest estimate of their candidates send up to 1.70 times its fair share to one of 9 endpoints in a window of 5 s.

Conclusion: candidates are drawn with the square of the inverse estimate. Property tests found that a member that was not ready and then failed did not count as dead; the index is now rebuilt in that case.

--- a/chivewall/decisions/membership.py
+++ b/chivewall/decisions/membership.py
@@ -153,11 +153,12 @@
         if member is None or _outdated(report, member, probed=round_trip is not None):
             return None
         before, targets, state = member.report, member.targets, member.state
+        seemed_dead = seems_dead(member)
         member.take_report(report, now)
         self._measure(member, round_trip)
         member.state = _state_of(report, member.instance)
         member.probe_at = now + self._interval(member)
-        if member.state is state and member.targets == targets:
+        if member.state is state and member.targets == targets and not seemed_dead:
             return None
         self._reindex()
         if member.state is state:
@@ -174,6 +175,8 @@
             return None
         member.failures += 1
         member.loss += SMOOTHING * (1.0 - member.loss)
+        if member.state is MemberState.SUSPECT and member.failures == 1:
+            self._reindex()  # it was not ready and now seems dead as well
         enough = silent or member.failures >= FAILURES_TO_SUSPECT
         if not enough or member.state is not MemberState.LIVE:
             return None
--- a/chivewall/decisions/routing.py
+++ b/chivewall/decisions/routing.py
@@ -10,9 +10,11 @@
 RANDOM_CANDIDATES = 2
 DEFAULT_CALL_SECONDS = 0.05  # expected time of a plain service call
 BOUNDED_LOAD = 1.25  # the affine endpoint may be this much worse than the best candidate
+SHARPNESS = 2.0  # exponent of the weight of a candidate; see ``_draw``
 KEY_HOME_EXTRA = 1.0  # seconds that a keyed call may wait longer to avoid a write conflict
 LOSS_SECONDS = 3.0  # cost of a lost message: the time until silence is noticed
 KV_SHORT_SECONDS = 1.0  # estimated wait for KV cache space, for each time the work exceeds it
+MIN_ESTIMATE = 0.001  # seconds; smaller differences are noise
 RANKS = tuple(Rank)
 
 
@@ -63,7 +65,7 @@
         ),
         key=lambda pair: pair[0],
     )
-    estimate, best, reason = _pick(request, scored, preferred)
+    estimate, best, reason = _pick(request, scored, preferred, rng)
     rejected = tuple(
         Candidate(endpoint=one.instance.name, estimate=round(other, 4))
         for other, one in scored
@@ -81,7 +83,10 @@
 
 
 def _pick(
-    request: Request, scored: list[tuple[float, Member]], preferred: Member | None
+    request: Request,
+    scored: list[tuple[float, Member]],
+    preferred: Member | None,
+    rng: random.Random,
 ) -> tuple[float, Member, str]:
     lowest, best = scored[0]
     if best is preferred:
@@ -93,7 +98,20 @@
             return estimate, member, "home of the idempotency key"
         if request.key is None and estimate <= lowest * BOUNDED_LOAD:
             return estimate, member, "prefix affinity within bounded load"
-    return lowest, best, "lowest estimated finish"
+    return _draw(scored, rng)
+
+
+def _draw(scored: list[tuple[float, Member]], rng: random.Random) -> tuple[float, Member, str]:
+    """Draw a candidate with a weight that falls with its estimate.
+
+    Reports are late and other entries read the same ones. If every entry took
+    the lowest estimate, an endpoint that was idle some seconds ago would get
+    the work of all of them.
+    """
+    weights = [(1 / max(estimate, MIN_ESTIMATE)) ** SHARPNESS for estimate, _ in scored]
+    estimate, member = rng.choices(scored, weights)[0]
+    lowest = estimate <= scored[0][0]
+    return estimate, member, "lowest estimated finish" if lowest else "drawn to avoid herding"
 
 
 def sample(
--- /dev/null
+++ b/tests/test_entry_faults.py
@@ -0,0 +1,229 @@
+"""Requests through real entry and agent tasks while agents and links fail."""
+
+import random
+
+from attrs import evolve
+from testtools import TestCase
+from testtools.matchers import Equals, GreaterThan, HasLength, Is, LessThan
+
+from bench.site import Site, drain
+from chivewall.configuration import default_configuration
+from chivewall.decisions.membership import MemberState
+from chivewall.events import Event
+from chivewall.messages import Abandon, ConfigurationSeen
+from chivewall.plugins.builtin.configuration import ConfigurationKeeper
+from chivewall.plugins.builtin.directory import Directory
+from chivewall.plugins.builtin.dispatch import Dispatcher
+from chivewall.results import RunState
+from chivewall.work import Answer, Call, End, Rank, Refusal, Request
+from tests.test_virtual_site import completion, expected_text, text_of
+
+
+def booking(request_id, deadline, key=None):
+    work = Call(service="shift-booking", method="POST", path="/x", body=request_id.encode())
+    return Request(
+        id=request_id, workspace="w", rank=Rank.URGENT, deadline=deadline, work=work, key=key
+    )
+
+
+class EntryFaultTest(TestCase):
+    """Guards against lost, doubled and untruthful answers, and against leaks."""
+
+    def setUp(self):
+        super().setUp()
+        self.build(seed=1)
+
+    def build(self, seed):
+        self.site = Site(seed=seed)
+        self.events = []
+        self.site.log.subscribe(lambda event, fields: self.events.append((event, fields)))
+        for place in (1, 2, 3):
+            self.site.add_engine(f"engine-{place}", "Mombasa", targets=("m",))
+            self.site.add_service(f"booking-{place}", "Mombasa", "shift-booking")
+        self.site.add_entry("entry-1", "Mombasa")
+        self.site.settle()
+        self.directory = self.site.apps["entry-1"].env.require(Directory)
+        self.dispatcher = self.site.apps["entry-1"].env.require(Dispatcher)
+
+    def run_for(self, seconds):
+        self.site.clock.run_until(self.site.clock.now + seconds)
+
+    def busy(self):
+        return next(
+            name for name, one in self.site.endpoints.items() if getattr(one, "_runs", None)
+        )
+
+    def state(self, name):
+        return self.directory.fleet.members[name].state
+
+    def sent_to(self, name):
+        return [
+            fields
+            for event, fields in self.events
+            if event is Event.ROUTE_CHOSEN and fields["endpoint"] == name
+        ]
+
+    def assert_whole(self, request, sink):
+        parts = drain(sink)
+        self.assertThat(text_of(parts), Equals(expected_text(request)))
+        self.assertThat([type(one.body) for one in parts if one.last], Equals([End]))
+
+    def assert_nothing_left(self):
+        self.assertThat(self.dispatcher.dispatches, HasLength(0))
+        self.assertThat(self.directory.carriers, HasLength(0))
+        for member in self.directory.fleet.members.values():
+            self.assertThat(member.work, HasLength(0))
+            self.assertThat(member.fresh, HasLength(0))
+        opened = [link for link in self.site.links.opened if not link.closed]
+        self.assertThat(sum(len(link._open) for link in opened), Equals(0))
+        self.assertThat(len(opened), LessThan(len(self.directory.fleet.members) + 1))
+
+    def test_silent_link_is_replaced_and_the_stream_resumes(self):
+        """Guards against a connection that goes silent and is used again."""
+        request = completion("r1", deadline=60, tokens=200)
+        sink = self.site.serve("entry-1", request)
+        self.run_for(1)
+        busy = self.busy()
+        silent = self.directory.links[busy]
+        silent.silent = True
+        self.run_for(30)
+        self.assert_whole(request, sink)
+        self.assertThat(silent.closed, Is(True))
+        self.assertIsNot(self.directory.links.get(busy), silent)
+        self.assertThat(self.state(busy), Equals(MemberState.LIVE))
+        self.assert_nothing_left()
+
+    def test_partitions_in_each_direction(self):
+        """Guards against a request that hangs when messages are lost in one direction."""
+        for direction in ("requests_cut", "answers_cut"):
+            self.build(seed=2)
+            request = completion("r1", deadline=60, tokens=200)
+            sink = self.site.serve("entry-1", request)
+            self.run_for(1)
+            busy = self.busy()
+            setattr(self.site.links.faults[busy], direction, True)
+            self.run_for(30)
+            self.assert_whole(request, sink)
+            if direction == "answers_cut":
+                self.assertThat(self.state(busy), Equals(MemberState.SUSPECT))
+            setattr(self.site.links.faults[busy], direction, False)
+            self.run_for(20)
+            self.assertThat(self.state(busy), Equals(MemberState.LIVE))
+            self.assert_nothing_left()
+
+    def test_duplicated_submit_doesnt_fail_the_request(self):
+        """Guards against the refusal of a duplicate taken for the answer."""
+        for fault in self.site.links.faults.values():
+            fault.duplicate = True
+        request = completion("r1", deadline=30)
+        sink = self.site.serve("entry-1", request)
+        call = self.site.serve("entry-1", booking("b1", deadline=30))
+        self.run_for(20)
+        self.assert_whole(request, sink)
+        self.assertThat([type(one.body) for one in drain(call)], Equals([Answer]))
+        runs = sum(
+            one.runs[b"b1"] for name, one in self.site.endpoints.items() if "booking" in name
+        )
+        self.assertThat(runs, Equals(1))
+        self.assert_nothing_left()
+
+    def test_lost_booking_is_unknown(self):
+        """Guards against "not run" for a booking that ran while its answer was lost."""
+        for name, fault in self.site.links.faults.items():
+            fault.answers_cut = "booking" in name
+        sink = self.site.serve("entry-1", booking("b1", deadline=20))
+        self.run_for(20)
+        (part,) = drain(sink)
+        self.assertThat(part.body.run, Equals(RunState.UNKNOWN))
+        self.assert_nothing_left()
+
+    def test_leaving_endpoint_gets_no_new_work_after_3_seconds(self):
+        """Guards against work for an agent that drains."""
+        self.site.links.agents["engine-1"].draining = True
+        self.run_for(3)
+        before = len(self.sent_to("engine-1"))
+        for number in range(30):
+            self.site.serve("entry-1", completion(f"r{number}", deadline=60))
+        self.run_for(30)
+        self.assertThat(len(self.sent_to("engine-1")), Equals(before))
+        self.assertThat(self.state("engine-1"), Equals(MemberState.LEAVING))
+
+    def test_caller_that_hangs_up_frees_the_engine(self):
+        """Guards against an engine that generates for nobody."""
+        self.site.serve("entry-1", completion("r1", deadline=90, tokens=2000))
+        self.run_for(1)
+        busy = self.site.endpoints[self.busy()]
+        self.dispatcher.tell(Abandon("r1"))
+        self.run_for(1)
+        self.assertThat(busy._runs, HasLength(0))
+        self.assertThat(busy.model.batch, HasLength(0))
+        self.assert_nothing_left()
+
+    def test_timers_of_finished_requests_are_gone(self):
+        """Guards against timers that pile up with the number of requests."""
+        before = len(self.site.clock.getDelayedCalls())
+        for number in range(100):
+            self.site.serve("entry-1", completion(f"r{number}", deadline=400, tokens=4))
+        self.run_for(300)
+        self.assert_nothing_left()
+        self.assertThat(len(self.site.clock.getDelayedCalls()), LessThan(before + 20))
+
+    def test_newer_configuration_reaches_the_entry_and_the_agents(self):
+        """Guards against an old version kept by a process without the object API."""
+        newer = evolve(default_configuration(), version=7)
+        source = self.site.links.keepers["engine-1"]
+        source.tell(ConfigurationSeen(newer, origin="test"))
+        self.run_for(13)
+        keepers = [self.site.apps["entry-1"].env.require(ConfigurationKeeper)]
+        keepers += self.site.links.keepers.values()
+        self.assertThat({one.current.version for one in keepers}, Equals({7}))
+
+    def test_random_faults_end_with_exactly_one_truthful_last_part(self):
+        """Guards against a path that ends without a last part, with two, or with a lie."""
+        for seed in range(12):
+            self.build(seed=seed)
+            self.walk(random.Random(seed), seed)
+
+    def walk(self, rng, seed):
+        sinks = {}
+        for number in range(40):
+            name = f"b{number}"
+            deadline = self.site.clock.now + rng.uniform(1, 15)
+            request = booking(name, deadline)
+            if number % 2:
+                request = completion(name, deadline, tokens=rng.randint(1, 100))
+            sinks[name] = (request, self.site.serve("entry-1", request))
+            self.disturb(rng)
+            self.run_for(rng.uniform(0, 1))
+        self.run_for(20)
+        for name, (request, sink) in sinks.items():
+            parts = drain(sink)
+            where = f"seed {seed}, request {name}"
+            self.assertThat([one.last for one in parts].count(True), Equals(1), where)
+            self.assertThat(parts[-1].last, Is(True), where)
+            self.check_runs(request, parts[-1].body, where)
+        self.assert_nothing_left()
+
+    def disturb(self, rng):
+        fault = rng.choice(list(self.site.links.faults.values()))
+        kind = rng.choice(["requests_cut", "answers_cut", "duplicate", "silent", "restart", "none"])
+        if kind == "silent":
+            rng.choice(self.site.links.opened).silent = True
+        elif kind == "restart":
+            name = rng.choice(list(self.site.links.agents))
+            self.site.kill_agent(name)
+            self.site.start_agent(name)
+        elif kind != "none":
+            setattr(fault, kind, True)
+            self.site.clock.callLater(rng.uniform(0, 5), setattr, fault, kind, False)
+
+    def check_runs(self, request, last, where):
+        if not isinstance(request.work, Call):
+            return
+        services = [one for name, one in self.site.endpoints.items() if "booking" in name]
+        runs = sum(one.runs[request.work.body] for one in services)
+        self.assertThat(runs, LessThan(2), where)
+        if isinstance(last, Refusal) and last.run is RunState.NO:
+            self.assertThat(runs, Equals(0), where)
+        if isinstance(last, Answer):
+            self.assertThat(runs, GreaterThan(0), where)
