Fail open attempts when a gRPC link closes; end interrupted requests

Cause: a closed gRPC channel reconnected by itself on the next call and left its attempts without a last message; a request whose caller hung up or whose entry stopped ended without a last part; configuration documents were never exchanged with agents.

Tests over loopback sockets with the real gate: a connection that a relay silences is closed, the stream resumes on a new one and the text is whole.

Conclusion: the dispatcher and the task of one request are now two modules.

--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -200,6 +200,7 @@
     keeper: Callable[[], ConfigurationKeeper | None] = lambda: None
     silent: bool = False  # this connection is lost for good; new ones work
     closed: bool = False
+    exchanges: int = 0  # configuration documents offered
     _open: dict[tuple[str, int], Inbox] = field(factory=dict)
 
     def submit(self, attempt: Attempt, sink: Inbox) -> None:
@@ -233,6 +234,7 @@
 
     def exchange_configuration(self, document: bytes) -> Deferred:
         """See ``AgentLink.exchange_configuration``; takes and answers as the gate does."""
+        self.exchanges += 1
         keeper = self.keeper()
         if self.closed or keeper is None:
             return fail(LinkBrokenError("connection refused"))
--- a/chivewall/plugins/builtin/directory.py
+++ b/chivewall/plugins/builtin/directory.py
@@ -5,6 +5,7 @@
 from attrs import define, field, frozen, validators
 from twisted.internet.interfaces import IDelayedCall
 
+from chivewall.configuration import Configuration
 from chivewall.decisions.membership import Change, Fleet
 from chivewall.decisions.outputs import OutputLengths
 from chivewall.decisions.routing import Route, choose
@@ -28,7 +29,7 @@
 from chivewall.plugins.base import Plugin
 from chivewall.plugins.builtin.configuration import (
     ConfigurationKeeper,
-    CurrentConfiguration,
+    Subscribe,
     decode_configuration,
     encode_configuration,
 )
@@ -94,6 +95,7 @@
         self.links: dict[str, AgentLink] = {}
         self.carriers: dict[tuple[str, int], AgentLink] = {}  # by attempt in flight
         self.lengths = OutputLengths()
+        self.configuration: Configuration | None = None
         self.exchanged: dict[str, tuple[str, int, int]] = {}  # by endpoint
         self.timers: dict[Tick, IDelayedCall] = {}
 
@@ -102,6 +104,8 @@
         super().start()
         self.tell(LIST)
         self.tell(PROBE)
+        if self.keeper is not None:
+            self.keeper.tell(Subscribe(self.inbox))
 
     async def on_stop(self) -> None:
         """Close all links and stop the timers."""
@@ -197,6 +201,10 @@
                 )
             )
 
+    @receive.register
+    async def _(self, message: ConfigurationSeen) -> None:
+        self.configuration = message.configuration
+
     @receive.register
     async def _(self, message: OutputSeen) -> None:
         self.lengths.learn(message.request, message.tokens)
@@ -250,18 +258,16 @@
     def _compare_versions(self, report: LoadReport) -> None:
         """Exchange documents once for each endpoint and pair of versions that differ."""
         member = self.fleet.members.get(report.endpoint)
-        if self.keeper is None or member is None or member.report is None:
-            return
-        if member.report.incarnation == report.incarnation:
-            self.spawn(self._exchange(member.instance, report))
-
-    async def _exchange(self, instance: Instance, report: LoadReport) -> None:
-        current = await self.keeper.ask(CurrentConfiguration())
-        version = current.version if current is not None else 0
+        if self.keeper is None or member is None or member.report is not report:
+            return  # no keeper to tell, or the report was ignored
+        version = self.configuration.version if self.configuration is not None else 0
         pair = (report.incarnation, report.configuration_version, version)
-        if report.configuration_version == version or self.exchanged.get(instance.name) == pair:
+        if report.configuration_version == version or self.exchanged.get(report.endpoint) == pair:
             return
-        self.exchanged[instance.name] = pair
+        self.exchanged[report.endpoint] = pair
+        self.spawn(self._exchange(member.instance, self.configuration))
+
+    async def _exchange(self, instance: Instance, current: Configuration | None) -> None:
         document = encode_configuration(current) if current is not None else b""
         try:
             newer = await self._link(instance).exchange_configuration(document)
--- a/chivewall/plugins/builtin/dispatch.py
+++ b/chivewall/plugins/builtin/dispatch.py
@@ -1,308 +1,16 @@
-"""Serves requests: one task for each, which tries endpoints until the answer is whole."""
+"""Takes requests, gives each one its own task and owns the retry budget."""
 
 from functools import singledispatchmethod
 
-from attrs import define, evolve, frozen
-from twisted.internet.interfaces import IDelayedCall
-
-from chivewall.decisions.retries import (
-    Cost,
-    Failure,
-    GiveUp,
-    Retry,
-    RetryBudget,
-    RunLedger,
-    asks_to_wait,
-    decide,
-    unknown_outcome,
-    wait_after,
-)
-from chivewall.decisions.routing import Route
-from chivewall.decisions.streams import AnswerStream, Verdict
+from chivewall.decisions.retries import RetryBudget
 from chivewall.environment import Environment
 from chivewall.events import Event
-from chivewall.messages import (
-    Abandon,
-    AttemptBroken,
-    AttemptEnded,
-    AttemptSent,
-    CancelAttempt,
-    ChooseRoute,
-    Drain,
-    EndpointSilent,
-    OutputSeen,
-    ReportSeen,
-    Serve,
-    SubmitAttempt,
-    Tick,
-)
+from chivewall.messages import Abandon, Drain, Serve
 from chivewall.plugins.base import Plugin
 from chivewall.plugins.builtin.directory import Directory
+from chivewall.plugins.builtin.request_task import Dispatch, Interrupt, Served, SpendRetry
 from chivewall.plugins.registry import Registry
-from chivewall.results import ResultCode, RunState
-from chivewall.task import Query, Task
-from chivewall.work import Attempt, End, Part, PartBody, Refusal, Request, Tokens, Waiting
-
-SILENCE_SECONDS = 3.0  # agents send a part at least every second
-WATCH_SECONDS = 0.5  # between checks for silence and the deadline
-TRY = Tick("try")
-CHECK = Tick("check")
-
-
-@define(eq=False)
-class SpendRetry(Query):
-    """Ask for one retry from the budget of a rank; answered with a bool."""
-
-    request: Request
-
-
-class Dispatch(Task):
-    """Serves one request."""
-
-    def __init__(
-        self, env: Environment, directory: Directory, dispatcher: "Dispatcher", serve: Serve
-    ) -> None:
-        super().__init__()
-        self.env = env
-        self.directory = directory
-        self.dispatcher = dispatcher
-        self.request = serve.request
-        self.sink = serve.sink
-        self.stream = AnswerStream(request_id=self.request.id)
-        self.route: Route | None = None
-        self.attempts = 0
-        self.tries = 0  # attempts and searches that found no endpoint
-        self.heard_at = 0.0  # when the last part of this attempt arrived
-        self.excluded: set[str] = set()
-        self.refusal: Refusal | None = None  # the last one of an endpoint, until a wait
-        self.ledger = RunLedger()
-        self.parts_sent = 0
-        self.over = False
-        self.timer: IDelayedCall | None = None
-        self.retry_timer: IDelayedCall | None = None
-
-    def start(self) -> None:
-        """Begin the first attempt."""
-        super().start()
-        self.tell(TRY)
-        self._watch()
-
-    async def on_stop(self) -> None:
-        """Stop the timers."""
-        for timer in (self.timer, self.retry_timer):
-            if timer is not None and timer.active():
-                timer.cancel()
-
-    @singledispatchmethod
-    async def receive(self, message: object) -> None:
-        """Handle one message."""
-        raise TypeError(f"unexpected message {message!r}")
-
-    @receive.register
-    async def _(self, message: Tick) -> None:
-        if self.over:
-            return
-        if message == TRY:
-            await self._try()
-            return
-        await self._check()
-        if not self.over:
-            self._watch()
-
-    @receive.register
-    async def _(self, message: Part) -> None:
-        if message.report is not None:
-            self.directory.tell(ReportSeen(message.report))
-        if self.over or self.route is None:
-            return
-        if _is_duplicate_notice(message):
-            return  # the attempt itself arrived as well; its parts follow
-        verdict, part = self.stream.judge(message)
-        if verdict is Verdict.DROP:
-            self.env.log.emit(Event.PART_DROPPED, request=self.request.id, attempt=message.attempt)
-            return
-        if verdict is Verdict.BROKEN:
-            await self._fail(unknown_outcome(self.request, "parts of the answer are missing"))
-            return
-        self.heard_at = self.env.now
-        if isinstance(part.body, Refusal):
-            await self._fail(part.body, failed=part.body.code is ResultCode.ENDPOINT_FAILED)
-        elif not isinstance(part.body, Waiting):
-            self._forward(part.body)
-
-    @receive.register
-    async def _(self, message: AttemptBroken) -> None:
-        if self.over or self.route is None or message.attempt != self.attempts:
-            return
-        if message.sent:
-            refusal = unknown_outcome(self.request, message.reason)
-        else:
-            refusal = Refusal(code=ResultCode.NO_ENDPOINT, message=message.reason, run=RunState.NO)
-        await self._fail(refusal)
-
-    @receive.register
-    async def _(self, message: Abandon) -> None:
-        if not self.over:
-            self._cancel_attempt(failed=False)
-            self._finish("abandoned by the caller")
-
-    async def _try(self) -> None:
-        self.tries += 1
-        query = ChooseRoute(request=self.request, excluded=frozenset(self.excluded))
-        route = await self.directory.ask(query)
-        refusal, self.refusal = self.refusal, None
-        if route is not None and route.reused and asks_to_wait(refusal):
-            self._wait_or_end(refusal)
-            return
-        if route is None:
-            refusal = Refusal(
-                code=ResultCode.NO_ENDPOINT,
-                message=f"no endpoint offers {self.request.work.target!r} now",
-                run=RunState.NO,
-                retry_after=1.0,
-            )
-            await self._decide(Failure(endpoint=None, refusal=refusal))
-            return
-        self.attempts += 1
-        self.route = route
-        self.heard_at = self.env.now
-        self.stream.begin(self.attempts)
-        attempt = Attempt(
-            request=self.request,
-            number=self.attempts,
-            endpoint=route.endpoint,
-            incarnation=route.incarnation,
-            delivered=tuple(self.stream.delivered),
-        )
-        self.ledger.sent(self.attempts)
-        self.directory.tell(AttemptSent(route=route, attempt=attempt))
-        self.directory.tell(SubmitAttempt(attempt=attempt, sink=self.inbox))
-
-    async def _check(self) -> None:
-        now = self.env.now
-        if now >= self.request.deadline:
-            await self._miss_deadline()
-        elif self.route is not None and now - self.heard_at >= SILENCE_SECONDS:
-            self.directory.tell(
-                EndpointSilent(
-                    endpoint=self.route.endpoint,
-                    reason="no part in time",
-                    incarnation=self.route.incarnation,
-                    key=(self.request.id, self.attempts),
-                )
-            )
-            await self._fail(unknown_outcome(self.request, "the agent went silent"))
-
-    def _watch(self) -> None:
-        until_deadline = max(0.0, self.request.deadline - self.env.now)
-        delay = min(WATCH_SECONDS, until_deadline)
-        self.timer = self.env.clock.callLater(delay, self.tell, CHECK)
-
-    async def _miss_deadline(self) -> None:
-        run = self.ledger.run  # an attempt that is still out may have run
-        self._cancel_attempt(failed=False)
-        self._end_with(
-            Refusal(code=ResultCode.DEADLINE_MISSED, message="the deadline passed", run=run)
-        )
-
-    async def _fail(self, refusal: Refusal, *, failed: bool = True) -> None:
-        endpoint = self.route.endpoint
-        self.env.log.emit(
-            Event.ATTEMPT_FAILED,
-            request=self.request.id,
-            attempt=self.attempts,
-            endpoint=endpoint,
-            code=refusal.code.name,
-            run=refusal.run.value,
-            reason=refusal.message,
-        )
-        self.ledger.ended(self.attempts, refusal.run)
-        if refusal.code is not ResultCode.IN_PROGRESS:
-            self.excluded.add(endpoint)
-            self.refusal = refusal
-        self._cancel_attempt(failed=failed)
-        await self._decide(Failure(endpoint=endpoint, refusal=refusal))
-
-    async def _decide(self, failure: Failure) -> None:
-        decision = decide(self.request, failure, self.ledger, self.tries, self.env.now)
-        if isinstance(decision, GiveUp):
-            self._end_with(decision.refusal)
-        elif decision.cost is Cost.FREE or await self.dispatcher.ask(SpendRetry(self.request)):
-            self._schedule(decision)
-        else:
-            self._wait_or_end(failure.refusal, code=ResultCode.RETRIES_SPENT)
-
-    def _wait_or_end(self, refusal: Refusal, code: ResultCode | None = None) -> None:
-        """Wait as the refusal asks and then use every endpoint again, or end with it."""
-        wait = wait_after(self.request, refusal, self.env.now, self.env.random)
-        if wait is None:
-            self._end_with(evolve(refusal, code=code or refusal.code))
-            return
-        self.excluded.clear()
-        self._schedule(wait)
-
-    def _schedule(self, retry: Retry) -> None:
-        self.env.log.emit(
-            Event.RETRY_DECIDED,
-            request=self.request.id,
-            attempt=self.attempts,
-            reason=retry.reason,
-            excluded=sorted(self.excluded),
-        )
-        delay = max(0.0, retry.at - self.env.now)
-        self.retry_timer = self.env.clock.callLater(delay, self.tell, TRY)
-
-    def _forward(self, body: PartBody) -> None:
-        self._put(body)
-        if isinstance(body, End):
-            self.directory.tell(OutputSeen(self.request, body.completion_tokens))
-        if not isinstance(body, Tokens):
-            self._cancel_attempt(failed=False)
-            self._finish("complete" if not isinstance(body, End) else body.finish_reason)
-
-    def _end_with(self, refusal: Refusal) -> None:
-        refusal = self.ledger.truthful(refusal)
-        self._put(refusal)
-        self._finish(refusal.code.name)
-
-    def _put(self, body: PartBody) -> None:
-        self.sink.put(Part(self.request.id, attempt=0, seq=self.parts_sent, body=body))
-        self.parts_sent += 1
-
-    def _cancel_attempt(self, *, failed: bool) -> None:
-        if self.route is None:
-            return
-        endpoint, incarnation = self.route.endpoint, self.route.incarnation
-        self.route = None
-        self.directory.tell(CancelAttempt(self.request.id, self.attempts, endpoint))
-        self.directory.tell(
-            AttemptEnded(
-                self.request.id,
-                self.attempts,
-                endpoint=endpoint,
-                failed=failed,
-                incarnation=incarnation,
-            )
-        )
-
-    def _finish(self, outcome: str) -> None:
-        self.over = True
-        self.env.log.emit(
-            Event.REQUEST_ENDED,
-            request=self.request.id,
-            workspace=self.request.workspace,
-            rank=self.request.rank.value,
-            attempts=self.attempts,
-            outcome=outcome,
-        )
-        self.dispatcher.tell(Served(self.request.id))
-
-
-@frozen
-class Served:
-    """A dispatch task has ended its request."""
-
-    request_id: str
+from chivewall.task import Task
 
 
 class Dispatcher(Task):
@@ -316,6 +24,13 @@
         self.budget = RetryBudget()
         self.drain_waiters: list[Drain] = []
 
+    async def on_stop(self) -> None:
+        """End what is still in flight, truthfully; after a drain that is nothing."""
+        for dispatch in list(self.dispatches.values()):
+            dispatch.tell(Interrupt())
+            await dispatch.stop()
+        self.dispatches.clear()
+
     @singledispatchmethod
     async def receive(self, message: object) -> None:
         """Handle one message."""
@@ -392,7 +107,3 @@
 def register(registry: Registry) -> None:
     """Register the plug-in."""
     registry.add(DispatchPlugin)
-
-
-def _is_duplicate_notice(part: Part) -> bool:
-    return isinstance(part.body, Refusal) and part.body.code is ResultCode.DUPLICATE_ATTEMPT
--- a/chivewall/plugins/builtin/links_grpc.py
+++ b/chivewall/plugins/builtin/links_grpc.py
@@ -6,7 +6,7 @@
 
 from attrs import define
 from grpclib.client import Channel
-from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.defer import CancelledError, Deferred, fail
 from twisted.python.failure import Failure
 
 from chivewall.environment import Environment
@@ -90,6 +90,9 @@
         asyncio.get_running_loop().call_soon(self.channel.close)
 
     def _call(self, work: Coroutine[Any, Any, Any]) -> Deferred:
+        if self.closed:
+            work.close()
+            return fail(LinkBrokenError(f"the link to {self.instance.name} was closed"))
         call = asyncio.ensure_future(work)
         self.calls.add(call)
         call.add_done_callback(self.calls.discard)
--- a/tests/test_entry_faults.py
+++ b/tests/test_entry_faults.py
@@ -14,7 +14,7 @@
 from chivewall.plugins.builtin.configuration import ConfigurationKeeper
 from chivewall.plugins.builtin.directory import Directory
 from chivewall.plugins.builtin.dispatch import Dispatcher
-from chivewall.results import RunState
+from chivewall.results import ResultCode, RunState
 from chivewall.work import Answer, Call, End, Rank, Refusal, Request
 from tests.test_virtual_site import completion, expected_text, text_of
 
@@ -150,15 +150,30 @@
 
     def test_caller_that_hangs_up_frees_the_engine(self):
         """Guards against an engine that generates for nobody."""
-        self.site.serve("entry-1", completion("r1", deadline=90, tokens=2000))
+        sink = self.site.serve("entry-1", completion("r1", deadline=90, tokens=2000))
         self.run_for(1)
         busy = self.site.endpoints[self.busy()]
         self.dispatcher.tell(Abandon("r1"))
         self.run_for(1)
         self.assertThat(busy._runs, HasLength(0))
         self.assertThat(busy.model.batch, HasLength(0))
+        parts = drain(sink)
+        self.assertThat([one.last for one in parts].count(True), Equals(1))
+        self.assertThat(parts[-1].body.code, Equals(ResultCode.CANCELLED))
         self.assert_nothing_left()
 
+    def test_stop_ends_requests_truthfully(self):
+        """Guards against callers left without an answer when the entry stops in time."""
+        for fault in self.site.links.faults.values():
+            fault.requests_cut = True
+        sinks = [self.site.serve("entry-1", booking(f"b{n}", deadline=90)) for n in range(3)]
+        self.run_for(1)
+        self.dispatcher.stop()
+        for sink in sinks:
+            (part,) = drain(sink)
+            self.assertThat(part.body.run, Equals(RunState.UNKNOWN))
+        self.assertThat(self.directory.carriers, HasLength(0))
+
     def test_timers_of_finished_requests_are_gone(self):
         """Guards against timers that pile up with the number of requests."""
         before = len(self.site.clock.getDelayedCalls())
@@ -177,6 +192,32 @@
         keepers = [self.site.apps["entry-1"].env.require(ConfigurationKeeper)]
         keepers += self.site.links.keepers.values()
         self.assertThat({one.current.version for one in keepers}, Equals({7}))
+        documents = sum(link.exchanges for link in self.site.links.opened)
+        self.run_for(60)
+        self.assertThat(sum(link.exchanges for link in self.site.links.opened), Equals(documents))
+        self.assertThat(documents, LessThan(2 * len(keepers)))
+
+    def test_overloaded_patient_work_arrives(self):
+        """Guards against patient work refused for good by agents that ask it to wait."""
+        free_at = self.site.clock.now + 60
+        refusals = []
+
+        def refuse(attempt):
+            if self.site.clock.now >= free_at:
+                return None
+            refusals.append(attempt.endpoint)
+            return Refusal(ResultCode.QUEUE_FULL, "full", RunState.NO, retry_after=5.0)
+
+        for agent in self.site.links.agents.values():
+            agent._refuse_at_the_door = refuse
+        requests = [evolve(completion(f"p{n}", deadline=400), rank=Rank.PATIENT) for n in range(20)]
+        sinks = [self.site.serve("entry-1", one) for one in requests]
+        self.run_for(200)
+        for request, sink in zip(requests, sinks, strict=True):
+            self.assert_whole(request, sink)
+        # 60 s / 5 s rounds of at most 3 endpoints for each request.
+        self.assertThat(len(refusals), LessThan(20 * 12 * 3 + 1))
+        self.assert_nothing_left()
 
     def test_random_faults_end_with_exactly_one_truthful_last_part(self):
         """Guards against a path that ends without a last part, with two, or with a lie."""
--- /dev/null
+++ b/tests/test_links_grpc.py
@@ -0,0 +1,130 @@
+"""Links to a real gate over loopback sockets."""
+
+import asyncio
+
+from testtools import TestCase
+from testtools.matchers import Equals, HasLength, Is
+
+from chivewall.errors import LinkBrokenError
+from chivewall.interfaces import LinkFactory
+from chivewall.messages import AttemptBroken, Serve
+from chivewall.plugins.builtin.directory import Directory
+from chivewall.plugins.builtin.dispatch import Dispatcher
+from chivewall.task import Inbox
+from chivewall.work import Attempt, Part
+from tests.test_virtual_site import completion, expected_text, text_of
+from tests.utils.loopback import LoopbackSite
+
+WAIT_SECONDS = 20  # for anything that should happen; only a failing test waits as long
+
+
+async def take(sink):
+    waiting = sink.get().asFuture(asyncio.get_running_loop())
+    return await asyncio.wait_for(waiting, WAIT_SECONDS)
+
+
+def on_loopback(test):
+    def run(self):
+        async def main():
+            site = await LoopbackSite().start()
+            try:
+                await asyncio.wait_for(test(self, site), 2 * WAIT_SECONDS)
+            finally:
+                await site.stop()
+
+        asyncio.run(main())
+
+    run.__doc__ = test.__doc__
+    return run
+
+
+async def attempt_for(site, request):
+    link = site.entry.env.require(LinkFactory).open(site.instance)
+    report = await link.probe().asFuture(asyncio.get_running_loop())
+    attempt = Attempt(
+        request=request, number=1, endpoint="engine-1", incarnation=report.incarnation
+    )
+    return link, attempt
+
+
+class GrpcLinkTest(TestCase):
+    """Guards against hanging, reused and leaking connections."""
+
+    @on_loopback
+    async def test_silent_connection_is_replaced(self, site):
+        """Guards against a stream that hangs on a connection that went silent for good."""
+        directory = site.entry.env.require(Directory)
+        await site.until(lambda: directory.fleet.selectable("m"))
+        request = completion("r1", deadline=site.clock.seconds() + 60, tokens=120)
+        sink = Inbox()
+        site.entry.env.require(Dispatcher).tell(Serve(request=request, sink=sink))
+        parts = [await take(sink)]
+        silent = directory.links["engine-1"]
+        site.relay.silence()
+        while not parts[-1].last:
+            parts.append(await take(sink))
+        self.assertThat(text_of(parts), Equals(expected_text(request)))
+        self.assertThat(silent.closed, Is(True))
+        self.assertThat(silent.running, HasLength(0))
+        self.assertIsNot(directory.links["engine-1"], silent)
+        await site.until(lambda: not site.engine._runs)
+        self.assertThat(directory.carriers, HasLength(0))
+
+    @on_loopback
+    async def test_close_fails_open_attempts(self, site):
+        """Guards against attempts that wait for ever on a link that was closed."""
+        request = completion("r1", deadline=site.clock.seconds() + 60, tokens=500)
+        link, attempt = await attempt_for(site, request)
+        sink = Inbox()
+        link.submit(attempt, sink)
+        self.assertIsInstance(await take(sink), Part)
+        link.close()
+        last = await take(sink)
+        while isinstance(last, Part):
+            last = await take(sink)
+        self.assertThat(
+            last, Equals(AttemptBroken("r1", 1, sent=True, reason="the link was closed"))
+        )
+        await site.until(lambda: not site.engine._runs)
+
+    @on_loopback
+    async def test_closed_link_is_not_used_again(self, site):
+        """Guards against a channel that reconnects by itself after it was closed."""
+        request = completion("r1", deadline=site.clock.seconds() + 60)
+        link, attempt = await attempt_for(site, request)
+        link.close()
+        accepted = site.relay.accepted
+        sink = Inbox()
+        link.submit(attempt, sink)
+        self.assertThat((await take(sink)).sent, Is(False))
+        loop = asyncio.get_running_loop()
+        for call in (link.probe(), link.exchange_configuration(b"")):
+            with self.assertRaises(LinkBrokenError):
+                await call.asFuture(loop)
+        self.assertThat(site.relay.accepted, Equals(accepted))
+
+    @on_loopback
+    async def test_cancel_stops_the_engine(self, site):
+        """Guards against an engine that generates for a caller who has gone."""
+        request = completion("r1", deadline=site.clock.seconds() + 60, tokens=500)
+        link, attempt = await attempt_for(site, request)
+        sink = Inbox()
+        link.submit(attempt, sink)
+        await take(sink)
+        link.cancel("r1", 1)
+        await site.until(lambda: not site.engine._runs)
+        self.assertThat(link.running, HasLength(0))
+        link.close()
+
+    @on_loopback
+    async def test_refused_connection_is_not_sent(self, site):
+        """Guards against "unknown" for work that no agent can have seen."""
+        request = completion("r1", deadline=site.clock.seconds() + 60)
+        link, attempt = await attempt_for(site, request)
+        link.close()
+        site.relay.stop()
+        link = site.entry.env.require(LinkFactory).open(site.instance)
+        sink = Inbox()
+        link.submit(attempt, sink)
+        self.assertThat((await take(sink)).sent, Is(False))
+        link.close()
