--- a/tests/test_entry_faults.py
+++ b/tests/test_entry_faults.py
@@ -10,7 +10,7 @@
 from chivewall.configuration import default_configuration
 from chivewall.decisions.membership import MemberState
 from chivewall.events import Event
-from chivewall.messages import Abandon, ConfigurationSeen
+from chivewall.messages import Abandon, ConfigurationSeen, EndpointSilent
 from chivewall.plugins.builtin.configuration import ConfigurationKeeper
 from chivewall.plugins.builtin.directory import Directory
 from chivewall.plugins.builtin.dispatch import Dispatcher
@@ -93,6 +93,21 @@
         self.assertThat(self.state(busy), Equals(MemberState.LIVE))
         self.assert_nothing_left()
 
+    def test_silence_closes_only_the_connection_that_carried_the_attempt(self):
+        """Guards against a silent connection kept until a probe, and its successor closed."""
+        self.site.serve("entry-1", completion("r1", deadline=90, tokens=2000))
+        self.run_for(1)
+        busy = self.busy()
+        first = self.directory.links[busy]
+        silent = EndpointSilent(endpoint=busy, reason="no part", key=("r1", 1))
+        self.directory.tell(silent)
+        self.assertThat(first.closed, Is(True))
+        self.run_for(2)
+        second = self.directory.links[busy]
+        self.directory.carriers["r1", 1] = first
+        self.directory.tell(silent)
+        self.assertThat(second.closed, Is(False))
+
     def test_partitions_in_each_direction(self):
         """Guards against a request that hangs when messages are lost in one direction."""
         for direction in ("requests_cut", "answers_cut"):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -115,6 +115,14 @@
         self.assertThat([one.gone for one in changes], Equals([True]))
         self.assertThat(fleet.members.keys(), Equals({"e1", "e2"}))
 
+    def test_empty_list_drops_no_suspect(self):
+        """Guards against suspects forgotten during an outage of the list."""
+        fleet = live_fleet(3)
+        fleet.count_failure("e0", now=1.0, silent=True)
+        for now in (2.0, 4.0, 6.0):
+            self.assertThat(fleet.merge_list((), now=now), Equals([]))
+        self.assertThat(fleet.members.keys(), Equals({"e0", "e1", "e2"}))
+
     def test_replaced_instance_starts_afresh(self):
         """Guards against the report of an earlier instance used for its replacement."""
         fleet = live_fleet(3)
