Move the attempts of a request into a state machine

Cause: whether an attempt is out, a retry waits or the request is over was spread over four fields of the task, and nothing prevented a second end.

--- a/chivewall/plugins/builtin/request_task.py
+++ b/chivewall/plugins/builtin/request_task.py
@@ -5,12 +5,12 @@
 from attrs import define, evolve, frozen
 from twisted.internet.interfaces import IDelayedCall
 
+from chivewall.decisions.attempts import Phase, RequestProgress
 from chivewall.decisions.retries import (
     Cost,
     Failure,
     GiveUp,
     Retry,
-    RunLedger,
     asks_to_wait,
     decide,
     unknown_outcome,
@@ -38,7 +38,6 @@
 from chivewall.task import Query, Task
 from chivewall.work import Attempt, End, Part, PartBody, Refusal, Request, Tokens, Waiting
 
-SILENCE_SECONDS = 3.0  # agents send a part at least every second
 WATCH_SECONDS = 0.5  # between checks for silence and the deadline
 TRY = Tick("try")
 CHECK = Tick("check")
@@ -75,14 +74,8 @@
         self.sink = serve.sink
         self.stream = AnswerStream(request_id=self.request.id)
         self.route: Route | None = None
-        self.attempts = 0
-        self.tries = 0  # attempts and searches that found no endpoint
-        self.heard_at = 0.0  # when the last part of this attempt arrived
-        self.excluded: set[str] = set()
-        self.refusal: Refusal | None = None  # the last one of an endpoint, until a wait
-        self.ledger = RunLedger()
+        self.progress = RequestProgress()
         self.parts_sent = 0
-        self.over = False
         self.timer: IDelayedCall | None = None
         self.retry_timer: IDelayedCall | None = None
 
@@ -105,20 +98,20 @@
 
     @receive.register
     async def _(self, message: Tick) -> None:
-        if self.over:
+        if self.progress.over:
             return
         if message == TRY:
             await self._try()
             return
         await self._check()
-        if not self.over:
+        if not self.progress.over:
             self._watch()
 
     @receive.register
     async def _(self, message: Part) -> None:
         if message.report is not None:
             self.directory.tell(ReportSeen(message.report))
-        if self.over or self.route is None:
+        if self.progress.phase is not Phase.OUT:
             return
         if _is_duplicate_notice(message):
             return  # the attempt itself arrived as well; its parts follow
@@ -129,7 +122,7 @@
         if verdict is Verdict.BROKEN:
             await self._fail(unknown_outcome(self.request, "parts of the answer are missing"))
             return
-        self.heard_at = self.env.now
+        self.progress.heard_at = self.env.now
         if isinstance(part.body, Refusal):
             await self._fail(part.body, failed=part.body.code is ResultCode.ENDPOINT_FAILED)
         elif not isinstance(part.body, Waiting):
@@ -137,7 +130,7 @@
 
     @receive.register
     async def _(self, message: AttemptBroken) -> None:
-        if self.over or self.route is None or message.attempt != self.attempts:
+        if not self.progress.expects(message.attempt):
             return
         if message.sent:
             refusal = unknown_outcome(self.request, message.reason)
@@ -154,10 +147,9 @@
         self._interrupt(ResultCode.DRAINING, "this entry stops")
 
     async def _try(self) -> None:
-        self.tries += 1
-        query = ChooseRoute(request=self.request, excluded=frozenset(self.excluded))
+        refusal = self.progress.search()
+        query = ChooseRoute(request=self.request, excluded=frozenset(self.progress.excluded))
         route = await self.directory.ask(query)
-        refusal, self.refusal = self.refusal, None
         if route is not None and route.reused and asks_to_wait(refusal):
             self._wait_or_end(refusal)
             return
@@ -170,18 +162,16 @@
             )
             await self._decide(Failure(endpoint=None, refusal=refusal))
             return
-        self.attempts += 1
         self.route = route
-        self.heard_at = self.env.now
-        self.stream.begin(self.attempts)
+        number = self.progress.send(self.env.now)
+        self.stream.begin(number)
         attempt = Attempt(
             request=self.request,
-            number=self.attempts,
+            number=number,
             endpoint=route.endpoint,
             incarnation=route.incarnation,
             delivered=tuple(self.stream.delivered),
         )
-        self.ledger.sent(self.attempts)
         self.directory.tell(AttemptSent(route=route, attempt=attempt))
         self.directory.tell(SubmitAttempt(attempt=attempt, sink=self.inbox))
 
@@ -189,13 +179,13 @@
         now = self.env.now
         if now >= self.request.deadline:
             await self._miss_deadline()
-        elif self.route is not None and now - self.heard_at >= SILENCE_SECONDS:
+        elif self.progress.silent(now):
             self.directory.tell(
                 EndpointSilent(
                     endpoint=self.route.endpoint,
                     reason="no part in time",
                     incarnation=self.route.incarnation,
-                    key=(self.request.id, self.attempts),
+                    key=(self.request.id, self.progress.attempt),
                 )
             )
             await self._fail(unknown_outcome(self.request, "the agent went silent"))
@@ -206,7 +196,7 @@
         self.timer = self.env.clock.callLater(delay, self.tell, CHECK)
 
     async def _miss_deadline(self) -> None:
-        run = self.ledger.run  # an attempt that is still out may have run
+        run = self.progress.ledger.run  # an attempt that is still out may have run
         self._cancel_attempt(failed=False)
         self._end_with(
             Refusal(code=ResultCode.DEADLINE_MISSED, message="the deadline passed", run=run)
@@ -217,21 +207,20 @@
         self.env.log.emit(
             Event.ATTEMPT_FAILED,
             request=self.request.id,
-            attempt=self.attempts,
+            attempt=self.progress.attempt,
             endpoint=endpoint,
             code=refusal.code.name,
             run=refusal.run.value,
             reason=refusal.message,
         )
-        self.ledger.ended(self.attempts, refusal.run)
-        if refusal.code is not ResultCode.IN_PROGRESS:
-            self.excluded.add(endpoint)
-            self.refusal = refusal
+        self.progress.fail(endpoint, refusal)
         self._cancel_attempt(failed=failed)
         await self._decide(Failure(endpoint=endpoint, refusal=refusal))
 
     async def _decide(self, failure: Failure) -> None:
-        decision = decide(self.request, failure, self.ledger, self.tries, self.env.now)
+        decision = decide(
+            self.request, failure, self.progress.ledger, self.progress.tries, self.env.now
+        )
         if isinstance(decision, GiveUp):
             self._end_with(decision.refusal)
         elif decision.cost is Cost.FREE or await self.dispatcher.ask(SpendRetry(self.request)):
@@ -245,39 +234,39 @@
         if wait is None:
             self._end_with(evolve(refusal, code=code or refusal.code))
             return
-        self.excluded.clear()
-        self._schedule(wait)
+        self._schedule(wait, forget=True)
 
-    def _schedule(self, retry: Retry) -> None:
+    def _schedule(self, retry: Retry, *, forget: bool = False) -> None:
+        self.progress.wait(forget=forget)
         self.env.log.emit(
             Event.RETRY_DECIDED,
             request=self.request.id,
-            attempt=self.attempts,
+            attempt=self.progress.attempt,
             reason=retry.reason,
-            excluded=sorted(self.excluded),
+            excluded=sorted(self.progress.excluded),
         )
         delay = max(0.0, retry.at - self.env.now)
         self.retry_timer = self.env.clock.callLater(delay, self.tell, TRY)
 
     def _interrupt(self, code: ResultCode, message: str) -> None:
-        if self.over:
+        if self.progress.over:
             return
-        run = self.ledger.run
+        run = self.progress.ledger.run
         self._cancel_attempt(failed=False)
         self._end_with(Refusal(code=code, message=message, run=run))
 
     def _forward(self, body: PartBody) -> None:
-        self._put(body)
         if isinstance(body, End):
             self.directory.tell(OutputSeen(self.request, body.completion_tokens))
-        if not isinstance(body, Tokens):
+        if isinstance(body, Tokens):
+            self._put(body)
+        else:
             self._cancel_attempt(failed=False)
-            self._finish("complete" if not isinstance(body, End) else body.finish_reason)
+            self._finish(body, "complete" if not isinstance(body, End) else body.finish_reason)
 
     def _end_with(self, refusal: Refusal) -> None:
-        refusal = self.ledger.truthful(refusal)
-        self._put(refusal)
-        self._finish(refusal.code.name)
+        refusal = self.progress.ledger.truthful(refusal)
+        self._finish(refusal, refusal.code.name)
 
     def _put(self, body: PartBody) -> None:
         self.sink.put(Part(self.request.id, attempt=0, seq=self.parts_sent, body=body))
@@ -288,25 +277,26 @@
             return
         endpoint, incarnation = self.route.endpoint, self.route.incarnation
         self.route = None
-        self.directory.tell(CancelAttempt(self.request.id, self.attempts, endpoint))
+        self.directory.tell(CancelAttempt(self.request.id, self.progress.attempt, endpoint))
         self.directory.tell(
             AttemptEnded(
                 self.request.id,
-                self.attempts,
+                self.progress.attempt,
                 endpoint=endpoint,
                 failed=failed,
                 incarnation=incarnation,
             )
         )
 
-    def _finish(self, outcome: str) -> None:
-        self.over = True
+    def _finish(self, last: PartBody, outcome: str) -> None:
+        self.progress.finish()
+        self._put(last)
         self.env.log.emit(
             Event.REQUEST_ENDED,
             request=self.request.id,
             workspace=self.request.workspace,
             rank=self.request.rank.value,
-            attempts=self.attempts,
+            attempts=self.progress.attempt,
             outcome=outcome,
         )
         self.dispatcher.tell(Served(self.request.id))
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,57 @@
+"""State machine of the attempts of one request."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from testtools import TestCase
+from testtools.matchers import Equals, Is, LessThan
+
+from chivewall.decisions.attempts import SILENCE_SECONDS, Phase, RequestProgress
+from chivewall.results import ResultCode, RunState
+from chivewall.work import Refusal
+
+STEPS = {
+    "search": lambda one, _: one.search(),
+    "send": lambda one, _: one.send(0.0),
+    "fail": lambda one, refusal: one.fail("e", refusal),
+    "wait": lambda one, _: one.wait(),
+    "finish": lambda one, _: one.finish(),
+}
+REFUSALS = st.builds(
+    Refusal,
+    code=st.sampled_from([ResultCode.QUEUE_FULL, ResultCode.IN_PROGRESS]),
+    message=st.just("x"),
+    run=st.sampled_from(list(RunState)),
+)
+
+
+class RequestProgressTest(TestCase):
+    """Guards against attempts that overlap and requests that end twice."""
+
+    def test_silence_counts_only_while_an_attempt_is_out(self):
+        """Guards against a link closed for a request that waits for Retry-After."""
+        progress = RequestProgress()
+        progress.search()
+        self.assertThat(progress.silent(SILENCE_SECONDS), Is(False))
+        progress.send(1.0)
+        self.assertThat(progress.silent(1.0 + SILENCE_SECONDS - 0.1), Is(False))
+        self.assertThat(progress.silent(1.0 + SILENCE_SECONDS), Is(True))
+
+    @settings(max_examples=200, deadline=None, derandomize=True)
+    @given(st.lists(st.tuples(st.sampled_from(sorted(STEPS)), REFUSALS), max_size=30))
+    def test_ends_once_and_has_one_attempt_out(self, steps):
+        """Guards against a second last part and a second attempt beside the first."""
+        progress, ended, out = RequestProgress(), 0, 0
+        for name, refusal in steps:
+            before = progress.phase
+            try:
+                STEPS[name](progress, refusal)
+            except ValueError:
+                self.assertThat(progress.phase, Equals(before))
+                continue
+            ended += name == "finish"
+            out += (name == "send") - (name == "fail")
+            self.assertThat(out, LessThan(2))
+            self.assertThat(ended, LessThan(2))
+            self.assertThat(progress.over, Equals(ended == 1))
+            if progress.phase is Phase.OUT:
+                self.assertThat(progress.ledger.run, Equals(RunState.UNKNOWN))
