Test a paused agent and a claim in progress at the entry

Cause: no test covered an agent that resumes with late parts, nor a keyed call that is asked again until its outcome without spending the budget.

Both pass without a change to the code.

--- a/tests/test_entry_faults.py
+++ b/tests/test_entry_faults.py
@@ -126,6 +126,29 @@
             self.assertThat(self.state(busy), Equals(MemberState.LIVE))
             self.assert_nothing_left()
 
+    def test_paused_agent_is_readmitted(self):
+        """Guards against late parts taken for those of the new attempt, and lost capacity."""
+        request = completion("r1", deadline=60, tokens=300)
+        sink = self.site.serve("entry-1", request)
+        self.run_for(1)
+        busy = self.busy()
+        agent = self.site.links.agents[busy]
+        handle, held = agent.receive, []
+
+        async def hold(message):
+            held.append(message)
+
+        agent.receive = hold
+        self.run_for(8)
+        self.assertThat(self.state(busy), Equals(MemberState.SUSPECT))
+        agent.receive = handle
+        for message in held:
+            agent.tell(message)
+        self.run_for(30)
+        self.assert_whole(request, sink)
+        self.assertThat(self.state(busy), Equals(MemberState.LIVE))
+        self.assert_nothing_left()
+
     def test_duplicated_submit_doesnt_fail_the_request(self):
         """Guards against the refusal of a duplicate taken for the answer."""
         for fault in self.site.links.faults.values():
--- a/tests/test_request_task.py
+++ b/tests/test_request_task.py
@@ -174,6 +174,19 @@
 class RequestTaskTest(TestCase):
     """Guards against requests that hang, end twice or lie about what ran."""
 
+    def test_claim_in_progress_is_asked_until_its_outcome(self):
+        """Guards against a keyed call given up, or charged, while another agent runs it."""
+        run = Harness("keyed booking")
+        for _ in range(10):
+            run.step("refuse", ResultCode.IN_PROGRESS, RunState.UNKNOWN)
+            run.step("time", 2.1, None)
+        run.step("finish", None, None)
+        (part,) = drain(run.sink)
+        self.assertThat(part.body.status, Equals(201))
+        self.assertThat(run.dispatcher.retries, Equals(3))
+        self.assertThat({one.attempt.endpoint for one in run.directory.submitted}, Equals({"e1"}))
+        run.task.stop()
+
     @settings(max_examples=500, deadline=None, derandomize=True)
     @given(WORKS, STEPS)
     def test_exactly_one_truthful_last_part(self, kind, steps):
