--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from attrs import define, evolve, field
+from attrs import define, evolve, field, frozen
 from twisted.internet.defer import Deferred, fail, succeed
 from twisted.internet.interfaces import IReactorTime
 
@@ -37,6 +37,10 @@
     report_lag: float = 0.0  # seconds
     down: bool = False
     checks_fence: bool = True
+    priorities: bool = True  # False runs work in the order of arrival
+    seen: set[str] = field(factory=set)  # requests that reached the engine
+    prompt_pieces: int = 0  # full prompt pieces of all work
+    cached_pieces: int = 0  # of those, pieces that the prefix cache held
     orders: list[Order] = field(factory=list)
     model: EngineModel = field(init=False)
     actual: EndpointState = field(init=False)
@@ -54,6 +58,10 @@
             return
         work = attempt.request.work
         self._runs[key] = sink
+        self.seen.add(attempt.request.id)
+        self.prompt_pieces += len(work.prefix_hashes)
+        self.cached_pieces += sum(one in self.model.cache for one in work.prefix_hashes)
+        rank = list(type(attempt.request.rank)).index(attempt.request.rank)
 
         def on_tokens(index: int, texts: tuple[str, ...]) -> None:
             sink.put(RunOutput(*key, Tokens(index=index, texts=texts)))
@@ -67,7 +75,7 @@
             Sequence(
                 id=f"{key[0]}/{key[1]}",
                 work=work,
-                priority=list(type(attempt.request.rank)).index(attempt.request.rank),
+                priority=rank if self.priorities else 0,
                 next_token=attempt.resume_from,
                 on_tokens=on_tokens,
                 on_end=on_end,
@@ -101,7 +109,9 @@
             waiting=len(self.model.waiting),
             parallel=self.speed.parallel,
             prefill_rate=self.speed.prefill_rate,
-            decode_rate=1 / self.speed.step_seconds,
+            decode_rate=1 / self.speed.full_step_seconds,
+            kv_total_tokens=self.speed.kv_tokens,
+            kv_free_tokens=self.model.kv_free,
             cached_prefixes=tuple(self.model.cache),
         )
         return later(self.clock, self.report_lag, seen)
@@ -189,9 +199,13 @@
     rng: random.Random
     agent: Callable[[], Admission | None]
     fault: LinkFault
+    base_delay: float = 0.0  # seconds one way, of the distance
+    base_loss: float = 0.0  # chance that a message needs another 200 ms
     silent: bool = False  # this connection is lost for good; new ones work
     closed: bool = False
     _open: dict[tuple[str, int], Inbox] = field(factory=dict)
+    _answers_at: float = 0.0  # arrival of the last part; one connection keeps the order
+    _requests_at: float = 0.0
 
     def submit(self, attempt: Attempt, sink: Inbox) -> None:
         """See ``AgentLink.submit``."""
@@ -241,7 +255,9 @@
         """Bring a part from the agent to the entry, after the delay."""
         if self.silent or self.closed or self.fault.answers_cut:
             return
-        self.clock.callLater(self._delay(), self._hand_over, key, message)
+        now = self.clock.seconds()
+        self._answers_at = max(self._answers_at, now + self._delay())
+        self.clock.callLater(self._answers_at - now, self._hand_over, key, message)
 
     def _hand_over(self, key: tuple[str, int], message: Any) -> None:
         sink = self._open.get(key)
@@ -253,7 +269,9 @@
 
     def _send(self, function: Callable[..., Any], *args: Any) -> None:
         if not (self.silent or self.closed or self.fault.requests_cut):
-            self.clock.callLater(self._delay(), function, *args)
+            now = self.clock.seconds()
+            self._requests_at = max(self._requests_at, now + self._delay())
+            self.clock.callLater(self._requests_at - now, function, *args)
 
     def _arrive(self, admission: Admission, arrival: Arrive) -> None:
         if admission.running:
@@ -271,8 +289,8 @@
             reply.errback(LinkBrokenError("probe timed out"))
 
     def _delay(self) -> float:
-        delay = self.fault.delay + self.rng.uniform(0, self.fault.jitter)
-        while self.rng.random() < self.fault.loss:
+        delay = self.base_delay + self.fault.delay + self.rng.uniform(0, self.fault.jitter)
+        while self.rng.random() < max(self.base_loss, self.fault.loss):
             delay += 0.2
         return delay
 
@@ -299,7 +317,9 @@
     faults: dict[str, LinkFault] = field(factory=dict)
     opened: list[LocalLink] = field(factory=list)
 
-    def open(self, instance: Instance) -> LocalLink:
+    def open(
+        self, instance: Instance, base_delay: float = 0.0, base_loss: float = 0.0
+    ) -> LocalLink:
         """See ``LinkFactory.open``."""
         fault = self.faults.setdefault(instance.name, LinkFault())
         link = LocalLink(
@@ -307,11 +327,34 @@
             rng=self.rng,
             agent=lambda: self.agents.get(instance.name),
             fault=fault,
+            base_delay=base_delay,
+            base_loss=base_loss,
         )
         self.opened.append(link)
         return link
 
 
+@frozen
+class Distance:
+    """A direct path between two data centres."""
+
+    delay: float = 0.0  # seconds one way
+    loss: float = 0.0  # chance that a message needs another 200 ms
+
+
+@define(eq=False)
+class PlacedLinks:
+    """Implements ``LinkFactory`` for one entry, with the distances from its data centre."""
+
+    links: LocalLinks
+    distance: Callable[[str], Distance]
+
+    def open(self, instance: Instance) -> LocalLink:
+        """See ``LinkFactory.open``."""
+        path = self.distance(instance.data_centre)
+        return self.links.open(instance, base_delay=path.delay, base_loss=path.loss)
+
+
 def later(clock: IReactorTime, delay: float, value: object) -> Deferred:
     """Return a Deferred that fires with a value after a delay."""
     if delay <= 0:
--- a/bench/site.py
+++ b/bench/site.py
@@ -2,12 +2,13 @@
 
 import io
 import random
+from collections.abc import Callable
 
 from attrs import define, field
 from twisted.internet.defer import ensureDeferred
 
 from bench.clock import VirtualClock
-from bench.fakes import EngineEndpoint, LocalLinks, ServiceEndpoint
+from bench.fakes import Distance, EngineEndpoint, LocalLinks, PlacedLinks, ServiceEndpoint
 from chivewall.configuration import Configuration, default_configuration
 from chivewall.environment import Environment
 from chivewall.events import EventLog
@@ -53,6 +54,7 @@
     """
 
     seed: int = 0
+    distance: Callable[[str, str], Distance] = lambda _one, _other: Distance()
     configuration: Configuration = field(factory=default_configuration)
     clock: VirtualClock = field(factory=VirtualClock)
     rng: random.Random = field(init=False)
@@ -85,7 +87,8 @@
     def add_entry(self, name: str, data_centre: str) -> Application:
         """Add an entry."""
         env = self._environment(name, data_centre, Role.ENTRY, ENTRY_PLUGINS, {})
-        env.provide(LinkFactory, self.links)
+        links = PlacedLinks(self.links, lambda other: self.distance(data_centre, other))
+        env.provide(LinkFactory, links)
         return self._start(name, env)
 
     def start_agent(self, name: str) -> Application:
