Add the bench: scenarios, policies, measures and targets on a virtual clock

Cause: no figure showed whether the decisions help, and nothing compared them with a naive system. Real entry and agent tasks now run eight scenarios at the sizes of both sites; policies replace decisions from outside. The endpoints are the witnesses of wrong answers, false refusals and calls that ran twice.

--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,9 @@
 	PATH=$(abspath $(BIN)):$$PATH $(BIN)/python -m grpc_tools.protoc -I. \
 	  --python_out=. --grpclib_python_out=. chivewall/wire/chivewall.proto
 
+bench: $(VENV)/.installed  ## compares policies on a virtual clock; QUICK=1 takes one seed
+	@QUICK=$(QUICK) $(BIN)/python -m bench
+
 clean:
 	rm -rf $(VENV) build .pytest_cache .ruff_cache .hypothesis
 
--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,110 @@
+"""``make bench``: compares policies on the virtual clock."""
+
+import gc
+import multiprocessing
+import os
+import sys
+import time
+from pathlib import Path
+
+from attrs import frozen
+
+from bench import report
+from bench.experiment import run
+from bench.measures import CellResult, measure
+from bench.policies import CHIVEWALL, NAIVE, POLICIES, Policy
+from bench.workload import SCENARIOS, SITES, arrivals
+
+PROCESSES = 6
+GC_THRESHOLD = 100_000  # the default of 700 objects makes collection a large part of a run
+FULL_SEEDS = (1, 2, 3)
+QUICK_SEEDS = (1,)
+# An ablation runs where its decision matters; all scenarios would exceed the time limit.
+ABLATION_SCENARIOS = {
+    "no-shares": ("flood-urgent",),
+    "no-early-refusal": ("flood-urgent",),
+    "no-retry-budget": ("changes", "flood-urgent"),
+}
+DEFAULT_ABLATION_SCENARIOS = ("swings",)
+
+
+@frozen
+class Cell:
+    """One experiment to run; values are positions, which are cheap to send to a process."""
+
+    site: int
+    scenario: int
+    policy: int
+    seed: int
+
+    @property
+    def weight(self) -> float:
+        """Return a number that grows with the time that the experiment takes."""
+        scenario = SCENARIOS[self.scenario]
+        return SITES[self.site].engines * (scenario.seconds + 100 * len(scenario.floods))
+
+
+def main() -> int:
+    """Run all experiments; misses are reported and don't change the exit status."""
+    quick = os.environ.get("QUICK", "") not in ("", "0")
+    seeds = QUICK_SEEDS if quick else FULL_SEEDS
+    started = time.monotonic()
+    cells = sorted(plan(seeds), key=lambda one: -one.weight)
+    collected: dict[tuple[int, int, int], CellResult] = {}
+    with multiprocessing.Pool(PROCESSES) as pool:
+        for done, (cell, result) in enumerate(pool.imap_unordered(run_cell, cells), start=1):
+            key = (cell.site, cell.scenario, cell.policy)
+            if key in collected:
+                collected[key].add(result)
+            else:
+                collected[key] = result
+            show_progress(done, len(cells))
+    results = {(one.site, one.scenario, one.policy): one for _, one in sorted(collected.items())}
+    found = report.targets(results, len(seeds))
+    report.print_cells(results)
+    report.print_ranks(results)
+    report.print_targets(found)
+    report.write_json(Path("build/bench.json"), results, found, len(seeds))
+    report.plot(Path("docs"), results)
+    print(f"\n{len(cells)} experiments, {len(seeds)} seeds, {time.monotonic() - started:.0f} s")
+    met = sum(one.met for one in found)
+    print(f"bench: {met} targets met, {len(found) - met} missed")
+    return 0
+
+
+def plan(seeds: tuple[int, ...]) -> list[Cell]:
+    """Return the experiments of a run."""
+    return [
+        Cell(site=site, scenario=scenario, policy=policy, seed=seed)
+        for site in range(len(SITES))
+        for scenario, details in enumerate(SCENARIOS)
+        for policy, choice in enumerate(POLICIES)
+        for seed in seeds
+        if covers(choice, details.name)
+    ]
+
+
+def covers(policy: Policy, scenario: str) -> bool:
+    """Return whether a policy runs in a scenario."""
+    if policy in (CHIVEWALL, NAIVE):
+        return True
+    return scenario in ABLATION_SCENARIOS.get(policy.name, DEFAULT_ABLATION_SCENARIOS)
+
+
+def run_cell(cell: Cell) -> tuple[Cell, CellResult]:
+    """Run one experiment in a worker process."""
+    gc.set_threshold(GC_THRESHOLD)
+    spec, scenario = SITES[cell.site], SCENARIOS[cell.scenario]
+    work = arrivals(spec, scenario, cell.seed)
+    return cell, measure(run(spec, scenario, POLICIES[cell.policy], work, cell.seed))
+
+
+def show_progress(done: int, total: int) -> None:
+    """Show how many experiments are done on a terminal line."""
+    if sys.stderr.isatty() or done in (total // 4, total // 2, total):
+        end = "\n" if done == total or not sys.stderr.isatty() else "\r"
+        print(f"{done}/{total} experiments", end=end, file=sys.stderr, flush=True)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/bench/clock.py
+++ b/bench/clock.py
@@ -17,16 +17,12 @@
     """A timer of the virtual clock."""
 
     time: float
-    order: int
     function: Callable[..., Any]
     args: tuple[Any, ...]
     kwargs: dict[str, Any]
     called: bool = False
     cancelled: bool = False
 
-    def __lt__(self, other: "VirtualCall") -> bool:
-        return (self.time, self.order) < (other.time, other.order)
-
     def getTime(self) -> float:  # noqa: N802 - name of the interface
         """Return when the timer fires."""
         return self.time
@@ -54,7 +50,7 @@
     """
 
     now: float = 0.0
-    _calls: list[VirtualCall] = field(factory=list)
+    _calls: list[tuple[float, int, VirtualCall]] = field(factory=list)  # a heap
     _order: count = field(factory=count)
 
     def seconds(self) -> float:
@@ -67,22 +63,21 @@
         """Call a function later in virtual time."""
         call = VirtualCall(
             time=self.now + delay,
-            order=next(self._order),
             function=function,
             args=args,
             kwargs=kwargs,
         )
-        heapq.heappush(self._calls, call)
+        heapq.heappush(self._calls, (call.time, next(self._order), call))
         return call
 
     def getDelayedCalls(self) -> list[VirtualCall]:  # noqa: N802 - name of the interface
         """Return the timers that will still fire."""
-        return [one for one in self._calls if one.active()]
+        return [one for _, _, one in self._calls if one.active()]
 
     def run_until(self, deadline: float) -> None:
         """Fire every timer up to ``deadline`` in order, and let that time be now."""
-        while self._calls and self._calls[0].time <= deadline:
-            call = heapq.heappop(self._calls)
+        while self._calls and self._calls[0][0] <= deadline:
+            call = heapq.heappop(self._calls)[2]
             if call.cancelled:
                 continue
             self.now = max(self.now, call.time)
--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -22,7 +22,7 @@
 from chivewall.plugins.builtin.admission import Admission, ReportLoad
 from chivewall.standins.engine import EngineModel, EngineSpeed, Sequence
 from chivewall.task import Inbox
-from chivewall.work import Answer, Attempt, End, EngineRole, Tokens
+from chivewall.work import Answer, Attempt, End, EngineRole, Rank, Tokens
 
 CALL_SECONDS = 0.02  # run time of one service call
 
@@ -41,6 +41,7 @@
     seen: set[str] = field(factory=set)  # requests that reached the engine
     prompt_pieces: int = 0  # full prompt pieces of all work
     cached_pieces: int = 0  # of those, pieces that the prefix cache held
+    generated: Counter[Rank] = field(factory=Counter)  # tokens
     orders: list[Order] = field(factory=list)
     model: EngineModel = field(init=False)
     actual: EndpointState = field(init=False)
@@ -64,6 +65,7 @@
         rank = list(type(attempt.request.rank)).index(attempt.request.rank)
 
         def on_tokens(index: int, texts: tuple[str, ...]) -> None:
+            self.generated[attempt.request.rank] += len(texts)
             sink.put(RunOutput(*key, Tokens(index=index, texts=texts)))
 
         def on_end(count: int) -> None:
@@ -137,6 +139,7 @@
     name: str
     parallel: int = 16
     runs: Counter[bytes] = field(factory=Counter)
+    seen: set[str] = field(factory=set)  # requests that reached the service
     down: bool = False
     fail_after_run: bool = False  # run the action and lose its answer
     running: int = 0
@@ -148,6 +151,7 @@
             sink.put(RunFailed(*key, reached=False, reason="the service is down"))
             return
         self.running += 1
+        self.seen.add(attempt.request.id)
         self.clock.callLater(CALL_SECONDS, self._finish, attempt, sink)
 
     def cancel(self, request_id: str, attempt: int) -> None:
--- a/bench/site.py
+++ b/bench/site.py
@@ -62,6 +62,7 @@
     links: LocalLinks = field(init=False)
     apps: dict[str, Application] = field(factory=dict)
     endpoints: dict[str, EngineEndpoint | ServiceEndpoint] = field(factory=dict)
+    all_endpoints: list[EngineEndpoint | ServiceEndpoint] = field(factory=list)
     log: EventLog = field(factory=QuietLog)
 
     def __attrs_post_init__(self) -> None:
@@ -117,9 +118,13 @@
     def serve(self, entry: str, request: Request) -> Inbox:
         """Give a request to an entry; its parts arrive in the returned inbox."""
         sink = Inbox()
+        self.serve_into(entry, request, sink)
+        return sink
+
+    def serve_into(self, entry: str, request: Request, sink: Inbox) -> None:
+        """Give a request to an entry with the sink of its parts."""
         dispatcher = self.apps[entry].env.require(Dispatcher)
         dispatcher.tell(Serve(request=request, sink=sink))
-        return sink
 
     def _add_agent(
         self,
@@ -134,6 +139,7 @@
         )
         self.store.instance_list = (*self.store.instance_list, instance)
         self.endpoints[name] = endpoint
+        self.all_endpoints.append(endpoint)
         self.start_agent(name)
 
     def _environment(
