--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,9 @@
 bench: $(VENV)/.installed  ## compares policies on a virtual clock; QUICK=1 takes one seed
 	@QUICK=$(QUICK) $(BIN)/python -m bench
 
+bench-cost: $(VENV)/.installed  ## what entry and agent add to a direct call
+	@$(BIN)/python -m bench.cost
+
 clean:
 	rm -rf $(VENV) build .pytest_cache .ruff_cache .hypothesis
 
