--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,9 @@
 bench-cost: $(VENV)/.installed  ## what entry and agent add to a direct call
 	@$(BIN)/python -m bench.cost
 
+bench-capacity: $(VENV)/.installed  ## CPU and memory slopes of an entry and an agent
+	@$(BIN)/python -m bench.capacity
+
 clean:
 	rm -rf $(VENV) build .pytest_cache .ruff_cache .hypothesis
 
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -65,7 +65,7 @@
     report.print_ranks(results)
     report.print_targets(found)
     report.write_json(Path("build/bench.json"), results, found, len(seeds))
-    report.plot(Path("docs"), results)
+    report.plot(Path("build" if quick else "docs"), results)  # docs/ shows full runs
     print(f"\n{len(cells)} experiments, {len(seeds)} seeds, {time.monotonic() - started:.0f} s")
     met = sum(one.met for one in found)
     print(f"bench: {met} targets met, {len(found) - met} missed")
--- a/bench/memory.py
+++ b/bench/memory.py
@@ -10,6 +10,7 @@
 from chivewall.configuration import LimitName, LimitOverride, default_configuration
 from chivewall.decisions.membership import Fleet, Member
 from chivewall.interfaces import Instance, InstanceKind
+from chivewall.standins.engine import EngineSpeed
 from chivewall.work import Completion, LoadReport, Message, Rank, Request
 
 COUNT = 500  # things of each kind
@@ -48,12 +49,13 @@
 
 
 def measure_memory() -> dict[str, float]:
-    """Return bytes for each endpoint, instance, exception and open stream."""
+    """Return bytes for each endpoint, instance, exception, running stream and queued attempt."""
     return {
         "endpoint": held(_endpoints),
         "instance": held(_instances),
         "exception": held(_exceptions),
-        "stream": _stream_bytes(),
+        "stream": _attempt_bytes(parallel=COUNT),
+        "queued": _attempt_bytes(parallel=1),
     }
 
 
@@ -88,19 +90,20 @@
     return evolve(default_configuration(), exceptions=overrides)
 
 
-def _stream_bytes() -> float:
+def _attempt_bytes(parallel: int) -> float:
     site = Site(seed=1)
-    site.add_engine("engine-1", "Mombasa", targets=("m",))
+    speed = EngineSpeed(parallel=parallel, kv_tokens=COUNT * 1000)
+    site.add_engine("engine-1", "Mombasa", targets=("m",), speed=speed)
     site.add_entry("entry-1", "Mombasa")
     site.settle()
-    return held(lambda: _open_streams(site))
+    return held(lambda: _send_requests(site))
 
 
-def _open_streams(site: Site) -> Site:
+def _send_requests(site: Site) -> Site:
     for place in range(COUNT):
-        work = Completion("m", (Message("user", "hello"),), prompt_tokens=100, max_tokens=2000)
+        work = Completion("m", (Message("user", "hello"),), prompt_tokens=100, max_tokens=50)
         deadline = site.clock.now + STREAM_DEADLINE
         request = Request(f"r{place}", "w", Rank.STANDARD, deadline=deadline, work=work)
         site.serve("entry-1", request)
-    site.clock.run_until(site.clock.now + 1.0)
+    site.clock.run_until(site.clock.now + 0.5)
     return site
