--- a/bench/site.py
+++ b/bench/site.py
@@ -2,12 +2,13 @@
 
 import io
 import random
+from collections.abc import Callable
 
 from attrs import define, field
 from twisted.internet.defer import ensureDeferred
 
 from bench.clock import VirtualClock
-from bench.fakes import EngineEndpoint, LocalLinks, ServiceEndpoint
+from bench.fakes import Distance, EngineEndpoint, LocalLinks, PlacedLinks, ServiceEndpoint
 from chivewall.configuration import Configuration, default_configuration
 from chivewall.environment import Environment
 from chivewall.events import EventLog
@@ -55,6 +56,7 @@
     """
 
     seed: int = 0
+    distance: Callable[[str, str], Distance] = lambda _one, _other: Distance()
     configuration: Configuration = field(factory=default_configuration)
     clock: VirtualClock = field(factory=VirtualClock)
     rng: random.Random = field(init=False)
@@ -63,6 +65,7 @@
     apps: dict[str, Application] = field(factory=dict)
     endpoints: dict[str, EngineEndpoint | ServiceEndpoint] = field(factory=dict)
     extra_plugins: dict[str, tuple[str, ...]] = field(factory=dict)  # of agents, by name
+    all_endpoints: list[EngineEndpoint | ServiceEndpoint] = field(factory=list)
     log: EventLog = field(factory=QuietLog)
     sections: dict[str, dict[str, object]] = field(factory=dict)  # more settings by agent
     make_store: type[MemoryStore] = MemoryStore
@@ -100,7 +103,8 @@
         """Add an entry."""
         plugins = (*ENTRY_PLUGINS, *extra_plugins)
         env = self._environment(name, data_centre, Role.ENTRY, plugins, {})
-        env.provide(LinkFactory, self.links)
+        links = PlacedLinks(self.links, lambda other: self.distance(data_centre, other))
+        env.provide(LinkFactory, links)
         return self._start(name, env)
 
     def start_agent(self, name: str) -> Application:
@@ -137,9 +141,13 @@
     def serve(self, entry: str, request: Request) -> Inbox:
         """Give a request to an entry; its parts arrive in the returned inbox."""
         sink = Inbox()
+        self.serve_into(entry, request, sink)
+        return sink
+
+    def serve_into(self, entry: str, request: Request, sink: Inbox) -> None:
+        """Give a request to an entry with the sink of its parts."""
         dispatcher = self.apps[entry].env.require(Dispatcher)
         dispatcher.tell(Serve(request=request, sink=sink))
-        return sink
 
     def _add_agent(
         self,
@@ -154,6 +162,7 @@
         )
         self.store.instance_list = (*self.store.instance_list, instance)
         self.endpoints[name] = endpoint
+        self.all_endpoints.append(endpoint)
         self.start_agent(name)
 
     def _environment(
