Add the object API over HTTP: stand-in server and store_http plug-in

Cause: entries and agents in separate processes had no way to the object API. Conclusion: a write without an answer is sent once and reported as of unknown outcome; a read is tried once more on a new connection, so a reused connection that went silent costs one timeout. Twisted's automatic retry is off because it would also repeat a DELETE. An answer whose body stalls times out, but its connection stays open until the peer closes it.

--- /dev/null
+++ b/chivewall/plugins/builtin/store_http.py
@@ -0,0 +1,217 @@
+"""The platform's object API over HTTP."""
+
+import base64
+import json
+from typing import Any
+from urllib.parse import quote
+
+import cattrs
+from attrs import field, frozen, validators
+from treq.client import HTTPClient
+from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
+from twisted.internet.defer import TimeoutError as DeferredTimeoutError
+from twisted.web.client import Agent, HTTPConnectionPool
+
+from chivewall.environment import Environment
+from chivewall.errors import (
+    ObjectMissingError,
+    ObjectTooLargeError,
+    StoreError,
+    StoreThrottledError,
+    StoreUnavailableError,
+    VersionConflictError,
+)
+from chivewall.interfaces import Instance, ObjectStore, StoredObject
+from chivewall.plugins.base import Plugin
+from chivewall.plugins.registry import Registry
+
+MS_PER_SECOND = 1000
+CONNECT_TIMEOUT = 2.0  # seconds
+IDLE_SECONDS = 30.0  # an idle connection is closed before a network forgets it
+UNCHANGED = 304
+FIRST_ERROR_STATUS = 400
+ERROR_OF_STATUS: dict[int, type[StoreError]] = {
+    404: ObjectMissingError,
+    412: VersionConflictError,
+    413: ObjectTooLargeError,
+    429: StoreThrottledError,
+}
+
+
+@frozen
+class StoreHttpSettings:
+    """Where the object API is."""
+
+    host: str = field(metadata={"help": "IP address of the object API."})
+    port: int = field(
+        validator=[validators.ge(1), validators.le(65535)], metadata={"help": "TCP port."}
+    )
+    timeout_seconds: float = field(
+        default=3.0,
+        validator=validators.gt(0),
+        metadata={"help": "Longest wait for the answer to one call, in seconds."},
+    )
+
+
+@frozen
+class StoreAnswer:
+    """One HTTP answer of the object API."""
+
+    status: int
+    version: int
+    body: bytes
+
+
+class HttpStore:
+    """Implements the ``ObjectStore`` protocol.
+
+    A read that gets no answer is tried once more on a new connection. A write
+    is sent once: without an answer its outcome is unknown.
+    """
+
+    def __init__(self, env: Environment, cfg: StoreHttpSettings) -> None:
+        self.env = env
+        self.cfg = cfg
+        self.base = f"http://{cfg.host}:{cfg.port}"
+        self._connect()
+
+    def get(self, key: str) -> Deferred:
+        """See ``ObjectStore.get``."""
+        return ensureDeferred(self._get(key))
+
+    def list(self, prefix: str) -> Deferred:
+        """See ``ObjectStore.list``."""
+        return ensureDeferred(self._list(prefix))
+
+    def create(self, key: str, value: bytes) -> Deferred:
+        """See ``ObjectStore.create``."""
+        return ensureDeferred(self._put(key, value, {"If-None-Match": "*"}))
+
+    def update(self, key: str, value: bytes, version: int) -> Deferred:
+        """See ``ObjectStore.update``."""
+        return ensureDeferred(self._put(key, value, {"If-Match": str(version)}))
+
+    def delete(self, key: str, version: int) -> Deferred:
+        """See ``ObjectStore.delete``."""
+        return ensureDeferred(self._delete(key, version))
+
+    def watch(self, key: str, after: int, deadline: float) -> Deferred:
+        """See ``ObjectStore.watch``."""
+        return ensureDeferred(self._watch(key, after, deadline))
+
+    def instances(self) -> Deferred:
+        """See ``ObjectStore.instances``."""
+        return ensureDeferred(self._instances())
+
+    def close(self) -> Deferred:
+        """Close idle connections."""
+        return self.pool.closeCachedConnections()
+
+    async def _get(self, key: str) -> StoredObject:
+        answer = await self._read(_path(key))
+        return StoredObject(key=key, value=answer.body, version=answer.version)
+
+    async def _list(self, prefix: str) -> tuple[StoredObject, ...]:
+        answer = await self._read(f"/objects?prefix={quote(prefix, safe='')}")
+        return tuple(
+            StoredObject(
+                key=one["key"], value=base64.b64decode(one["value"]), version=one["version"]
+            )
+            for one in _parse(answer)["objects"]
+        )
+
+    async def _put(self, key: str, value: bytes, condition: dict[str, str]) -> int:
+        answer = await self._call("PUT", _path(key), headers=condition, data=value)
+        return answer.version
+
+    async def _delete(self, key: str, version: int) -> None:
+        await self._call("DELETE", _path(key), headers={"If-Match": str(version)})
+
+    async def _watch(self, key: str, after: int, deadline: float) -> StoredObject | None:
+        wait = max(0.0, deadline - self.env.now)
+        path = f"{_path(key)}?watch={after}&timeout_ms={round(wait * MS_PER_SECOND)}"
+        answer = await self._call("GET", path, extra_seconds=wait)
+        if answer.status == UNCHANGED:
+            return None
+        return StoredObject(key=key, value=answer.body, version=answer.version)
+
+    async def _instances(self) -> tuple[Instance, ...]:
+        answer = await self._read("/instances")
+        return cattrs.structure(_parse(answer)["instances"], tuple[Instance, ...])
+
+    async def _read(self, path: str) -> StoreAnswer:
+        try:
+            return await self._call("GET", path)
+        except StoreUnavailableError:
+            return await self._call("GET", path)
+
+    async def _call(
+        self, method: str, path: str, extra_seconds: float = 0.0, **options: Any
+    ) -> StoreAnswer:
+        exchange = ensureDeferred(self._exchange(method, path, options))
+        exchange.addTimeout(self.cfg.timeout_seconds + extra_seconds, self.env.clock)
+        try:
+            answer = await exchange
+        except CancelledError:
+            raise
+        except Exception as exc:
+            self._reconnect()
+            reason = "no answer in time" if isinstance(exc, DeferredTimeoutError) else exc
+            raise StoreUnavailableError(f"{method} {path} at {self.base}: {reason}") from exc
+        if answer.status >= FIRST_ERROR_STATUS:
+            kind = ERROR_OF_STATUS.get(answer.status, StoreUnavailableError)
+            raise kind(f"{method} {path} at {self.base}: status {answer.status}")
+        return answer
+
+    async def _exchange(self, method: str, path: str, options: dict[str, Any]) -> StoreAnswer:
+        response = await self.client.request(
+            method, f"{self.base}{path}", unbuffered=True, **options
+        )
+        body = await response.content()
+        version = int((response.headers.getRawHeaders("ETag") or ["0"])[0])
+        return StoreAnswer(status=response.code, version=version, body=body)
+
+    def _connect(self) -> None:
+        self.pool = HTTPConnectionPool(self.env.reactor)
+        self.pool.cachedConnectionTimeout = IDLE_SECONDS
+        # Twisted would also send a DELETE again, which hides that the first one took effect.
+        self.pool.retryAutomatically = False
+        agent = Agent(self.env.reactor, connectTimeout=CONNECT_TIMEOUT, pool=self.pool)
+        self.client = HTTPClient(agent)
+
+    def _reconnect(self) -> None:
+        """Leave the pool, since its other idle connections may have gone silent too."""
+        self.pool.closeCachedConnections()
+        self._connect()
+
+
+class HttpStorePlugin(Plugin):
+    """Offers the ``ObjectStore`` of the platform."""
+
+    name = "store_http"
+    settings_type = StoreHttpSettings
+
+    async def setup(self) -> None:
+        """Offer the store."""
+        self.store = HttpStore(self.env, self.cfg)
+        self.env.provide(ObjectStore, self.store)
+
+    async def stop(self) -> None:
+        """Close the connections."""
+        await self.store.close()
+
+
+def register(registry: Registry) -> None:
+    """Register the plug-in."""
+    registry.add(HttpStorePlugin)
+
+
+def _path(key: str) -> str:
+    return f"/objects/{quote(key, safe='/')}"
+
+
+def _parse(answer: StoreAnswer) -> dict[str, Any]:
+    try:
+        return json.loads(answer.body)
+    except ValueError as exc:
+        raise StoreUnavailableError(f"the object API answered no JSON: {exc}") from exc
--- /dev/null
+++ b/chivewall/standins/objects_http.py
@@ -0,0 +1,211 @@
+"""HTTP front of the object API stand-in, with its rates, its size limit and its faults."""
+
+import base64
+import json
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+from weakref import WeakSet
+
+import cattrs
+from attrs import define, evolve, field, frozen
+from klein import Klein
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.task import deferLater
+from twisted.web.server import Request as HttpRequest
+from twisted.web.server import Site
+
+from chivewall.errors import ObjectMissingError, ObjectTooLargeError, VersionConflictError
+from chivewall.interfaces import Instance
+from chivewall.standins.objects import MemoryStore
+
+MS_PER_SECOND = 1000
+THROTTLED = 429
+UNCHANGED = 304
+STATUS_OF_ERROR = {
+    ObjectMissingError: 404,
+    VersionConflictError: 412,
+    ObjectTooLargeError: 413,
+}
+
+
+@frozen
+class Faults:
+    """What is wrong with the stand-in at the moment."""
+
+    down: bool = False  # every connection breaks without an answer
+    delay_ms: float = 0.0  # before a call takes effect
+    lose_responses: int = 0  # the next writes take effect, but their connection breaks
+
+
+@define
+class CallRate:
+    """Token bucket that holds one second's calls."""
+
+    per_second: float
+    tokens: float = field(init=False)
+    filled_at: float = 0.0
+
+    def __attrs_post_init__(self) -> None:
+        self.tokens = self.per_second
+
+    def take(self, now: float) -> bool:
+        """Return whether one more call is within the rate."""
+        refill = (now - self.filled_at) * self.per_second
+        self.tokens = min(self.per_second, self.tokens + refill)
+        self.filled_at = now
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+
+@define(eq=False)
+class ObjectServer:
+    """Serves a ``MemoryStore`` over HTTP and counts each call."""
+
+    store: MemoryStore
+    writes: CallRate = field(factory=lambda: CallRate(per_second=400))
+    reads: CallRate = field(factory=lambda: CallRate(per_second=2000))
+    list_lag: float = 0.0  # seconds by which the instance list is late
+    faults: Faults = field(factory=Faults)
+    calls: Counter[str] = field(factory=Counter)
+    _lists: list[tuple[float, tuple[Instance, ...]]] = field(factory=list)
+    _channels: WeakSet[Any] = field(factory=WeakSet)
+    _silent: WeakSet[Any] = field(factory=WeakSet)
+
+    def site(self) -> Site:
+        """Return the site to listen with."""
+        app = Klein()
+        app.route("/objects", methods=["GET"])(self.list)
+        app.route("/objects/<path:key>", methods=["GET"])(self.get)
+        app.route("/objects/<path:key>", methods=["PUT"])(self.put)
+        app.route("/objects/<path:key>", methods=["DELETE"])(self.delete)
+        app.route("/instances", methods=["GET"])(self.instances)
+        app.route("/faults", methods=["PUT"])(self.put_faults)
+        app.route("/calls", methods=["GET"])(self.show_calls)
+        app.route("/readyz", methods=["GET"])(lambda _self, _http: b"{}")
+        return Site(app.resource())
+
+    def set_instances(self, instances: tuple[Instance, ...]) -> None:
+        """Change the truth; the served list follows after ``list_lag`` seconds."""
+        self._lists.append((self.store.clock.seconds(), instances))
+
+    def silence_connections(self) -> None:
+        """Never again answer on the connections that are open now; new ones work."""
+        self._silent.update(self._channels)
+
+    def set_faults(self, faults: Faults) -> None:
+        """Change the faults; going down breaks waiting watches too."""
+        self.faults = faults
+        if faults.down:
+            for channel in list(self._channels):
+                channel.loseConnection()
+
+    async def get(self, http: HttpRequest, key: str) -> bytes:
+        """Read one object, or wait for a newer version of it."""
+        watched = http.args.get(b"watch")
+        await self._admit(http, "read" if watched is None else "watch", self.reads)
+        if watched is None:
+            return await self._answer(http, lambda: self.store.get(key))
+        timeout_ms = float(http.args[b"timeout_ms"][0])
+        deadline = self.store.clock.seconds() + timeout_ms / MS_PER_SECOND
+        return await self._answer(
+            http, lambda: self.store.watch(key, int(watched[0]), deadline), unless=UNCHANGED
+        )
+
+    async def list(self, http: HttpRequest) -> bytes:
+        """Read all objects whose key has a prefix."""
+        await self._admit(http, "list", self.reads)
+        found = await self.store.list(http.args[b"prefix"][0].decode())
+        objects = [
+            {
+                "key": one.key,
+                "version": one.version,
+                "value": base64.b64encode(one.value).decode(),
+            }
+            for one in found
+        ]
+        return _json(http, {"objects": objects})
+
+    async def put(self, http: HttpRequest, key: str) -> bytes:
+        """Create or update an object under a condition."""
+        await self._admit(http, "write", self.writes)
+        value = http.content.read()
+        version = http.getHeader("If-Match")
+        if version is None:
+            return await self._write(http, lambda: self.store.create(key, value))
+        return await self._write(http, lambda: self.store.update(key, value, int(version)))
+
+    async def delete(self, http: HttpRequest, key: str) -> bytes:
+        """Delete an object under a condition."""
+        await self._admit(http, "write", self.writes)
+        version = int(http.getHeader("If-Match"))
+        return await self._write(http, lambda: self.store.delete(key, version))
+
+    async def instances(self, http: HttpRequest) -> bytes:
+        """Serve the lagging instance list."""
+        await self._admit(http, "instances", self.reads)
+        known_until = self.store.clock.seconds() - self.list_lag
+        while len(self._lists) > 1 and self._lists[1][0] <= known_until:
+            self._lists.pop(0)
+        shown = self._lists[0][1] if self._lists and self._lists[0][0] <= known_until else ()
+        return _json(http, {"instances": cattrs.unstructure(shown)})
+
+    def put_faults(self, http: HttpRequest) -> bytes:
+        """Change the faults from a test in another process."""
+        self.set_faults(cattrs.structure(json.loads(http.content.read()), Faults))
+        return _json(http, {})
+
+    def show_calls(self, http: HttpRequest) -> bytes:
+        """Show how many calls of each kind were made."""
+        return _json(http, dict(self.calls))
+
+    async def _admit(self, http: HttpRequest, kind: str, rate: CallRate) -> None:
+        self._channels.add(http.channel)
+        if http.channel in self._silent:
+            await Deferred()
+        if self.faults.down:
+            await _break(http)
+        self.calls[kind] += 1
+        if not rate.take(self.store.clock.seconds()):
+            http.setResponseCode(THROTTLED)
+            http.finish()
+            raise CancelledError
+        if self.faults.delay_ms:
+            delay = self.faults.delay_ms / MS_PER_SECOND
+            await deferLater(self.store.clock, delay, lambda: None)
+
+    async def _write(self, http: HttpRequest, write: Callable[[], Deferred]) -> bytes:
+        body = await self._answer(http, write)
+        if self.faults.lose_responses:
+            self.faults = evolve(self.faults, lose_responses=self.faults.lose_responses - 1)
+            await _break(http)
+        return body
+
+    async def _answer(
+        self, http: HttpRequest, call: Callable[[], Deferred], unless: int = 200
+    ) -> bytes:
+        try:
+            result = await call()
+        except tuple(STATUS_OF_ERROR) as exc:
+            http.setResponseCode(STATUS_OF_ERROR[type(exc)])
+            return _json(http, {"error": str(exc)})
+        if result is None:
+            http.setResponseCode(unless)
+            return b""
+        if isinstance(result, int):
+            http.setHeader("ETag", str(result))
+            return b""
+        http.setHeader("ETag", str(result.version))
+        return result.value
+
+
+async def _break(http: HttpRequest) -> None:
+    http.loseConnection()
+    await Deferred()  # klein cancels it when the connection has gone
+
+
+def _json(http: HttpRequest, value: dict[str, Any]) -> bytes:
+    http.setHeader("Content-Type", "application/json")
+    return json.dumps(value).encode()
--- /dev/null
+++ b/chivewall/standins/platform.py
@@ -0,0 +1,91 @@
+"""Runs the object API stand-in as a process: ``python -m chivewall.standins.platform SETTINGS``."""
+
+import sys
+from pathlib import Path
+from typing import Any
+
+import click
+import json5
+from attrs import define, field
+from twisted.internet import reactor
+
+from chivewall.configuration import default_configuration, from_document
+from chivewall.errors import ChivewallError, SettingsError
+from chivewall.exits import ExitStatus
+from chivewall.interfaces import Instance, InstanceKind
+from chivewall.plugins.builtin.configuration import seed_configuration
+from chivewall.settings import Checker
+from chivewall.standins.objects import MemoryStore
+from chivewall.standins.objects_http import CallRate, ObjectServer
+
+
+@define
+class PlatformSettings:
+    """What the stand-in serves.
+
+    Example: ``{"port": 9000, "instances": [{"name": "engine-1", "kind": "engine",
+    "data_centre": "Mombasa", "host": "127.0.0.1", "port": 9101, "targets": ["m"]}]}``.
+    """
+
+    port: int
+    host: str = "127.0.0.1"
+    writes_per_second: float = 400.0
+    reads_per_second: float = 2000.0
+    list_lag_seconds: float = 0.0
+    seed_default_configuration: bool = True  # used if no configuration is given
+    instances: tuple[Any, ...] = ()
+    configuration: Any = field(default=None)
+
+
+@click.command()
+@click.argument("settings", type=click.Path(path_type=Path))
+def main(settings: Path) -> None:
+    """Serve the object API and the instance list of a JSON file with comments."""
+    try:
+        server, cfg = build(settings.read_text(encoding="utf-8"), source=str(settings))
+    except (ChivewallError, OSError) as exc:
+        click.echo(str(exc), err=True)
+        sys.exit(ExitStatus.INVALID_SETTINGS)
+    reactor.listenTCP(cfg.port, server.site(), interface=cfg.host)
+    reactor.run()
+
+
+def build(text: str, source: str) -> tuple[ObjectServer, PlatformSettings]:
+    """Return the server that the settings describe; raises ``SettingsError``."""
+    try:
+        raw = json5.loads(text)
+    except ValueError as exc:
+        raise SettingsError(f"{source}: not JSON with comments: {exc}") from exc
+    checker = Checker(source=source, text=text)
+    cfg = checker.structure(raw, PlatformSettings)
+    checker.raise_problems()
+    store = MemoryStore(clock=reactor)
+    if cfg.configuration is not None:
+        seed_configuration(store, from_document(cfg.configuration))
+    elif cfg.seed_default_configuration:
+        seed_configuration(store, default_configuration())
+    server = ObjectServer(
+        store=store,
+        writes=CallRate(per_second=cfg.writes_per_second),
+        reads=CallRate(per_second=cfg.reads_per_second),
+        list_lag=cfg.list_lag_seconds,
+    )
+    server.set_instances(tuple(_read_instance(one, source) for one in cfg.instances))
+    return server, cfg
+
+
+def _read_instance(raw: dict[str, Any], source: str) -> Instance:
+    try:
+        return Instance(
+            **{
+                **raw,
+                "kind": InstanceKind(raw["kind"]),
+                "targets": tuple(raw.get("targets", ())),
+            }
+        )
+    except (KeyError, TypeError, ValueError) as exc:
+        raise SettingsError(f"{source}: instances: {raw!r}: {exc}") from exc
+
+
+if __name__ == "__main__":
+    main()
