--- a/chivewall/standins/objects_http.py
+++ b/chivewall/standins/objects_http.py
@@ -84,7 +84,7 @@
         app.route("/instances", methods=["GET"])(self.instances)
         app.route("/faults", methods=["PUT"])(self.put_faults)
         app.route("/calls", methods=["GET"])(self.show_calls)
-        app.route("/readyz", methods=["GET"])(lambda _self, _http: b"{}")
+        app.route("/readyz", methods=["GET"])(lambda _http: b"{}")
         return Site(app.resource())
 
     def set_instances(self, instances: tuple[Instance, ...]) -> None:
