Add the operators' configuration API: read, check, apply, diff and history

Cause: operators could not change the configuration through an entry. Conclusion: the document's own version is the expected version plus one, so the loser of a race gets 409 with the difference.

--- a/chivewall/errors.py
+++ b/chivewall/errors.py
@@ -63,6 +63,8 @@
 class ObjectTooLargeError(StoreError):
     """The value is larger than the object API takes."""
 
+    code = ResultCode.BODY_TOO_LARGE
+
 
 class EndpointError(ChivewallError):
     """The endpoint failed while it may have been running the work."""
--- a/chivewall/plugins/builtin/configuration.py
+++ b/chivewall/plugins/builtin/configuration.py
@@ -6,6 +6,7 @@
 from attrs import define, field, frozen, validators
 from twisted.internet.defer import Deferred
 
+from chivewall.changes import CONFIGURATION_KEY, Archive, decode_archive, encode_archive
 from chivewall.configuration import Configuration, from_document, to_document
 from chivewall.environment import Environment
 from chivewall.errors import ConfigurationError, ObjectMissingError, StoreError
@@ -16,7 +17,6 @@
 from chivewall.plugins.registry import Registry
 from chivewall.task import Inbox, Query, Task
 
-CONFIGURATION_KEY = "config"
 WATCH_SECONDS = 25.0  # one waiting watch costs the object API one call
 RETRY_FIRST = 0.5  # seconds
 RETRY_LIMIT = 10.0  # seconds; below the 13 s in which a change must be in force
@@ -127,7 +127,7 @@
 
     def _take_stored(self, stored: StoredObject) -> None:
         try:
-            configuration = decode_configuration(stored.value)
+            configuration = decode_archive(stored.value).current
         except ConfigurationError as exc:
             self.env.log.emit(Event.CONFIGURATION_REJECTED, error=str(exc))
             return
@@ -191,4 +191,4 @@
 
 def seed_configuration(store: ObjectStore, configuration: Configuration) -> Deferred:
     """Create the configuration object; fails with ``VersionConflictError`` if there is one."""
-    return store.create(CONFIGURATION_KEY, encode_configuration(configuration))
+    return store.create(CONFIGURATION_KEY, encode_archive(Archive(configuration)))
--- a/chivewall/plugins/builtin/embedded.py
+++ b/chivewall/plugins/builtin/embedded.py
@@ -36,6 +36,7 @@
     "dispatch",
     "caller_http",
     "operator_http",
+    "operator_config",
 )
 AGENT_PLUGINS = ("credentials", "store_memory", "configuration")
 
--- /dev/null
+++ b/chivewall/plugins/builtin/operator_config.py
@@ -0,0 +1,127 @@
+"""The operators' HTTP API for the configuration: read, check, apply, diff and history."""
+
+import json
+from collections.abc import Coroutine
+from typing import Any
+
+from twisted.web.server import Request as HttpRequest
+
+from chivewall.changes import (
+    CONFIGURATION_KEY,
+    Archive,
+    apply_change,
+    decode_archive,
+    difference,
+)
+from chivewall.configuration import Configuration, from_document, to_document
+from chivewall.environment import Environment
+from chivewall.errors import ChivewallError, RequestError, StoreUnavailableError
+from chivewall.events import Event
+from chivewall.interfaces import ObjectStore
+from chivewall.messages import ConfigurationSeen
+from chivewall.plugins.base import Plugin
+from chivewall.plugins.builtin.configuration import ConfigurationKeeper
+from chivewall.plugins.builtin.credentials import Credentials
+from chivewall.plugins.builtin.http_api import HttpApi, write_json
+from chivewall.plugins.builtin.operator_http import authenticate
+from chivewall.plugins.registry import Registry
+from chivewall.results import ResultCode, RunState
+
+
+class OperatorConfig:
+    """Answers operators about the stored configuration."""
+
+    def __init__(self, env: Environment) -> None:
+        self.env = env
+        self.api = env.require(HttpApi)
+        self.credentials = env.require(Credentials)
+        self.store = env.require(ObjectStore)
+        self.keeper = env.require(ConfigurationKeeper)
+
+    def add_routes(self) -> None:
+        """Add the routes to the process's HTTP API."""
+        route = self.api.route
+        route("/operator/config", methods=["GET"])(self.show)
+        route("/operator/config", methods=["PUT"])(self.apply)
+        route("/operator/config/check", methods=["POST"])(self.check)
+        route("/operator/config/diff", methods=["POST"])(self.diff)
+        route("/operator/config/history", methods=["GET"])(self.show_history)
+
+    async def show(self, http: HttpRequest) -> bytes:
+        """Answer with the stored document."""
+        authenticate(self.credentials, http)
+        archive = await _refuse_errors(self._read_archive())
+        return write_json(http, to_document(archive.current))
+
+    async def show_history(self, http: HttpRequest) -> bytes:
+        """Answer with the stored documents, newest first."""
+        authenticate(self.credentials, http)
+        archive = await _refuse_errors(self._read_archive())
+        versions = [to_document(one) for one in (archive.current, *archive.history)]
+        return write_json(http, {"versions": versions})
+
+    async def check(self, http: HttpRequest) -> bytes:
+        """Check a document without applying it."""
+        authenticate(self.credentials, http)
+        await _refuse_errors(self._read_document(http))
+        return write_json(http, {"valid": True})
+
+    async def diff(self, http: HttpRequest) -> bytes:
+        """Compare a document with the stored one."""
+        authenticate(self.credentials, http)
+        document = await _refuse_errors(self._read_document(http))
+        archive = await _refuse_errors(self._read_archive())
+        lines = difference(to_document(archive.current), to_document(document))
+        return write_json(http, {"version": archive.current.version, "difference": lines})
+
+    async def apply(self, http: HttpRequest) -> bytes:
+        """Apply a document whose version is one above the version that it was made from."""
+        authenticate(self.credentials, http)
+        document = await _refuse_errors(self._read_document(http))
+        await _refuse_errors(apply_change(self.store, document))
+        self.keeper.tell(ConfigurationSeen(document, origin="operator"))
+        self.env.log.emit(
+            Event.CONFIGURATION_APPLIED,
+            version=document.version,
+            author=document.author,
+            reason=document.reason,
+        )
+        return write_json(http, {"version": document.version})
+
+    async def _read_archive(self) -> Archive:
+        return decode_archive((await self.store.get(CONFIGURATION_KEY)).value)
+
+    async def _read_document(self, http: HttpRequest) -> Configuration:
+        try:
+            raw = json.loads(self.api.read_body(http))
+        except ValueError as exc:
+            raise RequestError(ResultCode.BAD_JSON, f"the body is not JSON: {exc}") from exc
+        return from_document(raw)
+
+
+class OperatorConfigPlugin(Plugin):
+    """Adds the routes of the configuration."""
+
+    name = "operator_config"
+
+    async def setup(self) -> None:
+        """Add the routes."""
+        OperatorConfig(self.env).add_routes()
+
+
+def register(registry: Registry) -> None:
+    """Register the plug-in."""
+    registry.add(OperatorConfigPlugin)
+
+
+async def _refuse_errors(work: Coroutine[Any, Any, Any]) -> Any:
+    """Return the result of ``work``; its errors become numbered refusals."""
+    try:
+        return await work
+    except RequestError:
+        raise
+    except ChivewallError as exc:
+        refusal = RequestError(exc.code, str(exc))
+        if isinstance(exc, StoreUnavailableError):
+            refusal.run = RunState.UNKNOWN
+        raise refusal from exc
--- a/chivewall/plugins/builtin/operator_http.py
+++ b/chivewall/plugins/builtin/operator_http.py
@@ -36,7 +36,7 @@
 
     async def show_status(self, http: HttpRequest) -> bytes:
         """Show endpoints and the configuration version in force."""
-        self._authenticate(http)
+        authenticate(self.credentials, http)
         configuration = await self.keeper.ask(CurrentConfiguration())
         members = await self.directory.ask(ListMembers())
         status = {
@@ -49,12 +49,6 @@
         }
         return write_json(http, status)
 
-    def _authenticate(self, http: HttpRequest) -> None:
-        shown = http.getHeader("Authorization") or ""
-        token = shown.removeprefix(BEARER) if shown.startswith(BEARER) else None
-        if not self.credentials.operator_allowed(token):
-            raise RequestError(ResultCode.UNAUTHENTICATED, "the operator token is missing or wrong")
-
 
 class OperatorHttpPlugin(Plugin):
     """Adds the operators' routes."""
@@ -71,6 +65,14 @@
     registry.add(OperatorHttpPlugin)
 
 
+def authenticate(credentials: Credentials, http: HttpRequest) -> None:
+    """Check the operator token; raises ``RequestError``."""
+    shown = http.getHeader("Authorization") or ""
+    token = shown.removeprefix(BEARER) if shown.startswith(BEARER) else None
+    if not credentials.operator_allowed(token):
+        raise RequestError(ResultCode.UNAUTHENTICATED, "the operator token is missing or wrong")
+
+
 def _describe_configuration(configuration: Configuration | None) -> dict[str, Any] | None:
     if configuration is None:
         return None
--- /dev/null
+++ b/tests/test_operator_config.py
@@ -0,0 +1,32 @@
+"""The operators' configuration API over real sockets."""
+
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+import httpx
+from testtools import TestCase
+from testtools.matchers import Contains, Equals
+
+from tests.utils.daemons import embedded_site
+
+
+class OperatorConfigTest(TestCase):
+    """Guards against wrong documents taken and against a lost race that overwrites."""
+
+    def test_check_apply_race_and_history(self):
+        folder = Path(self.enterContext(TemporaryDirectory()))
+        base = self.enterContext(embedded_site(folder)) + "/operator/config"
+        document = httpx.get(base).json()
+        winner = {**document, "version": 2, "author": "asha", "reason": "vote 1"}
+        self.assertThat(httpx.put(base, json=winner).status_code, Equals(200))
+        loser = httpx.put(base, json={**winner, "author": "omar"})
+        self.assertThat(loser.status_code, Equals(409))
+        self.assertThat(loser.json()["error"]["message"], Contains('"asha" -> "omar"'))
+        for wrong in ({**winner, "crown": 1}, {**winner, "ranks": {}}, []):
+            answer = httpx.post(f"{base}/check", json=wrong)
+            self.assertThat(answer.status_code, Equals(422), answer.text)
+            self.assertThat(answer.json()["error"]["code"], Equals(4002))
+        versions = httpx.get(f"{base}/history").json()["versions"]
+        self.assertThat([one["version"] for one in versions], Equals([2, 1]))
+        status = httpx.get(base.replace("config", "status")).json()
+        self.assertThat(status["configuration"]["version"], Equals(2))
