Add the operators' API for exceptions: list, add and remove

Cause: exceptions could be changed only by applying a whole document. Conclusion: each change of an exception is one version of the document, with its author and reason; a deadline in the past is refused.

--- a/chivewall/plugins/builtin/operator_config.py
+++ b/chivewall/plugins/builtin/operator_config.py
@@ -46,6 +46,9 @@
         route("/operator/config/check", methods=["POST"])(self.check)
         route("/operator/config/diff", methods=["POST"])(self.diff)
         route("/operator/config/history", methods=["GET"])(self.show_history)
+        route("/operator/exceptions", methods=["GET"])(self.list_exceptions)
+        route("/operator/exceptions", methods=["POST"])(self.add_exception)
+        route("/operator/exceptions/<name>", methods=["DELETE"])(self.remove_exception)
 
     async def show(self, http: HttpRequest) -> bytes:
         """Answer with the stored document."""
@@ -78,6 +81,48 @@
         """Apply a document whose version is one above the version that it was made from."""
         authenticate(self.credentials, http)
         document = await _refuse_errors(self._read_document(http))
+        return await self._accept(http, document)
+
+    async def list_exceptions(self, http: HttpRequest) -> bytes:
+        """Answer with the exceptions of the stored document."""
+        authenticate(self.credentials, http)
+        archive = await _refuse_errors(self._read_archive())
+        return write_json(http, {"exceptions": to_document(archive.current)["exceptions"]})
+
+    async def add_exception(self, http: HttpRequest) -> bytes:
+        """Add one exception; its deadline must lie ahead."""
+        authenticate(self.credentials, http)
+        raw = self._read_json(http)
+        archive = await _refuse_errors(self._read_archive())
+        old = to_document(archive.current)
+        if not isinstance(raw, dict):
+            raise RequestError(ResultCode.INVALID_CONFIGURATION, "an exception is an object")
+        changed = {
+            **old,
+            "version": archive.current.version + 1,
+            "author": raw.get("author"),
+            "reason": raw.get("reason"),
+            "exceptions": [*old["exceptions"], raw],
+        }
+        document = await _refuse_errors(_read(changed))
+        if document.exceptions[-1].expires_at <= self.env.unix_time():
+            raise RequestError(ResultCode.INVALID_CONFIGURATION, "expires_at has passed")
+        return await self._accept(http, document)
+
+    async def remove_exception(self, http: HttpRequest, name: str) -> bytes:
+        """Remove one exception; headers ``X-Author`` and ``X-Reason`` say who and why."""
+        authenticate(self.credentials, http)
+        archive = await _refuse_errors(self._read_archive())
+        kept = tuple(one for one in archive.current.exceptions if one.id != name)
+        if len(kept) == len(archive.current.exceptions):
+            raise RequestError(ResultCode.NOT_FOUND, f"there is no exception {name!r}")
+        author, reason = http.getHeader("X-Author"), http.getHeader("X-Reason")
+        if not author or not reason:
+            raise RequestError(ResultCode.BAD_HEADER, "X-Author and X-Reason are required")
+        document = archive.current.successor(author=author, reason=reason, exceptions=kept)
+        return await self._accept(http, document)
+
+    async def _accept(self, http: HttpRequest, document: Configuration) -> bytes:
         await _refuse_errors(apply_change(self.store, document))
         self.keeper.tell(ConfigurationSeen(document, origin="operator"))
         self.env.log.emit(
@@ -92,11 +137,13 @@
         return decode_archive((await self.store.get(CONFIGURATION_KEY)).value)
 
     async def _read_document(self, http: HttpRequest) -> Configuration:
+        return from_document(self._read_json(http))
+
+    def _read_json(self, http: HttpRequest) -> Any:
         try:
-            raw = json.loads(self.api.read_body(http))
+            return json.loads(self.api.read_body(http))
         except ValueError as exc:
             raise RequestError(ResultCode.BAD_JSON, f"the body is not JSON: {exc}") from exc
-        return from_document(raw)
 
 
 class OperatorConfigPlugin(Plugin):
@@ -114,6 +161,10 @@
     registry.add(OperatorConfigPlugin)
 
 
+async def _read(document: dict[str, Any]) -> Configuration:
+    return from_document(document)
+
+
 async def _refuse_errors(work: Coroutine[Any, Any, Any]) -> Any:
     """Return the result of ``work``; its errors become numbered refusals."""
     try:
--- a/tests/test_operator_config.py
+++ b/tests/test_operator_config.py
@@ -30,3 +30,19 @@
         self.assertThat([one["version"] for one in versions], Equals([2, 1]))
         status = httpx.get(base.replace("config", "status")).json()
         self.assertThat(status["configuration"]["version"], Equals(2))
+        self.exceptions(base.replace("config", "exceptions"))
+
+    def exceptions(self, base):
+        # Guards against exceptions without a reason or with a deadline in the past.
+        good = {"id": "x1", "limit": "output_tokens", "value": 9, "reason": "vote 2"}
+        good |= {"author": "asha", "expires_at": 4e9}
+        for wrong in ({**good, "reason": ""}, {**good, "expires_at": 1}, {**good, "limit": "z"}):
+            self.assertThat(httpx.post(base, json=wrong).status_code, Equals(422))
+        self.assertThat(httpx.post(base, json=good).json(), Equals({"version": 3}))
+        self.assertThat(httpx.post(base, json=good).status_code, Equals(422))  # same id
+        listed = httpx.get(base).json()["exceptions"]
+        self.assertThat([one["id"] for one in listed], Equals(["x1"]))
+        headers = {"X-Author": "asha", "X-Reason": "vote 3"}
+        removed = httpx.delete(f"{base}/x1", headers=headers)
+        self.assertThat(removed.json(), Equals({"version": 4}))
+        self.assertThat(httpx.delete(f"{base}/x1", headers=headers).status_code, Equals(404))
