--- a/chivewall/cli/root.py
+++ b/chivewall/cli/root.py
@@ -6,6 +6,7 @@
 
 from chivewall import __version__
 from chivewall.cli.client import Client
+from chivewall.cli.config import config, exceptions
 from chivewall.cli.status import status
 from chivewall.exits import ExitStatus
 
@@ -31,4 +32,6 @@
     ctx.obj = Client(base=address.rstrip("/"), token_file=token_file)
 
 
+main.add_command(config)
+main.add_command(exceptions)
 main.add_command(status)
