--- a/chivewall/cli/root.py
+++ b/chivewall/cli/root.py
@@ -7,6 +7,7 @@
 from chivewall import __version__
 from chivewall.cli.client import Client
 from chivewall.cli.config import config, exceptions
+from chivewall.cli.explain import explain
 from chivewall.cli.status import status
 from chivewall.exits import ExitStatus
 
@@ -34,4 +35,5 @@
 
 main.add_command(config)
 main.add_command(exceptions)
+main.add_command(explain)
 main.add_command(status)
--- a/chivewall/plugins/builtin/embedded.py
+++ b/chivewall/plugins/builtin/embedded.py
@@ -37,6 +37,7 @@
     "caller_http",
     "operator_http",
     "operator_config",
+    "explain",
 )
 AGENT_PLUGINS = ("credentials", "store_memory", "configuration")
 
