Add /metrics; give every route handler a name of its own

Cause: klein finds a handler by its function's name, so the method "show" of a later plug-in replaced that of an earlier one. Conclusion: handler names must be unique in a process; nothing checks it yet. First-token time is not measured: no event carries it.

--- a/chivewall/plugins/builtin/embedded.py
+++ b/chivewall/plugins/builtin/embedded.py
@@ -38,6 +38,7 @@
     "operator_http",
     "operator_config",
     "explain",
+    "metrics",
 )
 AGENT_PLUGINS = ("credentials", "store_memory", "configuration")
 
--- a/chivewall/plugins/builtin/explain.py
+++ b/chivewall/plugins/builtin/explain.py
@@ -64,9 +64,9 @@
         self.credentials = self.env.require(Credentials)
         self.env.log.subscribe(self.history.observe)
         route = self.env.require(HttpApi).route
-        route("/operator/requests/<name>", methods=["GET"])(self.show)
+        route("/operator/requests/<name>", methods=["GET"])(self.show_request)
 
-    def show(self, http: HttpRequest, name: str) -> bytes:
+    def show_request(self, http: HttpRequest, name: str) -> bytes:
         """Answer with the lines of one request."""
         authenticate(self.credentials, http)
         lines = self.history.requests.get(name)
--- a/chivewall/plugins/builtin/operator_config.py
+++ b/chivewall/plugins/builtin/operator_config.py
@@ -41,16 +41,16 @@
     def add_routes(self) -> None:
         """Add the routes to the process's HTTP API."""
         route = self.api.route
-        route("/operator/config", methods=["GET"])(self.show)
-        route("/operator/config", methods=["PUT"])(self.apply)
-        route("/operator/config/check", methods=["POST"])(self.check)
-        route("/operator/config/diff", methods=["POST"])(self.diff)
+        route("/operator/config", methods=["GET"])(self.show_configuration)
+        route("/operator/config", methods=["PUT"])(self.apply_configuration)
+        route("/operator/config/check", methods=["POST"])(self.check_configuration)
+        route("/operator/config/diff", methods=["POST"])(self.diff_configuration)
         route("/operator/config/history", methods=["GET"])(self.show_history)
         route("/operator/exceptions", methods=["GET"])(self.list_exceptions)
         route("/operator/exceptions", methods=["POST"])(self.add_exception)
         route("/operator/exceptions/<name>", methods=["DELETE"])(self.remove_exception)
 
-    async def show(self, http: HttpRequest) -> bytes:
+    async def show_configuration(self, http: HttpRequest) -> bytes:
         """Answer with the stored document."""
         authenticate(self.credentials, http)
         archive = await _refuse_errors(self._read_archive())
@@ -63,13 +63,13 @@
         versions = [to_document(one) for one in (archive.current, *archive.history)]
         return write_json(http, {"versions": versions})
 
-    async def check(self, http: HttpRequest) -> bytes:
+    async def check_configuration(self, http: HttpRequest) -> bytes:
         """Check a document without applying it."""
         authenticate(self.credentials, http)
         await _refuse_errors(self._read_document(http))
         return write_json(http, {"valid": True})
 
-    async def diff(self, http: HttpRequest) -> bytes:
+    async def diff_configuration(self, http: HttpRequest) -> bytes:
         """Compare a document with the stored one."""
         authenticate(self.credentials, http)
         document = await _refuse_errors(self._read_document(http))
@@ -77,7 +77,7 @@
         lines = difference(to_document(archive.current), to_document(document))
         return write_json(http, {"version": archive.current.version, "difference": lines})
 
-    async def apply(self, http: HttpRequest) -> bytes:
+    async def apply_configuration(self, http: HttpRequest) -> bytes:
         """Apply a document whose version is one above the version that it was made from."""
         authenticate(self.credentials, http)
         document = await _refuse_errors(self._read_document(http))
