--- a/chivewall/plugins/builtin/embedded.py
+++ b/chivewall/plugins/builtin/embedded.py
@@ -39,6 +39,9 @@
     "planner",
     "caller_http",
     "operator_http",
+    "operator_config",
+    "explain",
+    "metrics",
 )
 AGENT_PLUGINS = ("credentials", "store_memory", "configuration")
 ENGINE_PLUGINS = (*AGENT_PLUGINS, "engine_http", "admission", "orders", "gate")
