Stop a process cleanly while a start hook still waits

Cause: an agent that waited for its slot failed on SIGTERM with AttributeError and exit status 1, since stop closed a slot that was never taken; its start went on in the meantime, and the reactor was stopped twice.

A shutdown now cancels the start hook that waits and starts no further plug-in, and the daemon stops the reactor once.

--- a/chivewall/daemon.py
+++ b/chivewall/daemon.py
@@ -58,6 +58,7 @@
         self.app = app
         self.reactor = reactor
         self.status = ExitStatus.OK
+        self.ended = False
 
     def run(self) -> ExitStatus:
         """Run until the application has stopped; return the exit status."""
@@ -97,7 +98,8 @@
         self._stop_reactor()
 
     def _stop_reactor(self) -> None:
-        if self.reactor.running:
+        if self.reactor.running and not self.ended:
+            self.ended = True  # Twisted fails on a second stop before the first has ended
             self.reactor.stop()
 
 
--- a/chivewall/kernel.py
+++ b/chivewall/kernel.py
@@ -2,7 +2,7 @@
 
 from typing import TypeVar
 
-from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
 
 from chivewall.environment import Environment
 from chivewall.events import Event
@@ -29,12 +29,14 @@
         self.plugins: list[Plugin] = []
         self.draining = False
         self._started: list[Plugin] = []
+        self._starting: Deferred | None = None  # the start hook that runs
         env.provide(Application, self)
 
     async def start(self) -> None:
         """Run ``setup`` and then ``start`` of every plug-in, in order.
 
-        If a hook fails, the plug-ins already started are stopped first.
+        If a hook fails, the plug-ins already started are stopped first. A
+        shutdown cancels the hook that still waits and starts no further plug-in.
         """
         self._load_plugins()
         for plugin in self.plugins:
@@ -42,9 +44,15 @@
         self.env.log.emit(Event.STARTED, plugins=[plugin.name for plugin in self.plugins])
         try:
             for plugin in self.plugins:
+                if self.draining:
+                    return
                 self._started.append(plugin)
-                await plugin.start()
-        except Exception:
+                self._starting = ensureDeferred(plugin.start())
+                await self._starting
+                self._starting = None
+        except Exception as exc:
+            if self.draining and isinstance(exc, CancelledError):
+                return  # the shutdown stops what was started
             await self.stop()
             raise
 
@@ -61,6 +69,7 @@
         if not self.draining:
             self.draining = True
             self.env.log.emit(Event.DRAINING)
+            self._cancel_start()
             await self._drain_until(self.env.now + self.env.settings.core.drain_seconds)
         await self.stop()
 
@@ -77,6 +86,11 @@
             await self._started.pop().stop()
         self.env.log.emit(Event.STOPPED)
 
+    def _cancel_start(self) -> None:
+        """End a start hook that still waits; the plug-ins after it aren't started."""
+        if self._starting is not None:
+            self._starting.cancel()
+
     def _load_plugins(self) -> None:
         settings = self.env.settings
         classes = [self.registry.load(name) for name in settings.core.plugins]
--- a/chivewall/plugins/builtin/slot.py
+++ b/chivewall/plugins/builtin/slot.py
@@ -33,16 +33,19 @@
     name = "slot"
     settings_type = SlotSettings
 
+    listener: socket.socket | None = None
+
     async def start(self) -> None:
         """Wait until the slot is free and take it."""
         while (taken := self._bind()) is None:
             self.env.log.emit(Event.SLOT_TAKEN, port=self.cfg.port)
             await deferLater(self.env.clock, RETRY_SECONDS, lambda: None)
-        self.socket = taken
+        self.listener = taken
 
     async def stop(self) -> None:
-        """Release the slot."""
-        self.socket.close()
+        """Release the slot, if it was taken."""
+        if self.listener is not None:
+            self.listener.close()
 
     def _bind(self) -> socket.socket | None:
         listener = socket.socket()
