Send the last parts of every attempt before an agent stops

Cause: admission counted an attempt as done when its last part was in the sink, and the gate closed its connections 3 ms later, before it had sent that part. The entry saw 'StreamTerminatedError: Connection lost' and, with one engine, ended the stream with an error (ShutdownTest.test_agent_finishes_its_stream in tests/test_processes.py).

The gate now drains too: it has admission drained and then waits for its open streams. The test failed before and passes now, with no failed attempt in the entry's log.

--- a/chivewall/plugins/builtin/gate.py
+++ b/chivewall/plugins/builtin/gate.py
@@ -11,7 +11,7 @@
 
 from chivewall.environment import Environment
 from chivewall.errors import ConfigurationError
-from chivewall.messages import Arrive, ConfigurationSeen, Withdraw
+from chivewall.messages import Arrive, ConfigurationSeen, Drain, Withdraw
 from chivewall.plugins.base import Plugin
 from chivewall.plugins.builtin.admission import Admission, ReportLoad
 from chivewall.plugins.builtin.configuration import (
@@ -50,6 +50,8 @@
         self.admission = env.require(Admission)
         self.keeper = env.require(ConfigurationKeeper)
         self.credentials = env.require(Credentials)
+        self.open_streams = 0
+        self.idle_waiters: list[Deferred] = []
 
     async def Submit(self, stream: Stream) -> None:  # noqa: N802 - generated name
         """Send the parts of one attempt until the last one."""
@@ -61,6 +63,7 @@
             raise GRPCError(Status.INVALID_ARGUMENT, str(exc)) from exc
         sink = Inbox()
         self.admission.tell(Arrive(attempt=attempt, sink=sink))
+        self.open_streams += 1
         finished = False
         try:
             while not finished:
@@ -70,6 +73,28 @@
         finally:
             if not finished:
                 self.admission.tell(Withdraw(attempt.request.id, attempt.number))
+            self._close_stream()
+
+    def drain(self) -> Deferred:
+        """Return a Deferred that fires when the last part of every attempt was sent."""
+        drained = self.admission.ask(Drain())
+        return drained.addCallback(lambda _: self._idle())
+
+    def _idle(self) -> Deferred:
+        idle: Deferred = Deferred()
+        if self.open_streams:
+            self.idle_waiters.append(idle)
+        else:
+            idle.callback(None)
+        return idle
+
+    def _close_stream(self) -> None:
+        self.open_streams -= 1
+        if self.open_streams:
+            return
+        for waiter in self.idle_waiters:
+            waiter.callback(None)
+        self.idle_waiters = []
 
     async def Probe(self, stream: Stream) -> None:  # noqa: N802 - generated name
         """Answer with a load report."""
@@ -110,9 +135,14 @@
     async def start(self) -> None:
         """Bind the port; fails if another process already serves it."""
         self.socket = _listen(self.cfg.host, self.cfg.port)
-        self.server = Server([Gate(self.env)])
+        self.gate = Gate(self.env)
+        self.server = Server([self.gate])
         await Deferred.fromFuture(asyncio.ensure_future(self.server.start(sock=self.socket)))
 
+    async def drain(self) -> None:
+        """Refuse new work and wait until every answer was sent."""
+        await self.gate.drain()
+
     async def stop(self) -> None:
         """Close the port and its connections."""
         self.server.close()
