--- a/chivewall/plugins/builtin/credentials.py
+++ b/chivewall/plugins/builtin/credentials.py
@@ -15,10 +15,14 @@
     """Where tokens come from; leaving a check off takes an explicit choice."""
 
     peer_token_file: str | None = field(
-        default=None, metadata={"help": "File with the token between entries and agents."}
+        default=None,
+        metadata={
+            "help": "File with the token between entries and agents; relative to the settings file."
+        },
     )
     operator_token_file: str | None = field(
-        default=None, metadata={"help": "File with the token of operators."}
+        default=None,
+        metadata={"help": "File with the token of operators; relative to the settings file."},
     )
     disabled: bool = field(
         default=False, metadata={"help": "True leaves authentication off on purpose."}
@@ -57,11 +61,12 @@
                 f"{self.env.settings.source}: credentials: name peer_token_file and "
                 "operator_token_file, or set disabled to true"
             )
+        folder = Path(self.env.settings.source).parent
         self.env.provide(
             Credentials,
             Credentials(
-                peer_token=_read_token(self.cfg.peer_token_file),
-                operator_token=_read_token(self.cfg.operator_token_file),
+                peer_token=_read_token(folder / self.cfg.peer_token_file),
+                operator_token=_read_token(folder / self.cfg.operator_token_file),
             ),
         )
 
@@ -71,9 +76,9 @@
     registry.add(CredentialsPlugin)
 
 
-def _read_token(path: str) -> str:
+def _read_token(path: Path) -> str:
     try:
-        token = Path(path).read_text(encoding="utf-8").strip()
+        token = path.read_text(encoding="utf-8").strip()
     except OSError as exc:
         raise SettingsError(f"credentials: can't read {path}: {exc.strerror}") from exc
     if not token:
--- a/chivewall/standins/engine_http.py
+++ b/chivewall/standins/engine_http.py
@@ -34,6 +34,7 @@
         default=Factory(lambda self: WeightStore(clock=self.clock), takes_self=True)
     )
     completions: int = 0
+    runs: dict[str, int] = field(factory=dict)  # first token of each completion
     model: EngineModel = field(init=False)
     state: EndpointState = field(init=False)
 
@@ -48,6 +49,8 @@
         app.route("/load", methods=["GET"])(self.load)
         app.route("/state", methods=["GET"])(self.show_state)
         app.route("/orders", methods=["POST"])(self.order)
+        app.route("/readyz", methods=["GET"])(lambda _http: b"{}")
+        app.route("/runs", methods=["GET"])(self.show_runs)
         return Site(app.resource())
 
     def complete(self, http: HttpRequest) -> Deferred | bytes:
@@ -64,6 +67,7 @@
             prefix_hashes=tuple(body.get("prefix_hashes", ())),
         )
         self.completions += 1
+        self.runs[body["request_id"]] = body.get("resume_from", 0)
         done: Deferred = Deferred()
         sequence_id = body["request_id"]
         http.setHeader("Content-Type", "text/event-stream")
@@ -114,6 +118,10 @@
             },
         )
 
+    def show_runs(self, http: HttpRequest) -> bytes:
+        """Show the token at which each completion began, by request and attempt, and the orders."""
+        return _json(http, {"completions": self.runs, "orders": self.orders})
+
     async def order(self, http: HttpRequest) -> bytes:
         """Take an order; refuses an old fencing number if it checks them."""
         body = json.loads(http.content.read())
--- a/chivewall/standins/platform.py
+++ b/chivewall/standins/platform.py
@@ -39,13 +39,17 @@
 
 @click.command()
 @click.argument("settings", type=click.Path(path_type=Path))
-def main(settings: Path) -> None:
+@click.option("--check", is_flag=True, help="Check the settings file and stop.")
+def main(settings: Path, *, check: bool) -> None:
     """Serve the object API and the instance list of a JSON file with comments."""
     try:
         server, cfg = build(settings.read_text(encoding="utf-8"), source=str(settings))
     except (ChivewallError, OSError) as exc:
         click.echo(str(exc), err=True)
         sys.exit(ExitStatus.INVALID_SETTINGS)
+    if check:
+        click.echo(f"{settings}: the settings are valid")
+        return
     reactor.listenTCP(cfg.port, server.site(), interface=cfg.host)
     reactor.run()
 
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,165 @@
+"""A site of separate processes over loopback TCP, from the settings in ``examples/site``."""
+
+import json
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+import httpx
+import openai
+from testtools import TestCase
+from testtools.matchers import Contains, Equals, HasLength, Not
+
+from chivewall.exits import ExitStatus
+from tests.utils.sites import EXAMPLES, MESSAGES, MODEL, ProcessSite
+
+RUN_SECONDS = 30
+STREAM_TOKENS = 60  # 1.2 s at the engine's 20 ms for each token
+
+
+def new_site(test, **options):
+    site = ProcessSite(folder=Path(test.enterContext(TemporaryDirectory())))
+    test.addCleanup(site.stop)
+    return site.start(**options)
+
+
+def client(site):
+    return openai.OpenAI(base_url=f"{site.base()}/v1", api_key="unused", max_retries=0)
+
+
+def complete(site, tokens, *, stream=False):
+    return client(site).chat.completions.create(
+        model=MODEL, messages=MESSAGES, max_tokens=tokens, stream=stream
+    )
+
+
+def texts(chunks):
+    return [one.choices[0].delta.content for one in chunks if one.choices[0].delta.content]
+
+
+def run_module(*arguments):
+    return subprocess.run(
+        [sys.executable, "-m", *arguments],
+        capture_output=True,
+        text=True,
+        timeout=RUN_SECONDS,
+        check=False,
+    )
+
+
+class ProcessesTest(TestCase):
+    """One site serves all tests of the class that end no process."""
+
+    @classmethod
+    def setUpClass(cls):
+        super().setUpClass()
+        folder = Path(cls.enterClassContext(TemporaryDirectory()))
+        cls.site = ProcessSite(folder=folder)
+        cls.addClassCleanup(cls.site.stop)
+        cls.site.start()
+
+    def test_stream_has_the_tokens_of_the_whole_answer(self):
+        # Guards against tokens lost, repeated or reordered between processes.
+        whole = complete(self.site, 9)
+        self.assertThat(whole.usage.completion_tokens, Equals(9))
+        streamed = texts(complete(self.site, 9, stream=True))
+        self.assertThat("".join(streamed), Equals(whole.choices[0].message.content))
+
+    def test_repeat_of_a_booking_gets_the_first_outcome(self):
+        # Guards against a second run of a keyed call through the claims of another process.
+        first, again = self.site.book("once"), self.site.book("once")
+        self.assertThat(first.status_code, Equals(201))
+        self.assertThat((again.status_code, again.json()), Equals((201, first.json())))
+        self.assertThat(self.site.runs("booking-1")["shift for once"], Equals(1))
+
+    def test_status_needs_the_operator_token(self):
+        # Guards against an operator API that answers anyone.
+        command = ["chivewall.cli", "--address", self.site.base()]
+        refused = run_module(*command, "status")
+        self.assertThat(refused.returncode, Equals(ExitStatus.UNAUTHENTICATED))
+        self.assertThat(refused.stderr, Contains("UNAUTHENTICATED"))
+        token = str(self.site.folder / "operator.token")
+        shown = run_module(*command, "--token-file", token, "status")
+        self.assertThat(shown.returncode, Equals(ExitStatus.OK), shown.stderr)
+        self.assertThat(shown.stdout, Contains("engine-1"))
+
+    def test_wrong_peer_token_is_refused(self):
+        # Guards against an agent that works for a process without the peer token.
+        (self.site.folder / "wrong.token").write_text("not the token\n")
+        credentials = {"peer_token_file": "wrong.token", "operator_token_file": "operator.token"}
+        entry = self.site.start_entry("entry-2", credentials=credentials)
+        refused = entry.until_event("LINK_BROKEN", endpoint="engine-1")
+        self.assertThat(refused["reason"], Contains("peer token"))
+        self.assertThat(self.site.states("entry-2")["engine-1"], Not(Equals("live")))
+        answer = httpx.post(
+            f"{self.site.base('entry-2')}/v1/chat/completions",
+            json={"model": MODEL, "messages": MESSAGES},
+            headers={"X-Deadline-Ms": "1500"},
+            timeout=10,
+        )
+        self.assertThat(answer.json()["error"]["run"], Equals("no"))
+
+
+class ExamplesTest(TestCase):
+    """Guards against example settings that the programs reject."""
+
+    def test_daemon_settings(self):
+        found = [*EXAMPLES.glob("*.jsonc"), *EXAMPLES.glob("site/*.jsonc")]
+        self.assertThat(found, HasLength(6))
+        for path in found:
+            checked = run_module("chivewall", "--check", str(path))
+            self.assertThat(checked.returncode, Equals(ExitStatus.OK), checked.stderr)
+
+    def test_standin_settings(self):
+        found = list(EXAMPLES.glob("site/standins/*.jsonc"))
+        self.assertThat(found, HasLength(3))
+        for path in found:
+            program = "platform" if path.stem == "platform" else "endpoint"
+            checked = run_module(f"chivewall.standins.{program}", "--check", str(path))
+            self.assertThat(checked.returncode, Equals(ExitStatus.OK), checked.stderr)
+
+
+class ShutdownTest(TestCase):
+    """Guards against a shutdown that breaks a request or does not end."""
+
+    def test_entry_finishes_its_stream(self):
+        site = new_site(self)
+        chunks = iter(complete(site, STREAM_TOKENS, stream=True))
+        seen = [next(chunks), next(chunks)]
+        site.entry.send(signal.SIGTERM)
+        seen += list(chunks)
+        self.assertThat(texts(seen), HasLength(STREAM_TOKENS))
+        self.assertThat(site.entry.wait(), Equals(ExitStatus.OK))
+
+    def test_agent_finishes_its_stream(self):
+        site = new_site(self)
+        chunks = iter(complete(site, STREAM_TOKENS, stream=True))
+        seen = [next(chunks), next(chunks)]
+        site.agents["engine-1"].send(signal.SIGTERM)
+        seen += list(chunks)
+        self.assertThat(texts(seen), HasLength(STREAM_TOKENS))
+        self.assertThat(site.agents["engine-1"].wait(), Equals(ExitStatus.OK))
+        # The agent itself ended the stream; no other attempt was needed.
+        self.assertThat(site.entry.events("ATTEMPT_FAILED"), Equals([]))
+
+    def test_second_signal_ends_at_once(self):
+        site = new_site(self)
+        chunks = iter(complete(site, 2000, stream=True))  # 40 s
+        next(chunks)
+        site.entry.send(signal.SIGTERM)
+        site.entry.until_event("DRAINING")
+        site.entry.send(signal.SIGTERM)
+        self.assertThat(site.entry.wait(), Equals(ExitStatus.FORCED))
+        self.assertThat(site.entry.events("TASK_FAILED"), Equals([]))
+
+    def test_open_idle_connection_delays_no_shutdown(self):
+        # Guards against an entry that waits for callers to close their idle connections.
+        site = new_site(self)
+        with httpx.Client() as caller:
+            caller.get(f"{site.base()}/healthz")
+            site.entry.send(signal.SIGTERM)
+            self.assertThat(site.entry.wait(), Equals(ExitStatus.OK))
+        drained, stopped = site.entry.events("DRAINING"), site.entry.events("STOPPED")
+        self.assertThat((len(drained), len(stopped)), Equals((1, 1)), json.dumps(stopped))
--- /dev/null
+++ b/tests/utils/sites.py
@@ -0,0 +1,194 @@
+"""A site of separate processes, from copies of the settings in ``examples/site``."""
+
+import json
+import signal
+import subprocess
+import sys
+import time
+from contextlib import suppress
+from pathlib import Path
+
+import httpx
+import json5
+from attrs import define, field
+
+from tests.utils.daemons import free_port
+
+EXAMPLES = Path(__file__).parents[2] / "examples"
+SITE = EXAMPLES / "site"
+MODEL = "rota-assistant"
+MESSAGES = [{"role": "user", "content": "Who guards tower 4?"}]
+POLL_SECONDS = 0.02
+WAIT_SECONDS = 20.0
+
+
+def until(condition, what, seconds=WAIT_SECONDS):
+    """Poll a condition of other processes until it holds; return its value."""
+    deadline = time.monotonic() + seconds
+    while time.monotonic() < deadline:
+        with suppress(httpx.TransportError):
+            if value := condition():
+                return value
+        time.sleep(POLL_SECONDS)
+    raise AssertionError(f"within {seconds} s not seen: {what}")
+
+
+@define(eq=False)
+class Daemon:
+    """One process of the site with its log."""
+
+    module: str
+    settings: Path
+    log: Path
+    process: subprocess.Popen | None = None
+
+    def start(self):
+        with self.log.open("a") as stream:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", self.module, str(self.settings)],
+                stdout=stream,
+                stderr=subprocess.STDOUT,
+            )
+        return self
+
+    def send(self, number):
+        self.process.send_signal(number)
+
+    def kill(self):
+        self.process.kill()
+        self.process.wait(WAIT_SECONDS)
+
+    def wait(self):
+        return self.process.wait(WAIT_SECONDS)
+
+    def events(self, name, **fields):
+        """Return the log events of that name and with these fields."""
+        lines = [json.loads(one) for one in self.log.read_text().splitlines() if one[:1] == "{"]
+        return [one for one in lines if one.get("name") == name and fields.items() <= one.items()]
+
+    def until_event(self, name, **fields):
+        return until(lambda: self.events(name, **fields), f"{name} {fields} in {self.log}")[-1]
+
+
+@define(eq=False, slots=False)
+class ProcessSite:
+    """Starts the processes of ``examples/site`` on free ports; ``stop`` ends them all.
+
+    Each endpoint has a stand-in, a gate and a slot port; ``gates`` replaces the
+    port in the instance list, for a relay before an agent.
+    """
+
+    folder: Path
+    ports: dict = field(factory=dict)
+    daemons: list = field(factory=list)
+    instances: list = field(factory=list)
+
+    def __attrs_post_init__(self):
+        for token in SITE.glob("*.token"):
+            (self.folder / token.name).write_text(token.read_text())
+
+    def port(self, name):
+        return self.ports.setdefault(name, free_port())
+
+    def start(self, engines=1, gates=None, planner=None, **service):
+        """Start the platform, the endpoints, their agents and one entry."""
+        names = [(f"engine-{place}", "engine") for place in range(1, engines + 1)]
+        names.append(("booking-1", "service"))
+        listed = json5.loads((SITE / "standins/platform.jsonc").read_text())["instances"]
+        for name, kind in names:
+            port = (gates or {}).get(name) or self.port(f"gate {name}")
+            [example] = [one for one in listed if one["kind"] == kind]
+            self.instances.append({**example, "name": name, "port": port})
+        self.platform = self.standin("platform", "platform", instances=self.instances)
+        for name, kind in names:
+            self.standin(name, kind, **(service if kind == "service" else {}))
+        self.wait_standins(["platform", *(name for name, _ in names)])
+        self.agents = {name: self.agent(name, kind) for name, kind in names}
+        self.entry = self.start_entry("entry-1", **({"planner": planner} if planner else {}))
+        self.wait_live("entry-1", [name for name, _ in names])
+        return self
+
+    def stop(self):
+        for daemon in reversed(self.daemons):
+            with suppress(ProcessLookupError):
+                daemon.send(signal.SIGCONT)
+                daemon.process.kill()
+        for daemon in self.daemons:
+            daemon.wait()
+
+    def standin(self, name, kind, **changes):
+        module = "platform" if kind == "platform" else "endpoint"
+        settings = self.copy(f"standins/{kind}", name, port=self.port(name), **changes)
+        return self.run(f"chivewall.standins.{module}", settings, name)
+
+    def agent(self, name, kind, log=None):
+        changes = {
+            "instance": name,
+            "store_http": {"host": "127.0.0.1", "port": self.port("platform")},
+            "slot": {"port": self.port(f"slot {name}")},
+            "admission": {"endpoint": name},
+            "gate": {"port": self.port(f"gate {name}")},
+        }
+        section = f"{kind}_http"
+        example = json5.loads((SITE / f"{kind}-agent.jsonc").read_text())
+        changes[section] = {**example[section], "port": self.port(name)}
+        settings = self.copy(f"{kind}-agent", f"{name}-agent", **changes)
+        return self.run("chivewall", settings, log or f"{name}-agent")
+
+    def start_entry(self, name, **changes):
+        sections = {
+            "store_http": {"host": "127.0.0.1", "port": self.port("platform")},
+            "http_api": {"port": self.port(name)},
+        }
+        settings = self.copy("entry", name, instance=name, **sections, **changes)
+        return self.run("chivewall", settings, name)
+
+    def copy(self, source, name, **changes):
+        settings = json5.loads((SITE / f"{source}.jsonc").read_text())
+        path = self.folder / f"{name}.jsonc"
+        path.write_text(json.dumps({**settings, **changes}))
+        return path
+
+    def run(self, module, settings, name):
+        daemon = Daemon(module=module, settings=settings, log=self.folder / f"{name}.log")
+        self.daemons.append(daemon)
+        return daemon.start()
+
+    def base(self, name="entry-1"):
+        return f"http://127.0.0.1:{self.port(name)}"
+
+    def get(self, name, path):
+        return httpx.get(f"{self.base(name)}{path}", headers=self.operator(), timeout=2)
+
+    def operator(self):
+        token = (self.folder / "operator.token").read_text().strip()
+        return {"Authorization": f"Bearer {token}"}
+
+    def states(self, entry="entry-1"):
+        """Return the state of each endpoint as the entry knows it."""
+        endpoints = self.get(entry, "/operator/status").json()["endpoints"]
+        return {one["endpoint"]: one["state"] for one in endpoints}
+
+    def runs(self, name):
+        """Return what ran at a stand-in."""
+        return self.get(name, "/runs").json()
+
+    def plan(self):
+        return self.get("platform", "/objects/plan/Mombasa")
+
+    def wait_standins(self, names):
+        for name in names:
+            until(lambda name=name: self.get(name, "/readyz").is_success, f"{name} ready")
+
+    def wait_live(self, entry, names):
+        wanted = dict.fromkeys(names, "live")
+        until(lambda: self.get(entry, "/readyz").is_success, f"{entry} ready")
+        until(lambda: wanted.items() <= self.states(entry).items(), f"{names} live at {entry}")
+
+    def book(self, key, entry="entry-1", timeout=30):
+        return httpx.post(
+            f"{self.base(entry)}/services/shift-booking/shifts",
+            content=f"shift for {key}",
+            headers={"Idempotency-Key": key, "X-Rank": "urgent"},
+            timeout=timeout,
+        )
