--- /dev/null
+++ b/tests/test_process_faults.py
@@ -0,0 +1,208 @@
+"""Faults of separate processes over loopback TCP: kills, pauses and silent connections."""
+
+import signal
+import threading
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+import httpx
+import openai
+from testtools import TestCase
+from testtools.matchers import Equals, GreaterThan, HasLength
+
+from tests.utils.relays import TcpRelay
+from tests.utils.sites import MESSAGES, MODEL, ProcessSite, until
+
+STREAM_TOKENS = 100  # 2 s at the engine's 20 ms for each token
+PAUSED_STREAM_TOKENS = 300  # 6 s, longer than the 3 s after which an agent counts as silent
+TOKENS_BEFORE_FAULT = 5
+LEASE_SECONDS = 2.0
+CALL_SECONDS = 1.5  # of a booking that is interrupted
+
+
+class FaultCase(TestCase):
+    """Starts a site for each test."""
+
+    def site(self, **options):
+        site = ProcessSite(folder=Path(self.enterContext(TemporaryDirectory())))
+        self.addCleanup(site.stop)
+        return site.start(**options)
+
+    def chat(self, site, tokens, *, stream):
+        client = openai.OpenAI(base_url=f"{site.base()}/v1", api_key="unused", max_retries=0)
+        return client.chat.completions.create(
+            model=MODEL, messages=MESSAGES, max_tokens=tokens, stream=stream
+        )
+
+    def stream_through(self, site, tokens, fault):
+        """Return the texts of a stream during which ``fault(endpoint)`` happens."""
+        chunks = iter(self.chat(site, tokens, stream=True))
+        seen = [next(chunks) for _ in range(TOKENS_BEFORE_FAULT)]
+        fault(site.entry.until_event("ROUTE_CHOSEN")["endpoint"])
+        seen += list(chunks)
+        return [one.choices[0].delta.content for one in seen if one.choices[0].delta.content]
+
+    def assert_whole(self, site, texts):
+        whole = self.chat(site, len(texts), stream=False).choices[0].message.content
+        self.assertThat("".join(texts), Equals(whole))
+
+    def assert_resumed(self, site, first):
+        """Check that another engine began after the tokens that were delivered."""
+        routes = site.entry.events("ROUTE_CHOSEN")
+        request = routes[0]["request"]
+        second = [one["endpoint"] for one in routes if one["request"] == request][1]
+        self.assertThat(second != first, Equals(True))
+        started = site.runs(second)["completions"][f"{request}/2"]
+        self.assertThat(started, GreaterThan(TOKENS_BEFORE_FAULT - 1))
+
+
+class AgentFaultTest(FaultCase):
+    """Guards against an answer that is lost, repeated or torn when an agent fails."""
+
+    def test_killed_agent(self):
+        site = self.site(engines=2)
+        killed = []
+
+        def kill(endpoint):
+            site.agents[endpoint].kill()
+            killed.append(endpoint)
+
+        texts = self.stream_through(site, STREAM_TOKENS, kill)
+        self.assertThat(texts, HasLength(STREAM_TOKENS))
+        self.assert_resumed(site, killed[0])
+        self.assert_whole(site, texts)
+
+    def test_paused_agent(self):
+        site = self.site(engines=2)
+        paused = []
+
+        def pause(endpoint):
+            site.agents[endpoint].send(signal.SIGSTOP)
+            paused.append(endpoint)
+            resume = threading.Thread(target=resume_when_replaced, args=(endpoint,), daemon=True)
+            resume.start()
+            self.addCleanup(resume.join)
+
+        def resume_when_replaced(endpoint):
+            until(lambda: len(site.entry.events("ROUTE_CHOSEN")) > 1, "a second route")
+            site.agents[endpoint].send(signal.SIGCONT)
+
+        texts = self.stream_through(site, PAUSED_STREAM_TOKENS, pause)
+        self.assertThat(texts, HasLength(PAUSED_STREAM_TOKENS))
+        self.assert_resumed(site, paused[0])
+        site.wait_live("entry-1", paused)
+        self.assert_whole(site, texts)
+
+    def test_silent_connection(self):
+        # Guards against a connection that is used again after it went silent for good.
+        site = ProcessSite(folder=Path(self.enterContext(TemporaryDirectory())))
+        self.addCleanup(site.stop)
+        names = ("engine-1", "engine-2")
+        relays = {name: TcpRelay(port=site.port(f"gate {name}")) for name in names}
+        for relay in relays.values():
+            self.addCleanup(relay.stop)
+        site.start(engines=2, gates={name: one.start() for name, one in relays.items()})
+        silenced = []
+
+        def silence(endpoint):
+            relays[endpoint].silence()
+            silenced.append(endpoint)
+
+        texts = self.stream_through(site, STREAM_TOKENS, silence)
+        self.assertThat(texts, HasLength(STREAM_TOKENS))
+        self.assert_resumed(site, silenced[0])
+        site.wait_live("entry-1", silenced)
+        relay = relays[silenced[0]]
+        self.assertThat(relay.accepted, GreaterThan(relay.silenced))
+        self.assert_whole(site, texts)
+
+
+class BookingFaultTest(FaultCase):
+    """Guards against a booking that runs twice or is reported untruthfully."""
+
+    def test_killed_agent_of_a_running_booking(self):
+        site = self.site(call_seconds=CALL_SECONDS)
+        answers = []
+        caller = threading.Thread(target=lambda: answers.append(site.book("k")), daemon=True)
+        caller.start()
+        until(lambda: site.runs("booking-1"), "the booking runs")
+        site.agents["booking-1"].kill()
+        replacement = site.agent("booking-1", "service", log="booking-1-agent-2")
+        replacement.until_event("STARTED")
+        caller.join()
+        until(lambda: site.states()["booking-1"] == "live", "the replacement is live")
+        for answer in (*answers, site.book("k")):
+            self.assertThat(answer.json()["error"]["run"], Equals("unknown"), answer.text)
+        self.assertThat(site.runs("booking-1"), Equals({"shift for k": 1}))
+
+    def test_platform_down(self):
+        site = self.site()
+        site.platform.kill()
+        refused = site.book("early")
+        self.assertThat(refused.json()["error"]["run"], Equals("no"), refused.text)
+        self.assertThat(site.runs("booking-1"), Equals({}))
+        self.assertThat(self.chat(site, 5, stream=False).usage.completion_tokens, Equals(5))
+        site.platform.start()
+        site.wait_standins(["platform"])
+        until(lambda: site.book("late").status_code == 201, "a booking after the return")
+        self.assertThat(site.runs("booking-1"), Equals({"shift for late": 1}))
+
+
+class LeaseFaultTest(FaultCase):
+    """Guards against a lease holder that acts after its lease has passed to another."""
+
+    def test_paused_holder(self):
+        site = ProcessSite(folder=Path(self.enterContext(TemporaryDirectory())))
+        self.addCleanup(site.stop)
+        site.start(planner={"lease_seconds": LEASE_SECONDS})
+        until(lambda: site.plan().is_success, "a first holder")
+        other = site.start_entry("entry-2", planner={"lease_seconds": LEASE_SECONDS})
+        site.wait_live("entry-2", ["engine-1"])
+        before = site.plan()
+        self.assertThat(before.json()["holder_name"], Equals("entry-1"))
+        site.entry.send(signal.SIGSTOP)
+        until(lambda: site.plan().json()["holder_name"] == "entry-2", "a takeover")
+        other.until_event("LEASE_TAKEN")
+        after = site.plan()
+        self.assertThat(after.json()["fence"], GreaterThan(before.json()["fence"]))
+        site.entry.send(signal.SIGCONT)
+        # The renewal that the old holder would send, with the version it has seen.
+        renewal = httpx.put(
+            f"{site.base('platform')}/objects/plan/Mombasa",
+            content=before.content,
+            headers={"If-Match": before.headers["ETag"]},
+        )
+        self.assertThat(renewal.status_code, Equals(412))
+        until(lambda: site.get("entry-1", "/readyz").is_success, "entry-1 runs again")
+        version = int(after.headers["ETag"])
+        until(lambda: int(site.plan().headers["ETag"]) > version + 2, "renewals by entry-2")
+        kept = site.plan().json()
+        self.assertThat(kept["holder_name"], Equals("entry-2"))
+        self.assertThat(kept["fence"], Equals(after.json()["fence"]))
+
+
+class SlotFaultTest(FaultCase):
+    """Guards against two agents that act for one endpoint at the same time."""
+
+    def test_second_agent_waits_for_the_slot(self):
+        site = self.site()
+        second = site.agent("engine-1", "engine", log="engine-1-agent-2")
+        second.until_event("SLOT_TAKEN")
+        third = site.agent("engine-1", "engine", log="engine-1-agent-3")
+        third.until_event("SLOT_TAKEN")
+        third.send(signal.SIGTERM)
+        self.assertThat(third.wait(), Equals(0), third.log.read_text())
+        self.assertThat(third.events("TASK_FAILED"), Equals([]))
+        self.assertThat(self.chat(site, 5, stream=False).usage.completion_tokens, Equals(5))
+        self.assertThat(second.events("WORK_STARTED"), Equals([]))
+        site.agents["engine-1"].kill()
+        until(
+            lambda: (
+                httpx.post(
+                    f"{site.base()}/v1/chat/completions",
+                    json={"model": MODEL, "messages": MESSAGES, "max_tokens": 5},
+                ).is_success
+            ),
+            "an answer by the second agent",
+        )
+        self.assertThat(second.events("WORK_STARTED"), HasLength(1))
