Send every response whole before an entry stops

Cause: a request counted as done when its response was handed to the connection, and the process ended with what the connection had not sent yet. A caller that read slowly got 1,966,080 of more than 10,000,000 bytes of an answer during a graceful shutdown.

http_api now drains after dispatch: it waits for the requests in progress, closes the connections and waits until their bytes are sent; idle keep-alive connections close at once. Guarded by ShutdownTest.test_entry_sends_the_rest_of_an_answer.

--- a/chivewall/plugins/builtin/http_api.py
+++ b/chivewall/plugins/builtin/http_api.py
@@ -10,12 +10,12 @@
 from twisted.internet.interfaces import IListeningPort
 from twisted.logger import Logger
 from twisted.web.server import Request as HttpRequest
-from twisted.web.server import Site
 from werkzeug.exceptions import HTTPException, MethodNotAllowed
 
 from chivewall import chat
 from chivewall.environment import Environment
 from chivewall.errors import RequestError
+from chivewall.http_connections import Connections, CountingSite
 from chivewall.kernel import Application
 from chivewall.plugins.base import Plugin
 from chivewall.plugins.registry import Registry
@@ -116,10 +116,15 @@
 
     async def start(self) -> None:
         """Bind the port."""
+        self.connections = Connections(CountingSite(self.api.klein.resource()))
         self.listener: IListeningPort = self.env.reactor.listenTCP(
-            self.cfg.port, Site(self.api.klein.resource()), interface=self.cfg.host
+            self.cfg.port, self.connections, interface=self.cfg.host
         )
 
+    async def drain(self) -> None:
+        """Close the connections when their responses were sent; dispatch drains before."""
+        await self.connections.close()
+
     async def stop(self) -> None:
         """Close the port."""
         await self.listener.stopListening()
--- a/chivewall/standins/endpoint.py
+++ b/chivewall/standins/endpoint.py
@@ -39,6 +39,7 @@
     host: str = "127.0.0.1"
     step_seconds: float = 0.02  # between the tokens of an engine
     call_seconds: float = 0.0  # from the start of a service's action to its answer
+    padding_bytes: int = 0  # what a service's answer to a GET is longer by
 
 
 @click.command()
@@ -75,7 +76,12 @@
     if cfg.kind is Kind.ENGINE:
         speed = EngineSpeed(step_seconds=cfg.step_seconds)
         return EngineServer(clock=clock, models=cfg.targets, speed=speed).site()
-    service = BookingService(name=cfg.targets[0], clock=clock, call_seconds=cfg.call_seconds)
+    service = BookingService(
+        name=cfg.targets[0],
+        clock=clock,
+        call_seconds=cfg.call_seconds,
+        padding_bytes=cfg.padding_bytes,
+    )
     return service.site()
 
 
--- a/chivewall/standins/service_http.py
+++ b/chivewall/standins/service_http.py
@@ -18,6 +18,7 @@
     name: str
     clock: IReactorTime | None = None  # needed for ``call_seconds``
     call_seconds: float = 0.0  # from the start of an action to its answer
+    padding_bytes: int = 0  # what the answer to a GET is longer by
     runs: Counter[str] = field(factory=Counter)
 
     def site(self) -> Site:
@@ -37,7 +38,8 @@
         """Run one action, or count the actions for a GET."""
         http.setHeader("Content-Type", "application/json")
         if http.method in (b"GET", b"HEAD"):
-            return json.dumps({"service": self.name, "runs": self.runs.total()}).encode()
+            answer = json.dumps({"service": self.name, "runs": self.runs.total()})
+            return answer.encode() + b" " * self.padding_bytes
         body = http.content.read().decode(errors="replace")
         self.runs[body] += 1
         booking = {"booking": f"{self.name}-{self.runs.total()}", "path": http.path.decode()}
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -2,6 +2,7 @@
 
 import json
 import signal
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -10,12 +11,13 @@
 import httpx
 import openai
 from testtools import TestCase
-from testtools.matchers import Contains, Equals, HasLength, Not
+from testtools.matchers import Contains, Equals, GreaterThan, HasLength, Not
 
 from chivewall.exits import ExitStatus
 from tests.utils.sites import EXAMPLES, MESSAGES, MODEL, ProcessSite
 
 RUN_SECONDS = 30
+PADDING_BYTES = 10_000_000  # more than the system buffers of a connection
 STREAM_TOKENS = 60  # 1.2 s at the engine's 20 ms for each token
 
 
@@ -144,6 +146,23 @@
         # The agent itself ended the stream; no other attempt was needed.
         self.assertThat(site.entry.events("ATTEMPT_FAILED"), Equals([]))
 
+    def test_entry_sends_the_rest_of_an_answer(self):
+        # Guards against an entry that ends while its last answer is still in its buffer.
+        site = new_site(self, padding_bytes=PADDING_BYTES)
+        caller = self.enterContext(socket.socket())
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        caller.settimeout(RUN_SECONDS)
+        caller.connect(("127.0.0.1", site.port("entry-1")))
+        caller.sendall(b"GET /services/shift-booking/x HTTP/1.1\r\nHost: entry\r\n\r\n")
+        site.entry.until_event("REQUEST_ENDED")
+        site.entry.send(signal.SIGTERM)
+        site.entry.until_event("DRAINING")
+        received = 0
+        while data := caller.recv(65536):
+            received += len(data)
+        self.assertThat(received, GreaterThan(PADDING_BYTES))
+        self.assertThat(site.entry.wait(), Equals(ExitStatus.OK))
+
     def test_second_signal_ends_at_once(self):
         site = new_site(self)
         chunks = iter(complete(site, 2000, stream=True))  # 40 s
