Log a lost lease after a pause, and let the holder of a short lease act

Cause: LEASE_LOST was logged only while the holder could still act, so a holder paused beyond its deadline lost the lease without an event; for the same reason a lease shorter than the safety margin of 5 s logged LEASE_TAKEN with each renewal, and its holder could never act. The margin is now at most a sixth of the term, which leaves 5 s for the default of 30 s. LeaseFaultTest waits for LEASE_LOST in the old holder's log.

--- a/chivewall/decisions/leases.py
+++ b/chivewall/decisions/leases.py
@@ -16,6 +16,7 @@
 LEASE_TERM = 30.0  # seconds; each renewal wakes every watch of the plan
 RENEW_SHARE = 1 / 3  # of the term after which the holder renews
 SAFETY_MARGIN = 5.0  # seconds before its deadline when a holder stops acting
+SAFETY_SHARE = 1 / 6  # of the term that the margin takes at most; a short lease must allow acting
 
 
 @frozen
@@ -105,7 +106,7 @@
 
 @_holding.upon(LeaseInputs.may_act).loop()
 def _may_act(_: LeaseInputs, record: LeaseRecord, now: float) -> bool:
-    return now < record.held_until - SAFETY_MARGIN
+    return now < record.held_until - min(SAFETY_MARGIN, record.term * SAFETY_SHARE)
 
 
 @_following.upon(LeaseInputs.proposal).loop()
--- a/chivewall/plugins/builtin/planner.py
+++ b/chivewall/plugins/builtin/planner.py
@@ -154,7 +154,7 @@
             self._observe(stored.value, stored.version)
 
     def _wrote(self, plan: Plan, version: int, started_at: float) -> None:
-        if not self.lease.may_act(self.env.now):
+        if not self._holds(self.record.plan):
             self.env.log.emit(Event.LEASE_TAKEN, data_centre=self.home, fence=plan.fence)
         self.lease.wrote(plan, version, started_at)
 
@@ -166,12 +166,17 @@
         except PlanError as exc:
             self.env.log.emit(Event.PLAN_REJECTED, error=str(exc))
             return
+        held = self._holds(self.record.plan)
         self.lease.observe(plan, version, self.env.now)
-        if plan.holder != self.record.candidate.token:
-            if self.lease.may_act(self.env.now):
+        if not self._holds(plan):
+            if held:
                 self.env.log.emit(Event.LEASE_LOST, data_centre=self.home, to=plan.holder_name)
             self.lease.lost()
 
+    def _holds(self, plan: Plan | None) -> bool:
+        """Return whether this version of the plan names this process, even if it has lapsed."""
+        return plan is not None and plan.holder == self.record.candidate.token
+
     def _tick_later(self) -> None:
         delay = TICK_SECONDS * self.env.random.uniform(0.5, 1.5)
         self.env.clock.callLater(delay, self.tell, Tick())
