Choose test ports below the range of outgoing connections

Cause: a site of a parallel test did not become ready within 20 s once in about 30 starts; a port that was chosen as free can be taken by an outgoing connection before its process starts. Ports now come from 10000 to 29999, and the wait for a site names a process that ended early with the end of its log.

--- a/tests/test_process_faults.py
+++ b/tests/test_process_faults.py
@@ -173,7 +173,7 @@
             headers={"If-Match": before.headers["ETag"]},
         )
         self.assertThat(renewal.status_code, Equals(412))
-        until(lambda: site.get("entry-1", "/readyz").is_success, "entry-1 runs again")
+        site.entry.until_event("LEASE_LOST", to="entry-2")
         version = int(after.headers["ETag"])
         until(lambda: int(site.plan().headers["ETag"]) > version + 2, "renewals by entry-2")
         kept = site.plan().json()
--- a/tests/utils/sites.py
+++ b/tests/utils/sites.py
@@ -1,7 +1,9 @@
 """A site of separate processes, from copies of the settings in ``examples/site``."""
 
 import json
+import secrets
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -12,12 +14,14 @@
 import json5
 from attrs import define, field
 
-from tests.utils.daemons import free_port
-
 EXAMPLES = Path(__file__).parents[2] / "examples"
 SITE = EXAMPLES / "site"
 MODEL = "rota-assistant"
 MESSAGES = [{"role": "user", "content": "Who guards tower 4?"}]
+# Below the range from which the system takes the ports of outgoing connections, since one
+# of those may take a port between its choice and the start of the process that it is for.
+PORTS = range(10_000, 30_000)
+LOG_LINES = 5  # of a process that ended early
 POLL_SECONDS = 0.02
 WAIT_SECONDS = 20.0
 
@@ -33,6 +37,15 @@
     raise AssertionError(f"within {seconds} s not seen: {what}")
 
 
+def free_port():
+    """Return a loopback port that is free now."""
+    while True:
+        port = secrets.choice(PORTS)
+        with socket.socket() as probe, suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return port
+
+
 @define(eq=False)
 class Daemon:
     """One process of the site with its log."""
@@ -183,7 +196,14 @@
     def wait_live(self, entry, names):
         wanted = dict.fromkeys(names, "live")
         until(lambda: self.get(entry, "/readyz").is_success, f"{entry} ready")
-        until(lambda: wanted.items() <= self.states(entry).items(), f"{names} live at {entry}")
+        until(lambda: self.has_states(entry, wanted), f"{names} live at {entry}")
+
+    def has_states(self, entry, wanted):
+        for daemon in self.daemons:
+            if daemon.process.poll() not in (None, -signal.SIGKILL):
+                lines = daemon.log.read_text().splitlines()[-LOG_LINES:]
+                raise AssertionError("\n".join([f"{daemon.settings} ended early:", *lines]))
+        return wanted.items() <= self.states(entry).items()
 
     def book(self, key, entry="entry-1", timeout=30):
         return httpx.post(
