Close silent connections of entries at the agent within 25 s

Cause: grpclib's server checks its connections every two hours by default and the agent calls nobody, so a connection that went silent for good kept its streams until then. The listener now sets TCP keepalive and TCP_USER_TIMEOUT, which accepted connections inherit; grpclib's own keepalive settings are private. An entry needs none: its probes replace a silent connection. Not measured: loopback can't drop packets without privileges; the test checks the options of an accepted connection.

--- a/chivewall/plugins/builtin/gate.py
+++ b/chivewall/plugins/builtin/gate.py
@@ -27,6 +27,10 @@
 from chivewall.wire.chivewall_grpc import AgentBase
 from chivewall.wire.codec import decode_attempt, encode_part, encode_report
 
+KEEPALIVE_IDLE_SECONDS = 10
+KEEPALIVE_INTERVAL_SECONDS = 5
+KEEPALIVE_PROBES = 3
+UNSENT_MS = 25_000  # as long as the keepalive takes to give up
 TOKEN_METADATA = "authorization"  # noqa: S105 - the name of a metadata key
 
 
@@ -134,7 +138,7 @@
 
     async def start(self) -> None:
         """Bind the port; fails if another process already serves it."""
-        self.socket = _listen(self.cfg.host, self.cfg.port)
+        self.socket = listen(self.cfg.host, self.cfg.port)
         self.gate = Gate(self.env)
         self.server = Server([self.gate])
         await Deferred.fromFuture(asyncio.ensure_future(self.server.start(sock=self.socket)))
@@ -159,11 +163,13 @@
     registry.add(GatePlugin)
 
 
-def _listen(host: str, port: int) -> socket.socket:
+def listen(host: str, port: int) -> socket.socket:
+    """Return the socket that accepts the connections of entries."""
     # asyncio and grpclib set TCP_NODELAY only on sockets that name their protocol. Without
     # it, Nagle's algorithm and delayed ACKs hold the end of each answer back for 40 ms.
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    _set_keepalive(listener)
     try:
         listener.bind((host, port))
         listener.listen()
@@ -173,5 +179,20 @@
     return listener
 
 
+def _set_keepalive(listener: socket.socket) -> None:
+    # An entry notices a silent connection by its probes, but the agent only waits for calls:
+    # without this, a connection that went silent would keep its memory and attempts for hours.
+    # Accepted connections inherit the options of their listener.
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    if hasattr(socket, "TCP_KEEPIDLE") and hasattr(socket, "TCP_USER_TIMEOUT"):  # Linux
+        for option, value in (
+            (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS),
+            (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
+            (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+            (socket.TCP_USER_TIMEOUT, UNSENT_MS),
+        ):
+            listener.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
 def _as_future(waiting: Deferred) -> asyncio.Future:
     return waiting.asFuture(asyncio.get_running_loop())
--- /dev/null
+++ b/tests/test_gate_sockets.py
@@ -0,0 +1,42 @@
+"""Options of the connections that the gate accepts."""
+
+import asyncio
+import socket
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from chivewall.plugins.builtin import gate
+
+
+class GateSocketTest(TestCase):
+    """Accepts one connection in an asyncio loop, as the gate does."""
+
+    def option(self, level, name):
+        return asyncio.run(self.accept(level, name))
+
+    async def accept(self, level, name):
+        accepted = asyncio.get_running_loop().create_future()
+        listener = gate.listen("127.0.0.1", 0)
+
+        def on_connection(_reader, writer):
+            connection = writer.get_extra_info("socket")
+            accepted.set_result(connection.getsockopt(level, name))
+            writer.close()
+
+        server = await asyncio.start_server(on_connection, sock=listener)
+        async with server:
+            _, writer = await asyncio.open_connection(*listener.getsockname())
+            value = await asyncio.wait_for(accepted, timeout=5)
+            writer.close()
+        return value
+
+    def test_no_delay(self):
+        # Guards against answers that Nagle's algorithm held back for 40 ms.
+        self.assertThat(self.option(socket.IPPROTO_TCP, socket.TCP_NODELAY), Equals(1))
+
+    def test_keepalive(self):
+        # Guards against connections of vanished entries that stay open for two hours.
+        self.assertThat(self.option(socket.SOL_SOCKET, socket.SO_KEEPALIVE), Equals(1))
+        idle = self.option(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE)
+        self.assertThat(idle, Equals(gate.KEEPALIVE_IDLE_SECONDS))
