--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -108,15 +108,18 @@
     """Guards against example settings that the programs reject."""
 
     def test_daemon_settings(self):
-        found = [*EXAMPLES.glob("*.jsonc"), *EXAMPLES.glob("site/*.jsonc")]
+        found = list(EXAMPLES.rglob("*.jsonc"))
         self.assertThat(found, HasLength(6))
         for path in found:
             checked = run_module("chivewall", "--check", str(path))
             self.assertThat(checked.returncode, Equals(ExitStatus.OK), checked.stderr)
 
     def test_standin_settings(self):
-        found = list(EXAMPLES.glob("site/standins/*.jsonc"))
+        found = list(EXAMPLES.glob("site/standins/*.json5"))
         self.assertThat(found, HasLength(3))
+        checked = {*found, *EXAMPLES.rglob("*.jsonc"), *EXAMPLES.rglob("*.token")}
+        files = {path for path in EXAMPLES.rglob("*") if path.is_file()}
+        self.assertThat(files, Equals(checked))
         for path in found:
             program = "platform" if path.stem == "platform" else "endpoint"
             checked = run_module(f"chivewall.standins.{program}", "--check", str(path))
--- a/tests/utils/sites.py
+++ b/tests/utils/sites.py
@@ -107,7 +107,7 @@
         """Start the platform, the endpoints, their agents and one entry."""
         names = [(f"engine-{place}", "engine") for place in range(1, engines + 1)]
         names.append(("booking-1", "service"))
-        listed = json5.loads((SITE / "standins/platform.jsonc").read_text())["instances"]
+        listed = json5.loads((SITE / "standins/platform.json5").read_text())["instances"]
         for name, kind in names:
             port = (gates or {}).get(name) or self.port(f"gate {name}")
             [example] = [one for one in listed if one["kind"] == kind]
@@ -157,7 +157,8 @@
         return self.run("chivewall", settings, name)
 
     def copy(self, source, name, **changes):
-        settings = json5.loads((SITE / f"{source}.jsonc").read_text())
+        [example] = SITE.glob(f"{source}.json*")
+        settings = json5.loads(example.read_text())
         path = self.folder / f"{name}.jsonc"
         path.write_text(json.dumps({**settings, **changes}))
         return path
