Keep an agent's connections open for 0.2 s after the last part

Cause: grpclib's client cancels a pending read when its connection ends, with a message that has arrived but was not read; the gate closed its connections in the same step as the last part.

Test ports of one site no longer repeat, which is the other possible cause.

--- a/chivewall/plugins/builtin/gate.py
+++ b/chivewall/plugins/builtin/gate.py
@@ -8,6 +8,7 @@
 from grpclib.exceptions import GRPCError
 from grpclib.server import Server, Stream
 from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
 
 from chivewall.environment import Environment
 from chivewall.errors import ConfigurationError
@@ -27,6 +28,9 @@
 from chivewall.wire.chivewall_grpc import AgentBase
 from chivewall.wire.codec import decode_attempt, encode_part, encode_report
 
+# grpclib's client drops a message that it has not read when its connection ends, so the
+# connections stay open for a while after the last part was sent.
+LINGER_SECONDS = 0.2
 KEEPALIVE_IDLE_SECONDS = 10
 KEEPALIVE_INTERVAL_SECONDS = 5
 KEEPALIVE_PROBES = 3
@@ -146,6 +150,7 @@
     async def drain(self) -> None:
         """Refuse new work and wait until every answer was sent."""
         await self.gate.drain()
+        await deferLater(self.env.clock, LINGER_SECONDS, lambda: None)
 
     async def stop(self) -> None:
         """Close the port and its connections."""
--- a/tests/utils/sites.py
+++ b/tests/utils/sites.py
@@ -37,10 +37,12 @@
     raise AssertionError(f"within {seconds} s not seen: {what}")
 
 
-def free_port():
-    """Return a loopback port that is free now."""
+def free_port(taken):
+    """Return a loopback port that is free now and not in ``taken``."""
     while True:
         port = secrets.choice(PORTS)
+        if port in taken:
+            continue
         with socket.socket() as probe, suppress(OSError):
             probe.bind(("127.0.0.1", port))
             return port
@@ -101,7 +103,9 @@
             (self.folder / token.name).write_text(token.read_text())
 
     def port(self, name):
-        return self.ports.setdefault(name, free_port())
+        if name not in self.ports:
+            self.ports[name] = free_port(taken=self.ports.values())
+        return self.ports[name]
 
     def start(self, engines=1, gates=None, planner=None, **service):
         """Start the platform, the endpoints, their agents and one entry."""
