Refuse two route handlers with the same name

Klein finds handlers by name, so a second one of the same name silently replaced the first on all of its paths. HttpApi.route now raises PluginError at start-up; one handler may still serve several paths.

--- a/chivewall/plugins/builtin/http_api.py
+++ b/chivewall/plugins/builtin/http_api.py
@@ -2,7 +2,8 @@
 
 import json
 import math
-from typing import Any
+from collections.abc import Callable
+from typing import Any, TypeVar
 
 from attrs import field, frozen, validators
 from klein import Klein
@@ -15,13 +16,15 @@
 
 from chivewall import chat
 from chivewall.environment import Environment
-from chivewall.errors import RequestError
+from chivewall.errors import PluginError, RequestError
 from chivewall.kernel import Application
 from chivewall.plugins.base import Plugin
 from chivewall.plugins.registry import Registry
 from chivewall.results import ResultCode, RunState
 from chivewall.work import Refusal
 
+HandlerT = TypeVar("HandlerT", bound=Callable[..., Any])
+
 _log = Logger()  # Twisted's log; the daemon forwards it to the event log
 
 
@@ -53,13 +56,33 @@
         self.max_body_bytes = max_body_bytes
         self.app = env.require(Application)
         self.klein = Klein()
-        self.route = self.klein.route
+        self._handlers: dict[str, Callable[..., Any]] = {}
         self.route("/healthz", methods=["GET"])(self.show_health)
         self.route("/readyz", methods=["GET"])(self.show_readiness)
         self.klein.handle_errors(RequestError)(self.refuse)
         self.klein.handle_errors(HTTPException)(self.refuse_path)
         self.klein.handle_errors(Exception)(self.refuse_unexpected)
 
+    def route(self, path: str, **options: Any) -> Callable[[HandlerT], HandlerT]:
+        """Return a decorator that serves a path; raises ``PluginError`` for a second handler name.
+
+        Klein finds handlers by name, so a second one of the same name would
+        silently replace the first on all of its paths. One handler may serve
+        several paths.
+        """
+
+        def add(handler: HandlerT) -> HandlerT:
+            known = self._handlers.get(handler.__name__)
+            if known is not None and known != handler:
+                raise PluginError(
+                    f"route {path}: another route has a handler named {handler.__name__!r}; "
+                    "rename this one"
+                )
+            self._handlers[handler.__name__] = handler
+            return self.klein.route(path, **options)(handler)
+
+        return add
+
     def show_health(self, http: HttpRequest) -> bytes:
         """Answer that the process is alive."""
         return write_json(http, {"alive": True})
