Tell what happened to a request; show ranks and data centres in the status

Explain printed the raw fields of events, and a refusal lost the limit that caused it between the agent and the entry's log. ATTEMPT_FAILED and REQUEST_ENDED now carry limit and limit_reason; REQUEST_ENDED also has seconds, first_token_seconds, run and reason. The explain plug-in keeps the configuration in force at acceptance in a task of its own and tells rank, share, limits, candidates, retries and the refusal. GET /operator/config/in-force/VERSION says where a version is in force and has the directory probe the endpoints that lag: in a test on a virtual clock three idle endpoints are known to have the version after 0.2 s instead of after their next report.

--- a/chivewall/configuration.py
+++ b/chivewall/configuration.py
@@ -85,6 +85,7 @@
     value: float
     source: str
     reason: str
+    by_default: bool = True  # False if an exception set it
 
 
 @frozen
@@ -127,7 +128,11 @@
             )
         best = max(covering, key=lambda one: (one.specificity, one.id))
         return LimitValue(
-            name=name, value=best.value, source=f"exception {best.id}", reason=best.reason
+            name=name,
+            value=best.value,
+            source=f"exception {best.id}",
+            reason=best.reason,
+            by_default=False,
         )
 
     def successor(self, **changes: Any) -> "Configuration":
--- /dev/null
+++ b/chivewall/explanation.py
@@ -0,0 +1,168 @@
+"""Tells in a few lines what happened to a request, from its events and the voted limits."""
+
+from typing import Any
+
+from attrs import define, field, frozen
+
+from chivewall.configuration import Configuration, LimitName
+from chivewall.events import Event
+from chivewall.work import Rank
+
+Fields = dict[str, Any]
+MS_PER_SECOND = 1000
+CANDIDATES_SHOWN = 3
+ATTEMPTS_SHOWN = 4  # the first and the latest ones of a request that was tried for long
+LIMITS_TOLD = (
+    LimitName.PROMPT_TOKENS,
+    LimitName.OUTPUT_TOKENS,
+    LimitName.TOKENS_IN_FLIGHT,
+    LimitName.REQUESTS_IN_FLIGHT,
+    LimitName.WORKSPACE_SHARE,
+    LimitName.QUEUE_SECONDS,
+)
+
+
+@frozen
+class Seen:
+    """An event of a request, in seconds after the request was accepted."""
+
+    event: Event
+    fields: Fields
+    after: float
+
+
+@define
+class Record:
+    """What is kept of one request."""
+
+    seen: list[Seen] = field(factory=list)
+    configuration: Configuration | None = None  # in force when the request was accepted
+    unix_time: float = 0.0  # when the request was accepted
+    accepted_at: float = 0.0  # on the clock of the process
+    dropped: int = 0  # events over the bound
+
+
+def tell(record: Record) -> list[str]:
+    """Return the lines for an operator."""
+    accepted = _first(record, Event.REQUEST_ACCEPTED)
+    lines = []
+    if accepted is not None:
+        lines.append(
+            f"{accepted['rank']} request of workspace {accepted['workspace']} "
+            f"for {accepted['target']}"
+        )
+        if record.configuration is not None:
+            lines += _tell_policy(record, accepted)
+    lines += _shorten([line for seen in record.seen for line in _tell_event(seen)])
+    if record.dropped:
+        lines.append(f"{record.dropped} more events were not kept")
+    ended = _first(record, Event.REQUEST_ENDED)
+    return [*lines, *(_tell_end(ended) if ended is not None else ["still in progress"])]
+
+
+def describe_refusal(code: str, fields: Fields) -> str:
+    """Return why work was refused, with the limit and the reason that members can contest."""
+    text = f"{code}: {fields.get('reason', '')}"
+    if "limit" not in fields:
+        return text
+    return f"{text}; limit: {fields['limit']}, its reason: {fields['limit_reason']!r}"
+
+
+def _first(record: Record, event: Event) -> Fields | None:
+    return next((one.fields for one in record.seen if one.event is event), None)
+
+
+def _tell_policy(record: Record, accepted: Fields) -> list[str]:
+    cfg = record.configuration
+    rank = Rank(accepted["rank"])
+    policy = cfg.ranks[rank]
+    promise = (
+        f"configuration {cfg.version}: the rank is guaranteed {policy.share:.0%} of an endpoint, "
+        f"first token within {policy.first_token_ms:g} ms"
+    )
+    limits = [
+        cfg.limit(
+            name,
+            workspace=accepted["workspace"],
+            model=accepted["target"],
+            rank=rank,
+            unix_time=record.unix_time,
+        )
+        for name in LIMITS_TOLD
+    ]
+    defaults = [f"{one.name.value} {one.value:g}" for one in limits if one.by_default]
+    lines = [promise, f"default limits: {', '.join(defaults) or 'none'}"]
+    lines += [
+        f"{one.source}: {one.name.value} {one.value:g}, its reason: {one.reason!r}"
+        for one in limits
+        if not one.by_default
+    ]
+    return lines
+
+
+def _tell_event(seen: Seen) -> list[str]:
+    teller = TELLERS.get(seen.event)
+    return [] if teller is None else [f"at {seen.after:.2f} s {teller(seen.fields)}"]
+
+
+def _tell_route(fields: Fields) -> str:
+    lost = sorted(fields["rejected"].items(), key=lambda pair: pair[1])[:CANDIDATES_SHOWN]
+    text = (
+        f"sent to {fields['endpoint']}, estimated finish in {_seconds(fields['estimate'])}: "
+        f"{fields['reason']}"
+    )
+    if not lost:
+        return f"{text}; no other candidate"
+    others = ", ".join(f"{name} {_seconds(estimate)}" for name, estimate in lost)
+    return f"{text}; not chosen: {others}"
+
+
+def _tell_missing(_fields: Fields) -> str:
+    return "no endpoint could take it"
+
+
+def _tell_failure(fields: Fields) -> str:
+    run = {"no": "was not run", "yes": "was run", "unknown": "may have run"}[fields["run"]]
+    return (
+        f"attempt {fields['attempt']} at {fields['endpoint']} failed, the work {run}: "
+        f"{describe_refusal(fields['code'], fields)}"
+    )
+
+
+def _tell_retry(fields: Fields) -> str:
+    excluded = fields["excluded"]
+    avoided = f"; avoids {', '.join(excluded)}" if excluded else ""
+    return f"tried again: {fields['reason']}{avoided}"
+
+
+def _tell_end(fields: Fields) -> list[str]:
+    attempts = f"{fields['attempts']} attempt" + ("" if fields["attempts"] == 1 else "s")
+    first = fields.get("first_token_seconds")
+    told = "" if first is None else f", first token after {_seconds(first)}"
+    after = f"after {_seconds(fields['seconds'])}{told}, {attempts}"
+    if "run" not in fields:
+        return [f"answered in full ({fields['outcome']}) {after}"]
+    run = {"no": "not run", "yes": "run", "unknown": "may have run"}[fields["run"]]
+    lines = [f"refused {after}, {run}: {describe_refusal(fields['outcome'], fields)}"]
+    if "limit" in fields:
+        lines.append(f"a member who contests this names: {fields['limit']}")
+    return lines
+
+
+def _shorten(lines: list[str]) -> list[str]:
+    half = ATTEMPTS_SHOWN * 3 // 2  # an attempt has up to three lines
+    if len(lines) <= 2 * half:
+        return lines
+    return [*lines[:half], f"({len(lines) - 2 * half} lines left out)", *lines[-half:]]
+
+
+def _seconds(value: float) -> str:
+    return f"{value * MS_PER_SECOND:.0f} ms" if value < 1 else f"{value:.2f} s"
+
+
+TELLERS = {
+    Event.ROUTE_CHOSEN: _tell_route,
+    Event.ROUTE_MISSING: _tell_missing,
+    Event.ATTEMPT_FAILED: _tell_failure,
+    Event.RETRY_DECIDED: _tell_retry,
+}
--- a/chivewall/plugins/builtin/directory.py
+++ b/chivewall/plugins/builtin/directory.py
@@ -8,6 +8,7 @@
 from chivewall.configuration import Configuration
 from chivewall.decisions.membership import Change, Fleet
 from chivewall.decisions.outputs import OutputLengths
+from chivewall.decisions.rollout import lagging
 from chivewall.decisions.routing import Route, choose
 from chivewall.environment import Environment
 from chivewall.errors import ConfigurationError, LinkBrokenError, StoreError
@@ -39,6 +40,7 @@
 
 LIST_SECONDS = 2.0  # between reads of the instance list
 PROBE_TICK_SECONDS = 0.25
+LAGGING_PROBES = 32  # at once, for an operator who waits; bounds the connections they open
 LIST = Tick("list")
 PROBE = Tick("probe")
 
@@ -64,6 +66,13 @@
     """Ask for a tuple of all ``Member`` values, as this entry knows them."""
 
 
+@frozen
+class ProbeLagging:
+    """Probe endpoints that have not reported this version; idle ones report rarely."""
+
+    version: int
+
+
 @frozen
 class InstancesSeen:
     """The instance list was read."""
@@ -98,6 +107,7 @@
         self.configuration: Configuration | None = None
         self.exchanged: dict[str, tuple[str, int, int]] = {}  # by endpoint
         self.timers: dict[Tick, IDelayedCall] = {}
+        self.probing: set[str] = set()  # endpoints with a probe for ``ProbeLagging`` under way
 
     def start(self) -> None:
         """Begin to read the instance list and to probe."""
@@ -236,6 +246,15 @@
     async def _(self, message: ListMembers) -> None:
         message.answer(tuple(self.fleet.members.values()))
 
+    @receive.register
+    async def _(self, message: ProbeLagging) -> None:
+        for lag in lagging(self.fleet.members.values(), message.version):
+            if lag.endpoint in self.probing or len(self.probing) >= LAGGING_PROBES:
+                continue
+            self.probing.add(lag.endpoint)
+            probe = self.spawn(self._probe(self.fleet.members[lag.endpoint].instance))
+            probe.addBoth(self._end_probe, lag.endpoint)
+
     async def _read_list(self) -> None:
         try:
             instances = await self.store.instances()
@@ -255,6 +274,10 @@
         if self.links.get(instance.name) is link:
             self.tell(ReportSeen(report, round_trip=self.env.now - sent_at))
 
+    def _end_probe(self, result: object, endpoint: str) -> object:
+        self.probing.discard(endpoint)
+        return result
+
     def _compare_versions(self, report: LoadReport) -> None:
         """Exchange documents once for each endpoint and pair of versions that differ."""
         member = self.fleet.members.get(report.endpoint)
--- a/chivewall/plugins/builtin/explain.py
+++ b/chivewall/plugins/builtin/explain.py
@@ -1,19 +1,26 @@
 """Keeps the events of recent requests, so that an operator can ask what happened to one."""
 
 from collections import OrderedDict
+from functools import singledispatchmethod
 from typing import Any
 
-from attrs import field, frozen, validators
+from attrs import define, field, frozen, validators
 from twisted.web.server import Request as HttpRequest
 
+from chivewall.configuration import Configuration
+from chivewall.environment import Environment
 from chivewall.errors import RequestError
 from chivewall.events import Event
+from chivewall.explanation import Record, Seen, tell
+from chivewall.messages import ConfigurationSeen
 from chivewall.plugins.base import Plugin
+from chivewall.plugins.builtin.configuration import ConfigurationKeeper, Subscribe
 from chivewall.plugins.builtin.credentials import Credentials
 from chivewall.plugins.builtin.http_api import HttpApi, write_json
 from chivewall.plugins.builtin.operator_http import authenticate
 from chivewall.plugins.registry import Registry
 from chivewall.results import ResultCode
+from chivewall.task import Query, Task
 
 EVENTS_PER_REQUEST = 50  # a request that is retried for long doesn't grow without bound
 
@@ -27,29 +34,82 @@
     )
 
 
-class RequestHistory:
-    """Events by request; the oldest request is dropped first."""
+@frozen
+class RequestEvent:
+    """An event about a request was written at this time."""
 
-    def __init__(self, size: int) -> None:
-        self.size = size
-        self.requests: OrderedDict[str, list[str]] = OrderedDict()
+    event: Event
+    fields: dict[str, Any]
+    at: float
+    unix_time: float
 
-    def observe(self, event: Event, fields: dict[str, Any]) -> None:
-        """Keep the event if it is about a request."""
-        request = fields.get("request")
-        if request is None:
-            return
-        lines = self.requests.setdefault(request, [])
-        if len(lines) < EVENTS_PER_REQUEST:
-            lines.append(describe(event, fields))
+
+@define(eq=False)
+class FindRecord(Query):
+    """Ask for the ``Record`` of a request; answered with ``None`` if it is not kept."""
+
+    request: str
+
+
+@define
+class RequestHistory:
+    """Records by request; the oldest request is dropped first."""
+
+    size: int
+    requests: OrderedDict[str, Record] = field(factory=OrderedDict)
+
+    def add(self, message: RequestEvent, configuration: Configuration | None) -> None:
+        """Keep an event; the first one of a request also keeps the configuration in force.
+
+        The event that ends a request is kept even when the request is over the bound.
+        """
+        name = message.fields["request"]
+        record = self.requests.get(name)
+        if record is None:
+            record = self.requests[name] = Record(
+                configuration=configuration,
+                unix_time=message.unix_time,
+                accepted_at=message.at,
+            )
+        if len(record.seen) < EVENTS_PER_REQUEST or message.event is Event.REQUEST_ENDED:
+            after = message.at - record.accepted_at
+            record.seen.append(Seen(message.event, message.fields, after))
+        else:
+            record.dropped += 1
         while len(self.requests) > self.size:
             self.requests.popitem(last=False)
 
 
-def describe(event: Event, fields: dict[str, Any]) -> str:
-    """Return one line, for example ``endpoint chosen: endpoint engine-1, reason ...``."""
-    shown = ", ".join(f"{name} {value}" for name, value in fields.items() if name != "request")
-    return f"{event.number} {event.text}: {shown}" if shown else f"{event.number} {event.text}"
+class Explainer(Task):
+    """Owns the history of recent requests."""
+
+    def __init__(self, env: Environment, size: int) -> None:
+        super().__init__()
+        self.env = env
+        self.history = RequestHistory(size)
+        self.configuration: Configuration | None = None
+
+    def observe(self, event: Event, fields: dict[str, Any]) -> None:
+        """Observe the event log: forward the events about requests."""
+        if "request" in fields:
+            self.tell(RequestEvent(event, fields, at=self.env.now, unix_time=self.env.unix_time()))
+
+    @singledispatchmethod
+    async def receive(self, message: object) -> None:
+        """Handle one message."""
+        raise TypeError(f"unexpected message {message!r}")
+
+    @receive.register
+    async def _(self, message: RequestEvent) -> None:
+        self.history.add(message, self.configuration)
+
+    @receive.register
+    async def _(self, message: ConfigurationSeen) -> None:
+        self.configuration = message.configuration
+
+    @receive.register
+    async def _(self, message: FindRecord) -> None:
+        message.answer(self.history.requests.get(message.request))
 
 
 class ExplainPlugin(Plugin):
@@ -59,20 +119,33 @@
     settings_type = ExplainSettings
 
     async def setup(self) -> None:
-        """Follow the event log and add the route."""
-        self.history = RequestHistory(self.cfg.requests)
+        """Follow the event log and the configuration, and add the route."""
         self.credentials = self.env.require(Credentials)
-        self.env.log.subscribe(self.history.observe)
+        self.explainer = Explainer(self.env, self.cfg.requests)
+        self.env.log.subscribe(self.explainer.observe)
+        self.env.require(ConfigurationKeeper).tell(Subscribe(self.explainer.inbox))
         route = self.env.require(HttpApi).route
         route("/operator/requests/<name>", methods=["GET"])(self.show_request)
 
-    def show_request(self, http: HttpRequest, name: str) -> bytes:
-        """Answer with the lines of one request."""
+    async def start(self) -> None:
+        """Begin to keep events."""
+        self.explainer.start()
+
+    async def stop(self) -> None:
+        """Stop keeping events."""
+        await self.explainer.stop()
+
+    async def show_request(self, http: HttpRequest, name: str) -> bytes:
+        """Answer with the told lines and the events of one request."""
         authenticate(self.credentials, http)
-        lines = self.history.requests.get(name)
-        if lines is None:
+        record: Record | None = await self.explainer.ask(FindRecord(name))
+        if record is None:
             raise RequestError(ResultCode.UNKNOWN_REQUEST, f"{name!r} is not a recent request")
-        return write_json(http, {"request": name, "lines": lines})
+        events = [
+            {"event": one.event.name, "after": round(one.after, 4), "fields": one.fields}
+            for one in record.seen
+        ]
+        return write_json(http, {"request": name, "lines": tell(record), "events": events})
 
 
 def register(registry: Registry) -> None:
--- a/chivewall/plugins/builtin/metrics.py
+++ b/chivewall/plugins/builtin/metrics.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from aioprometheus import Counter, Registry, render
+from aioprometheus import Counter, Histogram, Registry, render
 from twisted.web.server import Request as HttpRequest
 
 from chivewall.events import Event
@@ -10,6 +10,8 @@
 from chivewall.plugins.builtin.http_api import HttpApi
 from chivewall.plugins.registry import Registry as PluginRegistry
 
+FIRST_TOKEN_BUCKETS = [0.05, 0.1, 0.2, 0.34, 0.5, 1.0, 2.0, 5.0, 15.0, 60.0]  # seconds; has 0.34
+
 
 class RequestMetrics:
     """Counters of the requests of one entry."""
@@ -18,12 +20,20 @@
         self.registry = Registry()
         self.requests = self._counter("requests_total", "Ended requests by rank and outcome.")
         self.retries = self._counter("retries_total", "Retries decided.")
+        self.first_token = Histogram(
+            "chivewall_first_token_seconds",
+            "Time to the first token, or to the answer of a plain service, by rank.",
+            buckets=FIRST_TOKEN_BUCKETS,
+            registry=self.registry,
+        )
         self.failures = self._counter("attempt_failures_total", "Failed attempts by code and run.")
 
     def observe(self, event: Event, fields: dict[str, Any]) -> None:
         """Count one event."""
         if event is Event.REQUEST_ENDED:
             self.requests.inc({"rank": fields["rank"], "outcome": str(fields["outcome"])})
+            if "first_token_seconds" in fields:
+                self.first_token.observe({"rank": fields["rank"]}, fields["first_token_seconds"])
         elif event is Event.RETRY_DECIDED:
             self.retries.inc({})
         elif event is Event.ATTEMPT_FAILED:
--- a/chivewall/plugins/builtin/operator_config.py
+++ b/chivewall/plugins/builtin/operator_config.py
@@ -4,6 +4,7 @@
 from collections.abc import Coroutine
 from typing import Any
 
+from attrs import asdict
 from twisted.web.server import Request as HttpRequest
 
 from chivewall.changes import (
@@ -14,14 +15,16 @@
     difference,
 )
 from chivewall.configuration import Configuration, from_document, to_document
+from chivewall.decisions.rollout import lagging, summarise
 from chivewall.environment import Environment
 from chivewall.errors import ChivewallError, RequestError, StoreUnavailableError
 from chivewall.events import Event
 from chivewall.interfaces import ObjectStore
 from chivewall.messages import ConfigurationSeen
 from chivewall.plugins.base import Plugin
-from chivewall.plugins.builtin.configuration import ConfigurationKeeper
+from chivewall.plugins.builtin.configuration import ConfigurationKeeper, CurrentConfiguration
 from chivewall.plugins.builtin.credentials import Credentials
+from chivewall.plugins.builtin.directory import Directory, ListMembers, ProbeLagging
 from chivewall.plugins.builtin.http_api import HttpApi, write_json
 from chivewall.plugins.builtin.operator_http import authenticate
 from chivewall.plugins.registry import Registry
@@ -37,6 +40,7 @@
         self.credentials = env.require(Credentials)
         self.store = env.require(ObjectStore)
         self.keeper = env.require(ConfigurationKeeper)
+        self.directory = env.require(Directory)
 
     def add_routes(self) -> None:
         """Add the routes to the process's HTTP API."""
@@ -46,6 +50,7 @@
         route("/operator/config/check", methods=["POST"])(self.check_configuration)
         route("/operator/config/diff", methods=["POST"])(self.diff_configuration)
         route("/operator/config/history", methods=["GET"])(self.show_history)
+        route("/operator/config/in-force/<int:version>", methods=["GET"])(self.show_rollout)
         route("/operator/exceptions", methods=["GET"])(self.list_exceptions)
         route("/operator/exceptions", methods=["POST"])(self.add_exception)
         route("/operator/exceptions/<name>", methods=["DELETE"])(self.remove_exception)
@@ -83,6 +88,25 @@
         document = await _refuse_errors(self._read_document(http))
         return await self._accept(http, document)
 
+    async def show_rollout(self, http: HttpRequest, version: int) -> bytes:
+        """Answer where a version is not yet in force, and probe the endpoints that lag."""
+        authenticate(self.credentials, http)
+        self.directory.tell(ProbeLagging(version))
+        members = await self.directory.ask(ListMembers())
+        current = await self.keeper.ask(CurrentConfiguration())
+        lags = lagging(members, version)
+        here = current is not None and current.version >= version
+        answer = {
+            "version": version,
+            "in_force": here and bool(members) and not lags,
+            "entry": {"name": self.env.settings.core.instance, "in_force": here},
+            "data_centres": [
+                {"name": one.name, "version": one.version} for one in summarise(members)
+            ],
+            "lagging": [{**asdict(one), "state": one.state.value} for one in lags],
+        }
+        return write_json(http, answer)
+
     async def list_exceptions(self, http: HttpRequest) -> bytes:
         """Answer with the exceptions of the stored document."""
         authenticate(self.credentials, http)
@@ -115,7 +139,7 @@
         archive = await _refuse_errors(self._read_archive())
         kept = tuple(one for one in archive.current.exceptions if one.id != name)
         if len(kept) == len(archive.current.exceptions):
-            raise RequestError(ResultCode.NOT_FOUND, f"there is no exception {name!r}")
+            raise RequestError(ResultCode.UNKNOWN_EXCEPTION, f"there is no exception {name!r}")
         author, reason = http.getHeader("X-Author"), http.getHeader("X-Reason")
         if not author or not reason:
             raise RequestError(ResultCode.BAD_HEADER, "X-Author and X-Reason are required")
--- a/chivewall/plugins/builtin/operator_http.py
+++ b/chivewall/plugins/builtin/operator_http.py
@@ -1,12 +1,16 @@
 """The operators' HTTP API: status of the site as this entry knows it."""
 
+import json
 from typing import Any
 
+from attrs import asdict
 from twisted.web.server import Request as HttpRequest
 
 from chivewall import __version__
+from chivewall.activity import Activity, Decision, RankService, ShowDecisions, ShowService
 from chivewall.configuration import Configuration
 from chivewall.decisions.membership import Member
+from chivewall.decisions.rollout import summarise
 from chivewall.environment import Environment
 from chivewall.errors import RequestError
 from chivewall.plugins.base import Plugin
@@ -29,13 +33,14 @@
         self.credentials = env.require(Credentials)
         self.keeper = env.require(ConfigurationKeeper)
         self.directory = env.require(Directory)
+        self.activity = Activity(env)
 
     def add_routes(self) -> None:
         """Add the operators' routes to the process's HTTP API."""
         self.api.route("/operator/status", methods=["GET"])(self.show_status)
 
     async def show_status(self, http: HttpRequest) -> bytes:
-        """Show endpoints and the configuration version in force."""
+        """Show endpoints, data centres, ranks and the configuration version in force."""
         authenticate(self.credentials, http)
         configuration = await self.keeper.ask(CurrentConfiguration())
         members = await self.directory.ask(ListMembers())
@@ -45,10 +50,25 @@
             "data_centre": self.env.settings.core.data_centre,
             "ready": self.api.app.ready(),
             "configuration": _describe_configuration(configuration),
+            "data_centres": [asdict(one) for one in summarise(members)],
+            "ranks": await self._describe_ranks(configuration),
+            "decisions": [
+                _describe_decision(one) for one in await self.activity.ask(ShowDecisions())
+            ],
             "endpoints": [_describe_member(one) for one in members],
         }
         return write_json(http, status)
 
+    async def _describe_ranks(self, configuration: Configuration | None) -> list[dict[str, Any]]:
+        if configuration is None:
+            return []
+        targets = {rank.value: one.first_token_ms for rank, one in configuration.ranks.items()}
+        services: dict[str, RankService] = await self.activity.ask(ShowService(targets))
+        return [
+            {"rank": rank, "target_ms": targets[rank], **asdict(one)}
+            for rank, one in services.items()
+        ]
+
 
 class OperatorHttpPlugin(Plugin):
     """Adds the operators' routes."""
@@ -56,8 +76,19 @@
     name = "operator_http"
 
     async def setup(self) -> None:
-        """Add the routes."""
-        OperatorHttp(self.env).add_routes()
+        """Add the routes and begin to follow the event log."""
+        operators = OperatorHttp(self.env)
+        operators.add_routes()
+        self.activity = operators.activity
+        self.env.log.subscribe(self.activity.observe)
+
+    async def start(self) -> None:
+        """Begin to keep the recent past."""
+        self.activity.start()
+
+    async def stop(self) -> None:
+        """Stop keeping it."""
+        await self.activity.stop()
 
 
 def register(registry: Registry) -> None:
@@ -83,6 +114,15 @@
     }
 
 
+def _describe_decision(decision: Decision) -> dict[str, Any]:
+    return {
+        "event": decision.event.name,
+        "text": decision.event.text,
+        "seconds_ago": round(decision.seconds_ago, 1),
+        "fields": json.loads(json.dumps(decision.fields, default=str)),
+    }
+
+
 def _describe_member(member: Member) -> dict[str, Any]:
     report = member.report
     return {
--- a/chivewall/request_task.py
+++ b/chivewall/request_task.py
@@ -76,6 +76,8 @@
         self.route: Route | None = None
         self.progress = RequestProgress()
         self.parts_sent = 0
+        self.started_at = env.now
+        self.first_token_at: float | None = None
         self.timer: IDelayedCall | None = None
         self.retry_timer: IDelayedCall | None = None
 
@@ -212,6 +214,7 @@
             code=refusal.code.name,
             run=refusal.run.value,
             reason=refusal.message,
+            **_limit_fields(refusal),
         )
         self.progress.fail(endpoint, refusal)
         self._cancel_attempt(failed=failed)
@@ -256,6 +259,8 @@
         self._end_with(Refusal(code=code, message=message, run=run))
 
     def _forward(self, body: PartBody) -> None:
+        if self.first_token_at is None:
+            self.first_token_at = self.env.now
         if isinstance(body, End):
             self.directory.tell(OutputSeen(self.request, body.completion_tokens))
         if isinstance(body, Tokens):
@@ -298,9 +303,29 @@
             rank=self.request.rank.value,
             attempts=self.progress.attempt,
             outcome=outcome,
+            seconds=round(self.env.now - self.started_at, 4),
+            **self._ending_fields(last),
         )
         self.dispatcher.tell(Served(self.request.id))
 
+    def _ending_fields(self, last: PartBody) -> dict[str, object]:
+        """Return the event fields of the first token and of a refusal."""
+        fields: dict[str, object] = {}
+        if self.first_token_at is not None:
+            fields["first_token_seconds"] = round(self.first_token_at - self.started_at, 4)
+        if isinstance(last, Refusal):
+            fields |= {"run": last.run.value, "reason": last.message, **_limit_fields(last)}
+            if last.retry_after is not None:
+                fields["retry_after"] = last.retry_after
+        return fields
+
+
+def _limit_fields(refusal: Refusal) -> dict[str, str]:
+    """Return the event fields that name the limit behind a refusal, if there is one."""
+    if refusal.limit is None:
+        return {}
+    return {"limit": refusal.limit, "limit_reason": refusal.reason or ""}
+
 
 def _is_duplicate_notice(part: Part) -> bool:
     return isinstance(part.body, Refusal) and part.body.code is ResultCode.DUPLICATE_ATTEMPT
--- a/chivewall/results.py
+++ b/chivewall/results.py
@@ -62,6 +62,7 @@
     INVALID_CONFIGURATION = (4002, 422, RunState.NO, "Correct the named keys.")
     PLATFORM_UNAVAILABLE = (4003, 503, RunState.UNKNOWN, "Try again when the object API answers.")
     UNKNOWN_REQUEST = (4004, 404, RunState.NO, "Ask the entry that served the request.")
+    UNKNOWN_EXCEPTION = (4005, 404, RunState.NO, "Choose an id from the list of exceptions.")
 
     # Start-up.
     INVALID_SETTINGS = (5001, 500, RunState.NO, "Correct the settings file.")
