Complete the command-line tool: waits, exceptions, watch and next steps

Each error ends with the command to type next, each help text has an example, and completion by _CHIVEWALL_COMPLETE is tested. An answer that is no JSON is reported as an address that is no entry.

--- a/chivewall/cli/client.py
+++ b/chivewall/cli/client.py
@@ -1,5 +1,6 @@
 """Calls the operator API of an entry and maps every failure to an exit status."""
 
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -7,7 +8,7 @@
 from attrs import frozen
 from click import ClickException
 from twisted.internet.defer import Deferred, ensureDeferred
-from twisted.internet.task import react
+from twisted.internet.task import deferLater, react
 
 from chivewall.exits import ExitStatus
 
@@ -18,16 +19,73 @@
     409: ExitStatus.CONFLICT,
     422: ExitStatus.INVALID_SETTINGS,
 }
+HELP = "chivewall --help"
+NEXT_OF_NAME = {
+    "UNAUTHENTICATED": "chivewall --token-file FILE status",
+    "CONFLICT": "chivewall config show > FILE, make the change again, chivewall config apply FILE",
+    "INVALID_CONFIGURATION": "correct what is named, then chivewall config check FILE",
+    "PLATFORM_UNAVAILABLE": "chivewall config history, to see whether the change was accepted",
+    "UNKNOWN_REQUEST": "chivewall --address http://OTHER-ENTRY:PORT explain REQUEST",
+    "UNKNOWN_EXCEPTION": "chivewall exceptions list",
+    "BODY_TOO_LARGE": "remove expired exceptions: chivewall exceptions list",
+    "NOT_FOUND": "chivewall --address http://ENTRY:PORT status, to check that this is an entry",
+}
 
 
 class CommandError(ClickException):
-    """Ends a command with an exit status and a message that says what to do."""
+    """Ends a command with an exit status and a message that says what to type next."""
 
-    def __init__(self, message: str, status: ExitStatus) -> None:
-        super().__init__(message)
+    def __init__(self, message: str, status: ExitStatus, next_command: str = HELP) -> None:
+        super().__init__(f"{message}\nNext: {next_command}")
         self.exit_code = int(status)
 
 
+class Session:
+    """Calls from within a running reactor."""
+
+    def __init__(self, client: "Client", reactor: Any) -> None:
+        self.client = client
+        self.reactor = reactor
+
+    @property
+    def now(self) -> float:
+        """Seconds on the clock that ``sleep`` uses."""
+        return self.reactor.seconds()
+
+    async def sleep(self, seconds: float) -> None:
+        """Wait without blocking the reactor."""
+        await deferLater(self.reactor, seconds, lambda: None)
+
+    async def call(
+        self, method: str, path: str, body: Any = None, headers: dict[str, str] | None = None
+    ) -> Any:
+        """Return the JSON answer of one call; raises ``CommandError``."""
+        client = self.client
+        try:
+            response = await treq.request(
+                method,
+                f"{client.base}{path}",
+                json=body,
+                headers={**client.headers(), **(headers or {})},
+                timeout=CALL_TIMEOUT,
+            )
+        except Exception as exc:
+            message = f"no entry answers at {client.base} ({exc})"
+            raise CommandError(
+                message, ExitStatus.UNREACHABLE, "chivewall --address http://ENTRY:PORT status"
+            ) from exc
+        try:
+            answer = await treq.json_content(response)
+        except ValueError as exc:
+            message = f"{client.base} answered {response.code} without JSON; it is no entry"
+            raise CommandError(
+                message, ExitStatus.UNREACHABLE, "chivewall --address http://ENTRY:PORT status"
+            ) from exc
+        if response.code >= FIRST_ERROR_STATUS:
+            raise _refused(response.code, answer)
+        return answer
+
+
 @frozen
 class Client:
     """Address of an entry and the operator token."""
@@ -35,49 +93,56 @@
     base: str
     token_file: Path | None = None
 
-    def call(self, method: str, path: str, body: Any = None) -> Any:
+    def call(
+        self, method: str, path: str, body: Any = None, headers: dict[str, str] | None = None
+    ) -> Any:
         """Return the JSON answer of one call; raises ``CommandError``."""
-        answers: list[Any] = []
+        return self.run(lambda session: session.call(method, path, body, headers))
+
+    def run(self, work: Callable[[Session], Coroutine[Any, Any, Any]]) -> Any:
+        """Run a coroutine in a reactor, once in a process; returns its result or raises its error.
+
+        Returns ``None`` if the reactor was interrupted.
+        """
+        results: list[Any] = []
+        errors: list[Exception] = []
 
-        def run(_reactor: Any) -> Deferred:
-            return ensureDeferred(self._call(method, path, body, answers))
+        async def record(reactor: Any) -> None:
+            try:
+                results.append(await work(Session(self, reactor)))
+            except CommandError as exc:
+                errors.append(exc)
+
+        def start(reactor: Any) -> Deferred:
+            return ensureDeferred(record(reactor))
 
         try:
-            react(run)
+            react(start)
         except SystemExit as exc:
             if exc.code:
-                raise CommandError("the call failed", ExitStatus.FAILED) from exc
-        answer = answers[0]
-        if isinstance(answer, CommandError):
-            raise answer
-        return answer
-
-    async def _call(self, method: str, path: str, body: Any, answers: list[Any]) -> None:
-        url = f"{self.base}{path}"
-        try:
-            response = await treq.request(
-                method, url, json=body, headers=self._headers(), timeout=CALL_TIMEOUT
-            )
-            answer = await treq.json_content(response)
-        except Exception as exc:
-            message = f"no entry answers at {self.base} ({exc}); check --address"
-            answers.append(CommandError(message, ExitStatus.UNREACHABLE))
-            return
-        if response.code >= FIRST_ERROR_STATUS:
-            answers.append(_refused(response.code, answer))
-            return
-        answers.append(answer)
+                raise CommandError("the call failed unexpectedly", ExitStatus.FAILED) from exc
+        if errors:
+            raise errors[0]
+        return results[0] if results else None
 
-    def _headers(self) -> dict[str, str]:
+    def headers(self) -> dict[str, str]:
+        """Return the headers that every call has; raises ``CommandError``."""
         if self.token_file is None:
             return {}
-        token = self.token_file.read_text(encoding="utf-8").strip()
+        try:
+            token = self.token_file.read_text(encoding="utf-8").strip()
+        except (OSError, ValueError) as exc:
+            message = f"can't read the token file {self.token_file}: {exc}"
+            raise CommandError(
+                message, ExitStatus.UNAUTHENTICATED, NEXT_OF_NAME["UNAUTHENTICATED"]
+            ) from exc
         return {"Authorization": f"Bearer {token}"}
 
 
 def _refused(http_status: int, answer: Any) -> CommandError:
     error = answer.get("error", {}) if isinstance(answer, dict) else {}
-    message = f"{error.get('name', http_status)} ({error.get('code', '?')}): {error.get('message')}"
+    name = error.get("name", str(http_status))
+    message = f"{name} ({error.get('code', '?')}): {error.get('message')}"
     advice = error.get("advice", "")
     status = STATUS_OF_HTTP.get(http_status, ExitStatus.FAILED)
-    return CommandError(f"{message}\n{advice}".strip(), status)
+    return CommandError(f"{message}\n{advice}".strip(), status, NEXT_OF_NAME.get(name, HELP))
--- a/chivewall/cli/config.py
+++ b/chivewall/cli/config.py
@@ -1,31 +1,37 @@
-"""``chivewall config`` and ``chivewall exceptions``."""
+"""``chivewall config``."""
 
-import json
 from pathlib import Path
 from typing import Any
 
 import click
 import json5
 
+from chivewall.cli.change import send_change, wait_options
 from chivewall.cli.client import Client, CommandError
+from chivewall.cli.output import AS_JSON, show
 from chivewall.exits import ExitStatus
 
-AS_JSON = click.option("--json", "as_json", is_flag=True, help="Print JSON.")
 DOCUMENT = click.argument("file", type=click.Path(path_type=Path, exists=True, dir_okay=False))
 
 
 @click.group()
 def config() -> None:
-    """Show and change the voted configuration."""
+    """Show and change the voted configuration.
 
+    Example: chivewall config show > new.json
+    """
 
-@config.command()
+
+@config.command(name="show")
 @AS_JSON
 @click.pass_obj
-def show(client: Client, *, as_json: bool) -> None:
-    """Show the accepted document; edit it and raise its version by 1 to apply it."""
+def show_document(client: Client, *, as_json: bool) -> None:
+    """Show the accepted document; edit it and raise its version by 1 to apply it.
+
+    Example: chivewall config show > new.json
+    """
     del as_json  # the document is JSON in any case
-    _print_json(client.call("GET", "/operator/config"))
+    show(client.call("GET", "/operator/config"), "", as_json=True)
 
 
 @config.command()
@@ -33,9 +39,12 @@
 @AS_JSON
 @click.pass_obj
 def check(client: Client, file: Path, *, as_json: bool) -> None:
-    """Check a document without applying it."""
+    """Check a document without applying it.
+
+    Example: chivewall config check new.json
+    """
     answer = client.call("POST", "/operator/config/check", read_document(file))
-    _print(answer, "the document is valid", as_json=as_json)
+    show(answer, "the document is valid", as_json=as_json)
 
 
 @config.command()
@@ -43,57 +52,48 @@
 @AS_JSON
 @click.pass_obj
 def diff(client: Client, file: Path, *, as_json: bool) -> None:
-    """Compare a document with the accepted one."""
+    """Compare a document with the accepted one.
+
+    Example: chivewall config diff new.json
+    """
     answer = client.call("POST", "/operator/config/diff", read_document(file))
-    _print(answer, "\n".join(answer["difference"]) or "no difference", as_json=as_json)
+    show(answer, "\n".join(answer["difference"]) or "no difference", as_json=as_json)
 
 
 @config.command()
 @DOCUMENT
+@wait_options
 @AS_JSON
 @click.pass_obj
-def apply(client: Client, file: Path, *, as_json: bool) -> None:
-    """Apply a document whose version is one above the accepted one."""
-    answer = client.call("PUT", "/operator/config", read_document(file))
-    _print(answer, f"version {answer['version']} is accepted", as_json=as_json)
+def apply(client: Client, file: Path, *, wait: bool, timeout: float, as_json: bool) -> None:
+    """Apply a document whose version is one above the accepted one.
+
+    With --wait the command returns when the version is in force at every
+    endpoint that the entry knows, or says where it is not.
+
+    Example: chivewall config apply new.json --wait --timeout 13
+    """
+    document = read_document(file)
+    send_change(
+        client,
+        lambda session: session.call("PUT", "/operator/config", document),
+        wait=wait,
+        timeout=timeout,
+        as_json=as_json,
+    )
 
 
 @config.command()
 @AS_JSON
 @click.pass_obj
 def history(client: Client, *, as_json: bool) -> None:
-    """List the accepted versions, newest first."""
+    """List the accepted versions, newest first.
+
+    Example: chivewall config history
+    """
     answer = client.call("GET", "/operator/config/history")
     lines = [f"{one['version']}  {one['author']}: {one['reason']}" for one in answer["versions"]]
-    _print(answer, "\n".join(lines), as_json=as_json)
-
-
-@click.group()
-def exceptions() -> None:
-    """Show and change exceptions to the defaults."""
-
-
-@exceptions.command(name="list")
-@AS_JSON
-@click.pass_obj
-def list_exceptions(client: Client, *, as_json: bool) -> None:
-    """List the exceptions with their reasons."""
-    answer = client.call("GET", "/operator/exceptions")
-    lines = [
-        f"{one['id']}  {one['limit']} = {one['value']}  {one['author']}: {one['reason']}"
-        for one in answer["exceptions"]
-    ]
-    _print(answer, "\n".join(lines) or "no exceptions", as_json=as_json)
-
-
-@exceptions.command()
-@DOCUMENT
-@AS_JSON
-@click.pass_obj
-def add(client: Client, file: Path, *, as_json: bool) -> None:
-    """Add the exception in a JSON file: id, limit, value, reason, author, expires_at."""
-    answer = client.call("POST", "/operator/exceptions", read_document(file))
-    _print(answer, f"version {answer['version']} is accepted", as_json=as_json)
+    show(answer, "\n".join(lines), as_json=as_json)
 
 
 def read_document(file: Path) -> Any:
@@ -101,16 +101,8 @@
     try:
         return json5.loads(file.read_text(encoding="utf-8"))
     except (OSError, ValueError) as exc:
-        message = f"{file}: {exc}\nCorrect the file and check it: chivewall config check {file}"
-        raise CommandError(message, ExitStatus.INVALID_SETTINGS) from exc
-
-
-def _print(answer: Any, text: str, *, as_json: bool) -> None:
-    if as_json:
-        _print_json(answer)
-        return
-    click.echo(text)
-
-
-def _print_json(answer: Any) -> None:
-    click.echo(json.dumps(answer, indent=2))
+        raise CommandError(
+            f"{file}: {exc}",
+            ExitStatus.INVALID_SETTINGS,
+            f"correct the file, then chivewall config check {file}",
+        ) from exc
--- /dev/null
+++ b/chivewall/cli/output.py
@@ -0,0 +1,27 @@
+"""Options and output that all commands share."""
+
+import json
+from typing import Any
+
+import click
+
+AS_JSON = click.option("--json", "as_json", is_flag=True, help="Print one JSON value.")
+
+
+def show(answer: Any, text: str, *, as_json: bool) -> None:
+    """Print an answer as JSON or as text."""
+    click.echo(json.dumps(answer, indent=2, ensure_ascii=False) if as_json else text)
+
+
+def format_table(rows: list[tuple[str, ...]]) -> list[str]:
+    """Return rows as lines of aligned columns."""
+    widths = [max(len(cell) for cell in column) for column in zip(*rows, strict=True)]
+    return [
+        "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip()
+        for row in rows
+    ]
+
+
+def cell(value: object) -> str:
+    """Return a value as the text of a table cell."""
+    return "-" if value is None else str(value)
--- a/chivewall/cli/root.py
+++ b/chivewall/cli/root.py
@@ -6,7 +6,8 @@
 
 from chivewall import __version__
 from chivewall.cli.client import Client
-from chivewall.cli.config import config, exceptions
+from chivewall.cli.config import config
+from chivewall.cli.exceptions import exceptions
 from chivewall.cli.explain import explain
 from chivewall.cli.status import status
 from chivewall.exits import ExitStatus
@@ -29,7 +30,10 @@
 )
 @click.pass_context
 def main(ctx: click.Context, address: str, token_file: Path | None) -> None:
-    """Show and change the defaults and exceptions of a chivewall site."""
+    """Show and change the defaults and exceptions of a chivewall site.
+
+    Example: chivewall --address http://127.0.0.1:8080 status
+    """
     ctx.obj = Client(base=address.rstrip("/"), token_file=token_file)
 
 
--- a/chivewall/cli/status.py
+++ b/chivewall/cli/status.py
@@ -1,50 +1,127 @@
 """``chivewall status``."""
 
 import json
+import sys
 from typing import Any
 
 import click
 
-from chivewall.cli.client import Client
+from chivewall.cli.client import Client, Session
+from chivewall.cli.output import AS_JSON, cell, format_table, show
 
 COLUMNS = ("endpoint", "kind", "data_centre", "state", "role", "running", "configuration_version")
 HEADINGS = ("ENDPOINT", "KIND", "DATA CENTRE", "STATE", "ROLE", "RUNNING", "CONFIG")
+DATA_CENTRE_HEADINGS = ("DATA CENTRE", "ENDPOINTS", "STATES", "ROLES", "CONFIG")
+RANK_HEADINGS = ("RANK", "REQUESTS", "WITHIN TARGET", "P95", "TARGET")
+TARGET_SHARE = 0.95  # the targets are for 95 in 100
+COLOUR_OF_STATE = {"live": "green", "suspect": "red", "leaving": "yellow"}
 
 
 @click.command()
-@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+@click.option("--watch", is_flag=True, help="Show the status again and again until Ctrl-C.")
+@click.option(
+    "--interval",
+    type=click.FloatRange(min=0.1),
+    default=2.0,
+    show_default=True,
+    help="Seconds between two views of --watch.",
+)
+@click.option("--count", type=click.IntRange(min=1), help="End --watch after this many views.")
+@AS_JSON
 @click.pass_obj
-def status(client: Client, *, as_json: bool) -> None:
-    """Show endpoints and the configuration version in force.
+def status(
+    client: Client, *, watch: bool, interval: float, count: int | None, as_json: bool
+) -> None:
+    """Show ranks against their targets, data centres, last decisions and endpoints.
 
-    Example: chivewall status --json
+    With --watch and --json together, each view is one line of JSON.
+
+    Example: chivewall status --watch --interval 5
     """
-    answer = client.call("GET", "/operator/status")
-    if as_json:
-        click.echo(json.dumps(answer, indent=2))
+    if not watch:
+        answer = client.call("GET", "/operator/status")
+        show(answer, "\n".join(format_status(answer)), as_json=as_json)
         return
-    for line in format_status(answer):
-        click.echo(line)
+
+    async def views(session: Session) -> None:
+        shown = 0
+        while True:
+            answer = await session.call("GET", "/operator/status")
+            shown += 1
+            _show_view(answer, as_json=as_json)
+            if shown == count:
+                return
+            await session.sleep(interval)
+
+    client.run(views)
 
 
 def format_status(answer: dict[str, Any]) -> list[str]:
-    """Return the lines of the table."""
+    """Return the lines of the view."""
     configuration = answer["configuration"]
     version = configuration["version"] if configuration else "none"
     head = f"entry {answer['entry']} in {answer['data_centre']}, configuration {version}"
-    rows = [HEADINGS]
-    rows += [tuple(_show(one[name]) for name in COLUMNS) for one in answer["endpoints"]]
-    return [head, "", *format_table(rows)]
+    ranks = [RANK_HEADINGS, *(_rank_row(one) for one in answer["ranks"])]
+    centres = [DATA_CENTRE_HEADINGS, *(_data_centre_row(one) for one in answer["data_centres"])]
+    rows = [HEADINGS, *(_endpoint_row(one) for one in answer["endpoints"])]
+    lines = [head, "", "Last 5 minutes at this entry:", *_coloured_ranks(ranks, answer["ranks"])]
+    lines += ["", *format_table(centres), "", "Last decisions:"]
+    lines += [f"  {format_decision(one)}" for one in answer["decisions"]] or ["  none"]
+    table = format_table(rows)
+    coloured = [
+        _paint(line, COLOUR_OF_STATE.get(one["state"]))
+        for line, one in zip(table[1:], answer["endpoints"], strict=True)
+    ]
+    return [*lines, "", table[0], *coloured]
 
 
-def format_table(rows: list[tuple[str, ...]]) -> list[str]:
-    """Return rows as lines of aligned columns."""
-    widths = [max(len(cell) for cell in column) for column in zip(*rows, strict=True)]
+def format_decision(decision: dict[str, Any]) -> str:
+    """Return one line, for example ``3 s ago: state of an endpoint changed (endpoint e1)``."""
+    fields = ", ".join(f"{name} {value}" for name, value in decision["fields"].items())
+    return f"{decision['seconds_ago']:.0f} s ago: {decision['text']} ({fields})"
+
+
+def _show_view(answer: dict[str, Any], *, as_json: bool) -> None:
+    if as_json:
+        click.echo(json.dumps(answer, ensure_ascii=False))
+        return
+    if sys.stdout.isatty():
+        click.clear()
+    click.echo("\n".join(format_status(answer)))
+
+
+def _rank_row(one: dict[str, Any]) -> tuple[str, ...]:
+    within = "-" if one["within"] is None else f"{one['within']:.0%}"
+    p95 = "-" if one["p95_ms"] is None else f"{one['p95_ms']:.0f} ms"
+    return one["rank"], str(one["requests"]), within, p95, f"{one['target_ms']:g} ms"
+
+
+def _coloured_ranks(rows: list[tuple[str, ...]], ranks: list[dict[str, Any]]) -> list[str]:
+    head, *lines = format_table(rows)
+    missed = [one["within"] is not None and one["within"] < TARGET_SHARE for one in ranks]
     return [
-        "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip()
-        for row in rows
+        head,
+        *(_paint(line, "red" if bad else None) for line, bad in zip(lines, missed, strict=True)),
     ]
 
 
-def _show(value: object) -> str:
-    return "-" if value is None else str(value)
+def _data_centre_row(one: dict[str, Any]) -> tuple[str, ...]:
+    return (
+        one["name"],
+        str(one["endpoints"]),
+        _counts(one["states"]),
+        _counts(one["roles"]),
+        cell(one["version"]),
+    )
+
+
+def _counts(counts: dict[str, int]) -> str:
+    return ", ".join(f"{count} {name}" for name, count in sorted(counts.items())) or "-"
+
+
+def _endpoint_row(one: dict[str, Any]) -> tuple[str, ...]:
+    return tuple(cell(one[name]) for name in COLUMNS)
+
+
+def _paint(line: str, colour: str | None) -> str:
+    return line if colour is None else click.style(line, fg=colour)
--- /dev/null
+++ b/tests/test_cli_commands.py
@@ -0,0 +1,152 @@
+"""Commands of the command-line tool: waits, exceptions, output and completion."""
+
+import json
+import os
+import re
+import subprocess
+import sys
+import threading
+from http.server import BaseHTTPRequestHandler, HTTPServer
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+import click
+from click.testing import CliRunner
+from testtools import TestCase
+from testtools.matchers import Contains, EndsWith, Equals, Not
+
+from chivewall.cli.root import main
+from chivewall.exits import ExitStatus
+from tests.utils.daemons import embedded_site, free_port
+
+LAG = {"endpoint": "engine-9", "data_centre": "Diani", "state": "suspect", "version": 1}
+ACCEPTED = {"version": 2}
+PARTLY = {
+    "version": 2,
+    "in_force": False,
+    "entry": {"name": "entry-1", "in_force": True},
+    "data_centres": [{"name": "Diani", "version": 1}],
+    "lagging": [LAG],
+}
+
+
+def call(base, *arguments, env=None):
+    command = [sys.executable, "-m", "chivewall.cli", "--address", base, *arguments]
+    return subprocess.run(command, capture_output=True, text=True, timeout=30, check=False, env=env)
+
+
+class ScriptedEntry(BaseHTTPRequestHandler):
+    """An entry that accepts a change; one endpoint never has it."""
+
+    def do_PUT(self):
+        self._answer(ACCEPTED)
+
+    def do_GET(self):
+        self._answer(PARTLY)
+
+    def log_message(self, *arguments):
+        pass
+
+    def _answer(self, value):
+        self.send_response(200)
+        self.end_headers()
+        self.wfile.write(json.dumps(value).encode())
+
+
+class CommandTest(TestCase):
+    """Guards against scripts and people that can't rely on the tool."""
+
+    def all_commands(self, command=main, path=()):
+        yield path, command
+        for name, child in getattr(command, "commands", {}).items():
+            yield from self.all_commands(child, (*path, name))
+
+    def test_help(self):
+        # Guards against commands without an example, without JSON or with phrases for help.
+        for path, command in self.all_commands():
+            self.assertThat(command.help, Contains("Example: chivewall"), path)
+            self.assertThat(command.help.partition("\n")[0], EndsWith("."), path)
+            names = [name for one in command.params for name in one.opts]
+            if not isinstance(command, click.Group):
+                self.assertThat(names, Contains("--json"), path)
+            for one in command.params:
+                if isinstance(one, click.Option):
+                    self.assertTrue(one.help and one.help.endswith("."), (path, one.name))
+
+    def test_wait_says_where_a_change_is_not_in_force(self):
+        server = HTTPServer(("127.0.0.1", 0), ScriptedEntry)
+        thread = threading.Thread(target=server.serve_forever)
+        thread.start()
+        self.addCleanup(thread.join)
+        self.addCleanup(server.server_close)
+        self.addCleanup(server.shutdown)
+        base = f"http://127.0.0.1:{server.server_port}"
+        file = Path(self.enterContext(TemporaryDirectory())) / "new.json"
+        file.write_text("{}")
+        waited = call(base, "config", "apply", str(file), "--wait", "--timeout", "0.2")
+        self.assertThat(waited.returncode, Equals(ExitStatus.NOT_IN_FORCE))
+        self.assertThat(waited.stderr, Contains("engine-9 in Diani: suspect, version 1"))
+        self.assertThat(waited.stderr, Contains("Next: chivewall status"))
+        waited = call(base, "config", "apply", str(file), "--wait", "--timeout", "0", "--json")
+        self.assertThat(waited.returncode, Equals(ExitStatus.NOT_IN_FORCE))
+        self.assertThat(json.loads(waited.stdout)["lagging"], Equals([LAG]))
+        self.assertThat(call(base, "config", "apply", str(file)).returncode, Equals(0))
+
+    def test_exceptions_and_status(self):
+        folder = Path(self.enterContext(TemporaryDirectory()))
+        base = self.enterContext(embedded_site(folder))
+        fields = ["--value", "5", "--reason", "vote é", "--author", "Aïcha", "--expires", "7d"]
+        add = ["exceptions", "add", "x", "--limit", "output_tokens", *fields]
+        added = call(base, *add, "--rank", "urgent", "--wait", "--json")
+        self.assertThat(added.returncode, Equals(0), added.stderr)
+        self.assertThat(json.loads(added.stdout)["in_force"], Equals(True))
+        again = call(base, *add)
+        self.assertThat(again.returncode, Equals(ExitStatus.INVALID_SETTINGS))
+        self.assertThat(again.stderr, Contains("Next: "))
+        listed = call(base, "exceptions", "list").stdout
+        self.assertThat(listed, Contains("vote é"))
+        self.assertThat(listed, Contains("urgent"))
+        remove = ["exceptions", "remove", "x", "--author", "Aïcha", "--reason", "fin"]
+        self.assertThat(call(base, *remove).stdout, Equals("version 3 is accepted\n"))
+        gone = call(base, *remove)
+        self.assertThat(gone.stderr, Contains("Next: chivewall exceptions list"))
+        self.assertThat(call(base, "config", "history").stdout, Contains("3  Aïcha: fin"))
+        views = call(base, "status", "--watch", "--count", "2", "--interval", "0.1", "--json")
+        versions = [
+            json.loads(one)["configuration"]["version"] for one in views.stdout.split("\n")[:2]
+        ]
+        self.assertThat(versions, Equals([3, 3]))
+        text = call(base, "status").stdout
+        self.assertThat(text, Not(Contains("\x1b")))  # colour only on a terminal
+        for part in ("WITHIN TARGET", "3 live", "Last decisions:", "configuration 3"):
+            self.assertThat(text, Contains(part))
+
+    def test_wrong_expiry_is_refused_before_any_call(self):
+        for wrong in ("2027-01-31T18:00", "soon", "7y"):
+            arguments = ["exceptions", "add", "x", "--limit", "output_tokens", "--value", "5"]
+            arguments += ["--reason", "r", "--author", "a", "--expires", wrong]
+            result = CliRunner().invoke(main, arguments)
+            self.assertThat(result.exit_code, Equals(ExitStatus.USAGE))
+            self.assertThat(
+                re.sub(r"\s+", " ", result.output), Contains("nor a time with its zone")
+            )
+
+    def test_unreachable_entry(self):
+        down = call(f"http://127.0.0.1:{free_port()}", "status")
+        self.assertThat(down.returncode, Equals(ExitStatus.UNREACHABLE))
+        self.assertThat(down.stderr, Contains("Next: chivewall --address"))
+
+    def test_completion(self):
+        # Guards against a completion script that lists no commands.
+        asked = {"_CHIVEWALL_COMPLETE": "bash_complete", "COMP_CWORD": "2"}
+        env = {**os.environ, **asked, "COMP_WORDS": "chivewall config a"}
+        command = "from chivewall.cli import main; main(prog_name='chivewall')"
+        result = subprocess.run(
+            [sys.executable, "-c", command],
+            capture_output=True,
+            text=True,
+            timeout=30,
+            check=False,
+            env=env,
+        )
+        self.assertThat(result.stdout, Equals("plain,apply\n"))
