Bound the stored configuration by bytes; be exact about changes in an outage

The history was bounded by 50 versions only: 300 KB documents brought the object to 902,612 bytes with the second version and over the platform's 1 MB with the third. The object now holds as much history as fits in 900,000 bytes, and a document has at most 400,000, so that the version before it is always kept and decides a lost response.

A write that took effect after the read-back was reported as a conflict although it was accepted; the last try now reads back once more. A change refused because the object API was down before it was written said 'run unknown'; it is now 'no', and ChangeUnknownError marks the changes that may have been written. Tests on a virtual clock show that a process restarted in an outage never brings back an older version.

--- a/chivewall/changes.py
+++ b/chivewall/changes.py
@@ -6,12 +6,22 @@
 from attrs import frozen
 
 from chivewall.configuration import Configuration, from_document, to_document
-from chivewall.errors import ConfigurationError, StoreUnavailableError, VersionConflictError
+from chivewall.errors import (
+    ChangeUnknownError,
+    ConfigurationError,
+    ObjectTooLargeError,
+    StoreError,
+    StoreUnavailableError,
+    VersionConflictError,
+)
 from chivewall.interfaces import ObjectStore, StoredObject
 
 CONFIGURATION_KEY = "config"
 FORMAT = 1
-HISTORY_LENGTH = 50  # versions; keeps the object well below the platform's 1 MB
+SEPARATOR_BYTES = 2  # between documents in the stored list
+HISTORY_LENGTH = 50  # versions
+ARCHIVE_BYTES = 900_000  # of the whole object; the platform takes 1 MB
+DOCUMENT_BYTES = 400_000  # two fit in the object: a lost response is decided by the history
 WRITE_TRIES = 2
 
 
@@ -23,9 +33,19 @@
     history: tuple[Configuration, ...] = ()
 
     def succeed(self, configuration: Configuration) -> "Archive":
-        """Return the archive after a change."""
-        history = (self.current, *self.history)[:HISTORY_LENGTH]
-        return Archive(current=configuration, history=history)
+        """Return the archive after a change, with as much history as fits."""
+        free = ARCHIVE_BYTES - _stored_size(configuration)
+        kept: list[Configuration] = []
+        for one in (self.current, *self.history)[:HISTORY_LENGTH]:
+            free -= _stored_size(one)
+            if free < 0:
+                break
+            kept.append(one)
+        return Archive(current=configuration, history=tuple(kept))
+
+
+def _stored_size(configuration: Configuration) -> int:
+    return len(json.dumps(to_document(configuration))) + SEPARATOR_BYTES
 
 
 def encode_archive(archive: Archive) -> bytes:
@@ -62,28 +82,66 @@
 async def apply_change(store: ObjectStore, configuration: Configuration) -> Configuration:
     """Make the successor of the stored version accepted.
 
-    Raises ``VersionConflictError`` with the difference if another version was
-    accepted first, and ``StoreUnavailableError`` if the outcome is unknown.
     A write without an answer is decided by reading the object back; writing
     again is safe, since both writes have the same condition.
+
+    Raises ``VersionConflictError`` with the difference if another version was
+    accepted first, ``ObjectTooLargeError`` for a document over the limit, and
+    ``ChangeUnknownError`` if the change may or may not have been accepted.
+    After any other ``StoreError`` nothing was written.
     """
+    _check_size(configuration)
     stored: StoredObject = await store.get(CONFIGURATION_KEY)
-    for last in [False] * (WRITE_TRIES - 1) + [True]:
+    doubtful = False  # whether a write had no answer
+    for _ in range(WRITE_TRIES):
         archive = decode_archive(stored.value)
-        if configuration in (archive.current, *archive.history):
+        if _accepted(archive, configuration):
             return configuration
-        if configuration.version != archive.current.version + 1:
-            lines = difference(to_document(archive.current), to_document(configuration))
-            raise VersionConflictError(
-                f"version {archive.current.version} is in force; difference: {'; '.join(lines)}"
-            )
         value = encode_archive(archive.succeed(configuration))
         try:
             await store.update(CONFIGURATION_KEY, value, stored.version)
-        except (StoreUnavailableError, VersionConflictError):
-            if last:
-                raise
-            stored = await store.get(CONFIGURATION_KEY)
+        except (StoreUnavailableError, VersionConflictError) as exc:
+            doubtful = doubtful or isinstance(exc, StoreUnavailableError)
+            stored = await _read_back(store, doubtful=doubtful)
+        except StoreError as exc:
+            _raise_unknown(exc, doubtful=doubtful)
+            raise
         else:
             return configuration
-    raise AssertionError("the last try returns or raises")
+    if _accepted(decode_archive(stored.value), configuration):
+        return configuration
+    raise ChangeUnknownError(f"{WRITE_TRIES} writes had no answer; one may still take effect")
+
+
+async def _read_back(store: ObjectStore, *, doubtful: bool) -> StoredObject:
+    try:
+        return await store.get(CONFIGURATION_KEY)
+    except StoreError as exc:
+        _raise_unknown(exc, doubtful=doubtful)
+        raise
+
+
+def _raise_unknown(exc: StoreError, *, doubtful: bool) -> None:
+    """Raise ``ChangeUnknownError`` if an earlier write had no answer."""
+    if doubtful:
+        raise ChangeUnknownError(f"a write had no answer; then: {exc}") from exc
+
+
+def _accepted(archive: Archive, configuration: Configuration) -> bool:
+    """Return whether the change is stored; raises ``VersionConflictError`` if it can't be."""
+    if configuration in (archive.current, *archive.history):
+        return True
+    if configuration.version == archive.current.version + 1:
+        return False
+    lines = difference(to_document(archive.current), to_document(configuration))
+    raise VersionConflictError(
+        f"version {archive.current.version} is in force; difference: {'; '.join(lines)}"
+    )
+
+
+def _check_size(configuration: Configuration) -> None:
+    size = _stored_size(configuration)
+    if size > DOCUMENT_BYTES:
+        raise ObjectTooLargeError(
+            f"the document has {size} bytes; at most {DOCUMENT_BYTES} are allowed"
+        )
--- a/chivewall/errors.py
+++ b/chivewall/errors.py
@@ -52,6 +52,10 @@
     """No answer; a write may or may not have taken effect."""
 
 
+class ChangeUnknownError(StoreUnavailableError):
+    """A configuration change may or may not have been accepted."""
+
+
 class StoreThrottledError(StoreError):
     """The object API refused the call because of its rate; nothing was written."""
 
--- a/chivewall/plugins/builtin/operator_config.py
+++ b/chivewall/plugins/builtin/operator_config.py
@@ -17,7 +17,7 @@
 from chivewall.configuration import Configuration, from_document, to_document
 from chivewall.decisions.rollout import lagging, summarise
 from chivewall.environment import Environment
-from chivewall.errors import ChivewallError, RequestError, StoreUnavailableError
+from chivewall.errors import ChangeUnknownError, ChivewallError, RequestError
 from chivewall.events import Event
 from chivewall.interfaces import ObjectStore
 from chivewall.messages import ConfigurationSeen
@@ -197,6 +197,6 @@
         raise
     except ChivewallError as exc:
         refusal = RequestError(exc.code, str(exc))
-        if isinstance(exc, StoreUnavailableError):
+        if isinstance(exc, ChangeUnknownError):
             refusal.run = RunState.UNKNOWN
         raise refusal from exc
--- /dev/null
+++ b/tests/test_configuration_outage.py
@@ -0,0 +1,82 @@
+"""The configuration in force while the object API is down and processes restart."""
+
+from testtools import TestCase
+from testtools.matchers import Equals, Is
+from twisted.internet.defer import ensureDeferred, fail
+
+from bench.site import Site
+from chivewall.changes import apply_change
+from chivewall.configuration import default_configuration
+from chivewall.errors import StoreUnavailableError
+from chivewall.plugins.builtin.configuration import ConfigurationKeeper
+from chivewall.standins.objects import MemoryStore
+
+CHANGE_SECONDS = 13.0  # in which a change must be in force everywhere
+
+
+class OutageStore(MemoryStore):
+    """An object API that fails every call while ``down``."""
+
+    down = False
+
+    def get(self, key):
+        return fail(StoreUnavailableError("down")) if self.down else super().get(key)
+
+    def watch(self, key, after, deadline):
+        if self.down:
+            return fail(StoreUnavailableError("down"))
+        return super().watch(key, after, deadline)
+
+    def instances(self):
+        return fail(StoreUnavailableError("down")) if self.down else super().instances()
+
+
+class ConfigurationOutageTest(TestCase):
+    """Guards against a restarted process that brings back an older version."""
+
+    def setUp(self):
+        super().setUp()
+        self.site = Site(seed=1, make_store=OutageStore)
+        for place in (1, 2, 3):
+            self.site.add_engine(f"engine-{place}", "Mombasa", targets=("m",))
+        self.site.add_entry("entry-1", "Mombasa")
+        self.site.settle()
+        accepted = []
+        change = default_configuration().successor(reason="vote")
+        ensureDeferred(apply_change(self.site.store, change)).addCallback(accepted.append)
+        self.assertThat(accepted, Equals([change]))
+        self.run_for(CHANGE_SECONDS)
+        self.site.store.down = True
+
+    def run_for(self, seconds):
+        self.site.clock.run_until(self.site.clock.now + seconds)
+
+    def version(self, name):
+        current = self.site.apps[name].env.require(ConfigurationKeeper).current
+        return None if current is None else current.version
+
+    def assert_versions(self, names, seconds):
+        """Check step by step that each process has version 2 or, after a restart, none."""
+        for _ in range(int(seconds / 0.1)):
+            self.run_for(0.1)
+            for name, allowed in names.items():
+                self.assertIn(self.version(name), allowed, name)
+
+    def test_restarted_agent_takes_the_version_from_the_entry(self):
+        self.site.kill_agent("engine-2")
+        self.site.seed += 1  # a restarted process draws another incarnation
+        self.site.start_agent("engine-2")
+        self.assertThat(self.version("engine-2"), Is(None))
+        others = dict.fromkeys(("entry-1", "engine-1", "engine-3"), (2,))
+        self.assert_versions({**others, "engine-2": (None, 2)}, CHANGE_SECONDS)
+        self.assertThat(self.version("engine-2"), Equals(2))
+
+    def test_restarted_entry_is_not_ready_until_the_outage_ends(self):
+        ensureDeferred(self.site.apps["entry-1"].stop())
+        self.site.add_entry("entry-2", "Mombasa")
+        self.assert_versions({"entry-2": (None,), "engine-1": (2,)}, CHANGE_SECONDS)
+        self.assertFalse(self.site.apps["entry-2"].ready())
+        self.site.store.down = False
+        self.assert_versions({"entry-2": (None, 2), "engine-1": (2,)}, CHANGE_SECONDS)
+        self.assertThat(self.version("entry-2"), Equals(2))
+        self.assertTrue(self.site.apps["entry-2"].ready())
