--- a/tests/utils/daemons.py
+++ b/tests/utils/daemons.py
@@ -63,3 +63,14 @@
         base = f"http://127.0.0.1:{port}"
         wait_ready(base, process, log)
         yield base
+
+
+def wait_live(base: str) -> None:
+    """Poll the status until every endpoint of a site is live."""
+    for _ in range(READY_TRIES):
+        status = httpx.get(f"{base}/operator/status", timeout=5).json()
+        states = {one["state"] for one in status["endpoints"]}
+        if states == {"live"}:
+            return
+        time.sleep(READY_SECONDS)
+    raise AssertionError(f"endpoints of {base} are not live: {states}")
