--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -6,9 +6,12 @@
 from testtools.matchers import Equals
 
 from chivewall.events import Event
+from chivewall.exits import ExitStatus
 from chivewall.results import ResultCode
 from extras.reference import DOCS, PAGES
 
+HTTP_METHODS = {"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE"}
+
 
 class ReferenceTest(TestCase):
     """Guards against tables that were not regenerated after a change."""
@@ -29,3 +32,15 @@
         )
         for name in re.findall(r"\| `([A-Za-z_]+)` \|", glossary):
             self.assertTrue(re.search(rf"\b{name}\b", sources), f"{name} is not in the code")
+
+    def test_operator_pages_name_what_exists(self):
+        # Guards against a renamed event, code, status or page that operators still read about.
+        known = {one.name for kind in (Event, ResultCode, ExitStatus) for one in kind}
+        known |= {"RUNNING", "CONFIG"}  # columns of the status
+        for page in sorted((DOCS / "operators").glob("*.md")):
+            text = page.read_text()
+            for name in re.findall(r"`([A-Z]+(?:_[A-Z]+)*)`", text):
+                if name not in HTTP_METHODS and not name.startswith("CHIVEWALL_"):
+                    self.assertIn(name, known, page.name)
+            for link in re.findall(r"\]\(([^)#]+)\)", text):
+                self.assertTrue((page.parent / link).exists(), f"{page.name}: {link}")
