--- a/chivewall/plugins/builtin/directory.py
+++ b/chivewall/plugins/builtin/directory.py
@@ -6,7 +6,7 @@
 from twisted.internet.interfaces import IDelayedCall
 
 from chivewall.configuration import Configuration
-from chivewall.decisions.membership import Change, Fleet
+from chivewall.decisions.membership import Change, Fleet, MemberState
 from chivewall.decisions.outputs import OutputLengths
 from chivewall.decisions.rollout import lagging
 from chivewall.decisions.routing import Route, choose
@@ -251,6 +251,8 @@
         for lag in lagging(self.fleet.members.values(), message.version):
             if lag.endpoint in self.probing or len(self.probing) >= LAGGING_PROBES:
                 continue
+            if lag.state is MemberState.SUSPECT:
+                continue  # its own probes go on; more failures would only lengthen their pauses
             self.probing.add(lag.endpoint)
             probe = self.spawn(self._probe(self.fleet.members[lag.endpoint].instance))
             probe.addBoth(self._end_probe, lag.endpoint)
--- a/tests/test_cli_commands.py
+++ b/tests/test_cli_commands.py
@@ -16,6 +16,7 @@
 from testtools.matchers import Contains, EndsWith, Equals, Not
 
 from chivewall.cli.root import main
+from chivewall.cli.status import format_status
 from chivewall.exits import ExitStatus
 from tests.utils.daemons import embedded_site, free_port
 
@@ -121,6 +122,16 @@
         for part in ("WITHIN TARGET", "3 live", "Last decisions:", "configuration 3"):
             self.assertThat(text, Contains(part))
 
+    def test_status_marks_missed_targets_and_suspects(self):
+        # Guards against a status on a terminal that hides what is wrong.
+        rank = {"rank": "urgent", "requests": 4, "p95_ms": 900.0, "target_ms": 340.0}
+        names = ("endpoint", "kind", "data_centre", "role", "running", "configuration_version")
+        answer = {"entry": "e", "data_centre": "Diani", "configuration": None, "data_centres": []}
+        answer |= {"decisions": [], "endpoints": [{**dict.fromkeys(names), "state": "suspect"}]}
+        for within, colours in ((0.94, 2), (0.95, 1), (None, 1)):
+            lines = format_status({**answer, "ranks": [{**rank, "within": within}]})
+            self.assertThat("\n".join(lines).count("\x1b[31m"), Equals(colours))
+
     def test_wrong_expiry_is_refused_before_any_call(self):
         for wrong in ("2027-01-31T18:00", "soon", "7y"):
             arguments = ["exceptions", "add", "x", "--limit", "output_tokens", "--value", "5"]
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -16,6 +16,9 @@
 
     def setUp(self):
         super().setUp()
+        self.build()
+
+    def build(self):
         self.site = Site(seed=1)
         for place, data_centre in (("1", "Mombasa"), ("2", "Diani"), ("3", "Diani")):
             self.site.add_engine(f"engine-{place}", data_centre, targets=("m",))
@@ -58,6 +61,21 @@
         versions = {one.name: one.version for one in summarise(self.members())}
         self.assertThat(versions, Equals({"Mombasa": 2, "Diani": 1}))
 
+    def test_a_waiting_operator_adds_no_failed_probes(self):
+        # Guards against longer pauses between the probes of a dead endpoint.
+        counts = []
+        for asked in (False, True):
+            self.build()
+            self.site.kill_agent("engine-3")
+            self.run_for(10)
+            self.accept()
+            for _ in range(20):
+                if asked:
+                    self.directory.tell(ProbeLagging(2))
+                self.run_for(0.5)
+            counts.append(self.directory.fleet.members["engine-3"].failed_probes)
+        self.assertThat(counts[1], Equals(counts[0]))
+
     def test_unknown_endpoint_holds_no_version(self):
         self.assertThat(self.lags(version=1), Equals([]))
         member = self.members()[0]
