--- a/chivewall/cli/client.py
+++ b/chivewall/cli/client.py
@@ -1,12 +1,13 @@
 """Calls the operator API of an entry and maps every failure to an exit status."""
 
+import json
 from collections.abc import Callable, Coroutine
 from pathlib import Path
-from typing import Any
+from typing import IO, Any
 
 import treq
 from attrs import frozen
-from click import ClickException
+from click import ClickException, echo, get_current_context
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.task import deferLater, react
 
@@ -33,11 +34,27 @@
 
 
 class CommandError(ClickException):
-    """Ends a command with an exit status and a message that says what to type next."""
+    """Ends a command with an exit status and a message that says what to type next.
+
+    With ``--json`` it is printed as JSON, on standard error in any case.
+    """
 
     def __init__(self, message: str, status: ExitStatus, next_command: str = HELP) -> None:
-        super().__init__(f"{message}\nNext: {next_command}")
+        super().__init__(message)
+        self.status = status
         self.exit_code = int(status)
+        self.next_command = next_command
+        ctx = get_current_context(silent=True)  # there is none any more when it is shown
+        self.as_json = ctx is not None and ctx.params.get("as_json", False)
+
+    def show(self, file: IO[Any] | None = None) -> None:
+        """Print the error."""
+        if not self.as_json:
+            echo(f"Error: {self.message}\nNext: {self.next_command}", file=file, err=file is None)
+            return
+        error = {"status": self.exit_code, "name": self.status.name}
+        error |= {"message": self.message, "next": self.next_command}
+        echo(json.dumps({"error": error}, ensure_ascii=False), file=file, err=file is None)
 
 
 class Session:
--- a/chivewall/cli/status.py
+++ b/chivewall/cli/status.py
@@ -14,6 +14,7 @@
 DATA_CENTRE_HEADINGS = ("DATA CENTRE", "ENDPOINTS", "STATES", "ROLES", "CONFIG")
 RANK_HEADINGS = ("RANK", "REQUESTS", "WITHIN TARGET", "P95", "TARGET")
 TARGET_SHARE = 0.95  # the targets are for 95 in 100
+ENDPOINTS_SHOWN = 40  # above this number only those that are not live
 COLOUR_OF_STATE = {"live": "green", "suspect": "red", "leaving": "yellow"}
 
 
@@ -63,16 +64,18 @@
     head = f"entry {answer['entry']} in {answer['data_centre']}, configuration {version}"
     ranks = [RANK_HEADINGS, *(_rank_row(one) for one in answer["ranks"])]
     centres = [DATA_CENTRE_HEADINGS, *(_data_centre_row(one) for one in answer["data_centres"])]
-    rows = [HEADINGS, *(_endpoint_row(one) for one in answer["endpoints"])]
+    endpoints, hidden = _shown_endpoints(answer["endpoints"])
+    rows = [HEADINGS, *(_endpoint_row(one) for one in endpoints)]
     lines = [head, "", "Last 5 minutes at this entry:", *_coloured_ranks(ranks, answer["ranks"])]
     lines += ["", *format_table(centres), "", "Last decisions:"]
     lines += [f"  {format_decision(one)}" for one in answer["decisions"]] or ["  none"]
     table = format_table(rows)
     coloured = [
         _paint(line, COLOUR_OF_STATE.get(one["state"]))
-        for line, one in zip(table[1:], answer["endpoints"], strict=True)
+        for line, one in zip(table[1:], endpoints, strict=True)
     ]
-    return [*lines, "", table[0], *coloured]
+    more = [f"and {hidden} live endpoints; --json lists them"] if hidden else []
+    return [*lines, "", table[0], *coloured, *more]
 
 
 def format_decision(decision: dict[str, Any]) -> str:
@@ -90,6 +93,14 @@
     click.echo("\n".join(format_status(answer)))
 
 
+def _shown_endpoints(endpoints: list[dict[str, Any]]) -> tuple[list[dict[str, Any]], int]:
+    """Return the endpoints to list and the number of live ones that are left out."""
+    if len(endpoints) <= ENDPOINTS_SHOWN:
+        return endpoints, 0
+    shown = [one for one in endpoints if one["state"] != "live"]
+    return shown, len(endpoints) - len(shown)
+
+
 def _rank_row(one: dict[str, Any]) -> tuple[str, ...]:
     within = "-" if one["within"] is None else f"{one['within']:.0%}"
     p95 = "-" if one["p95_ms"] is None else f"{one['p95_ms']:.0f} ms"
--- a/tests/test_cli_commands.py
+++ b/tests/test_cli_commands.py
@@ -131,6 +131,10 @@
         for within, colours in ((0.94, 2), (0.95, 1), (None, 1)):
             lines = format_status({**answer, "ranks": [{**rank, "within": within}]})
             self.assertThat("\n".join(lines).count("\x1b[31m"), Equals(colours))
+        fleet = [{**dict.fromkeys(names), "state": "live"}] * 600
+        lines = format_status({**answer, "ranks": [], "endpoints": [*answer["endpoints"], *fleet]})
+        self.assertThat(lines[-1], Contains("600 live endpoints"))
+        self.assertTrue(len(lines) < 20, lines)
 
     def test_wrong_expiry_is_refused_before_any_call(self):
         for wrong in ("2027-01-31T18:00", "soon", "7y"):
@@ -146,6 +150,10 @@
         down = call(f"http://127.0.0.1:{free_port()}", "status")
         self.assertThat(down.returncode, Equals(ExitStatus.UNREACHABLE))
         self.assertThat(down.stderr, Contains("Next: chivewall --address"))
+        down = call(f"http://127.0.0.1:{free_port()}", "status", "--json")
+        error = json.loads(down.stderr)["error"]
+        self.assertThat(error["name"], Equals("UNREACHABLE"))
+        self.assertThat(error["next"], Contains("chivewall --address"))
 
     def test_completion(self):
         # Guards against a completion script that lists no commands.
