--- a/tests/test_configuration_outage.py
+++ b/tests/test_configuration_outage.py
@@ -8,7 +8,9 @@
 from chivewall.changes import apply_change
 from chivewall.configuration import default_configuration
 from chivewall.errors import StoreUnavailableError
+from chivewall.messages import ConfigurationSeen
 from chivewall.plugins.builtin.configuration import ConfigurationKeeper
+from chivewall.plugins.builtin.directory import Directory
 from chivewall.standins.objects import MemoryStore
 
 CHANGE_SECONDS = 13.0  # in which a change must be in force everywhere
@@ -40,6 +42,7 @@
         for place in (1, 2, 3):
             self.site.add_engine(f"engine-{place}", "Mombasa", targets=("m",))
         self.site.add_entry("entry-1", "Mombasa")
+        self.site.add_entry("entry-2", "Mombasa")
         self.site.settle()
         accepted = []
         change = default_configuration().successor(reason="vote")
@@ -71,12 +74,24 @@
         self.assert_versions({**others, "engine-2": (None, 2)}, CHANGE_SECONDS)
         self.assertThat(self.version("engine-2"), Equals(2))
 
+    def test_entry_that_missed_the_change_takes_it_and_brings_nothing_back(self):
+        # Such an entry offers its older document to every agent that reports a newer version.
+        first = default_configuration()
+        env = self.site.apps["entry-2"].env
+        env.require(ConfigurationKeeper).current = first
+        env.require(Directory).tell(ConfigurationSeen(first, origin="test"))
+        others = dict.fromkeys(("entry-1", "engine-1", "engine-2", "engine-3"), (2,))
+        self.assert_versions({**others, "entry-2": (1, 2)}, CHANGE_SECONDS)
+        self.assertThat(self.version("entry-2"), Equals(2))
+        offered = sum(link.exchanges for link in self.site.links.opened)
+        self.assertTrue(offered > 0)
+
     def test_restarted_entry_is_not_ready_until_the_outage_ends(self):
         ensureDeferred(self.site.apps["entry-1"].stop())
-        self.site.add_entry("entry-2", "Mombasa")
-        self.assert_versions({"entry-2": (None,), "engine-1": (2,)}, CHANGE_SECONDS)
-        self.assertFalse(self.site.apps["entry-2"].ready())
+        self.site.add_entry("entry-3", "Mombasa")
+        self.assert_versions({"entry-3": (None,), "engine-1": (2,)}, CHANGE_SECONDS)
+        self.assertFalse(self.site.apps["entry-3"].ready())
         self.site.store.down = False
-        self.assert_versions({"entry-2": (None, 2), "engine-1": (2,)}, CHANGE_SECONDS)
-        self.assertThat(self.version("entry-2"), Equals(2))
-        self.assertTrue(self.site.apps["entry-2"].ready())
+        self.assert_versions({"entry-3": (None, 2), "engine-1": (2,)}, CHANGE_SECONDS)
+        self.assertThat(self.version("entry-3"), Equals(2))
+        self.assertTrue(self.site.apps["entry-3"].ready())
