--- a/tests/utils/daemons.py
+++ b/tests/utils/daemons.py
@@ -40,9 +40,9 @@
                 raise
 
 
-def wait_ready(base: str, process: subprocess.Popen, log: Path) -> None:
+def wait_ready(base: str, process: subprocess.Popen, log: Path, tries: int = READY_TRIES) -> None:
     """Poll ``/readyz`` over the network, as a load balancer does."""
-    for _ in range(READY_TRIES):
+    for _ in range(tries):
         if process.poll() is not None:
             raise AssertionError(f"the daemon ended early:\n{log.read_text()}")
         try:
