--- a/chivewall/explanation.py
+++ b/chivewall/explanation.py
@@ -1,4 +1,4 @@
-"""Tells in a few lines what happened to a request, from its events and the voted limits."""
+"""Describes in a few lines what happened to a request, from its events and the voted limits."""
 
 from typing import Any
 
@@ -12,7 +12,7 @@
 MS_PER_SECOND = 1000
 CANDIDATES_SHOWN = 3
 ATTEMPTS_SHOWN = 4  # the first and the latest ones of a request that was tried for long
-LIMITS_TOLD = (
+LIMITS_SHOWN = (
     LimitName.PROMPT_TOKENS,
     LimitName.OUTPUT_TOKENS,
     LimitName.TOKENS_IN_FLIGHT,
@@ -42,7 +42,7 @@
     dropped: int = 0  # events over the bound
 
 
-def tell(record: Record) -> list[str]:
+def describe(record: Record) -> list[str]:
     """Return the lines for an operator."""
     accepted = _first(record, Event.REQUEST_ACCEPTED)
     lines = []
@@ -52,12 +52,12 @@
             f"for {accepted['target']}"
         )
         if record.configuration is not None:
-            lines += _tell_policy(record, accepted)
-    lines += _shorten([line for seen in record.seen for line in _tell_event(seen)])
+            lines += _describe_policy(record, accepted)
+    lines += _shorten([line for seen in record.seen for line in _describe_event(seen)])
     if record.dropped:
         lines.append(f"{record.dropped} more events were not kept")
     ended = _first(record, Event.REQUEST_ENDED)
-    return [*lines, *(_tell_end(ended) if ended is not None else ["still in progress"])]
+    return [*lines, *(_describe_end(ended) if ended is not None else ["still in progress"])]
 
 
 def describe_refusal(code: str, fields: Fields) -> str:
@@ -72,7 +72,7 @@
     return next((one.fields for one in record.seen if one.event is event), None)
 
 
-def _tell_policy(record: Record, accepted: Fields) -> list[str]:
+def _describe_policy(record: Record, accepted: Fields) -> list[str]:
     cfg = record.configuration
     rank = Rank(accepted["rank"])
     policy = cfg.ranks[rank]
@@ -88,7 +88,7 @@
             rank=rank,
             unix_time=record.unix_time,
         )
-        for name in LIMITS_TOLD
+        for name in LIMITS_SHOWN
     ]
     defaults = [f"{one.name.value} {one.value:g}" for one in limits if one.by_default]
     lines = [promise, f"default limits: {', '.join(defaults) or 'none'}"]
@@ -100,12 +100,12 @@
     return lines
 
 
-def _tell_event(seen: Seen) -> list[str]:
-    teller = TELLERS.get(seen.event)
-    return [] if teller is None else [f"at {seen.after:.2f} s {teller(seen.fields)}"]
+def _describe_event(seen: Seen) -> list[str]:
+    describer = DESCRIBERS.get(seen.event)
+    return [] if describer is None else [f"at {seen.after:.2f} s {describer(seen.fields)}"]
 
 
-def _tell_route(fields: Fields) -> str:
+def _describe_route(fields: Fields) -> str:
     lost = sorted(fields["rejected"].items(), key=lambda pair: pair[1])[:CANDIDATES_SHOWN]
     text = (
         f"sent to {fields['endpoint']}, estimated finish in {_seconds(fields['estimate'])}: "
@@ -117,11 +117,11 @@
     return f"{text}; not chosen: {others}"
 
 
-def _tell_missing(_fields: Fields) -> str:
+def _describe_missing(_fields: Fields) -> str:
     return "no endpoint could take it"
 
 
-def _tell_failure(fields: Fields) -> str:
+def _describe_failure(fields: Fields) -> str:
     run = {"no": "was not run", "yes": "was run", "unknown": "may have run"}[fields["run"]]
     return (
         f"attempt {fields['attempt']} at {fields['endpoint']} failed, the work {run}: "
@@ -129,17 +129,17 @@
     )
 
 
-def _tell_retry(fields: Fields) -> str:
+def _describe_retry(fields: Fields) -> str:
     excluded = fields["excluded"]
     avoided = f"; avoids {', '.join(excluded)}" if excluded else ""
     return f"tried again: {fields['reason']}{avoided}"
 
 
-def _tell_end(fields: Fields) -> list[str]:
+def _describe_end(fields: Fields) -> list[str]:
     attempts = f"{fields['attempts']} attempt" + ("" if fields["attempts"] == 1 else "s")
     first = fields.get("first_token_seconds")
-    told = "" if first is None else f", first token after {_seconds(first)}"
-    after = f"after {_seconds(fields['seconds'])}{told}, {attempts}"
+    shown = "" if first is None else f", first token after {_seconds(first)}"
+    after = f"after {_seconds(fields['seconds'])}{shown}, {attempts}"
     if "run" not in fields:
         return [f"answered in full ({fields['outcome']}) {after}"]
     run = {"no": "not run", "yes": "run", "unknown": "may have run"}[fields["run"]]
@@ -160,9 +160,9 @@
     return f"{value * MS_PER_SECOND:.0f} ms" if value < 1 else f"{value:.2f} s"
 
 
-TELLERS = {
-    Event.ROUTE_CHOSEN: _tell_route,
-    Event.ROUTE_MISSING: _tell_missing,
-    Event.ATTEMPT_FAILED: _tell_failure,
-    Event.RETRY_DECIDED: _tell_retry,
+DESCRIBERS = {
+    Event.ROUTE_CHOSEN: _describe_route,
+    Event.ROUTE_MISSING: _describe_missing,
+    Event.ATTEMPT_FAILED: _describe_failure,
+    Event.RETRY_DECIDED: _describe_retry,
 }
--- a/chivewall/plugins/builtin/explain.py
+++ b/chivewall/plugins/builtin/explain.py
@@ -11,7 +11,7 @@
 from chivewall.environment import Environment
 from chivewall.errors import RequestError
 from chivewall.events import Event
-from chivewall.explanation import Record, Seen, tell
+from chivewall.explanation import Record, Seen, describe
 from chivewall.messages import ConfigurationSeen
 from chivewall.plugins.base import Plugin
 from chivewall.plugins.builtin.configuration import ConfigurationKeeper, Subscribe
@@ -136,7 +136,7 @@
         await self.explainer.stop()
 
     async def show_request(self, http: HttpRequest, name: str) -> bytes:
-        """Answer with the told lines and the events of one request."""
+        """Answer with the explanation and the events of one request."""
         authenticate(self.credentials, http)
         record: Record | None = await self.explainer.ask(FindRecord(name))
         if record is None:
@@ -145,7 +145,7 @@
             {"event": one.event.name, "after": round(one.after, 4), "fields": one.fields}
             for one in record.seen
         ]
-        return write_json(http, {"request": name, "lines": tell(record), "events": events})
+        return write_json(http, {"request": name, "lines": describe(record), "events": events})
 
 
 def register(registry: Registry) -> None:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -11,7 +11,7 @@
 from bench.site import Site
 from chivewall.configuration import LimitName, LimitOverride, default_configuration
 from chivewall.events import Event
-from chivewall.explanation import tell
+from chivewall.explanation import describe
 from chivewall.plugins.builtin.explain import EVENTS_PER_REQUEST, RequestEvent, RequestHistory
 from chivewall.work import Rank
 from tests.test_virtual_site import completion
@@ -24,7 +24,7 @@
     """Guards against unbounded memory and against requests that can't be explained."""
 
     def explain(self, request, configuration, kill=None):
-        """Run one request on a virtual site and return the told lines as one text."""
+        """Run one request on a virtual site and return the lines of its explanation."""
         site = Site(seed=1, configuration=configuration)
         history = RequestHistory(size=9)
 
@@ -44,7 +44,7 @@
             chosen = history.requests[request.id].seen
             kill(site, next(one.fields["endpoint"] for one in chosen if "rejected" in one.fields))
         site.clock.run_until(60)
-        return tell(history.requests[request.id])
+        return describe(history.requests[request.id])
 
     def test_history_is_bounded(self):
         history = RequestHistory(size=2)
@@ -54,7 +54,7 @@
                 history.add(RequestEvent(Event.RETRY_DECIDED, fields, at=0, unix_time=0), None)
         self.assertThat(list(history.requests), Equals(["r1", "r2"]))
         self.assertThat(len(history.requests["r2"].seen), Equals(EVENTS_PER_REQUEST))
-        lines = tell(history.requests["r2"])
+        lines = describe(history.requests["r2"])
         self.assertThat(lines[-2:], Equals(["1 more events were not kept", "still in progress"]))
         self.assertTrue(len(lines) < 16, lines)
 
