End an interrupted command without a traceback

Ctrl-C during a call ended with a TypeError traceback, or with 'no entry answers', since the reactor closes its connections first.

--- a/chivewall/cli/change.py
+++ b/chivewall/cli/change.py
@@ -37,9 +37,11 @@
     as_json: bool,
 ) -> None:
     """Send a change and print the accepted version; raises ``CommandError``."""
-    answer = client.run(lambda session: _send(session, send, timeout if wait else None))
-    if answer is None:
-        raise CommandError("interrupted", ExitStatus.FAILED, "chivewall config history")
+    try:
+        answer = client.run(lambda session: _send(session, send, timeout if wait else None))
+    except click.Abort as exc:
+        message = "interrupted; the change may have been accepted"
+        raise CommandError(message, ExitStatus.FAILED, "chivewall config history") from exc
     text = f"version {answer['version']} is accepted"
     if not wait:
         show(answer, text, as_json=as_json)
--- a/chivewall/cli/client.py
+++ b/chivewall/cli/client.py
@@ -7,7 +7,7 @@
 
 import treq
 from attrs import frozen
-from click import ClickException, echo, get_current_context
+from click import Abort, ClickException, echo, get_current_context
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.task import deferLater, react
 
@@ -63,6 +63,8 @@
     def __init__(self, client: "Client", reactor: Any) -> None:
         self.client = client
         self.reactor = reactor
+        self.stopping = False  # on Ctrl-C the reactor closes its connections; that is no answer
+        reactor.addSystemEventTrigger("before", "shutdown", self._stop)
 
     @property
     def now(self) -> float:
@@ -87,6 +89,8 @@
                 timeout=CALL_TIMEOUT,
             )
         except Exception as exc:
+            if self.stopping:
+                raise Abort from exc
             message = f"no entry answers at {client.base} ({exc})"
             raise CommandError(
                 message, ExitStatus.UNREACHABLE, "chivewall --address http://ENTRY:PORT status"
@@ -102,6 +106,9 @@
             raise _refused(response.code, answer)
         return answer
 
+    def _stop(self) -> None:
+        self.stopping = True
+
 
 @frozen
 class Client:
@@ -119,7 +126,7 @@
     def run(self, work: Callable[[Session], Coroutine[Any, Any, Any]]) -> Any:
         """Run a coroutine in a reactor, once in a process; returns its result or raises its error.
 
-        Returns ``None`` if the reactor was interrupted.
+        Raises ``Abort`` if the reactor was interrupted.
         """
         results: list[Any] = []
         errors: list[Exception] = []
@@ -127,7 +134,7 @@
         async def record(reactor: Any) -> None:
             try:
                 results.append(await work(Session(self, reactor)))
-            except CommandError as exc:
+            except (CommandError, Abort) as exc:
                 errors.append(exc)
 
         def start(reactor: Any) -> Deferred:
@@ -140,7 +147,9 @@
                 raise CommandError("the call failed unexpectedly", ExitStatus.FAILED) from exc
         if errors:
             raise errors[0]
-        return results[0] if results else None
+        if not results:
+            raise Abort
+        return results[0]
 
     def headers(self) -> dict[str, str]:
         """Return the headers that every call has; raises ``CommandError``."""
--- a/chivewall/cli/status.py
+++ b/chivewall/cli/status.py
@@ -2,6 +2,7 @@
 
 import json
 import sys
+from contextlib import suppress
 from typing import Any
 
 import click
@@ -54,7 +55,8 @@
                 return
             await session.sleep(interval)
 
-    client.run(views)
+    with suppress(click.Abort):  # Ctrl-C is the usual end
+        client.run(views)
 
 
 def format_status(answer: dict[str, Any]) -> list[str]:
--- a/tests/test_cli_commands.py
+++ b/tests/test_cli_commands.py
@@ -3,6 +3,8 @@
 import json
 import os
 import re
+import signal
+import socket
 import subprocess
 import sys
 import threading
@@ -122,6 +124,24 @@
         for part in ("WITHIN TARGET", "3 live", "Last decisions:", "configuration 3"):
             self.assertThat(text, Contains(part))
 
+    def test_interrupt(self):
+        # An interrupted command ended with a traceback.
+        with socket.create_server(("127.0.0.1", 0)) as silent:
+            base = f"http://127.0.0.1:{silent.getsockname()[1]}"
+            remove = ["exceptions", "remove", "x", "--author", "a", "--reason", "r"]
+            ends = ((["status"], 1, "Aborted!"), (["status", "--watch"], 0, ""))
+            for arguments, status, text in (*ends, (remove, 1, "may have been accepted")):
+                command = [sys.executable, "-m", "chivewall.cli", "--address", base, *arguments]
+                process = subprocess.Popen(command, stderr=subprocess.PIPE, text=True)
+                connection, _ = silent.accept()
+                with connection:
+                    connection.recv(1)
+                    process.send_signal(signal.SIGINT)
+                    errors = process.communicate(timeout=20)[1]
+                self.assertThat(process.returncode, Equals(status), errors)
+                self.assertThat(errors, Contains(text))
+                self.assertThat(errors, Not(Contains("Traceback")))
+
     def test_status_marks_missed_targets_and_suspects(self):
         # Guards against a status on a terminal that hides what is wrong.
         rank = {"rank": "urgent", "requests": 4, "p95_ms": 900.0, "target_ms": 340.0}
