End a resume after the last token at once in the engine model

Cause: fault cell 'plain-end freeze-sender 1' (and cut-forward and delay at plain-end, stream-end, leave-end, stop-entry-end). When only the end part of an answer was lost, the entry resumed at max_tokens and the engine model generated one token too many, so the caller got 9 of 8 tokens. Conclusion: a resume at max_tokens now only ends the answer.

--- a/chivewall/standins/engine.py
+++ b/chivewall/standins/engine.py
@@ -73,6 +73,9 @@
     def _admit(self) -> None:
         while self.waiting and len(self.batch) < self.speed.parallel:
             sequence = self.waiting.pop(0)
+            if sequence.next_token >= sequence.work.max_tokens:
+                sequence.on_end(sequence.next_token)  # only the end was lost
+                continue
             sequence.prefill_left = self._prefill(sequence.work)
             self.batch.append(sequence)
 
