Add the fault-injection matrix

Cause: section 8 of the design asks for make faults. Steps and faults are data in bench/faults; each cell runs two entries and six agents in two data centres on the virtual clock. Everything that enters or leaves a process passes one gate, so a pause holds timers and replies and a kill drops them.

--- a/Makefile
+++ b/Makefile
@@ -35,5 +35,8 @@
 clean:
 	rm -rf $(VENV) build .pytest_cache .ruff_cache .hypothesis
 
+faults: $(VENV)/.installed  ## steps by faults, pairs and a random walk on a virtual clock
+	$(BIN)/python -m bench.faults
+
 docs: $(VENV)/.installed  ## writes the reference tables in docs/
 	$(BIN)/python -m extras.reference
--- /dev/null
+++ b/bench/faults/__main__.py
@@ -0,0 +1,66 @@
+"""Runs the fault-injection matrix; see docs/design.md, section 8."""
+
+import argparse
+import multiprocessing
+import sys
+from collections.abc import Iterable
+from enum import IntEnum
+
+from bench.faults.cells import Cell, Outcome, run_cell
+from bench.faults.matrix import all_cells, quick_cells
+from bench.faults.report import failure_text, invariant_table, known_commands, matrix_table
+
+PROCESSES = 6
+CHUNK = 4  # cells handed to a process at once
+
+
+class ExitStatus(IntEnum):
+    """How the run ended."""
+
+    PASSED = 0
+    FAILED = 1
+
+
+def main(arguments: list[str] | None = None) -> ExitStatus:
+    """Run all cells, a quick subset or one cell again."""
+    options = _parser().parse_args(arguments)
+    if options.replay:
+        step, fault, seed = options.replay
+        outcome = run_cell(Cell(step=step, fault=fault, seed=int(seed)))
+        print("\n".join(outcome.injected))
+        return _report([outcome], table=False)
+    cells = quick_cells(options.seed) if options.quick else all_cells(options.seed)
+    return _report(list(_run(cells, options.processes)), table=True)
+
+
+def _run(cells: list[Cell], processes: int) -> Iterable[Outcome]:
+    with multiprocessing.get_context("spawn").Pool(processes) as pool:
+        yield from pool.imap(run_cell, cells, chunksize=CHUNK)
+
+
+def _report(outcomes: list[Outcome], *, table: bool) -> ExitStatus:
+    known = known_commands()
+    if table:
+        print(matrix_table(outcomes))
+        print()
+    print(invariant_table(outcomes))
+    failed = [one for one in outcomes if not one.passed]
+    for outcome in failed:
+        mark = "known failure" if outcome.cell.name in known else "FAILED"
+        print(f"\n{mark}: {failure_text(outcome)}")
+    print(f"\n{len(outcomes) - len(failed)} passed, {len(failed)} failed")
+    unknown = [one for one in failed if one.cell.name not in known]
+    return ExitStatus.FAILED if unknown else ExitStatus.PASSED
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(prog="python -m bench.faults", description=__doc__)
+    parser.add_argument("--seed", type=int, default=1, help="seed of cells, pairs and walks")
+    parser.add_argument("--quick", action="store_true", help="run a small subset")
+    parser.add_argument("--processes", type=int, default=PROCESSES)
+    parser.add_argument("--replay", nargs=3, metavar=("STEP", "FAULT", "SEED"))
+    return parser
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/faults/cells.py
@@ -0,0 +1,210 @@
+"""One run of the matrix: a scenario with faults at chosen steps, and its checks."""
+
+import random
+from collections.abc import Callable
+
+from attrs import define, field, frozen
+
+from bench.faults import faults, steps
+from bench.faults.checks import CHECKS, CONFIGURATION_SECONDS, Finding
+from bench.faults.faults import FAULTS, Fault
+from bench.faults.network import Crossing, Effect
+from bench.faults.scenarios import (
+    BEFORE_SECONDS,
+    DEADLINE_SECONDS,
+    SCENARIOS,
+    WAVES,
+    background,
+    wave,
+)
+from bench.faults.steps import STEPS, Step
+from bench.faults.world import World
+
+WALK = "walk"  # in place of a step: scenarios, moments and faults are drawn at random
+WALK_FAULTS = 4  # at most, in one random walk
+SECOND_SPREAD = 4.0  # seconds, at most, between the first and the second fault of a pair
+AFTER_FAULTS = CONFIGURATION_SECONDS + 0.5  # that the clock runs on after the last fault
+AFTER_REQUESTS = 5.0  # seconds; late effects of requests that have ended
+
+
+@frozen
+class Cell:
+    """What to run: a step, one or two faults, and a seed."""
+
+    step: str
+    fault: str  # two names joined by "+" for a pair
+    seed: int
+
+    @property
+    def name(self) -> str:
+        """Return the arguments that replay the cell."""
+        return f"{self.step} {self.fault} {self.seed}"
+
+    @property
+    def command(self) -> str:
+        """Return the command that replays the cell."""
+        return f"python -m bench.faults --replay {self.name}"
+
+
+@define
+class Outcome:
+    """What a run showed."""
+
+    cell: Cell
+    reached: bool = False  # the step, so that the fault was injected
+    injected: list[str] = field(factory=list)  # faults with their time and message
+    findings: dict[str, Finding] = field(factory=dict)  # by name of the check
+
+    @property
+    def passed(self) -> bool:
+        """Return whether the fault was injected and no check failed."""
+        return self.reached and not self.violations
+
+    @property
+    def violations(self) -> list[str]:
+        """Return everything that is wrong."""
+        found = [f"{name}: {one}" for name, f in self.findings.items() for one in f.violations]
+        return found if self.reached else [*found, "the step was not reached"]
+
+
+@define(eq=False)
+class Trap:
+    """Injects a fault when a step is reached."""
+
+    world: World
+    step: Step
+    fault: Fault
+    armed_at: float  # seconds
+    left: int = field(init=False)
+    sprung: Callable[[], None] = field(default=lambda: None)
+    done: bool = False
+
+    def __attrs_post_init__(self) -> None:
+        self.left = self.step.nth
+
+    def see(self, crossing: Crossing) -> Effect:
+        """Look at a message or event."""
+        if self.done or self.world.clock.now < self.armed_at or not self.step.matches(crossing):
+            return Effect()
+        self.left -= 1
+        if self.left > 0:
+            return Effect()
+        self.done = True
+        effect = _inject(self.world, self.fault, crossing)
+        self.sprung()
+        return effect
+
+
+def run_cell(cell: Cell) -> Outcome:
+    """Run one cell and check everything."""
+    world = World.build(cell.seed)
+    rng = random.Random(f"{cell.seed}/{cell.step}/{cell.fault}")
+    outcome = Outcome(cell)
+    background(world)
+    world.clock.run_until(world.clock.now + BEFORE_SECONDS)
+    if cell.step == WALK:
+        _walk(world, outcome, rng)
+    else:
+        _trap(world, outcome, rng)
+    _run_out(world)
+    outcome.injected = world.injected
+    for check in CHECKS:
+        outcome.findings[check.name] = finding = Finding()
+        check.run(world, finding)
+    return outcome
+
+
+def possible_faults(step: Step) -> list[Fault]:
+    """Return the faults that can happen at a step."""
+    return [one for one in FAULTS if one.possible(step)]
+
+
+def _trap(world: World, outcome: Outcome, rng: random.Random) -> None:
+    step = steps.BY_NAME[outcome.cell.step]
+    first, _, second = outcome.cell.fault.partition("+")
+    trap = Trap(
+        world=world,
+        step=step,
+        fault=faults.BY_NAME[first],
+        armed_at=world.clock.now + step.after,
+    )
+
+    def sprung() -> None:
+        outcome.reached = True
+        if second:
+            world.clock.callLater(rng.uniform(0, SECOND_SPREAD), _strike, world, rng, second)
+
+    trap.sprung = sprung
+    world.hook = trap.see
+    _begin(world, step.scenario)
+    world.clock.run_until(world.clock.now + max(WAVES) + DEADLINE_SECONDS)
+
+
+def _strike(world: World, rng: random.Random, fault: str) -> None:
+    """Inject a fault at the next message that it can strike, between random processes."""
+    chosen = faults.BY_NAME[fault]
+    usable = [one for one in STEPS if chosen.possible(one)]
+    former = world.hook
+    kind = rng.choice(sorted({one.kind for one in usable}))
+    tries = [one for one in usable if one.kind == kind] or usable
+    wanted = [_any_of(one) for one in (tries, usable)]
+    began = world.clock.now
+
+    def see(crossing: Crossing) -> Effect:
+        effect = former(crossing)
+        # A kind that doesn't occur any more gives way to any other after a second.
+        matches = wanted[0] if world.clock.now < began + 1.0 else wanted[1]
+        if see.struck or not matches(crossing):
+            return effect
+        see.struck = True
+        added = _inject(world, chosen, crossing)
+        return Effect(
+            delay=effect.delay + added.delay,
+            copies=max(effect.copies, added.copies),
+            lose_reply=effect.lose_reply or added.lose_reply,
+        )
+
+    see.struck = False
+    world.hook = see
+
+
+def _inject(world: World, fault: Fault, crossing: Crossing) -> Effect:
+    text = f"{crossing.kind} {crossing.about}: {crossing.sender.name} to {crossing.receiver.name}"
+    world.injected.append(f"{world.clock.now:.3f} s {fault.name} at {text}")
+    return fault.inject(world, crossing)
+
+
+def _any_of(found: list[Step]) -> Callable[[Crossing], bool]:
+    loose = [Step(one.name, one.scenario, one.kind, one.sender, one.receiver) for one in found]
+    return lambda crossing: any(one.matches(crossing) for one in loose)
+
+
+def _walk(world: World, outcome: Outcome, rng: random.Random) -> None:
+    names = sorted(SCENARIOS)
+    # Two scenarios at once; "plain", "stream", ... all call their request "main".
+    first = rng.choice(names)
+    second = rng.choice([one for one in names if one in ("role", "config", "join", "takeover")])
+    _begin(world, first)
+    if second != first:
+        world.clock.callLater(rng.uniform(0, 3), SCENARIOS[second], world)
+    for _ in range(rng.randint(1, WALK_FAULTS)):
+        fault = rng.choice(FAULTS).name
+        world.clock.callLater(rng.uniform(0, 10), _strike, world, rng, fault)
+    outcome.reached = True
+    world.clock.run_until(world.clock.now + max(WAVES) + DEADLINE_SECONDS)
+
+
+def _begin(world: World, scenario: str) -> None:
+    for number, seconds in enumerate(WAVES):
+        world.clock.callLater(seconds, wave, world, number)
+    SCENARIOS[scenario](world)
+
+
+def _run_out(world: World) -> None:
+    """Run until all faults have ended, and on until every effect must be seen."""
+    while True:
+        last = max((one.request.deadline for one in world.callers), default=0.0)
+        until = max(world.healed_at + AFTER_FAULTS, last + AFTER_REQUESTS)
+        if world.clock.now >= until:
+            return
+        world.clock.run_until(until)
--- /dev/null
+++ b/bench/faults/report.py
@@ -0,0 +1,67 @@
+"""Tables of a run of the matrix, and the list of known failures."""
+
+from collections import Counter
+from pathlib import Path
+
+from bench.faults.cells import WALK, Outcome
+from bench.faults.checks import CHECKS
+from bench.faults.faults import FAULTS
+from bench.faults.steps import STEPS
+
+KNOWN_RED = Path(__file__).parents[2] / "KNOWN-RED.txt"
+SHOWN = 3  # violations of one cell that are printed
+
+
+def known_commands(path: Path = KNOWN_RED) -> frozenset[str]:
+    """Return the replay commands of the cells that are known to fail."""
+    if not path.exists():
+        return frozenset()
+    found = []
+    for line in path.read_text(encoding="utf-8").splitlines():
+        _, marker, rest = line.partition("python -m bench.faults --replay ")
+        if marker:
+            found.append(" ".join(rest.split()[:3]))
+    return frozenset(found)
+
+
+def matrix_table(outcomes: list[Outcome]) -> str:
+    """Return the matrix of steps by faults with the cells passed and tried."""
+    passed: Counter[tuple[str, str]] = Counter()
+    tried: Counter[tuple[str, str]] = Counter()
+    for outcome in outcomes:
+        place = (outcome.cell.step, outcome.cell.fault.partition("+")[0])
+        tried[place] += 1
+        passed[place] += outcome.passed
+    lines = [f"{number:2d} {fault.name}" for number, fault in enumerate(FAULTS, 1)]
+    lines.append(" " * 20 + "".join(f"{number:>6}" for number in range(1, len(FAULTS) + 1)))
+    for step in STEPS:
+        places = [(step.name, fault.name) for fault in FAULTS]
+        shown = [f"{passed[one]}/{tried[one]}" if tried[one] else "-" for one in places]
+        lines.append(f"{step.name:20}" + "".join(f"{one:>6}" for one in shown))
+    walks = (WALK, "random")
+    lines.append(f"random walks: {passed[walks]}/{tried[walks]}")
+    return "\n".join(lines)
+
+
+def invariant_table(outcomes: list[Outcome]) -> str:
+    """Return cells tried, violations and worst time for each invariant."""
+    lines = [f"{'check':22}{'inv.':>6}{'cells':>7}{'violated':>10}{'worst s':>9}{'bound s':>9}"]
+    for check in CHECKS:
+        findings = [one.findings[check.name] for one in outcomes]
+        violated = sum(bool(one.violations) for one in findings)
+        times = [one.worst for one in findings if one.worst is not None]
+        worst = f"{max(times):.2f}" if times else "-"
+        bound = f"{check.bound:g}" if check.bound is not None else "-"
+        lines.append(
+            f"{check.name:22}{check.invariant:>6}{len(findings):>7}{violated:>10}"
+            f"{worst:>9}{bound:>9}"
+        )
+    return "\n".join(lines)
+
+
+def failure_text(outcome: Outcome) -> str:
+    """Return what failed in a cell, with the command that replays it."""
+    shown = outcome.violations[:SHOWN]
+    more = len(outcome.violations) - len(shown)
+    tail = [f"  and {more} more"] if more else []
+    return "\n".join([outcome.cell.command, *(f"  {one}" for one in shown), *tail])
