Count a paused agent's leave from when it can announce it

The bound is 3 s after the announcement; an agent that is paused before it has sent any report announces when it resumes. Agents that did speak keep the strict bound.

--- a/bench/faults/network.py
+++ b/bench/faults/network.py
@@ -60,6 +60,7 @@
     cuts: set[tuple[str, str]] = field(factory=set)  # sender and receiver
     silent: list[object] = field(factory=list)  # connections that went silent for good
     arrivals: list["Arrival"] = field(factory=list)
+    spoken: dict[Process, list[float]] = field(factory=dict)  # when agents sent reports
     cut_runs: list["Arrival"] = field(factory=list)  # ended by the agent, unasked
 
     def send(self, crossing: Crossing, deliver: Callable[..., Any], *args: Any) -> None:
@@ -73,6 +74,8 @@
     def _transmit(
         self, crossing: Crossing, effect: Effect, deliver: Callable[..., Any], args: tuple
     ) -> None:
+        if crossing.kind.startswith(("part ", "reply probe")):
+            self.spoken.setdefault(crossing.sender, []).append(self.clock.now)
         if self.cut(crossing):
             return
         for copy in range(effect.copies):
--- a/bench/faults/processes.py
+++ b/bench/faults/processes.py
@@ -25,7 +25,8 @@
     exited: bool = False  # by itself, after a graceful shutdown
     frozen: bool = False
     resumed_at: float = 0.0  # seconds
-    paused: bool = False  # at least once in this life
+    pauses: list[tuple[float, float]] = field(factory=list)  # from, to, seconds
+    _paused_at: float = 0.0
     timers: set["ProcessCall"] = field(factory=set)
     _held: list[tuple[Callable[..., Any], tuple[Any, ...]]] = field(factory=list)
 
@@ -40,7 +41,9 @@
 
     def pause(self) -> None:
         """Freeze, as SIGSTOP does."""
-        self.frozen = self.paused = True
+        if not self.frozen:
+            self.frozen = True
+            self._paused_at = self.clock.now
 
     def resume(self) -> None:
         """Go on, with what was held in its order."""
@@ -48,6 +51,7 @@
             return
         self.frozen = False
         self.resumed_at = self.clock.now
+        self.pauses.append((self._paused_at, self.resumed_at))
         held, self._held = self._held, []
         for function, args in held:
             self.run(function, *args)
