Check the checks of the fault matrix with broken variants

Cause: a matrix that finds nothing shows little unless its checks can fail. 14 broken variants in tests/utils/broken.py cover all 12 checks; each is caught in a named cell. Conclusion: every check fails when its promise is broken.

--- a/bench/faults/steps.py
+++ b/bench/faults/steps.py
@@ -77,6 +77,7 @@
     Step("role-read", "role", "read plan", A_, O_),
     Step("role-plan", "role", "reply read plan", O_, A_),
     Step("role-drain", "role", "event WORK_ENDED", A_, A_, "long"),
+    Step("role-ready", "role", "reply read plan", O_, A_, after=2.4),  # work has ended
     Step("role-order", "role", "order", A_, P_),
     Step("role-changed", "role", "reply order", P_, A_),
     Step("config-write", "config", "write config", X_, O_),
--- /dev/null
+++ b/tests/test_faults.py
@@ -0,0 +1,138 @@
+"""The fault matrix: a quick subset of its cells, and checks of its checks."""
+
+from testtools import TestCase
+from testtools.matchers import Contains, Equals, HasLength
+
+from bench.clock import VirtualClock
+from bench.faults import faults, steps
+from bench.faults.__main__ import ExitStatus, _report
+from bench.faults.cells import Cell, Outcome, run_cell
+from bench.faults.checks import CHECKS, Finding
+from bench.faults.matrix import pair_cells, quick_cells, single_cells
+from bench.faults.processes import Process, ProcessClock
+from bench.faults.report import known_commands
+from tests.utils import broken
+
+SEED = 1
+PARTS = 4  # of the quick subset, so that they run beside each other
+
+CAUGHT = (  # variant, check that must fail, cell in which it does
+    (broken.naive_retry, "at most once", "unkeyed-answer", "cut-forward"),
+    (broken.no_claim, "at most once", "keyed-answer", "kill-sender"),
+    (broken.no_fence, "lost authority", "role-drain", "store-slow"),
+    (broken.no_freshness_check, "lost authority", "role-ready", "freeze-receiver"),
+    (broken.overlapping_orders, "conflicting orders", "role-drain", "store-slow"),
+    (broken.order_without_drain, "planned changes", "role-drain", "store-slow"),
+    (broken.any_version, "configuration", "config-exchange", "delay"),
+    (broken.deaf_to_changes, "configuration", "config-write", "delay"),
+    (broken.always_not_run, "truthful refusals", "unkeyed-answer", "cut-forward"),
+    (broken.no_sequence_check, "whole answers", "stream-middle", "reorder"),
+    (broken.leaving_kept, "leaving endpoints", "leave-begin", "cut-to-store"),
+    (broken.no_drain, "graceful shutdowns", "stop-entry-part", "store-slow"),
+    (broken.no_drain, "graceful shutdowns", "leave-part", "store-slow"),
+    (broken.queue_dropped, "endings", "plain-end", "store-slow"),
+    (broken.queue_dropped, "patient work", "plain-end", "store-slow"),
+    (broken.dispatches_kept, "leaks", "plain-end", "store-slow"),
+)
+
+
+class QuickMatrixTest(TestCase):
+    """Guards every invariant under a sample of the faults; ``make faults`` runs all."""
+
+    def check_part(self, part):
+        known = known_commands()
+        for cell in quick_cells(SEED)[part::PARTS]:
+            outcome = run_cell(cell)
+            if cell.name not in known:
+                self.assertThat(outcome.violations, Equals([]), cell.command)
+
+    def test_first_part(self):
+        self.check_part(0)
+
+    def test_second_part(self):
+        self.check_part(1)
+
+    def test_third_part(self):
+        self.check_part(2)
+
+    def test_fourth_part(self):
+        self.check_part(3)
+
+
+class BrokenVariantTest(TestCase):
+    """Guards against checks that can't fail."""
+
+    def test_every_broken_variant_is_caught(self):
+        for variant, check, step, fault in CAUGHT:
+            with variant():
+                outcome = run_cell(Cell(step=step, fault=fault, seed=SEED))
+            self.assertTrue(outcome.findings[check].violations, f"{variant.__name__}: {check}")
+
+    def test_every_check_has_a_broken_variant(self):
+        caught = {check for _, check, _, _ in CAUGHT}
+        self.assertThat(caught, Equals({one.name for one in CHECKS}))
+
+
+class MatrixTest(TestCase):
+    """Guards against steps and faults that are never combined."""
+
+    def test_every_step_and_every_fault_is_run(self):
+        cells = single_cells(SEED)
+        self.assertThat({one.step for one in cells}, Equals(set(steps.BY_NAME)))
+        self.assertThat({one.fault for one in cells}, Equals(set(faults.BY_NAME)))
+
+    def test_pairs_cover_every_step_and_every_pair_of_faults_but_a_few(self):
+        cells = pair_cells(SEED)
+        self.assertThat({one.step for one in cells}, Equals(set(steps.BY_NAME)))
+        pairs = {one.fault for one in cells}
+        self.assertTrue(len(pairs) > 0.5 * len(faults.BY_NAME) ** 2, len(pairs))
+
+    def test_a_step_that_is_not_reached_fails_its_cell(self):
+        outcome = Outcome(Cell(step="plain-end", fault="crash", seed=SEED))
+        self.assertThat(outcome.passed, Equals(False))
+        self.assertThat(outcome.violations, Contains("the step was not reached"))
+
+    def test_exit_status_of_an_unlisted_failure(self):
+        outcome = Outcome(Cell(step="plain-end", fault="crash", seed=SEED))
+        outcome.findings = {one.name: Finding() for one in CHECKS}
+        self.assertThat(_report([outcome], table=False), Equals(ExitStatus.FAILED))
+        outcome.reached = True
+        self.assertThat(_report([outcome], table=False), Equals(ExitStatus.PASSED))
+
+    def test_same_seed_gives_the_same_run(self):
+        cell = Cell(step="stream-middle", fault="freeze-sender+flood-urgent", seed=SEED)
+        first, second = run_cell(cell), run_cell(cell)
+        self.assertThat(first.injected, Equals(second.injected))
+        self.assertThat(first.injected, HasLength(2))
+
+
+class ProcessTest(TestCase):
+    """Guards against pauses that let timers through, and kills that leave some."""
+
+    def setUp(self):
+        super().setUp()
+        self.base = VirtualClock()
+        self.process = Process("p", self.base)
+        self.clock = ProcessClock(self.process)
+        self.seen = []
+
+    def test_pause_holds_timers_and_messages_until_resume(self):
+        self.clock.callLater(1, self.seen.append, "timer")
+        cancelled = self.clock.callLater(1, self.seen.append, "cancelled")
+        self.process.pause()
+        self.base.run_until(2)
+        self.process.run(self.seen.append, "message")
+        self.assertThat(self.seen, Equals([]))
+        cancelled.cancel()  # it has expired, but the process has not handled it
+        self.process.resume()
+        self.assertThat(self.seen, Equals(["timer", "message"]))
+
+    def test_kill_drops_everything(self):
+        self.clock.callLater(1, self.seen.append, "timer")
+        self.process.pause()
+        self.process.run(self.seen.append, "message")
+        self.process.kill()
+        self.process.resume()
+        self.base.run_until(2)
+        self.assertThat(self.seen, Equals([]))
+        self.assertThat(self.process.timers, HasLength(0))
