--- a/Makefile
+++ b/Makefile
@@ -44,5 +44,8 @@
 clean:
 	rm -rf $(VENV) build .pytest_cache .ruff_cache .hypothesis
 
+faults: $(VENV)/.installed  ## steps by faults, pairs and a random walk on a virtual clock
+	$(BIN)/python -m bench.faults
+
 docs: $(VENV)/.installed  ## writes the reference tables in docs/
 	$(BIN)/python -m extras.reference
--- a/chivewall/standins/engine.py
+++ b/chivewall/standins/engine.py
@@ -99,6 +99,10 @@
     def _admit(self) -> None:
         while self.waiting and len(self.batch) < self.speed.parallel:
             sequence = self.waiting[0]
+            if sequence.next_token >= sequence.work.max_tokens:
+                del self.waiting[0]
+                sequence.on_end(sequence.next_token)  # only the end was lost
+                continue
             if self.batch and sequence.kv_tokens > self.kv_free:
                 return
             del self.waiting[0]
