Let the fault matrix read and write the configuration with its history

Cause: the matrix was written before the stored object held a history, so its operator wrote a format that every process refuses.

--- a/bench/faults/checks.py
+++ b/bench/faults/checks.py
@@ -9,6 +9,7 @@
 from bench.faults.processes import Process
 from bench.faults.witnesses import WitnessEngine, WitnessService
 from bench.faults.world import Caller, World
+from chivewall.changes import decode_archive
 from chivewall.decisions.orders import PLAN_FRESH_SECONDS
 from chivewall.events import Event
 from chivewall.plan import PLAN_PREFIX, Plan, decode_plan
@@ -17,7 +18,6 @@
 from chivewall.plugins.builtin.configuration import (
     CONFIGURATION_KEY,
     ConfigurationKeeper,
-    decode_configuration,
 )
 from chivewall.plugins.builtin.directory import Directory
 from chivewall.plugins.builtin.dispatch import Dispatcher
@@ -213,7 +213,7 @@
 def configuration(world: World, finding: Finding) -> None:
     """Check that changes took effect in time and that no process went back."""
     writes = [one for one in world.store.accepted if one.key == CONFIGURATION_KEY]
-    newest = decode_configuration(writes[-1].value).version
+    newest = decode_archive(writes[-1].value).current.version
     in_force: dict[Process, list[tuple[float, int]]] = {}
     for one in world.happenings:
         if one.event is Event.CONFIGURATION_IN_FORCE:
--- a/bench/faults/scenarios.py
+++ b/bench/faults/scenarios.py
@@ -9,14 +9,13 @@
 from bench.faults.processes import ProcessClock
 from bench.faults.witnesses import WitnessEngine
 from bench.faults.world import ENTRIES, HOME, MODEL, SERVICE, World
+from chivewall.changes import decode_archive, encode_archive
 from chivewall.configuration import Configuration
 from chivewall.errors import StoreError
 from chivewall.interfaces import InstanceKind
 from chivewall.plan import DesiredState
 from chivewall.plugins.builtin.configuration import (
     CONFIGURATION_KEY,
-    decode_configuration,
-    encode_configuration,
 )
 from chivewall.work import Call, Completion, EngineRole, Message, Rank, Request
 
@@ -123,11 +122,13 @@
     while True:
         try:
             stored = await store.get(CONFIGURATION_KEY)
-            found = decode_configuration(stored.value)
+            archive = decode_archive(stored.value)
+            found = archive.current
             if mine is not None and found.reason == mine.reason:
                 return
             mine = found.successor(reason=f"change of {clock.seconds():.3f}")
-            await store.update(CONFIGURATION_KEY, encode_configuration(mine), stored.version)
+            value = encode_archive(archive.succeed(mine))
+            await store.update(CONFIGURATION_KEY, value, stored.version)
         except StoreError:
             await deferLater(clock, RECOVERY_SECONDS, lambda: None)
         else:
