Preempt running work for more urgent ranks in place of reserved slots

Cause: half of each engine's slots stayed free for urgent work, so standard work queued while slots were idle; and work that had missed its target went before work that could still meet it. A full endpoint now stops the cheapest run of a lower rank, whose attempt goes on later from its last token; late work queues behind work that can be in time; urgent work that can't be in time is refused while its queue stands.

--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -91,6 +91,11 @@
     prompt_pieces: int = 0
     cached_pieces: int = 0
     role_changes: int = 0
+    targets: dict[Rank, float] = field(
+        factory=lambda: {
+            rank: one.first_token_ms / 1000 for rank, one in default_configuration().ranks.items()
+        }
+    )  # seconds to the first token
     flood_tokens: list[Counter[Rank]] = field(factory=list)  # generated during each flood
 
 
@@ -162,7 +167,12 @@
     site.log.subscribe(watcher.observe)
     result = Run(spec=spec, scenario=scenario, policy=policy, outcomes=[], arrivals=work)
     for arrival in work:
-        request = evolve(arrival.request, deadline=start + arrival.request.deadline)
+        target = result.targets[arrival.request.rank]
+        request = evolve(
+            arrival.request,
+            deadline=start + arrival.request.deadline,
+            first_token_by=start + arrival.at + target,
+        )
         outcome = Outcome(site.clock, request, start + arrival.at, spec.client_delay)
         watcher.outcomes[request.id] = outcome
         result.outcomes.append(outcome)
--- a/chivewall/decisions/admission.py
+++ b/chivewall/decisions/admission.py
@@ -1,7 +1,5 @@
 """Decides at the agent which attempts run, wait or are refused."""
 
-import math
-
 from attrs import define, field, frozen
 
 from chivewall.configuration import Configuration, LimitName
@@ -13,11 +11,13 @@
 from chivewall.work import Attempt, Completion, Rank, Refusal
 
 RANKS = tuple(Rank)
-PREFILL_FRACTION = 0.5  # of the urgent first-token target that other prefills may take up
-PEAK_SECONDS = 30.0  # time constant with which the reserve for urgent work shrinks
 STANDING_SECONDS = 5.0  # after which a queue that never emptied is shed
 OVERRUN_FRACTION = 0.1  # of its estimate that an attempt is assumed to need at least
 MIN_RETRY_SECONDS = 1.0
+OVERLOAD_SECONDS = 0.5  # after which a queue of urgent work counts as an overload
+OVERLOAD_HOLD = 5.0  # seconds; a shorter time let late work in between two shed queues
+PRESSING_SECONDS = 5.0  # before its latest start at which late work goes first
+MAX_PREEMPTIONS = 2  # of one attempt; each one computes its KV cache again
 
 
 @frozen
@@ -58,8 +58,7 @@
     running: dict[tuple[str, int], Entry] = field(factory=dict)
     doomed: list[Dropped] = field(factory=list)
     standing: dict[Rank, float] = field(factory=dict)  # since when a queue is not empty
-    urgent_peak: float = 0.0  # recent number of urgent attempts at once
-    peak_at: float = 0.0
+    overload_until: float = 0.0  # deadline; urgent work is admitted only within its target
 
     def offer(
         self, attempt: Attempt, cfg: Configuration, *, now: float, unix_time: float
@@ -72,9 +71,13 @@
         rank, workspace = attempt.request.rank, attempt.request.workspace
         own = self.queues[rank].ahead(workspace, weight)
         wait = queue_wait(self._backlog(now), rank, own)
-        refusal = self.limiter.check(
-            attempt, cost, self.capacity, cfg=cfg, unix_time=unix_time, wait=wait
-        ) or _hopeless(attempt, cost, now, wait)
+        refusal = (
+            self.limiter.check(
+                attempt, cost, self.capacity, cfg=cfg, unix_time=unix_time, wait=wait
+            )
+            or _hopeless(attempt, cost, now, wait)
+            or self._overloaded(attempt, cost, now, wait)
+        )
         if refusal is None:
             self._push(Entry(attempt=attempt, cost=cost, weight=weight, queued_at=now), now)
         return refusal
@@ -86,17 +89,44 @@
         """
         if len(self.running) >= self.capacity.parallel:
             return None
-        reserve = self._reserve(now)
         for rank in self.credits.order():
             entry = self._feasible_head(rank, now)
-            if entry is None or not self._may_take_slot(rank, reserve):
+            if entry is None:
                 continue
             if not self._fits_kv(entry):
                 return None  # smaller work of other ranks would keep it waiting for ever
-            if rank is Rank.URGENT or self._fits_prefill(entry):
-                return self._start(entry, now)
+            return self._start(entry, now)
         return None
 
+    def victim(self, now: float) -> Entry | None:
+        """Return the running attempt to preempt for the head of a more urgent queue.
+
+        Only when every slot is taken, and only for the rank whose turn it is,
+        so that a flood can't take the share of another rank.
+        """
+        if len(self.running) < self.capacity.parallel:
+            return None
+        for rank in self.credits.order():
+            if self._feasible_head(rank, now) is not None:
+                return self._preemptible(rank, now)
+        return None
+
+    def preempt(self, entry: Entry, attempt: Attempt, now: float) -> None:
+        """Queue a running attempt again; ``attempt`` holds what it has delivered."""
+        del self.running[key_of(entry.attempt)]
+        request = attempt.request
+        self.limiter.remove(request.workspace, entry.cost.tokens)
+        self._charge(entry, self._decode_spent(entry, now, None) - entry.cost.decode_share)
+        cost = self.lengths.cost(attempt, self.capacity)
+        again = Entry(
+            attempt=attempt,
+            cost=cost,
+            weight=entry.weight,
+            queued_at=now,
+            preemptions=entry.preemptions + 1,
+        )
+        self._push(again, now)
+
     def first_token(self, request_id: str, number: int) -> bool:
         """Note that an attempt has output; return whether this ended its prefill."""
         entry = self.running.get((request_id, number))
@@ -162,10 +192,6 @@
         self.queues[request.rank].push(entry)
         self.queued[key_of(entry.attempt)] = entry
         self.limiter.add(request.workspace, entry.cost.tokens)
-        if request.rank is Rank.URGENT:
-            present = self.queues[Rank.URGENT].size + self._running_urgent()
-            self.urgent_peak = max(float(present), self._decayed_peak(now))
-            self.peak_at = now
 
     def _unqueue(self, entry: Entry) -> None:
         request = entry.attempt.request
@@ -222,62 +248,75 @@
         return {one: self.cfg.ranks[one].share for one in RANKS}
 
     def _feasible_head(self, rank: Rank, now: float) -> Entry | None:
-        while (entry := self.queues[rank].head()) is not None and _late(entry, now):
-            self._doom(entry, now, ResultCode.HOPELESS, "too late to finish in time")
-        return entry
-
-    def _may_take_slot(self, rank: Rank, reserve: int) -> bool:
-        """Return whether a rank may use a free slot.
+        """Return the next entry of a rank.
 
-        While urgent work beyond its share is queued, the reserve doesn't bind
-        a rank that is below its own share: slots are no measure of endpoint
-        seconds when urgent prefills hold up the batch.
+        Work that can still meet its first-token target goes before work that
+        has missed it, unless that is about to miss its deadline as well.
         """
-        credit = self.credits.credits
-        flood = self.queues[Rank.URGENT].size > 0 > credit[Rank.URGENT]
-        return self._outside_reserve(rank, reserve) or (flood and credit[rank] >= 0)
+        queue = self.queues[rank]
+        late = self._feasible_late(queue, now)
+        if late is not None and _latest_start(late) - now <= PRESSING_SECONDS:
+            return late
+        while (entry := queue.head()) is not None:
+            if _late(entry, now):
+                self._doom(entry, now, ResultCode.HOPELESS, "too late to finish in time")
+            elif not entry.misses_target(now):
+                return entry
+            elif rank is Rank.URGENT and now < self.overload_until:
+                self._doom(entry, now, ResultCode.SHED, "missed its target in an overload")
+            else:
+                queue.demote(entry)
+        return self._feasible_late(queue, now)
 
-    def _outside_reserve(self, rank: Rank, reserve: int) -> bool:
-        if rank is Rank.URGENT:
-            return True
-        return len(self.running) - self._running_urgent() < self.capacity.parallel - reserve
+    def _feasible_late(self, queue: RankQueue, now: float) -> Entry | None:
+        while (entry := queue.late_head()) is not None and _late(entry, now):
+            self._doom(entry, now, ResultCode.HOPELESS, "too late to finish in time")
+        return entry
 
-    def _running_urgent(self) -> int:
-        return sum(one.attempt.request.rank is Rank.URGENT for one in self.running.values())
+    def _preemptible(self, rank: Rank, now: float) -> Entry | None:
+        """Return the lower-ranked attempt that loses least by starting again later."""
+        lower = [
+            one
+            for one in self.running.values()
+            if RANKS.index(one.rank) > RANKS.index(rank) and _can_wait(one, now)
+        ]
+        least_urgent = max(lower, key=lambda one: RANKS.index(one.rank), default=None)
+        same = [one for one in lower if one.rank is least_urgent.rank]
+        return min(same, key=lambda one: one.cost.prefill, default=None)
 
-    def _reserve(self, now: float) -> int:
-        """Slots kept for urgent work: its recent peak and one more, at most its share."""
-        most = math.floor(self._shares()[Rank.URGENT] * self.capacity.parallel)
-        peak = self._decayed_peak(now)
-        return min(most, math.ceil(peak) + 1 if peak >= 1 else 1)
+    def _overloaded(self, attempt: Attempt, cost: Cost, now: float, wait: float) -> Refusal | None:
+        """Refuse urgent work that would be late while its queue is overloaded.
 
-    def _decayed_peak(self, now: float) -> float:
-        return self.urgent_peak * math.exp(-(now - self.peak_at) / PEAK_SECONDS)
+        Late urgent answers would take the time of those that can be in time.
+        """
+        target = attempt.request.first_token_by
+        if attempt.request.rank is not Rank.URGENT or target is None:
+            return None
+        if now - self.standing.get(Rank.URGENT, now) >= OVERLOAD_SECONDS:
+            self.overload_until = now + OVERLOAD_HOLD
+        if now >= self.overload_until or now + wait + cost.prefill <= target:
+            return None
+        self.overload_until = now + OVERLOAD_HOLD
+        return Refusal(
+            code=ResultCode.SHED,
+            message=f"overload: {wait:.1f} s of queue end past the first-token target",
+            run=RunState.NO,
+            retry_after=max(MIN_RETRY_SECONDS, wait),
+        )
 
     def _fits_kv(self, entry: Entry) -> bool:
         total = self.capacity.kv_total_tokens
         held = sum(one.cost.tokens for one in self.running.values())
         return not total or held + entry.cost.tokens <= total or not self.running
 
-    def _fits_prefill(self, entry: Entry) -> bool:
-        """Limit prefills that would keep urgent work from its first token; one always may run."""
-        started = sum(
-            one.cost.prefill
-            for one in self.running.values()
-            if one.prefilling and one.attempt.request.rank is not Rank.URGENT
-        )
-        budget = self.cfg.ranks[Rank.URGENT].first_token_ms / 1000 * PREFILL_FRACTION
-        return started == 0 or started + entry.cost.prefill <= budget
-
     def _backlog(self, now: float) -> Backlog:
         running = self.running.values()
-        reserve = self._reserve(now)
         full = len(running) >= self.capacity.parallel
         left = sum(_remaining(one, now) for one in running)
         return Backlog(
             queued={one: self.queues[one].seconds for one in RANKS},
             shares=self._shares(),
-            busy=frozenset(one for one in RANKS if full or not self._outside_reserve(one, reserve)),
+            busy=frozenset(one for one in RANKS if full and not self._preemptible(one, now)),
             slot_seconds=left / max(1, self.capacity.parallel) ** 2,
             prefill_seconds=sum(one.cost.prefill for one in running if one.prefilling),
         )
@@ -289,7 +328,7 @@
         refusal = Refusal(
             code=code,
             message=message,
-            run=RunState.NO,
+            run=RunState.UNKNOWN if entry.preemptions else RunState.NO,
             retry_after=max(MIN_RETRY_SECONDS, wait),
         )
         self.doomed.append(Dropped(attempt=entry.attempt, refusal=refusal))
@@ -311,7 +350,19 @@
 
 
 def _late(entry: Entry, now: float) -> bool:
-    return now + entry.cost.run_seconds > entry.attempt.request.deadline
+    return now > _latest_start(entry)
+
+
+def _latest_start(entry: Entry) -> float:
+    return entry.attempt.request.deadline - entry.cost.run_seconds
+
+
+def _can_wait(entry: Entry, now: float) -> bool:
+    """Return whether a running attempt may start again later and still end in time."""
+    completion = isinstance(entry.attempt.request.work, Completion)
+    spare = _latest_start(entry) - now
+    fresh = entry.preemptions < MAX_PREEMPTIONS
+    return completion and fresh and spare > entry.cost.run_seconds + 2 * PRESSING_SECONDS
 
 
 def _remaining(entry: Entry, now: float) -> float:
--- a/chivewall/decisions/shares.py
+++ b/chivewall/decisions/shares.py
@@ -27,6 +27,18 @@
     prefilling: bool = True
     guaranteed: bool = False  # started from its rank's share while other ranks waited
     removed: bool = False
+    late: bool = False  # missed its first-token target while queued
+    preemptions: int = 0
+
+    @property
+    def rank(self) -> Rank:
+        """Rank of the request."""
+        return self.attempt.request.rank
+
+    def misses_target(self, now: float) -> bool:
+        """Return whether the first token would come after its target if it started now."""
+        target = self.attempt.request.first_token_by
+        return target is not None and now + self.cost.prefill > target
 
 
 @define
@@ -82,7 +94,7 @@
 
     def head(self) -> Entry:
         """Return the entry with the earliest deadline."""
-        while self.heap[0][2].removed:
+        while self.heap[0][2].removed or self.heap[0][2].late:
             heapq.heappop(self.heap)
         return self.heap[0][2]
 
@@ -104,6 +116,7 @@
     workspaces: dict[str, WorkspaceQueue] = field(factory=dict)
     order: list[tuple[float, int, str]] = field(factory=list)
     tags: dict[str, float] = field(factory=dict)  # of workspaces whose queue ran empty
+    late: list[tuple[float, int, Entry]] = field(factory=list)  # by deadline
 
     def push(self, entry: Entry) -> None:
         """Queue an entry."""
@@ -133,8 +146,24 @@
             heapq.heappop(self.order)
         return None
 
+    def late_head(self) -> Entry | None:
+        """Return the late entry with the earliest deadline."""
+        while self.late and self.late[0][2].removed:
+            heapq.heappop(self.late)
+        return self.late[0][2] if self.late else None
+
+    def demote(self, entry: Entry) -> None:
+        """Queue an entry that missed its target behind those that can still meet theirs."""
+        self._leave_workspace(entry)
+        entry.late = True
+        self.serial += 1
+        heapq.heappush(self.late, (entry.attempt.request.deadline, self.serial, entry))
+
     def start(self, entry: Entry) -> None:
         """Remove the entry whose turn it is and charge its workspace."""
+        if entry.late:
+            self.remove(entry)
+            return
         name = entry.attempt.request.workspace
         queue = self.workspaces[name]
         self.virtual = max(self.virtual, queue.tag)
@@ -145,15 +174,11 @@
 
     def remove(self, entry: Entry) -> None:
         """Remove a queued entry."""
-        name = entry.attempt.request.workspace
-        queue = self.workspaces[name]
+        if not entry.late:
+            self._leave_workspace(entry)
         entry.removed = True
-        queue.live -= 1
-        queue.seconds = max(0.0, queue.seconds - entry.cost.seconds)
         self.size -= 1
         self.seconds = max(0.0, self.seconds - entry.cost.seconds) if self.size else 0.0
-        if not queue.live:
-            self._forget(name, queue)
 
     def ahead(self, workspace: str, weight: float) -> float:
         """Return the endpoint seconds of this rank that run before a new attempt."""
@@ -165,7 +190,16 @@
     def entries(self) -> Iterator[Entry]:
         """Iterate over the queued entries, in no particular order."""
         for queue in self.workspaces.values():
-            yield from (entry for _, _, entry in queue.heap if not entry.removed)
+            yield from (one for _, _, one in queue.heap if not (one.removed or one.late))
+        yield from (one for _, _, one in self.late if not one.removed)
+
+    def _leave_workspace(self, entry: Entry) -> None:
+        name = entry.attempt.request.workspace
+        queue = self.workspaces[name]
+        queue.live -= 1
+        queue.seconds = max(0.0, queue.seconds - entry.cost.seconds)
+        if not queue.live:
+            self._forget(name, queue)
 
     def _forget(self, name: str, queue: WorkspaceQueue) -> None:
         del self.workspaces[name]
--- a/chivewall/events.py
+++ b/chivewall/events.py
@@ -32,6 +32,7 @@
     WORK_STARTED = (301, "info", "work started at the endpoint")
     WORK_REFUSED = (302, "info", "work refused before it ran")
     WORK_ENDED = (303, "info", "work ended at the endpoint")
+    WORK_PREEMPTED = (306, "info", "running work stopped for more urgent work; it goes on later")
     CLAIM_DECIDED = (304, "info", "claim of an idempotency key decided")
     WORK_CHOSEN = (305, "info", "queued work chosen to run")
 
--- a/chivewall/plugins/builtin/admission.py
+++ b/chivewall/plugins/builtin/admission.py
@@ -6,7 +6,7 @@
 from attrs import define, evolve, field, frozen, validators
 
 from chivewall.configuration import Configuration
-from chivewall.decisions.admission import Scheduler, key_of
+from chivewall.decisions.admission import Scheduler, Start, key_of
 from chivewall.decisions.estimates import Capacity
 from chivewall.environment import Environment
 from chivewall.errors import EndpointError
@@ -35,6 +35,7 @@
     Part,
     PartBody,
     Refusal,
+    Tokens,
     Waiting,
 )
 
@@ -71,6 +72,26 @@
     reason: str
 
 
+@frozen
+class RunMessage:
+    """A message of a run, with the generation of the run that sent it."""
+
+    generation: int
+    message: RunOutput | RunFailed
+
+
+@define(eq=False)
+class RunSink:
+    """Marks the messages of one run, so that those of a preempted one can be told apart."""
+
+    inbox: Inbox
+    generation: int
+
+    def put(self, message: RunOutput | RunFailed) -> None:
+        """Pass a message on to the admission task."""
+        self.inbox.put(RunMessage(self.generation, message))
+
+
 @define(eq=False)
 class AnswerSink:
     """Where the parts of one attempt go."""
@@ -79,6 +100,8 @@
     inbox: Inbox
     seq: int = 0
     silent: bool = True  # no part since the last tick
+    texts: list[str] = field(factory=list)  # tokens that this attempt has delivered
+    generation: int = 0  # grows with each start; output of an earlier one is dropped
 
 
 class Admission(Task):
@@ -142,23 +165,29 @@
         self._start_work()
 
     @receive.register
-    async def _(self, message: RunOutput) -> None:
-        sink = self.sinks.get((message.request_id, message.attempt))
-        if sink is None:
+    async def _(self, message: RunMessage) -> None:
+        inner = message.message
+        sink = self.sinks.get((inner.request_id, inner.attempt))
+        if sink is None or sink.generation != message.generation:
             return
+        if isinstance(inner, RunFailed):
+            self._run_failed(sink, inner)
+        else:
+            self._run_output(sink, inner)
+
+    def _run_output(self, sink: AnswerSink, message: RunOutput) -> None:
+        body = message.body
         prefilled = self.scheduler.first_token(message.request_id, message.attempt)
-        self._send(sink, message.body)
-        if isinstance(message.body, End | Answer | Refusal):
-            tokens = message.body.completion_tokens if isinstance(message.body, End) else None
+        self._send(sink, body)
+        if isinstance(body, Tokens):
+            sink.texts.extend(body.texts)
+        if isinstance(body, End | Answer | Refusal):
+            tokens = body.completion_tokens if isinstance(body, End) else None
             self._end(sink, outcome="complete", output_tokens=tokens)
         elif prefilled:
             self._start_work()
 
-    @receive.register
-    async def _(self, message: RunFailed) -> None:
-        sink = self.sinks.get((message.request_id, message.attempt))
-        if sink is None:
-            return
+    def _run_failed(self, sink: AnswerSink, message: RunFailed) -> None:
         run = RunState.UNKNOWN if message.reached else RunState.NO
         code = ResultCode.ENDPOINT_FAILED if message.reached else ResultCode.NO_ENDPOINT
         self._send(sink, Refusal(code=code, message=message.reason, run=run))
@@ -277,7 +306,7 @@
         return None
 
     def _start_work(self) -> None:
-        while not self.holds and (start := self.scheduler.start_next(self.env.now)) is not None:
+        while not self.holds and (start := self._next_start()) is not None:
             self.env.log.emit(
                 Event.WORK_CHOSEN,
                 request=start.attempt.request.id,
@@ -288,9 +317,30 @@
             self._launch(start.attempt)
         self._refuse_doomed()
 
+    def _next_start(self) -> Start | None:
+        start = self.scheduler.start_next(self.env.now)
+        if start is None and self._preempt():
+            start = self.scheduler.start_next(self.env.now)
+        return start
+
+    def _preempt(self) -> bool:
+        """Stop a run of lower rank for queued work whose turn it is; it goes on later."""
+        victim = self.scheduler.victim(self.env.now)
+        if victim is None:
+            return False
+        key = key_of(victim.attempt)
+        sink = self.sinks[key]
+        self.endpoint.cancel(*key)
+        sink.generation += 1
+        delivered = (*sink.attempt.delivered, *sink.texts)
+        self.scheduler.preempt(victim, evolve(sink.attempt, delivered=delivered), self.env.now)
+        self.env.log.emit(Event.WORK_PREEMPTED, request=key[0], attempt=key[1])
+        return True
+
     def _launch(self, attempt: Attempt) -> None:
         self.env.log.emit(Event.WORK_STARTED, request=attempt.request.id, attempt=attempt.number)
-        self.endpoint.run(attempt, self.inbox)
+        sink = self.sinks[key_of(attempt)]
+        self.endpoint.run(attempt, RunSink(self.inbox, sink.generation))
 
     def _expire(self) -> None:
         now = self.env.now
--- a/chivewall/plugins/builtin/caller_http.py
+++ b/chivewall/plugins/builtin/caller_http.py
@@ -124,6 +124,7 @@
             deadline=self._read_deadline(http, configuration, rank),
             work=work,
             key=http.getHeader("Idempotency-Key"),
+            first_token_by=self.env.now + configuration.ranks[rank].first_token_ms / MS_PER_SECOND,
         )
 
     def _read_deadline(self, http: HttpRequest, cfg: Configuration, rank: Rank) -> float:
--- a/chivewall/wire/codec.py
+++ b/chivewall/wire/codec.py
@@ -38,6 +38,8 @@
         key=req.key or "",
         delivered=attempt.delivered,
     )
+    if req.first_token_by is not None:
+        message.first_token_ms = int((req.first_token_by - now) * MS_PER_SECOND)
     work = req.work
     if isinstance(work, Completion):
         message.completion.CopyFrom(
@@ -74,6 +76,11 @@
         deadline=now + message.remaining_ms / MS_PER_SECOND,
         work=_decode_work(message),
         key=message.key or None,
+        first_token_by=(
+            now + message.first_token_ms / MS_PER_SECOND
+            if message.HasField("first_token_ms")
+            else None
+        ),
     )
     return Attempt(
         request=request,
--- a/chivewall/work.py
+++ b/chivewall/work.py
@@ -92,6 +92,7 @@
     deadline: float
     work: Completion | Call
     key: str | None = None  # the caller's Idempotency-Key
+    first_token_by: float | None = None  # deadline of the first-token target of its rank
 
 
 @frozen
