Choose by fresh reports sharply and by old ones loosely; end shed urgent work

Cause: candidates were drawn by 1 / estimate squared, so with estimates of several seconds the draw was close to random even between fresh reports; and urgent work that an overloaded fleet had refused was tried again until its deadline, long after its target. Urgent answers of over 200 tokens could not end within the default deadline of 10 s; it is 30 s now.

--- a/bench/policies.py
+++ b/bench/policies.py
@@ -67,6 +67,7 @@
     _home: str,
     rng: random.Random,
     _expected_output: float | None = None,
+    **_more: Any,
 ) -> Route | None:
     """Choose any endpoint, whatever its load."""
     usable = [one for one in members if one.instance.name not in excluded] or members
--- a/chivewall/configuration.py
+++ b/chivewall/configuration.py
@@ -146,7 +146,7 @@
                 first_token_ms=340,
                 between_tokens_ms=77,
                 worth=10,
-                default_deadline_ms=10_000,
+                default_deadline_ms=30_000,  # a long answer takes more than 10 s
                 share=0.5,
             ),
             Rank.STANDARD: RankPolicy(
--- a/chivewall/decisions/membership.py
+++ b/chivewall/decisions/membership.py
@@ -53,6 +53,7 @@
     instance: Instance
     state: MemberState = MemberState.UNKNOWN
     report: LoadReport | None = None
+    reported_at: float = 0.0
     round_trip: float = 0.0  # seconds, smoothed
     loss: float = 0.0  # share of failed exchanges, smoothed
     failures: int = 0  # since the last report
@@ -104,6 +105,7 @@
             self.past = (*self.past, self.report.incarnation)[-PAST_LIMIT:]
             self.sent_prefixes = {}
         self.report = report
+        self.reported_at = now
         self.failures = self.failed_probes = 0
         self.fresh.clear()
         self.fresh_seconds = 0.0
--- a/chivewall/decisions/retries.py
+++ b/chivewall/decisions/retries.py
@@ -173,11 +173,18 @@
         return None
     pause = refusal.retry_after if refusal.retry_after is not None else RETRY_AFTER
     at = now + max(BACKOFF_BASE, pause) * (1 + rng.uniform(0, WAIT_JITTER))
-    if at >= request.deadline:
+    if at >= request.deadline or _too_late_in_overload(request, refusal, at):
         return None
     return Retry(at=at, reason=f"waits for Retry-After of {refusal.code.name}", cost=Cost.FREE)
 
 
+def _too_late_in_overload(request: Request, refusal: Refusal, at: float) -> bool:
+    """Return whether an overloaded rank would refuse the urgent request again at that time."""
+    target = request.first_token_by
+    urgent = request.rank is Rank.URGENT and refusal.code is ResultCode.SHED
+    return urgent and target is not None and at > target
+
+
 def unknown_outcome(request: Request, message: str) -> Refusal:
     """Return the refusal of work that may have run."""
     run = RunState.UNKNOWN
--- a/chivewall/decisions/routing.py
+++ b/chivewall/decisions/routing.py
@@ -1,5 +1,6 @@
 """Chooses the endpoint of an attempt from a few candidates."""
 
+import math
 import random
 
 from attrs import frozen
@@ -11,11 +12,11 @@
 RANDOM_CANDIDATES = 2
 DEFAULT_CALL_SECONDS = 0.05  # expected time of a plain service call
 BOUNDED_LOAD = 1.25  # the affine endpoint may be this much worse than the best candidate
-SHARPNESS = 2.0  # exponent of the weight of a candidate; see ``_draw``
+MIN_SPREAD = 0.03  # seconds; differences below it don't decide between fresh reports
+SPREAD_PER_SECOND = 0.2  # growth of the spread with the age of a report
 KEY_HOME_EXTRA = 1.0  # seconds that a keyed call may wait longer to avoid a write conflict
 LOSS_SECONDS = 3.0  # cost of a lost message: the time until silence is noticed
 KV_SHORT_SECONDS = 1.0  # estimated wait for KV cache space, for each time the work exceeds it
-MIN_ESTIMATE = 0.001  # seconds; smaller differences are noise
 RANKS = tuple(Rank)
 
 
@@ -47,6 +48,7 @@
     home: str,
     rng: random.Random,
     expected_output: float | None = None,
+    now: float = 0.0,
 ) -> Route | None:
     """Return the route of the next attempt, or ``None`` if no endpoint can take it.
 
@@ -66,7 +68,7 @@
         ),
         key=lambda pair: pair[0],
     )
-    estimate, best, reason = _pick(request, scored, preferred, rng)
+    estimate, best, reason = _pick(request, scored, preferred, rng, now)
     rejected = tuple(
         Candidate(endpoint=one.instance.name, estimate=round(other, 4))
         for other, one in scored
@@ -88,6 +90,7 @@
     scored: list[tuple[float, Member]],
     preferred: Member | None,
     rng: random.Random,
+    now: float,
 ) -> tuple[float, Member, str]:
     lowest, best = scored[0]
     if best is preferred:
@@ -99,20 +102,26 @@
             return estimate, member, "home of the idempotency key"
         if request.key is None and estimate <= lowest * BOUNDED_LOAD:
             return estimate, member, "prefix affinity within bounded load"
-    return _draw(scored, rng)
+    return _draw(scored, rng, now)
 
 
-def _draw(scored: list[tuple[float, Member]], rng: random.Random) -> tuple[float, Member, str]:
-    """Draw a candidate with a weight that falls with its estimate.
+def _draw(
+    scored: list[tuple[float, Member]], rng: random.Random, now: float
+) -> tuple[float, Member, str]:
+    """Draw a candidate; the older the reports, the less a difference of estimates counts.
 
-    Reports are late and other entries read the same ones. If every entry took
-    the lowest estimate, an endpoint that was idle some seconds ago would get
-    the work of all of them.
+    Other entries read the same reports. If every entry took the lowest
+    estimate of reports some seconds old, an endpoint that was idle then would
+    get the work of all of them.
     """
-    weights = [(1 / max(estimate, MIN_ESTIMATE)) ** SHARPNESS for estimate, _ in scored]
+    lowest = scored[0][0]
+    weights = []
+    for estimate, member in scored:
+        age = max(0.0, now - member.reported_at)
+        scale = MIN_SPREAD + SPREAD_PER_SECOND * age
+        weights.append(math.exp(-(estimate - lowest) / scale))
     estimate, member = rng.choices(scored, weights)[0]
-    lowest = estimate <= scored[0][0]
-    return estimate, member, "lowest estimated finish" if lowest else "drawn to avoid herding"
+    return estimate, member, "lowest estimate" if estimate <= lowest else "drawn to avoid herding"
 
 
 def sample(
--- a/chivewall/plugins/builtin/directory.py
+++ b/chivewall/plugins/builtin/directory.py
@@ -173,6 +173,7 @@
             self.home,
             self.env.random,
             self.lengths.expected(request),
+            now=self.env.now,
         )
         self._log_route(request.id, route)
         message.answer(route)
--- a/chivewall/request_task.py
+++ b/chivewall/request_task.py
@@ -232,7 +232,8 @@
         """Wait as the refusal asks and then use every endpoint again, or end with it."""
         wait = wait_after(self.request, refusal, self.env.now, self.env.random)
         if wait is None:
-            self._end_with(evolve(refusal, code=code or refusal.code))
+            code = refusal.code if asks_to_wait(refusal) else code or refusal.code
+            self._end_with(evolve(refusal, code=code))
             return
         self._schedule(wait, forget=True)
 
