Admit urgent work in an overload only if it starts at once

Cause: the estimate of a prefill ignored the prefix cache and the decode steps that it shares, and queued urgent work was admitted on estimates that were too low. The agent learns how much prefills stretch, subtracts cached prefixes and, in an overload, admits urgent work only into a slot.

--- a/bench/policies.py
+++ b/bench/policies.py
@@ -115,7 +115,7 @@
     def victim(self, _now: float) -> None:
         """Preempt nothing."""
 
-    def first_token(self, *_args: Any) -> bool:
+    def first_token(self, *_args: Any, **_more: Any) -> bool:
         """Take no notice of prefills."""
         return False
 
--- a/chivewall/decisions/admission.py
+++ b/chivewall/decisions/admission.py
@@ -14,7 +14,7 @@
 STANDING_SECONDS = 5.0  # after which a queue that never emptied is shed
 OVERRUN_FRACTION = 0.1  # of its estimate that an attempt is assumed to need at least
 MIN_RETRY_SECONDS = 1.0
-OVERLOAD_SECONDS = 0.5  # after which a queue of urgent work counts as an overload
+OVERLOAD_SECONDS = 0.1  # after which a queue of urgent work counts as an overload
 OVERLOAD_HOLD = 5.0  # seconds; a shorter time let late work in between two shed queues
 PRESSING_SECONDS = 5.0  # before its latest start at which late work goes first
 MAX_PREEMPTIONS = 2  # of one attempt; each one computes its KV cache again
@@ -127,12 +127,14 @@
         )
         self._push(again, now)
 
-    def first_token(self, request_id: str, number: int) -> bool:
+    def first_token(self, request_id: str, number: int, *, now: float) -> bool:
         """Note that an attempt has output; return whether this ended its prefill."""
         entry = self.running.get((request_id, number))
         if entry is None or not entry.prefilling:
             return False
         entry.prefilling = False
+        if entry.rank is Rank.URGENT:  # engines prefill urgent prompts first
+            self.lengths.learn_prefill(entry.cost.prefill, now - entry.started_at)
         return True
 
     def finish(
@@ -294,7 +296,9 @@
             return None
         if now - self.standing.get(Rank.URGENT, now) >= OVERLOAD_SECONDS:
             self.overload_until = now + OVERLOAD_HOLD
-        if now >= self.overload_until or now + wait + cost.prefill <= target:
+        if now >= self.overload_until:
+            return None
+        if self._starts_at_once(Rank.URGENT, now) and now + wait + cost.prefill <= target:
             return None
         self.overload_until = now + OVERLOAD_HOLD
         return Refusal(
@@ -304,6 +308,15 @@
             retry_after=max(MIN_RETRY_SECONDS, wait),
         )
 
+    def _starts_at_once(self, rank: Rank, now: float) -> bool:
+        """Return whether a new attempt of a rank would get a slot without waiting."""
+        order = self.credits.order()
+        before = order[: order.index(rank) + 1]
+        if any(self.queues[one].size for one in before):
+            return False
+        free = len(self.running) < self.capacity.parallel
+        return free or self._preemptible(rank, now) is not None
+
     def _fits_kv(self, entry: Entry) -> bool:
         total = self.capacity.kv_total_tokens
         held = sum(one.cost.tokens for one in self.running.values())
@@ -318,7 +331,12 @@
             shares=self._shares(),
             busy=frozenset(one for one in RANKS if full and not self._preemptible(one, now)),
             slot_seconds=left / max(1, self.capacity.parallel) ** 2,
-            prefill_seconds=sum(one.cost.prefill for one in running if one.prefilling),
+            prefilling={
+                rank: sum(
+                    one.cost.prefill for one in running if one.prefilling and one.rank is rank
+                )
+                for rank in RANKS
+            },
         )
 
     def _doom(self, entry: Entry, now: float, code: ResultCode, message: str) -> None:
--- a/chivewall/decisions/estimates.py
+++ b/chivewall/decisions/estimates.py
@@ -1,14 +1,16 @@
 """Estimates what an attempt costs its endpoint, with output lengths learned from past answers."""
 
 from collections import OrderedDict
+from collections.abc import Container
 
 from attrs import define, field, frozen
 
-from chivewall.work import Attempt, Completion
+from chivewall.work import TOKENS_PER_PIECE, Attempt, Completion
 
 PRIOR_OUTPUT_TOKENS = 256.0  # until learned; callers often set max_tokens far above their need
 LEARNING_WEIGHT = 0.1  # of one more answer in the learned length
 MAX_LEARNED = 8192  # pairs kept; above the 300 workspaces x 20 models of the design capacity
+MAX_STRETCH = 8.0
 CALL_SECONDS = 0.05  # expected run time of a plain service call
 
 
@@ -20,6 +22,17 @@
     prefill_rate: float = 0.0  # tokens a second; 0 for a plain service
     decode_rate: float = 0.0  # tokens a second for one stream
     kv_total_tokens: int = 0  # 0 if unknown
+    cached_prefixes: frozenset[str] = frozenset()
+
+
+def cached_tokens(work: Completion, cached: Container[str]) -> int:
+    """Return the prompt tokens that a prefix cache covers; hashes are chained."""
+    covered = 0
+    for place, prefix in enumerate(work.prefix_hashes, start=1):
+        if prefix not in cached:
+            break
+        covered = place * TOKENS_PER_PIECE
+    return covered
 
 
 @frozen
@@ -52,6 +65,7 @@
     """Learned output length of each workspace and model, least recently used pairs dropped."""
 
     learned: OrderedDict[tuple[str, str], float] = field(factory=OrderedDict)
+    stretch: float = 1.0  # how much longer prefills take than at the engine's full rate
 
     def learn(self, workspace: str, model: str, tokens: int) -> None:
         """Take the length of a complete answer into account."""
@@ -61,6 +75,15 @@
         if len(self.learned) > MAX_LEARNED:
             self.learned.popitem(last=False)
 
+    def learn_prefill(self, estimated: float, actual: float) -> None:
+        """Take the time from a start to its first token into account, in seconds.
+
+        Prefills share the engine's steps with the decode of other sequences.
+        """
+        if estimated > 0:
+            ratio = min(MAX_STRETCH, max(1.0, self.stretch * actual / estimated))
+            self.stretch += LEARNING_WEIGHT * (ratio - self.stretch)
+
     def expected(self, workspace: str, work: Completion) -> float:
         """Return the expected length of an answer in tokens."""
         learned = self.learned.get((workspace, work.model), PRIOR_OUTPUT_TOKENS)
@@ -76,8 +99,10 @@
         output = self.expected(attempt.request.workspace, work)
         left = max(1.0, output - attempt.resume_from)
         prompt = work.prompt_tokens + attempt.resume_from
+        fresh = prompt - cached_tokens(work, capacity.cached_prefixes)
+        prefill = max(0, fresh) / capacity.prefill_rate if capacity.prefill_rate else 0.0
         return Cost(
-            prefill=prompt / capacity.prefill_rate if capacity.prefill_rate else 0.0,
+            prefill=prefill * self.stretch,
             decode=left / capacity.decode_rate if capacity.decode_rate else 0.0,
             tokens=int(prompt + left),
             parallel=max(1, capacity.parallel),
--- a/chivewall/decisions/waits.py
+++ b/chivewall/decisions/waits.py
@@ -15,7 +15,7 @@
     shares: dict[Rank, float]
     busy: frozenset[Rank]  # ranks that get no slot at once
     slot_seconds: float  # expected time until the next slot is free
-    prefill_seconds: float  # prefill that the endpoint has started and not finished
+    prefilling: dict[Rank, float]  # prefill that was started and not finished, seconds
 
 
 def queue_wait(backlog: Backlog, rank: Rank, own: float) -> float:
@@ -34,5 +34,5 @@
     return (
         min(in_order, by_share)
         + (backlog.slot_seconds if blocked else 0.0)
-        + (backlog.prefill_seconds)
+        + sum(backlog.prefilling[one] for one in RANKS[: place + 1])  # engines honour ranks
     )
--- a/chivewall/plugins/builtin/admission.py
+++ b/chivewall/plugins/builtin/admission.py
@@ -177,7 +177,9 @@
 
     def _run_output(self, sink: AnswerSink, message: RunOutput) -> None:
         body = message.body
-        prefilled = self.scheduler.first_token(message.request_id, message.attempt)
+        prefilled = self.scheduler.first_token(
+            message.request_id, message.attempt, now=self.env.now
+        )
         self._send(sink, body)
         if isinstance(body, Tokens):
             sink.texts.extend(body.texts)
@@ -218,6 +220,7 @@
             prefill_rate=message.load.prefill_rate,
             decode_rate=message.load.decode_rate,
             kv_total_tokens=message.load.kv_total_tokens,
+            cached_prefixes=frozenset(message.load.cached_prefixes),
         )
         self._start_work()
 
