Refuse urgent work that can't be in time here and try the next endpoint

Cause: in the first second of an urgent flood each engine took more urgent prefills than it could finish within the target, since a rule that waits for a standing queue comes too late. An agent now refuses urgent work that can't be in time whenever it arrives; the entry tries others and may have a few requests served late (two, and one for each 200).

--- a/chivewall/decisions/admission.py
+++ b/chivewall/decisions/admission.py
@@ -14,8 +14,7 @@
 STANDING_SECONDS = 5.0  # after which a queue that never emptied is shed
 OVERRUN_FRACTION = 0.1  # of its estimate that an attempt is assumed to need at least
 MIN_RETRY_SECONDS = 1.0
-OVERLOAD_SECONDS = 0.1  # after which a queue of urgent work counts as an overload
-OVERLOAD_HOLD = 5.0  # seconds; a shorter time let late work in between two shed queues
+STEP_MARGIN = 0.06  # seconds; a started engine step ends before a new prefill begins
 PRESSING_SECONDS = 5.0  # before its latest start at which late work goes first
 MAX_PREEMPTIONS = 2  # of one attempt; each one computes its KV cache again
 
@@ -58,7 +57,6 @@
     running: dict[tuple[str, int], Entry] = field(factory=dict)
     doomed: list[Dropped] = field(factory=list)
     standing: dict[Rank, float] = field(factory=dict)  # since when a queue is not empty
-    overload_until: float = 0.0  # deadline; urgent work is admitted only within its target
 
     def offer(
         self, attempt: Attempt, cfg: Configuration, *, now: float, unix_time: float
@@ -76,7 +74,7 @@
                 attempt, cost, self.capacity, cfg=cfg, unix_time=unix_time, wait=wait
             )
             or _hopeless(attempt, cost, now, wait)
-            or self._overloaded(attempt, cost, now, wait)
+            or self._out_of_time(attempt, cost, now, wait)
         )
         if refusal is None:
             self._push(Entry(attempt=attempt, cost=cost, weight=weight, queued_at=now), now)
@@ -264,8 +262,6 @@
                 self._doom(entry, now, ResultCode.HOPELESS, "too late to finish in time")
             elif not entry.misses_target(now):
                 return entry
-            elif rank is Rank.URGENT and now < self.overload_until:
-                self._doom(entry, now, ResultCode.SHED, "missed its target in an overload")
             else:
                 queue.demote(entry)
         return self._feasible_late(queue, now)
@@ -286,24 +282,21 @@
         same = [one for one in lower if one.rank is least_urgent.rank]
         return min(same, key=lambda one: one.cost.prefill, default=None)
 
-    def _overloaded(self, attempt: Attempt, cost: Cost, now: float, wait: float) -> Refusal | None:
-        """Refuse urgent work that would be late while its queue is overloaded.
+    def _out_of_time(self, attempt: Attempt, cost: Cost, now: float, wait: float) -> Refusal | None:
+        """Refuse urgent work that would be late here, so that another endpoint is tried.
 
         Late urgent answers would take the time of those that can be in time.
+        An entry that finds no endpoint in time may send it without a target.
         """
         target = attempt.request.first_token_by
         if attempt.request.rank is not Rank.URGENT or target is None:
             return None
-        if now - self.standing.get(Rank.URGENT, now) >= OVERLOAD_SECONDS:
-            self.overload_until = now + OVERLOAD_HOLD
-        if now >= self.overload_until:
+        first_token = now + wait + cost.prefill + STEP_MARGIN
+        if self._starts_at_once(Rank.URGENT, now) and first_token <= target:
             return None
-        if self._starts_at_once(Rank.URGENT, now) and now + wait + cost.prefill <= target:
-            return None
-        self.overload_until = now + OVERLOAD_HOLD
         return Refusal(
-            code=ResultCode.SHED,
-            message=f"overload: {wait:.1f} s of queue end past the first-token target",
+            code=ResultCode.TARGET_MISSED,
+            message=f"the first token would come {first_token - target:.2f} s after its target",
             run=RunState.NO,
             retry_after=max(MIN_RETRY_SECONDS, wait),
         )
--- a/chivewall/decisions/retries.py
+++ b/chivewall/decisions/retries.py
@@ -14,6 +14,8 @@
 WAIT_JITTER = 0.25  # share of a wait that is added at random, so that waiters spread
 BUDGET_PER_REQUEST = 0.2  # retries that each first attempt earns for its rank
 BUDGET_RESERVE = 10.0  # retries that a rank may spend without having earned them
+LATE_PER_REQUEST = 0.005  # late urgent answers that each urgent request earns
+LATE_RESERVE = 2.0
 FINAL_CODES = frozenset(
     {ResultCode.KEY_REUSED, ResultCode.BODY_TOO_LARGE, ResultCode.DEADLINE_PASSED}
 )  # another agent would answer the same
@@ -23,6 +25,7 @@
         ResultCode.HOPELESS,
         ResultCode.QUEUE_FULL,
         ResultCode.SHED,
+        ResultCode.TARGET_MISSED,
         ResultCode.NO_ENDPOINT,
         ResultCode.NOT_READY,
         ResultCode.CLAIM_UNAVAILABLE,
@@ -120,6 +123,28 @@
         return True
 
 
+@define
+class LateBudget:
+    """Limits how much urgent work is served after its target.
+
+    A few late answers are better than refusals; in a flood they would take
+    the time of answers that can still be in time.
+    """
+
+    _credit: float = field(default=LATE_RESERVE, init=False)
+
+    def earn(self) -> None:
+        """Count an urgent request."""
+        self._credit = min(LATE_RESERVE, self._credit + LATE_PER_REQUEST)
+
+    def spend(self) -> bool:
+        """Take one late answer; False if the budget is spent."""
+        if self._credit < 1:
+            return False
+        self._credit -= 1
+        return True
+
+
 def may_repeat(request: Request, run: RunState) -> bool:
     """Return whether running the request again can't run a non-idempotent action twice.
 
@@ -173,18 +198,11 @@
         return None
     pause = refusal.retry_after if refusal.retry_after is not None else RETRY_AFTER
     at = now + max(BACKOFF_BASE, pause) * (1 + rng.uniform(0, WAIT_JITTER))
-    if at >= request.deadline or _too_late_in_overload(request, refusal, at):
+    if at >= request.deadline or refusal.code is ResultCode.TARGET_MISSED:
         return None
     return Retry(at=at, reason=f"waits for Retry-After of {refusal.code.name}", cost=Cost.FREE)
 
 
-def _too_late_in_overload(request: Request, refusal: Refusal, at: float) -> bool:
-    """Return whether an overloaded rank would refuse the urgent request again at that time."""
-    target = request.first_token_by
-    urgent = request.rank is Rank.URGENT and refusal.code is ResultCode.SHED
-    return urgent and target is not None and at > target
-
-
 def unknown_outcome(request: Request, message: str) -> Refusal:
     """Return the refusal of work that may have run."""
     run = RunState.UNKNOWN
--- a/chivewall/plugins/builtin/dispatch.py
+++ b/chivewall/plugins/builtin/dispatch.py
@@ -2,15 +2,22 @@
 
 from functools import singledispatchmethod
 
-from chivewall.decisions.retries import RetryBudget
+from chivewall.decisions.retries import LateBudget, RetryBudget
 from chivewall.environment import Environment
 from chivewall.events import Event
 from chivewall.messages import Abandon, Drain, Serve
 from chivewall.plugins.base import Plugin
 from chivewall.plugins.builtin.directory import Directory
 from chivewall.plugins.registry import Registry
-from chivewall.request_task import Dispatch, Interrupt, Served, SpendRetry
+from chivewall.request_task import (
+    Dispatch,
+    Interrupt,
+    Served,
+    SpendLate,
+    SpendRetry,
+)
 from chivewall.task import Task
+from chivewall.work import Rank
 
 
 class Dispatcher(Task):
@@ -22,6 +29,7 @@
         self.directory = directory
         self.dispatches: dict[str, Dispatch] = {}
         self.budget = RetryBudget()
+        self.late_budget = LateBudget()
         self.drain_waiters: list[Drain] = []
 
     async def on_stop(self) -> None:
@@ -47,6 +55,8 @@
             target=request.work.target,
         )
         self.budget.earn(request.rank)
+        if request.rank is Rank.URGENT:
+            self.late_budget.earn()
         dispatch = Dispatch(self.env, self.directory, self, message)
         self.dispatches[request.id] = dispatch
         dispatch.start()
@@ -61,6 +71,10 @@
     async def _(self, message: SpendRetry) -> None:
         message.answer(self.budget.spend(message.request.rank))
 
+    @receive.register
+    async def _(self, message: SpendLate) -> None:
+        message.answer(self.late_budget.spend())
+
     @receive.register
     async def _(self, message: Served) -> None:
         dispatch = self.dispatches.pop(message.request_id, None)
--- a/chivewall/request_task.py
+++ b/chivewall/request_task.py
@@ -50,6 +50,11 @@
     request: Request
 
 
+@define(eq=False)
+class SpendLate(Query):
+    """Ask to serve one urgent request after its target; answered with a bool."""
+
+
 @frozen
 class Served:
     """A dispatch task has ended its request."""
@@ -151,7 +156,7 @@
         query = ChooseRoute(request=self.request, excluded=frozenset(self.progress.excluded))
         route = await self.directory.ask(query)
         if route is not None and route.reused and asks_to_wait(refusal):
-            self._wait_or_end(refusal)
+            await self._wait_or_end(refusal)
             return
         if route is None:
             refusal = Refusal(
@@ -226,10 +231,22 @@
         elif decision.cost is Cost.FREE or await self.dispatcher.ask(SpendRetry(self.request)):
             self._schedule(decision)
         else:
-            self._wait_or_end(failure.refusal, code=ResultCode.RETRIES_SPENT)
-
-    def _wait_or_end(self, refusal: Refusal, code: ResultCode | None = None) -> None:
+            await self._wait_or_end(failure.refusal, code=ResultCode.RETRIES_SPENT)
+
+    async def _serve_late(self, refusal: Refusal) -> bool:
+        """Ask once more without a target if no endpoint was in time and the budget allows it."""
+        if refusal.code is not ResultCode.TARGET_MISSED:
+            return False
+        if not await self.dispatcher.ask(SpendLate()):
+            return False
+        self.request = evolve(self.request, first_token_by=None)
+        self._schedule(Retry(at=self.env.now, reason="late rather than refused"), forget=True)
+        return True
+
+    async def _wait_or_end(self, refusal: Refusal, code: ResultCode | None = None) -> None:
         """Wait as the refusal asks and then use every endpoint again, or end with it."""
+        if await self._serve_late(refusal):
+            return
         wait = wait_after(self.request, refusal, self.env.now, self.env.random)
         if wait is None:
             code = refusal.code if asks_to_wait(refusal) else code or refusal.code
--- a/chivewall/results.py
+++ b/chivewall/results.py
@@ -41,6 +41,7 @@
     STALE_INCARNATION = (2008, 503, RunState.NO, "Internal: the agent was replaced.")
     DUPLICATE_ATTEMPT = (2009, 409, RunState.UNKNOWN, "Internal: the attempt arrived twice.")
     RETRIES_SPENT = (2010, 503, RunState.NO, "Wait for Retry-After; the retry budget is spent.")
+    TARGET_MISSED = (2012, 503, RunState.NO, "Wait for Retry-After; no endpoint can be in time.")
     SHED = (2011, 503, RunState.NO, "Wait for Retry-After; the queue stood too long.")
 
     # Work that was or may have been started.
