--- a/chivewall/decisions/admission.py
+++ b/chivewall/decisions/admission.py
@@ -1,10 +1,13 @@
 """Decides at the agent which attempts run, wait or are refused."""
 
-from attrs import define, field, frozen
+import math
+
+from attrs import define, evolve, field, frozen
 
 from chivewall.configuration import Configuration, LimitName
 from chivewall.decisions.estimates import Capacity, Cost, OutputLengths
 from chivewall.decisions.limits import Limiter, limit_for
+from chivewall.decisions.preemption import choose_victim
 from chivewall.decisions.shares import Entry, RankCredits, RankQueue, workspace_weight
 from chivewall.decisions.waits import Backlog, queue_wait
 from chivewall.results import ResultCode, RunState
@@ -15,8 +18,8 @@
 OVERRUN_FRACTION = 0.1  # of its estimate that an attempt is assumed to need at least
 MIN_RETRY_SECONDS = 1.0
 STEP_MARGIN = 0.06  # seconds; a started engine step ends before a new prefill begins
+WAIT_MARGIN = 1.25  # accepted work must be done, so a wait is taken as longer than estimated
 PRESSING_SECONDS = 5.0  # before its latest start at which late work goes first
-MAX_PREEMPTIONS = 2  # of one attempt; each one computes its KV cache again
 
 
 @frozen
@@ -26,6 +29,7 @@
     attempt: Attempt
     reason: str
     waited: float  # seconds
+    stopped: Attempt | None = None  # stop its run first and ``requeue`` it
 
 
 @frozen
@@ -55,6 +59,7 @@
     queues: dict[Rank, RankQueue] = field(factory=lambda: {one: RankQueue() for one in Rank})
     queued: dict[tuple[str, int], Entry] = field(factory=dict)
     running: dict[tuple[str, int], Entry] = field(factory=dict)
+    stopped: dict[tuple[str, int], Entry] = field(factory=dict)  # until they are queued again
     doomed: list[Dropped] = field(factory=list)
     standing: dict[Rank, float] = field(factory=dict)  # since when a queue is not empty
 
@@ -85,43 +90,26 @@
 
         Attempts that can no longer meet their deadline are left in ``doomed``.
         """
-        if len(self.running) >= self.capacity.parallel:
-            return None
-        for rank in self.credits.order():
+        for rank in self._order(now):
             entry = self._feasible_head(rank, now)
             if entry is None:
                 continue
+            if len(self.running) >= self.capacity.parallel:
+                return self._start_by_preemption(entry, now)
             if not self._fits_kv(entry):
                 return None  # smaller work of other ranks would keep it waiting for ever
             return self._start(entry, now)
         return None
 
-    def victim(self, now: float) -> Entry | None:
-        """Return the running attempt to preempt for the head of a more urgent queue.
-
-        Only when every slot is taken, and only for the rank whose turn it is,
-        so that a flood can't take the share of another rank.
-        """
-        if len(self.running) < self.capacity.parallel:
-            return None
-        for rank in self.credits.order():
-            if self._feasible_head(rank, now) is not None:
-                return self._preemptible(rank, now)
-        return None
-
-    def preempt(self, entry: Entry, attempt: Attempt, now: float) -> None:
-        """Queue a running attempt again; ``attempt`` holds what it has delivered."""
-        del self.running[key_of(entry.attempt)]
-        request = attempt.request
-        self.limiter.remove(request.workspace, entry.cost.tokens)
-        self._charge(entry, self._decode_spent(entry, now, None) - entry.cost.decode_share)
-        cost = self.lengths.cost(attempt, self.capacity)
+    def requeue(self, attempt: Attempt, now: float) -> None:
+        """Queue an attempt that ``start_next`` has stopped; it holds what was delivered."""
+        stopped = self.stopped.pop(key_of(attempt))
         again = Entry(
             attempt=attempt,
-            cost=cost,
-            weight=entry.weight,
+            cost=self.lengths.cost(attempt, self.capacity),
+            weight=stopped.weight,
             queued_at=now,
-            preemptions=entry.preemptions + 1,
+            preemptions=stopped.preemptions + 1,
         )
         self._push(again, now)
 
@@ -159,7 +147,7 @@
         """
         for rank in reversed(RANKS):
             for entry in list(self.queues[rank].entries()):
-                if _late(entry, now):
+                if entry.misses_deadline(now):
                     self._doom(entry, now, ResultCode.HOPELESS, "too late to finish in time")
             since = self.standing.get(rank, now)
             if rank is not Rank.PATIENT and now - since >= STANDING_SECONDS:
@@ -216,6 +204,19 @@
         self.running[key_of(entry.attempt)] = entry
         return Start(attempt=entry.attempt, reason=reason, waited=now - entry.queued_at)
 
+    def _start_by_preemption(self, entry: Entry, now: float) -> Start | None:
+        """Give the slot of a running attempt of lower rank to the entry whose turn it is."""
+        victim = self._preemptible(entry.rank, now)
+        if victim is None:
+            return None
+        request = victim.attempt.request
+        del self.running[key_of(victim.attempt)]
+        self.stopped[key_of(victim.attempt)] = victim
+        self.limiter.remove(request.workspace, victim.cost.tokens)
+        start = self._start(entry, now)
+        self._charge(victim, self._decode_spent(victim, now, None) - victim.cost.decode_share)
+        return evolve(start, stopped=victim.attempt)
+
     def _contested(self, rank: Rank) -> bool:
         return any(self.queues[one].size for one in RANKS if one is not rank)
 
@@ -247,6 +248,18 @@
             return dict.fromkeys(RANKS, 0.0)
         return {one: self.cfg.ranks[one].share for one in RANKS}
 
+    def _order(self, now: float) -> list[Rank]:
+        """Return the ranks in turn, those with accepted work about to miss its deadline first."""
+        pressing = [one for one in RANKS if self._pressing(self.queues[one], now) is not None]
+        return pressing + [one for one in self.credits.order() if one not in pressing]
+
+    def _pressing(self, queue: RankQueue, now: float) -> Entry | None:
+        """Return late work that must start now to end in time even if its answer is long."""
+        late = self._feasible_late(queue, now)
+        if late is None:
+            return None
+        return late if late.safe_start - now <= PRESSING_SECONDS else None
+
     def _feasible_head(self, rank: Rank, now: float) -> Entry | None:
         """Return the next entry of a rank.
 
@@ -254,11 +267,11 @@
         has missed it, unless that is about to miss its deadline as well.
         """
         queue = self.queues[rank]
-        late = self._feasible_late(queue, now)
-        if late is not None and _latest_start(late) - now <= PRESSING_SECONDS:
-            return late
+        pressing = self._pressing(queue, now)
+        if pressing is not None:
+            return pressing
         while (entry := queue.head()) is not None:
-            if _late(entry, now):
+            if entry.misses_deadline(now):
                 self._doom(entry, now, ResultCode.HOPELESS, "too late to finish in time")
             elif not entry.misses_target(now):
                 return entry
@@ -267,20 +280,14 @@
         return self._feasible_late(queue, now)
 
     def _feasible_late(self, queue: RankQueue, now: float) -> Entry | None:
-        while (entry := queue.late_head()) is not None and _late(entry, now):
+        while (entry := queue.late_head()) is not None and entry.misses_deadline(now):
             self._doom(entry, now, ResultCode.HOPELESS, "too late to finish in time")
         return entry
 
     def _preemptible(self, rank: Rank, now: float) -> Entry | None:
-        """Return the lower-ranked attempt that loses least by starting again later."""
-        lower = [
-            one
-            for one in self.running.values()
-            if RANKS.index(one.rank) > RANKS.index(rank) and _can_wait(one, now)
-        ]
-        least_urgent = max(lower, key=lambda one: RANKS.index(one.rank), default=None)
-        same = [one for one in lower if one.rank is least_urgent.rank]
-        return min(same, key=lambda one: one.cost.prefill, default=None)
+        slots = self.capacity.parallel
+        protected = {one: math.ceil(share * slots) for one, share in self._shares().items()}
+        return choose_victim(self.running.values(), rank, now, protected)
 
     def _out_of_time(self, attempt: Attempt, cost: Cost, now: float, wait: float) -> Refusal | None:
         """Refuse urgent work that would be late here, so that another endpoint is tried.
@@ -360,34 +367,18 @@
     return attempt.request.id, attempt.number
 
 
-def _late(entry: Entry, now: float) -> bool:
-    return now > _latest_start(entry)
-
-
-def _latest_start(entry: Entry) -> float:
-    return entry.attempt.request.deadline - entry.cost.run_seconds
-
-
-def _can_wait(entry: Entry, now: float) -> bool:
-    """Return whether a running attempt may start again later and still end in time."""
-    completion = isinstance(entry.attempt.request.work, Completion)
-    spare = _latest_start(entry) - now
-    fresh = entry.preemptions < MAX_PREEMPTIONS
-    return completion and fresh and spare > entry.cost.run_seconds + 2 * PRESSING_SECONDS
-
-
 def _remaining(entry: Entry, now: float) -> float:
     least = entry.cost.run_seconds * OVERRUN_FRACTION
     return max(entry.cost.run_seconds - (now - entry.started_at), least)
 
 
 def _hopeless(attempt: Attempt, cost: Cost, now: float, wait: float) -> Refusal | None:
-    if now + wait + cost.run_seconds <= attempt.request.deadline:
+    run_seconds = max(cost.run_seconds, cost.longest)
+    if now + wait * WAIT_MARGIN + run_seconds <= attempt.request.deadline:
         return None
     return Refusal(
         code=ResultCode.HOPELESS,
-        message=f"{wait:.1f} s of queue and {cost.run_seconds:.1f} s of run time "
-        "end past the deadline",
+        message=f"{wait:.1f} s of queue and {run_seconds:.1f} s of run time end past the deadline",
         run=RunState.NO,
         retry_after=max(MIN_RETRY_SECONDS, wait),
     )
--- a/chivewall/decisions/estimates.py
+++ b/chivewall/decisions/estimates.py
@@ -1,5 +1,6 @@
 """Estimates what an attempt costs its endpoint, with output lengths learned from past answers."""
 
+import math
 from collections import OrderedDict
 from collections.abc import Container
 
@@ -8,6 +9,7 @@
 from chivewall.work import TOKENS_PER_PIECE, Attempt, Completion
 
 PRIOR_OUTPUT_TOKENS = 256.0  # until learned; callers often set max_tokens far above their need
+LONG_ANSWER = 4.0  # times the learned length; answers are seldom longer
 LEARNING_WEIGHT = 0.1  # of one more answer in the learned length
 MAX_LEARNED = 8192  # pairs kept; above the 300 workspaces x 20 models of the design capacity
 MAX_STRETCH = 8.0
@@ -43,6 +45,7 @@
     decode: float  # seconds
     tokens: int  # prompt and expected output, in the KV cache
     parallel: int = 1  # slots of the endpoint
+    longest: float = 0.0  # seconds from start to end that nearly no run exceeds
 
     @property
     def run_seconds(self) -> float:
@@ -101,8 +104,10 @@
         prompt = work.prompt_tokens + attempt.resume_from
         fresh = prompt - cached_tokens(work, capacity.cached_prefixes)
         prefill = max(0, fresh) / capacity.prefill_rate if capacity.prefill_rate else 0.0
+        most = max(1.0, min(work.max_tokens, LONG_ANSWER * output) - attempt.resume_from)
         return Cost(
             prefill=prefill * self.stretch,
+            longest=prefill * self.stretch + most / (capacity.decode_rate or math.inf),
             decode=left / capacity.decode_rate if capacity.decode_rate else 0.0,
             tokens=int(prompt + left),
             parallel=max(1, capacity.parallel),
--- /dev/null
+++ b/chivewall/decisions/preemption.py
@@ -0,0 +1,46 @@
+"""Chooses running work that is stopped for more urgent work and goes on later."""
+
+from collections.abc import Iterable
+
+from chivewall.decisions.shares import Entry
+from chivewall.work import Completion, Rank
+
+RANKS = tuple(Rank)
+MAX_PREEMPTIONS = 2  # of one attempt; each one computes its KV cache again
+SPARE_SECONDS = 10.0  # that an attempt must have besides a second run to its deadline
+
+
+def choose_victim(
+    running: Iterable[Entry], rank: Rank, now: float, protected: dict[Rank, int]
+) -> Entry | None:
+    """Return the attempt of the least urgent rank below ``rank`` that loses least.
+
+    What is lost is the prefill, which the engine computes again at the next start.
+    Each rank keeps its ``protected`` number of running attempts, so that a flood
+    can't take another rank's share by stopping its work.
+    """
+    running = list(running)
+    surplus = {
+        one
+        for one in RANKS[RANKS.index(rank) + 1 :]
+        if sum(entry.rank is one for entry in running) > protected[one]
+    }
+    lower = [
+        one for one in running if one.rank in surplus and not one.guaranteed and may_wait(one, now)
+    ]
+    if not lower:
+        return None
+    least = max(RANKS.index(one.rank) for one in lower)
+    same = [one for one in lower if RANKS.index(one.rank) == least]
+    return min(same, key=lambda one: one.cost.prefill)
+
+
+def may_wait(entry: Entry, now: float) -> bool:
+    """Return whether a running attempt may start again later and still end in time."""
+    completion = isinstance(entry.attempt.request.work, Completion)
+    spare = entry.latest_start - now
+    return (
+        completion
+        and entry.preemptions < MAX_PREEMPTIONS
+        and spare > entry.cost.run_seconds + SPARE_SECONDS
+    )
--- a/chivewall/decisions/routing.py
+++ b/chivewall/decisions/routing.py
@@ -13,6 +13,7 @@
 DEFAULT_CALL_SECONDS = 0.05  # expected time of a plain service call
 BOUNDED_LOAD = 1.25  # the affine endpoint may be this much worse than the best candidate
 MIN_SPREAD = 0.03  # seconds; differences below it don't decide between fresh reports
+SPREAD_OF_WAIT = 0.5  # share of the shortest wait that is added to the spread
 SPREAD_PER_SECOND = 0.2  # growth of the spread with the age of a report
 KEY_HOME_EXTRA = 1.0  # seconds that a keyed call may wait longer to avoid a write conflict
 LOSS_SECONDS = 3.0  # cost of a lost message: the time until silence is noticed
@@ -102,26 +103,29 @@
             return estimate, member, "home of the idempotency key"
         if request.key is None and estimate <= lowest * BOUNDED_LOAD:
             return estimate, member, "prefix affinity within bounded load"
-    return _draw(scored, rng, now)
+    return _draw(request.rank, scored, rng, now)
 
 
 def _draw(
-    scored: list[tuple[float, Member]], rng: random.Random, now: float
+    rank: Rank, scored: list[tuple[float, Member]], rng: random.Random, now: float
 ) -> tuple[float, Member, str]:
-    """Draw a candidate; the older the reports, the less a difference of estimates counts.
+    """Draw a candidate; the less the reports can be trusted, the less estimates count.
 
     Other entries read the same reports. If every entry took the lowest
     estimate of reports some seconds old, an endpoint that was idle then would
-    get the work of all of them.
+    get the work of all of them. Queues change faster than reports arrive, so
+    the trust falls with the age of a report and with the wait at every candidate.
     """
     lowest = scored[0][0]
+    wait = min(member.report.waits[RANKS.index(rank)] for _, member in scored)
     weights = []
     for estimate, member in scored:
         age = max(0.0, now - member.reported_at)
-        scale = MIN_SPREAD + SPREAD_PER_SECOND * age
-        weights.append(math.exp(-(estimate - lowest) / scale))
+        spread = MIN_SPREAD + SPREAD_PER_SECOND * age + SPREAD_OF_WAIT * wait
+        weights.append(math.exp(-(estimate - lowest) / spread))
     estimate, member = rng.choices(scored, weights)[0]
-    return estimate, member, "lowest estimate" if estimate <= lowest else "drawn to avoid herding"
+    fits = estimate <= lowest
+    return estimate, member, "lowest estimated finish" if fits else "drawn to avoid herding"
 
 
 def sample(
--- a/chivewall/decisions/shares.py
+++ b/chivewall/decisions/shares.py
@@ -35,6 +35,20 @@
         """Rank of the request."""
         return self.attempt.request.rank
 
+    @property
+    def latest_start(self) -> float:
+        """Latest start from which an answer of the expected length ends by the deadline."""
+        return self.attempt.request.deadline - self.cost.run_seconds
+
+    @property
+    def safe_start(self) -> float:
+        """Latest start from which even a long answer ends by the deadline."""
+        return self.attempt.request.deadline - self.cost.longest
+
+    def misses_deadline(self, now: float) -> bool:
+        """Return whether the answer would end after its deadline if it started now."""
+        return now > self.latest_start
+
     def misses_target(self, now: float) -> bool:
         """Return whether the first token would come after its target if it started now."""
         target = self.attempt.request.first_token_by
@@ -116,7 +130,7 @@
     workspaces: dict[str, WorkspaceQueue] = field(factory=dict)
     order: list[tuple[float, int, str]] = field(factory=list)
     tags: dict[str, float] = field(factory=dict)  # of workspaces whose queue ran empty
-    late: list[tuple[float, int, Entry]] = field(factory=list)  # by deadline
+    late: list[tuple[float, int, Entry]] = field(factory=list)  # by safe start
 
     def push(self, entry: Entry) -> None:
         """Queue an entry."""
@@ -147,7 +161,7 @@
         return None
 
     def late_head(self) -> Entry | None:
-        """Return the late entry with the earliest deadline."""
+        """Return the late entry that has to start first."""
         while self.late and self.late[0][2].removed:
             heapq.heappop(self.late)
         return self.late[0][2] if self.late else None
@@ -157,7 +171,7 @@
         self._leave_workspace(entry)
         entry.late = True
         self.serial += 1
-        heapq.heappush(self.late, (entry.attempt.request.deadline, self.serial, entry))
+        heapq.heappush(self.late, (entry.safe_start, self.serial, entry))
 
     def start(self, entry: Entry) -> None:
         """Remove the entry whose turn it is and charge its workspace."""
--- a/chivewall/plugins/builtin/admission.py
+++ b/chivewall/plugins/builtin/admission.py
@@ -6,7 +6,7 @@
 from attrs import define, evolve, field, frozen, validators
 
 from chivewall.configuration import Configuration
-from chivewall.decisions.admission import Scheduler, Start, key_of
+from chivewall.decisions.admission import Scheduler, key_of
 from chivewall.decisions.estimates import Capacity
 from chivewall.environment import Environment
 from chivewall.errors import EndpointError
@@ -309,7 +309,9 @@
         return None
 
     def _start_work(self) -> None:
-        while not self.holds and (start := self._next_start()) is not None:
+        while not self.holds and (start := self.scheduler.start_next(self.env.now)) is not None:
+            if start.stopped is not None:
+                self._stop_run(start.stopped)
             self.env.log.emit(
                 Event.WORK_CHOSEN,
                 request=start.attempt.request.id,
@@ -320,25 +322,15 @@
             self._launch(start.attempt)
         self._refuse_doomed()
 
-    def _next_start(self) -> Start | None:
-        start = self.scheduler.start_next(self.env.now)
-        if start is None and self._preempt():
-            start = self.scheduler.start_next(self.env.now)
-        return start
-
-    def _preempt(self) -> bool:
-        """Stop a run of lower rank for queued work whose turn it is; it goes on later."""
-        victim = self.scheduler.victim(self.env.now)
-        if victim is None:
-            return False
-        key = key_of(victim.attempt)
+    def _stop_run(self, attempt: Attempt) -> None:
+        """Stop a run for more urgent work; its attempt goes on later from its last token."""
+        key = key_of(attempt)
         sink = self.sinks[key]
         self.endpoint.cancel(*key)
         sink.generation += 1
         delivered = (*sink.attempt.delivered, *sink.texts)
-        self.scheduler.preempt(victim, evolve(sink.attempt, delivered=delivered), self.env.now)
+        self.scheduler.requeue(evolve(sink.attempt, delivered=delivered), self.env.now)
         self.env.log.emit(Event.WORK_PREEMPTED, request=key[0], attempt=key[1])
-        return True
 
     def _launch(self, attempt: Attempt) -> None:
         self.env.log.emit(Event.WORK_STARTED, request=attempt.request.id, attempt=attempt.number)
