--- a/bench/policies.py
+++ b/bench/policies.py
@@ -67,6 +67,7 @@
     _home: str,
     rng: random.Random,
     _expected_output: float | None = None,
+    **_more: Any,
 ) -> Route | None:
     """Choose any endpoint, whatever its load."""
     usable = [one for one in members if one.instance.name not in excluded] or members
@@ -111,7 +112,7 @@
         self.running[key_of(attempt)] = attempt
         return Start(attempt=attempt, reason="first in, first out", waited=0.0)
 
-    def first_token(self, *_args: Any) -> bool:
+    def first_token(self, *_args: Any, **_more: Any) -> bool:
         """Take no notice of prefills."""
         return False
 
--- a/chivewall/decisions/admission.py
+++ b/chivewall/decisions/admission.py
@@ -2,22 +2,24 @@
 
 import math
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from chivewall.configuration import Configuration, LimitName
 from chivewall.decisions.estimates import Capacity, Cost, OutputLengths
 from chivewall.decisions.limits import Limiter, limit_for
+from chivewall.decisions.preemption import choose_victim
 from chivewall.decisions.shares import Entry, RankCredits, RankQueue, workspace_weight
 from chivewall.decisions.waits import Backlog, queue_wait
 from chivewall.results import ResultCode, RunState
 from chivewall.work import Attempt, Completion, Rank, Refusal
 
 RANKS = tuple(Rank)
-PREFILL_FRACTION = 0.5  # of the urgent first-token target that other prefills may take up
-PEAK_SECONDS = 30.0  # time constant with which the reserve for urgent work shrinks
 STANDING_SECONDS = 5.0  # after which a queue that never emptied is shed
 OVERRUN_FRACTION = 0.1  # of its estimate that an attempt is assumed to need at least
 MIN_RETRY_SECONDS = 1.0
+STEP_MARGIN = 0.06  # seconds; a started engine step ends before a new prefill begins
+WAIT_MARGIN = 1.25  # accepted work must be done, so a wait is taken as longer than estimated
+PRESSING_SECONDS = 5.0  # before its latest start at which late work goes first
 
 
 @frozen
@@ -27,6 +29,7 @@
     attempt: Attempt
     reason: str
     waited: float  # seconds
+    stopped: Attempt | None = None  # stop its run first and ``requeue`` it
 
 
 @frozen
@@ -56,10 +59,9 @@
     queues: dict[Rank, RankQueue] = field(factory=lambda: {one: RankQueue() for one in Rank})
     queued: dict[tuple[str, int], Entry] = field(factory=dict)
     running: dict[tuple[str, int], Entry] = field(factory=dict)
+    stopped: dict[tuple[str, int], Entry] = field(factory=dict)  # until they are queued again
     doomed: list[Dropped] = field(factory=list)
     standing: dict[Rank, float] = field(factory=dict)  # since when a queue is not empty
-    urgent_peak: float = 0.0  # recent number of urgent attempts at once
-    peak_at: float = 0.0
 
     def offer(
         self, attempt: Attempt, cfg: Configuration, *, now: float, unix_time: float
@@ -72,9 +74,13 @@
         rank, workspace = attempt.request.rank, attempt.request.workspace
         own = self.queues[rank].ahead(workspace, weight)
         wait = queue_wait(self._backlog(now), rank, own)
-        refusal = self.limiter.check(
-            attempt, cost, self.capacity, cfg=cfg, unix_time=unix_time, wait=wait
-        ) or _hopeless(attempt, cost, now, wait)
+        refusal = (
+            self.limiter.check(
+                attempt, cost, self.capacity, cfg=cfg, unix_time=unix_time, wait=wait
+            )
+            or _hopeless(attempt, cost, now, wait)
+            or self._out_of_time(attempt, cost, now, wait)
+        )
         if refusal is None:
             self._push(Entry(attempt=attempt, cost=cost, weight=weight, queued_at=now), now)
         return refusal
@@ -84,25 +90,37 @@
 
         Attempts that can no longer meet their deadline are left in ``doomed``.
         """
-        if len(self.running) >= self.capacity.parallel:
-            return None
-        reserve = self._reserve(now)
-        for rank in self.credits.order():
+        for rank in self._order(now):
             entry = self._feasible_head(rank, now)
-            if entry is None or not self._may_take_slot(rank, reserve):
+            if entry is None:
                 continue
+            if len(self.running) >= self.capacity.parallel:
+                return self._start_by_preemption(entry, now)
             if not self._fits_kv(entry):
                 return None  # smaller work of other ranks would keep it waiting for ever
-            if rank is Rank.URGENT or self._fits_prefill(entry):
-                return self._start(entry, now)
+            return self._start(entry, now)
         return None
 
-    def first_token(self, request_id: str, number: int) -> bool:
+    def requeue(self, attempt: Attempt, now: float) -> None:
+        """Queue an attempt that ``start_next`` has stopped; it holds what was delivered."""
+        stopped = self.stopped.pop(key_of(attempt))
+        again = Entry(
+            attempt=attempt,
+            cost=self.lengths.cost(attempt, self.capacity),
+            weight=stopped.weight,
+            queued_at=now,
+            preemptions=stopped.preemptions + 1,
+        )
+        self._push(again, now)
+
+    def first_token(self, request_id: str, number: int, *, now: float) -> bool:
         """Note that an attempt has output; return whether this ended its prefill."""
         entry = self.running.get((request_id, number))
         if entry is None or not entry.prefilling:
             return False
         entry.prefilling = False
+        if entry.rank is Rank.URGENT:  # engines prefill urgent prompts first
+            self.lengths.learn_prefill(entry.cost.prefill, now - entry.started_at)
         return True
 
     def finish(
@@ -129,7 +147,7 @@
         """
         for rank in reversed(RANKS):
             for entry in list(self.queues[rank].entries()):
-                if _late(entry, now):
+                if entry.misses_deadline(now):
                     self._doom(entry, now, ResultCode.HOPELESS, "too late to finish in time")
             since = self.standing.get(rank, now)
             if rank is not Rank.PATIENT and now - since >= STANDING_SECONDS:
@@ -162,10 +180,6 @@
         self.queues[request.rank].push(entry)
         self.queued[key_of(entry.attempt)] = entry
         self.limiter.add(request.workspace, entry.cost.tokens)
-        if request.rank is Rank.URGENT:
-            present = self.queues[Rank.URGENT].size + self._running_urgent()
-            self.urgent_peak = max(float(present), self._decayed_peak(now))
-            self.peak_at = now
 
     def _unqueue(self, entry: Entry) -> None:
         request = entry.attempt.request
@@ -190,6 +204,19 @@
         self.running[key_of(entry.attempt)] = entry
         return Start(attempt=entry.attempt, reason=reason, waited=now - entry.queued_at)
 
+    def _start_by_preemption(self, entry: Entry, now: float) -> Start | None:
+        """Give the slot of a running attempt of lower rank to the entry whose turn it is."""
+        victim = self._preemptible(entry.rank, now)
+        if victim is None:
+            return None
+        request = victim.attempt.request
+        del self.running[key_of(victim.attempt)]
+        self.stopped[key_of(victim.attempt)] = victim
+        self.limiter.remove(request.workspace, victim.cost.tokens)
+        start = self._start(entry, now)
+        self._charge(victim, self._decode_spent(victim, now, None) - victim.cost.decode_share)
+        return evolve(start, stopped=victim.attempt)
+
     def _contested(self, rank: Rank) -> bool:
         return any(self.queues[one].size for one in RANKS if one is not rank)
 
@@ -221,65 +248,95 @@
             return dict.fromkeys(RANKS, 0.0)
         return {one: self.cfg.ranks[one].share for one in RANKS}
 
-    def _feasible_head(self, rank: Rank, now: float) -> Entry | None:
-        while (entry := self.queues[rank].head()) is not None and _late(entry, now):
-            self._doom(entry, now, ResultCode.HOPELESS, "too late to finish in time")
-        return entry
+    def _order(self, now: float) -> list[Rank]:
+        """Return the ranks in turn, those with accepted work about to miss its deadline first."""
+        pressing = [one for one in RANKS if self._pressing(self.queues[one], now) is not None]
+        return pressing + [one for one in self.credits.order() if one not in pressing]
 
-    def _may_take_slot(self, rank: Rank, reserve: int) -> bool:
-        """Return whether a rank may use a free slot.
+    def _pressing(self, queue: RankQueue, now: float) -> Entry | None:
+        """Return late work that must start now to end in time even if its answer is long."""
+        late = self._feasible_late(queue, now)
+        if late is None:
+            return None
+        return late if late.safe_start - now <= PRESSING_SECONDS else None
 
-        While urgent work beyond its share is queued, the reserve doesn't bind
-        a rank that is below its own share: slots are no measure of endpoint
-        seconds when urgent prefills hold up the batch.
+    def _feasible_head(self, rank: Rank, now: float) -> Entry | None:
+        """Return the next entry of a rank.
+
+        Work that can still meet its first-token target goes before work that
+        has missed it, unless that is about to miss its deadline as well.
         """
-        credit = self.credits.credits
-        flood = self.queues[Rank.URGENT].size > 0 > credit[Rank.URGENT]
-        return self._outside_reserve(rank, reserve) or (flood and credit[rank] >= 0)
+        queue = self.queues[rank]
+        pressing = self._pressing(queue, now)
+        if pressing is not None:
+            return pressing
+        while (entry := queue.head()) is not None:
+            if entry.misses_deadline(now):
+                self._doom(entry, now, ResultCode.HOPELESS, "too late to finish in time")
+            elif not entry.misses_target(now):
+                return entry
+            else:
+                queue.demote(entry)
+        return self._feasible_late(queue, now)
+
+    def _feasible_late(self, queue: RankQueue, now: float) -> Entry | None:
+        while (entry := queue.late_head()) is not None and entry.misses_deadline(now):
+            self._doom(entry, now, ResultCode.HOPELESS, "too late to finish in time")
+        return entry
 
-    def _outside_reserve(self, rank: Rank, reserve: int) -> bool:
-        if rank is Rank.URGENT:
-            return True
-        return len(self.running) - self._running_urgent() < self.capacity.parallel - reserve
+    def _preemptible(self, rank: Rank, now: float) -> Entry | None:
+        slots = self.capacity.parallel
+        protected = {one: math.ceil(share * slots) for one, share in self._shares().items()}
+        return choose_victim(self.running.values(), rank, now, protected)
 
-    def _running_urgent(self) -> int:
-        return sum(one.attempt.request.rank is Rank.URGENT for one in self.running.values())
+    def _out_of_time(self, attempt: Attempt, cost: Cost, now: float, wait: float) -> Refusal | None:
+        """Refuse urgent work that would be late here, so that another endpoint is tried.
 
-    def _reserve(self, now: float) -> int:
-        """Slots kept for urgent work: its recent peak and one more, at most its share."""
-        most = math.floor(self._shares()[Rank.URGENT] * self.capacity.parallel)
-        peak = self._decayed_peak(now)
-        return min(most, math.ceil(peak) + 1 if peak >= 1 else 1)
+        Late urgent answers would take the time of those that can be in time.
+        An entry that finds no endpoint in time may send it without a target.
+        """
+        target = attempt.request.first_token_by
+        if attempt.request.rank is not Rank.URGENT or target is None:
+            return None
+        first_token = now + wait + cost.prefill + STEP_MARGIN
+        if self._starts_at_once(Rank.URGENT, now) and first_token <= target:
+            return None
+        return Refusal(
+            code=ResultCode.TARGET_MISSED,
+            message=f"the first token would come {first_token - target:.2f} s after its target",
+            run=RunState.NO,
+            retry_after=max(MIN_RETRY_SECONDS, wait),
+        )
 
-    def _decayed_peak(self, now: float) -> float:
-        return self.urgent_peak * math.exp(-(now - self.peak_at) / PEAK_SECONDS)
+    def _starts_at_once(self, rank: Rank, now: float) -> bool:
+        """Return whether a new attempt of a rank would get a slot without waiting."""
+        order = self.credits.order()
+        before = order[: order.index(rank) + 1]
+        if any(self.queues[one].size for one in before):
+            return False
+        free = len(self.running) < self.capacity.parallel
+        return free or self._preemptible(rank, now) is not None
 
     def _fits_kv(self, entry: Entry) -> bool:
         total = self.capacity.kv_total_tokens
         held = sum(one.cost.tokens for one in self.running.values())
         return not total or held + entry.cost.tokens <= total or not self.running
 
-    def _fits_prefill(self, entry: Entry) -> bool:
-        """Limit prefills that would keep urgent work from its first token; one always may run."""
-        started = sum(
-            one.cost.prefill
-            for one in self.running.values()
-            if one.prefilling and one.attempt.request.rank is not Rank.URGENT
-        )
-        budget = self.cfg.ranks[Rank.URGENT].first_token_ms / 1000 * PREFILL_FRACTION
-        return started == 0 or started + entry.cost.prefill <= budget
-
     def _backlog(self, now: float) -> Backlog:
         running = self.running.values()
-        reserve = self._reserve(now)
         full = len(running) >= self.capacity.parallel
         left = sum(_remaining(one, now) for one in running)
         return Backlog(
             queued={one: self.queues[one].seconds for one in RANKS},
             shares=self._shares(),
-            busy=frozenset(one for one in RANKS if full or not self._outside_reserve(one, reserve)),
+            busy=frozenset(one for one in RANKS if full and not self._preemptible(one, now)),
             slot_seconds=left / max(1, self.capacity.parallel) ** 2,
-            prefill_seconds=sum(one.cost.prefill for one in running if one.prefilling),
+            prefilling={
+                rank: sum(
+                    one.cost.prefill for one in running if one.prefilling and one.rank is rank
+                )
+                for rank in RANKS
+            },
         )
 
     def _doom(self, entry: Entry, now: float, code: ResultCode, message: str) -> None:
@@ -289,7 +346,7 @@
         refusal = Refusal(
             code=code,
             message=message,
-            run=RunState.NO,
+            run=RunState.UNKNOWN if entry.preemptions else RunState.NO,
             retry_after=max(MIN_RETRY_SECONDS, wait),
         )
         self.doomed.append(Dropped(attempt=entry.attempt, refusal=refusal))
@@ -310,22 +367,18 @@
     return attempt.request.id, attempt.number
 
 
-def _late(entry: Entry, now: float) -> bool:
-    return now + entry.cost.run_seconds > entry.attempt.request.deadline
-
-
 def _remaining(entry: Entry, now: float) -> float:
     least = entry.cost.run_seconds * OVERRUN_FRACTION
     return max(entry.cost.run_seconds - (now - entry.started_at), least)
 
 
 def _hopeless(attempt: Attempt, cost: Cost, now: float, wait: float) -> Refusal | None:
-    if now + wait + cost.run_seconds <= attempt.request.deadline:
+    run_seconds = max(cost.run_seconds, cost.longest)
+    if now + wait * WAIT_MARGIN + run_seconds <= attempt.request.deadline:
         return None
     return Refusal(
         code=ResultCode.HOPELESS,
-        message=f"{wait:.1f} s of queue and {cost.run_seconds:.1f} s of run time "
-        "end past the deadline",
+        message=f"{wait:.1f} s of queue and {run_seconds:.1f} s of run time end past the deadline",
         run=RunState.NO,
         retry_after=max(MIN_RETRY_SECONDS, wait),
     )
--- a/chivewall/plugins/builtin/admission.py
+++ b/chivewall/plugins/builtin/admission.py
@@ -35,6 +35,7 @@
     Part,
     PartBody,
     Refusal,
+    Tokens,
     Waiting,
 )
 
@@ -71,6 +72,26 @@
     reason: str
 
 
+@frozen
+class RunMessage:
+    """A message of a run, with the generation of the run that sent it."""
+
+    generation: int
+    message: RunOutput | RunFailed
+
+
+@define(eq=False)
+class RunSink:
+    """Marks the messages of one run, so that those of a preempted one can be told apart."""
+
+    inbox: Inbox
+    generation: int
+
+    def put(self, message: RunOutput | RunFailed) -> None:
+        """Pass a message on to the admission task."""
+        self.inbox.put(RunMessage(self.generation, message))
+
+
 @define(eq=False)
 class AnswerSink:
     """Where the parts of one attempt go."""
@@ -79,6 +100,8 @@
     inbox: Inbox
     seq: int = 0
     silent: bool = True  # no part since the last tick
+    texts: list[str] = field(factory=list)  # tokens that this attempt has delivered
+    generation: int = 0  # grows with each start; output of an earlier one is dropped
 
 
 class Admission(Task):
@@ -142,23 +165,31 @@
         self._start_work()
 
     @receive.register
-    async def _(self, message: RunOutput) -> None:
-        sink = self.sinks.get((message.request_id, message.attempt))
-        if sink is None:
+    async def _(self, message: RunMessage) -> None:
+        inner = message.message
+        sink = self.sinks.get((inner.request_id, inner.attempt))
+        if sink is None or sink.generation != message.generation:
             return
-        prefilled = self.scheduler.first_token(message.request_id, message.attempt)
-        self._send(sink, message.body)
-        if isinstance(message.body, End | Answer | Refusal):
-            tokens = message.body.completion_tokens if isinstance(message.body, End) else None
+        if isinstance(inner, RunFailed):
+            self._run_failed(sink, inner)
+        else:
+            self._run_output(sink, inner)
+
+    def _run_output(self, sink: AnswerSink, message: RunOutput) -> None:
+        body = message.body
+        prefilled = self.scheduler.first_token(
+            message.request_id, message.attempt, now=self.env.now
+        )
+        self._send(sink, body)
+        if isinstance(body, Tokens):
+            sink.texts.extend(body.texts)
+        if isinstance(body, End | Answer | Refusal):
+            tokens = body.completion_tokens if isinstance(body, End) else None
             self._end(sink, outcome="complete", output_tokens=tokens)
         elif prefilled:
             self._start_work()
 
-    @receive.register
-    async def _(self, message: RunFailed) -> None:
-        sink = self.sinks.get((message.request_id, message.attempt))
-        if sink is None:
-            return
+    def _run_failed(self, sink: AnswerSink, message: RunFailed) -> None:
         run = RunState.UNKNOWN if message.reached else RunState.NO
         code = ResultCode.ENDPOINT_FAILED if message.reached else ResultCode.NO_ENDPOINT
         self._send(sink, Refusal(code=code, message=message.reason, run=run))
@@ -189,6 +220,7 @@
             prefill_rate=message.load.prefill_rate,
             decode_rate=message.load.decode_rate,
             kv_total_tokens=message.load.kv_total_tokens,
+            cached_prefixes=frozenset(message.load.cached_prefixes),
         )
         self._start_work()
 
@@ -278,6 +310,8 @@
 
     def _start_work(self) -> None:
         while not self.holds and (start := self.scheduler.start_next(self.env.now)) is not None:
+            if start.stopped is not None:
+                self._stop_run(start.stopped)
             self.env.log.emit(
                 Event.WORK_CHOSEN,
                 request=start.attempt.request.id,
@@ -288,9 +322,20 @@
             self._launch(start.attempt)
         self._refuse_doomed()
 
+    def _stop_run(self, attempt: Attempt) -> None:
+        """Stop a run for more urgent work; its attempt goes on later from its last token."""
+        key = key_of(attempt)
+        sink = self.sinks[key]
+        self.endpoint.cancel(*key)
+        sink.generation += 1
+        delivered = (*sink.attempt.delivered, *sink.texts)
+        self.scheduler.requeue(evolve(sink.attempt, delivered=delivered), self.env.now)
+        self.env.log.emit(Event.WORK_PREEMPTED, request=key[0], attempt=key[1])
+
     def _launch(self, attempt: Attempt) -> None:
         self.env.log.emit(Event.WORK_STARTED, request=attempt.request.id, attempt=attempt.number)
-        self.endpoint.run(attempt, self.inbox)
+        sink = self.sinks[key_of(attempt)]
+        self.endpoint.run(attempt, RunSink(self.inbox, sink.generation))
 
     def _expire(self) -> None:
         now = self.env.now
