Refuse a booking promptly when its claim can't be stored

Cause: with the object API down, the entry tried a keyed call again until its deadline and then answered 'unknown', because an attempt was still waiting for its claim; the call had not run. It now tries other endpoints and gives the truthful refusal at once, and begins no attempt that could not decide its claim before the deadline.

--- a/chivewall/decisions/retries.py
+++ b/chivewall/decisions/retries.py
@@ -11,6 +11,7 @@
 BACKOFF_BASE = 0.05  # seconds
 BACKOFF_LIMIT = 2.0  # seconds
 RETRY_AFTER = 1.0  # seconds to wait after a refusal for overload that names no time
+CLAIM_DECISION_SECONDS = 2.0  # in which an agent grants or refuses a claim
 WAIT_JITTER = 0.25  # share of a wait that is added at random, so that waiters spread
 BUDGET_PER_REQUEST = 0.2  # retries that each first attempt earns for its rank
 BUDGET_RESERVE = 10.0  # retries that a rank may spend without having earned them
@@ -31,6 +32,8 @@
         ResultCode.CLAIM_UNAVAILABLE,
     }
 )  # passes with time
+PROMPT_CODES = frozenset({ResultCode.TARGET_MISSED, ResultCode.CLAIM_UNAVAILABLE})
+# A caller of urgent work, or at a desk, is better served by a refusal now than by a wait.
 MOVED_CODES = frozenset({ResultCode.STALE_INCARNATION, ResultCode.DRAINING})
 
 
@@ -179,7 +182,7 @@
         retry = Retry(at=now, reason=f"{reason}; another endpoint first")
     else:
         retry = Retry(at=now + backoff, reason=reason)
-    if retry.at >= request.deadline:
+    if retry.at >= _last_try(request, refusal):
         return GiveUp(ledger.truthful(refusal))
     return retry
 
@@ -198,11 +201,21 @@
         return None
     pause = refusal.retry_after if refusal.retry_after is not None else RETRY_AFTER
     at = now + max(BACKOFF_BASE, pause) * (1 + rng.uniform(0, WAIT_JITTER))
-    if at >= request.deadline or refusal.code is ResultCode.TARGET_MISSED:
+    if at >= request.deadline or refusal.code in PROMPT_CODES:
         return None
     return Retry(at=at, reason=f"waits for Retry-After of {refusal.code.name}", cost=Cost.FREE)
 
 
+def _last_try(request: Request, refusal: Refusal) -> float:
+    """Return when no further attempt may begin.
+
+    An attempt that is still waiting for its claim at the deadline would end as
+    "unknown", while the refusal before it says truthfully "not run".
+    """
+    claims = refusal.code is ResultCode.CLAIM_UNAVAILABLE
+    return request.deadline - (CLAIM_DECISION_SECONDS if claims else 0.0)
+
+
 def unknown_outcome(request: Request, message: str) -> Refusal:
     """Return the refusal of work that may have run."""
     run = RunState.UNKNOWN
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -86,6 +86,15 @@
         self.assertThat(wait.at, LessThan(1.0 + 7.0 * 1.25 + 0.01))
         self.assertThat(wait_after(call(deadline=5.0), asked, 1.0, random.Random(1)), Is(None))
 
+    def test_missing_claim_is_refused_without_a_wait(self):
+        """Guards against a booking in an outage that ends as "unknown" at its deadline."""
+        failure = Failure("e", refusal(ResultCode.CLAIM_UNAVAILABLE))
+        wait = wait_after(call(key="k"), failure.refusal, 1.0, random.Random(1))
+        self.assertThat(wait, Is(None))
+        late = decide(call(key="k", deadline=2.5), failure, RunLedger(), tries=1, now=1.0)
+        self.assertThat(late, IsInstance(GiveUp))
+        self.assertThat(late.refusal.run, Equals(RunState.NO))
+
     def test_budget_ends(self):
         """Guards against a retry storm."""
         budget = RetryBudget()
