Measure the cost of a routing choice on a fleet that has endpoints

The fleet is now built through the directory's interface, and a missing route is an error. Its settings also followed the old embedded site.

--- a/bench/cost.py
+++ b/bench/cost.py
@@ -17,7 +17,7 @@
 
 from bench.memory import measure_memory, member
 from chivewall.daemon import Daemon, install_reactor
-from chivewall.decisions.membership import Fleet, MemberState
+from chivewall.decisions.membership import Fleet
 from chivewall.decisions.routing import choose
 from chivewall.environment import Environment
 from chivewall.kernel import Application
@@ -36,7 +36,8 @@
 READY_TRIES = 200
 SETTINGS = """
 {"role": "embedded", "instance": "cost", "data_centre": "Mombasa", "plugins": ["embedded"],
- "embedded": {"port": 0, "engines": 1, "models": ["m"], "services": ["booking"]}}
+ "embedded": {"port": 0, "models": ["m"], "services": ["booking"],
+  "data_centres": [{"name": "Mombasa", "engines": 1, "services": 1}]}}
 """
 
 
@@ -130,17 +131,20 @@
         for size, fleet in fleets.items():
             started = time.process_time()
             for _ in range(CHOICES):
-                choose(request, fleet.selectable("m"), frozenset(), "place-0", rng)
+                route = choose(request, fleet.selectable("m"), frozenset(), "place-0", rng)
+                if route is None:
+                    raise RuntimeError("no route was chosen, so nothing was measured")
             times[size].append((time.process_time() - started) / CHOICES)
     return {size: statistics.median(one) for size, one in times.items()}
 
 
 def _fleet(size: int) -> Fleet:
-    fleet = Fleet()
-    for place in range(size):
-        one = member(place)
-        one.state = MemberState.LIVE
-        fleet.members[one.instance.name] = one
+    """Return a fleet that has learned of its endpoints as a directory does."""
+    fleet = Fleet(observer="entry-1", home="place-0")
+    known = [member(place) for place in range(size)]
+    fleet.merge_list(tuple(one.instance for one in known), now=0.0)
+    for one in known:
+        fleet.merge_report(one.report, round_trip=0.005, now=0.0)
     return fleet
 
 
