Give every process life its own ids; end repeats of a lost outcome

Cause: incarnations, lease tokens and request ids came from the seeded source, so a process restarted with the same seed was taken for its predecessor and its reports were ignored. And a repeat of a booking whose first call left no outcome was tried nine times over 7 s, although the claim's answer is final; it has a result code of its own now (3007).

--- a/chivewall/decisions/retries.py
+++ b/chivewall/decisions/retries.py
@@ -18,7 +18,12 @@
 LATE_PER_REQUEST = 0.005  # late urgent answers that each urgent request earns
 LATE_RESERVE = 2.0
 FINAL_CODES = frozenset(
-    {ResultCode.KEY_REUSED, ResultCode.BODY_TOO_LARGE, ResultCode.DEADLINE_PASSED}
+    {
+        ResultCode.KEY_REUSED,
+        ResultCode.BODY_TOO_LARGE,
+        ResultCode.DEADLINE_PASSED,
+        ResultCode.OUTCOME_LOST,
+    }
 )  # another agent would answer the same
 OVERLOAD_CODES = frozenset(
     {
--- a/chivewall/plugins/builtin/admission.py
+++ b/chivewall/plugins/builtin/admission.py
@@ -112,7 +112,7 @@
         self.env = env
         self.endpoint = endpoint
         self.name = name
-        self.incarnation = uuid.UUID(int=env.random.getrandbits(128)).hex
+        self.incarnation = uuid.uuid4().hex  # a seeded source would repeat it after a restart
         self.scheduler = Scheduler(capacity=Capacity(parallel=1))
         self.sinks: dict[tuple[str, int], AnswerSink] = {}
         self.seen: dict[tuple[str, int], float] = {}  # attempts until their deadline
--- a/chivewall/plugins/builtin/caller_http.py
+++ b/chivewall/plugins/builtin/caller_http.py
@@ -118,7 +118,7 @@
             raise RequestError(ResultCode.DRAINING, "this entry is shutting down")
         rank = _read_rank(http)
         return Request(
-            id=f"req-{uuid.UUID(int=self.env.random.getrandbits(128)).hex}",
+            id=f"req-{uuid.uuid4().hex}",
             workspace=http.getHeader("X-Workspace") or DEFAULT_WORKSPACE,
             rank=rank,
             deadline=self._read_deadline(http, configuration, rank),
--- a/chivewall/plugins/builtin/claims.py
+++ b/chivewall/plugins/builtin/claims.py
@@ -362,7 +362,7 @@
 
 _REFUSALS = {
     Verdict.IN_PROGRESS: (ResultCode.IN_PROGRESS, "the first call with this key is running"),
-    Verdict.UNKNOWN: (ResultCode.OUTCOME_UNKNOWN, "the first call with this key left no outcome"),
+    Verdict.UNKNOWN: (ResultCode.OUTCOME_LOST, "the first call with this key left no outcome"),
     Verdict.KEY_REUSED: (ResultCode.KEY_REUSED, "the key was used for a different request"),
     Verdict.SHARD_FULL: (ResultCode.CLAIM_UNAVAILABLE, "the claims shard is full"),
 }
--- a/chivewall/plugins/builtin/planner.py
+++ b/chivewall/plugins/builtin/planner.py
@@ -72,7 +72,7 @@
         self.directory = env.require(Directory)
         self.home = env.settings.core.data_centre
         self.key = plan_key(self.home)
-        token = uuid.UUID(int=env.random.getrandbits(128)).hex
+        token = uuid.uuid4().hex  # a seeded source would repeat it after a restart
         candidate = Candidate(token=token, name=env.settings.core.instance)
         self.record = LeaseRecord(candidate=candidate, term=lease_seconds)
         self.lease = Lease(self.record)
--- a/chivewall/results.py
+++ b/chivewall/results.py
@@ -56,6 +56,7 @@
     DEADLINE_MISSED = (3004, 504, RunState.UNKNOWN, "Allow a later deadline.")
     IN_PROGRESS = (3005, 409, RunState.UNKNOWN, "Repeat later with the same Idempotency-Key.")
 
+    OUTCOME_LOST = (3007, 504, RunState.UNKNOWN, "Check with the service before using a new key.")
     INTERNAL_ERROR = (3006, 500, RunState.UNKNOWN, "Report the request id with the log.")
 
     # Operators.
--- a/tests/test_virtual_site.py
+++ b/tests/test_virtual_site.py
@@ -82,3 +82,10 @@
         self.site.clock.run_until(self.site.clock.now + 1)
         self.assertThat(seen, Equals([work.max_tokens]))
         self.assertThat(engine.batch, Equals([]))
+
+    def test_restarted_agent_has_another_incarnation(self):
+        """A restarted agent with the same seed was taken for its predecessor."""
+        before = self.site.links.agents["engine-1"].incarnation
+        self.site.kill_agent("engine-1")
+        self.site.start_agent("engine-1")
+        self.assertNotEqual(before, self.site.links.agents["engine-1"].incarnation)
