--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -9,7 +9,8 @@
 from twisted.internet.defer import ensureDeferred
 
 from bench.clock import VirtualClock
-from bench.fakes import Distance, EngineEndpoint, ServiceEndpoint
+from bench.fakes import EngineEndpoint, ServiceEndpoint
+from bench.links import Distance
 from bench.policies import Policy
 from bench.site import Site
 from bench.workload import SPEED, Arrival, FaultKind, Scenario, SiteSpec
--- a/bench/faults/links.py
+++ b/bench/faults/links.py
@@ -9,10 +9,11 @@
 
 from bench.faults.network import LATENCY, Arrival, Crossing, Network
 from bench.faults.processes import Process, ProcessClock
+from chivewall.answers import ReportLoad
 from chivewall.errors import EndpointError, LinkBrokenError
 from chivewall.interfaces import Endpoint, Instance, Order, RunFailed
 from chivewall.messages import Arrive, AttemptBroken, ConfigurationSeen, Withdraw
-from chivewall.plugins.builtin.admission import Admission, ReportLoad
+from chivewall.plugins.builtin.admission import Admission
 from chivewall.plugins.builtin.configuration import (
     ConfigurationKeeper,
     CurrentConfiguration,
--- a/bench/site.py
+++ b/bench/site.py
@@ -8,7 +8,8 @@
 from twisted.internet.defer import ensureDeferred
 
 from bench.clock import VirtualClock
-from bench.fakes import Distance, EngineEndpoint, LocalLinks, PlacedLinks, ServiceEndpoint
+from bench.fakes import EngineEndpoint, ServiceEndpoint
+from bench.links import Distance, LocalLinks, PlacedLinks
 from chivewall.configuration import Configuration, default_configuration
 from chivewall.environment import Environment
 from chivewall.events import EventLog
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -5,7 +5,7 @@
 import numpy as np
 from attrs import field, frozen
 
-from bench.fakes import Distance
+from bench.links import Distance
 from chivewall.standins.engine import EngineSpeed
 from chivewall.work import TOKENS_PER_PIECE, Call, Completion, Message, Rank, Request
 
--- a/chivewall/plugins/builtin/admission.py
+++ b/chivewall/plugins/builtin/admission.py
@@ -3,8 +3,16 @@
 import uuid
 from functools import singledispatchmethod
 
-from attrs import define, evolve, field, frozen, validators
-
+from attrs import evolve, field, frozen, validators
+
+from chivewall.answers import (
+    AnswerSink,
+    EndpointLost,
+    EndpointSeen,
+    ReportLoad,
+    RunMessage,
+    RunSink,
+)
 from chivewall.configuration import Configuration
 from chivewall.decisions.admission import Scheduler, key_of
 from chivewall.decisions.estimates import Capacity
@@ -25,7 +33,7 @@
 from chivewall.plugins.builtin.configuration import ConfigurationKeeper, Subscribe
 from chivewall.plugins.registry import Registry
 from chivewall.results import ResultCode, RunState
-from chivewall.task import Inbox, Query, Task
+from chivewall.task import Task
 from chivewall.work import (
     Answer,
     Attempt,
@@ -52,58 +60,6 @@
     )
 
 
-@define(eq=False)
-class ReportLoad(Query):
-    """Ask for a fresh ``LoadReport``."""
-
-
-@frozen
-class EndpointSeen:
-    """The endpoint answered a poll."""
-
-    load: EndpointLoad
-    state: EndpointState
-
-
-@frozen
-class EndpointLost:
-    """The endpoint didn't answer a poll."""
-
-    reason: str
-
-
-@frozen
-class RunMessage:
-    """A message of a run, with the generation of the run that sent it."""
-
-    generation: int
-    message: RunOutput | RunFailed
-
-
-@define(eq=False)
-class RunSink:
-    """Marks the messages of one run, so that those of a preempted one can be told apart."""
-
-    inbox: Inbox
-    generation: int
-
-    def put(self, message: RunOutput | RunFailed) -> None:
-        """Pass a message on to the admission task."""
-        self.inbox.put(RunMessage(self.generation, message))
-
-
-@define(eq=False)
-class AnswerSink:
-    """Where the parts of one attempt go."""
-
-    attempt: Attempt
-    inbox: Inbox
-    seq: int = 0
-    silent: bool = True  # no part since the last tick
-    texts: list[str] = field(factory=list)  # tokens that this attempt has delivered
-    generation: int = 0  # grows with each start; output of an earlier one is dropped
-
-
 class Admission(Task):
     """Owns the queue of one endpoint and the answer streams of its attempts."""
 
--- a/chivewall/plugins/builtin/gate.py
+++ b/chivewall/plugins/builtin/gate.py
@@ -10,11 +10,12 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
+from chivewall.answers import ReportLoad
 from chivewall.environment import Environment
 from chivewall.errors import ConfigurationError
 from chivewall.messages import Arrive, ConfigurationSeen, Drain, Withdraw
 from chivewall.plugins.base import Plugin
-from chivewall.plugins.builtin.admission import Admission, ReportLoad
+from chivewall.plugins.builtin.admission import Admission
 from chivewall.plugins.builtin.configuration import (
     ConfigurationKeeper,
     CurrentConfiguration,
