Follow the configuration with the shared object watcher

Cause: the keeper had its own copy of the watch loop, whose backoff computed 2 to the number of failures without a bound. After about 1,030 failures, some hours of outage, that overflowed and the task's watch ended for good, so no later change came into force.

--- a/chivewall/plugins/builtin/configuration.py
+++ b/chivewall/plugins/builtin/configuration.py
@@ -9,17 +9,14 @@
 from chivewall.changes import CONFIGURATION_KEY, Archive, decode_archive, encode_archive
 from chivewall.configuration import Configuration, from_document, to_document
 from chivewall.environment import Environment
-from chivewall.errors import ConfigurationError, ObjectMissingError, StoreError
+from chivewall.errors import ConfigurationError
 from chivewall.events import Event
 from chivewall.interfaces import ObjectStore, StoredObject
-from chivewall.messages import ConfigurationSeen, Tick
+from chivewall.messages import ConfigurationSeen
 from chivewall.plugins.base import Plugin
 from chivewall.plugins.registry import Registry
 from chivewall.task import Inbox, Query, Task
-
-WATCH_SECONDS = 25.0  # one waiting watch costs the object API one call
-RETRY_FIRST = 0.5  # seconds
-RETRY_LIMIT = 10.0  # seconds; below the 13 s in which a change must be in force
+from chivewall.watch import WATCH_SECONDS, ObjectChanged, ObjectWatcher
 
 
 @frozen
@@ -45,37 +42,24 @@
     """Ask for the configuration in force; answered with ``Configuration`` or ``None``."""
 
 
-@frozen
-class ObjectSeen:
-    """The watch fired: the stored object, or ``None`` if nothing changed."""
-
-    stored: StoredObject | None
-
-
-@frozen
-class WatchFailed:
-    """The watch failed."""
-
-    exc: Exception
-
-
 class ConfigurationKeeper(Task):
     """Owns the configuration in force in this process."""
 
     def __init__(self, env: Environment, store: ObjectStore, watch_seconds: float) -> None:
         super().__init__()
         self.env = env
-        self.store = store
-        self.watch_seconds = watch_seconds
+        self.watcher = ObjectWatcher(env, store, CONFIGURATION_KEY, self.inbox, watch_seconds)
         self.current: Configuration | None = None
-        self.object_version = 0
         self.subscribers: list[Inbox] = []
-        self.failures = 0
 
     def start(self) -> None:
         """Begin to follow the object."""
         super().start()
-        self.tell(Tick())
+        self.watcher.start()
+
+    async def on_stop(self) -> None:
+        """Stop following the object."""
+        await self.watcher.stop()
 
     @singledispatchmethod
     async def receive(self, message: object) -> None:
@@ -83,24 +67,8 @@
         raise TypeError(f"unexpected message {message!r}")
 
     @receive.register
-    async def _(self, message: Tick) -> None:
-        self.spawn(self._watch(self.object_version))
-
-    @receive.register
-    async def _(self, message: ObjectSeen) -> None:
-        self.failures = 0
-        if message.stored is not None:
-            self.object_version = message.stored.version
-            self._take_stored(message.stored)
-        self.tell(Tick())
-
-    @receive.register
-    async def _(self, message: WatchFailed) -> None:
-        if not isinstance(message.exc, ObjectMissingError):
-            self.env.log.emit(Event.STORE_UNAVAILABLE, error=str(message.exc))
-        delay = min(RETRY_LIMIT, RETRY_FIRST * 2**self.failures) * self.env.random.uniform(0.5, 1)
-        self.failures += 1
-        self.env.clock.callLater(delay, self.tell, Tick())
+    async def _(self, message: ObjectChanged) -> None:
+        self._take_stored(message.stored)
 
     @receive.register
     async def _(self, message: ConfigurationSeen) -> None:
@@ -116,15 +84,6 @@
     async def _(self, message: CurrentConfiguration) -> None:
         message.answer(self.current)
 
-    async def _watch(self, after: int) -> None:
-        deadline = self.env.now + self.watch_seconds
-        try:
-            stored = await self.store.watch(CONFIGURATION_KEY, after, deadline)
-        except StoreError as exc:
-            self.tell(WatchFailed(exc))
-        else:
-            self.tell(ObjectSeen(stored))
-
     def _take_stored(self, stored: StoredObject) -> None:
         try:
             configuration = decode_archive(stored.value).current
