--- a/bench/faults/links.py
+++ b/bench/faults/links.py
@@ -5,9 +5,8 @@
 
 from attrs import define, evolve, field
 from twisted.internet.defer import Deferred, fail
-from twisted.python.failure import Failure
 
-from bench.faults.network import LATENCY, Arrival, Crossing, Network
+from bench.faults.network import LATENCY, Arrival, Crossing, Network, fire, stop_timer
 from bench.faults.processes import Process, ProcessClock
 from chivewall.answers import ReportLoad
 from chivewall.errors import EndpointError, LinkBrokenError
@@ -156,14 +155,14 @@
             return fail(LinkBrokenError("connection refused"))
         reply: Deferred = Deferred(lambda _: None)
         timer = self.clock.callLater(CALL_TIMEOUT, _break, reply)
-        reply.addBoth(_stop_timer, timer)
+        reply.addBoth(stop_timer, timer)
 
         def done(value: object) -> None:
             report = kind == "probe"
             crossing = Crossing(
                 f"reply {kind}", self.agent.process, self.entry, self, report=report
             )
-            self.network.send(crossing, _fire, reply, value)
+            self.network.send(crossing, fire, reply, value)
 
         self._to_agent(kind, "", answer, done)
         return reply
@@ -262,11 +261,11 @@
     def _call(self, kind: str, perform: Callable[[], Deferred]) -> Deferred:
         reply: Deferred = Deferred(lambda _: None)
         timer = self.clock.callLater(ENDPOINT_TIMEOUT, _lose, reply)
-        reply.addBoth(_stop_timer, timer)
+        reply.addBoth(stop_timer, timer)
 
         def back(result: object) -> None:
             crossing = Crossing(f"reply {kind}", self.server, self.agent, self)
-            self.network.send(crossing, _fire, reply, result)
+            self.network.send(crossing, fire, reply, result)
 
         self._send(kind, "", lambda: perform().addBoth(back) and None)
         return reply
@@ -293,18 +292,3 @@
 def _lose(reply: Deferred) -> None:
     if not reply.called:
         reply.errback(EndpointError("the endpoint didn't answer in time"))
-
-
-def _stop_timer(result: object, timer: Any) -> object:
-    if timer.active():
-        timer.cancel()
-    return result
-
-
-def _fire(reply: Deferred, result: object) -> None:
-    if reply.called:
-        return
-    if isinstance(result, Failure):
-        reply.errback(result)
-    else:
-        reply.callback(result)
--- a/bench/faults/network.py
+++ b/bench/faults/network.py
@@ -153,7 +153,7 @@
         kind = f"{operation} {key.split('/', maxsplit=1)[0]}"
         reply: Deferred = Deferred(lambda _: None)
         timer = self.clock.callLater(seconds, self._time_out, reply)
-        reply.addBoth(_stop_timer, timer)
+        reply.addBoth(stop_timer, timer)
         effects: list[Effect] = []
 
         def arrive() -> None:
@@ -164,7 +164,7 @@
             if effects and effects[0].lose_reply:
                 return
             crossing = Crossing(f"reply {kind}", self.api, self.process, about=key)
-            self.network.send(crossing, _fire, reply, result)
+            self.network.send(crossing, fire, reply, result)
 
         def depart() -> None:
             crossing = Crossing(kind, self.process, self.api, about=key)
@@ -186,13 +186,15 @@
             reply.errback(StoreUnavailableError("no answer from the object API in time"))
 
 
-def _stop_timer(result: object, timer: object) -> object:
+def stop_timer(result: object, timer: object) -> object:
+    """Cancel the timer of a reply that has come; passes the result on."""
     if timer.active():
         timer.cancel()
     return result
 
 
-def _fire(reply: Deferred, result: object) -> None:
+def fire(reply: Deferred, result: object) -> None:
+    """Fire a Deferred with a result or a failure, unless it has fired before."""
     if reply.called:
         return
     if isinstance(result, Failure):
--- a/chivewall/interfaces.py
+++ b/chivewall/interfaces.py
@@ -7,7 +7,7 @@
 from twisted.internet.defer import Deferred
 
 from chivewall.task import Inbox
-from chivewall.work import Attempt, EngineRole, LoadReport, PartBody
+from chivewall.work import Attempt, EngineRole, PartBody
 
 
 @frozen
@@ -167,10 +167,3 @@
 
     def open(self, instance: Instance) -> AgentLink:
         """Return a new link to the agent of an instance."""
-
-
-class ReportSource(Protocol):
-    """Whoever can describe the load of this agent at any time."""
-
-    def report(self) -> LoadReport:
-        """Return a fresh load report."""
--- a/chivewall/messages.py
+++ b/chivewall/messages.py
@@ -5,7 +5,7 @@
 from attrs import define, frozen
 
 from chivewall.task import Inbox, Query
-from chivewall.work import Attempt, LoadReport, Part, Request
+from chivewall.work import Attempt, LoadReport, Request
 
 if TYPE_CHECKING:
     from chivewall.configuration import Configuration
@@ -123,13 +123,6 @@
     attempt: int
 
 
-@frozen
-class RunPart:
-    """From a run to admission: a part of a running attempt."""
-
-    part: Part
-
-
 @frozen
 class Tick:
     """A timer that a task set for itself has fired."""
