--- /dev/null
+++ b/chivewall/decisions/event_stream.py
@@ -0,0 +1,70 @@
+"""Cuts a ``text/event-stream`` into whole events and keeps it exact over several runs."""
+
+import re
+
+from attrs import define, field
+
+SEPARATOR = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+MAX_EVENT_BYTES = 1_048_576
+
+
+@define
+class EventStream:
+    """Passes on whole events, each once.
+
+    A run that breaks off may stop inside an event, so bytes are held back until
+    their event is complete. A later run that goes on after ``last_id`` may repeat
+    events; those with an id that was passed on are dropped.
+    """
+
+    last_id: str | None = None  # of the last event that was passed on
+    passed: int = 0  # events passed on
+    _buffer: bytes = field(default=b"", init=False)
+
+    def feed(self, data: bytes) -> bytes:
+        """Return the whole new events in the bytes so far."""
+        self._buffer += data
+        out = []
+        while (match := SEPARATOR.search(self._buffer)) is not None:
+            event, self._buffer = self._buffer[: match.end()], self._buffer[match.end() :]
+            if self._accept(event):
+                out.append(event)
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise ValueError("an event of the stream is too large")
+        return b"".join(out)
+
+    def finish(self) -> bytes:
+        """Return the bytes after the last whole event of a run that ended by itself."""
+        rest, self._buffer = self._buffer, b""
+        return rest
+
+    def restart(self) -> None:
+        """Forget the unfinished event of a run that broke off."""
+        self._buffer = b""
+
+    def _accept(self, event: bytes) -> bool:
+        found = event_id(event)
+        if found is None:
+            self.passed += 1
+            return True
+        if not _after(found, self.last_id):
+            return False
+        self.last_id = found
+        self.passed += 1
+        return True
+
+
+def event_id(event: bytes) -> str | None:
+    """Return the value of the event's ``id`` field."""
+    for line in event.splitlines():
+        if line.startswith(b"id:"):
+            return line[3:].strip().decode("latin-1")
+    return None
+
+
+def _after(new: str, last: str | None) -> bool:
+    if last is None:
+        return True
+    if new.isdigit() and last.isdigit():
+        return int(new) > int(last)
+    return new != last
--- /dev/null
+++ b/chivewall/decisions/placement.py
@@ -0,0 +1,242 @@
+"""Chooses the endpoints of a forwarded call from what one gateway knows of them."""
+
+import random
+from collections import OrderedDict
+from hashlib import blake2b
+
+from attrs import define, field, frozen
+
+from chivewall.gateway.calls import CallFields
+from chivewall.gateway.catalogue import EndpointInfo, Route, Stage
+
+LOCAL_SECONDS = 0.0005  # round trip inside a data centre
+REMOTE_SECONDS = 0.010  # round trip between data centres, and the price of the bytes
+CALL_SECONDS = 0.045  # work of a plain service, until its own times are known
+PREFILL_RATE = 61_400.0  # prompt tokens a second of a prefill engine, until measured
+DECODE_PREFILL_RATE = 30_700.0  # of a decode engine, which reads prompts between its steps
+FIRST_STEP_SECONDS = 0.02  # from the end of the prefill to the first event
+BUSY_SLOT_SECONDS = 0.002  # by which each running request delays a first event
+FAILURE_SECONDS = 0.5  # added for a share of failures of 1
+FAILURE_WEIGHT = 0.25  # of the newest outcome in the share of failures
+FAILURE_HALF_LIFE = 4.0  # seconds after which an old share of failures counts half
+AVOID_SECONDS = 1.0  # after a connection that could not be opened, doubled each time
+AVOID_LIMIT = 8.0  # seconds
+PREFIX_SECONDS = 9.0  # an idle prefix is taken to be evicted after that
+PREFIX_LIMIT = 4096  # remembered chains of one endpoint
+CACHE_FILL = 0.9  # share of the KV cache that remembered prefixes may fill
+HOME_BONUS_SECONDS = 0.15  # by which the home of a prefix may be slower than the best
+
+
+@define
+class EndpointState:
+    """What this gateway knows of one endpoint; stale as soon as another one sends."""
+
+    info: EndpointInfo
+    in_flight: int = 0
+    prefill_ahead: float = 0.0  # prompt tokens sent that may not be read yet
+    prefill_until: float = 0.0  # when they should have been read
+    failure_share: float = 0.0
+    failed_at: float = 0.0
+    avoid_until: float = 0.0
+    misses: int = 0  # connections in a row that could not be opened
+    gone_at: float | None = None  # when the list dropped it; used only if nothing else is left
+    _prefixes: OrderedDict = field(factory=OrderedDict, init=False)  # chain -> (tokens, time)
+
+    def cached_tokens(self, chain: list[tuple[str, int]], now: float) -> int:
+        """Return the leading prompt tokens that it probably keeps."""
+        covered = 0
+        for key, tokens in chain:
+            seen = self._prefixes.get(key)
+            if seen is None or now - seen > PREFIX_SECONDS:
+                break
+            covered += tokens
+        return covered
+
+    def remember(self, chain: list[tuple[str, int]], now: float) -> None:
+        """Note that it reads these parts."""
+        for key, _ in chain:
+            self._prefixes[key] = now
+            self._prefixes.move_to_end(key)
+        while len(self._prefixes) > PREFIX_LIMIT:
+            self._prefixes.popitem(last=False)
+
+    def succeeded(self, now: float) -> None:
+        """Take in a whole answer."""
+        self.misses = 0
+        self.avoid_until = 0.0
+        self._weigh(0.0, now)
+
+    def failed(self, now: float) -> None:
+        """Take in a failed answer or a broken connection."""
+        self._weigh(1.0, now)
+
+    def missed(self, now: float) -> None:
+        """Take in a connection that could not be opened."""
+        self.avoid_until = now + min(AVOID_LIMIT, AVOID_SECONDS * 2**self.misses)
+        self.misses = min(self.misses + 1, 8)
+
+    def failures(self, now: float) -> float:
+        """Return the share of failures, which fades with time."""
+        return self.failure_share * 0.5 ** ((now - self.failed_at) / FAILURE_HALF_LIFE)
+
+    def prefill_wait(self, now: float) -> float:
+        """Return the seconds until the prompts that were sent should have been read."""
+        return max(0.0, self.prefill_until - now)
+
+    def prefill_rate(self) -> float:
+        """Return prompt tokens a second."""
+        return PREFILL_RATE if self.info.stage is Stage.PREFILL else DECODE_PREFILL_RATE
+
+    def add_prefill(self, tokens: float, now: float) -> None:
+        """Count prompt tokens that were sent."""
+        start = max(now, self.prefill_until)
+        self.prefill_until = start + tokens / self.prefill_rate()
+
+    def _weigh(self, outcome: float, now: float) -> None:
+        self.failure_share = self.failures(now) * (1 - FAILURE_WEIGHT) + FAILURE_WEIGHT * outcome
+        self.failed_at = now
+
+
+@frozen
+class Placement:
+    """The endpoints of one attempt."""
+
+    endpoint: EndpointInfo
+    prefill: EndpointInfo | None  # reads the prompt first and hands its KV cache over
+    estimate: float  # seconds to the first event or the answer
+    uncached: int  # prompt tokens that are read for it
+    reason: str
+
+
+@frozen
+class Surroundings:
+    """Where and when the choice is made."""
+
+    home: str  # data centre of the gateway
+    now: float
+    rng: random.Random
+    excluded: frozenset[str] = frozenset()  # ids that failed the call or may not get it
+
+
+def choose(
+    route: Route, fields: CallFields, states: list[EndpointState], at: Surroundings
+) -> Placement | None:
+    """Return the placement of the next attempt, or ``None`` if no endpoint can take it."""
+    usable = _usable(states, at)
+    if not usable:
+        return None
+    if all(one.info.stage is Stage.NONE for one in usable):
+        return _choose_plain(usable, at)
+    return _choose_engine(fields, usable, at)
+
+
+def prefix_chain(fields: CallFields) -> list[tuple[str, int]]:
+    """Return a key for each leading run of prompt parts, with the part's tokens."""
+    chain, key = [], ""
+    for part in fields.parts:
+        key = f"{key}/{part.id}"
+        chain.append((key, part.tokens))
+    return chain
+
+
+def _usable(states: list[EndpointState], at: Surroundings) -> list[EndpointState]:
+    listed = [one for one in states if not one.info.draining and one.info.id not in at.excluded]
+    present = [one for one in listed if one.gone_at is None] or listed
+    return [one for one in present if one.avoid_until <= at.now] or present
+
+
+def _choose_plain(states: list[EndpointState], at: Surroundings) -> Placement:
+    def cost(state: EndpointState) -> float:
+        waiting = max(0, state.in_flight + 1 - state.info.slots) / state.info.slots
+        return (
+            _distance(state, at)
+            + CALL_SECONDS * (1 + waiting + 0.5 * state.in_flight / state.info.slots)
+            + FAILURE_SECONDS * state.failures(at.now)
+            + state.info.cold_ms * 1e-6
+        )
+
+    best = min(states, key=lambda one: (cost(one), at.rng.random()))
+    return Placement(best.info, None, cost(best), 0, "lowest cost")
+
+
+def _choose_engine(
+    fields: CallFields, states: list[EndpointState], at: Surroundings
+) -> Placement | None:
+    chain = prefix_chain(fields)
+    decoders = [one for one in states if one.info.stage is not Stage.PREFILL]
+    readers = [one for one in states if one.info.stage is Stage.PREFILL]
+    if not decoders:
+        return None
+    home = _home(chain, decoders)
+    options = [_direct(fields, chain, one, at) for one in decoders]
+    if readers:
+        target = min(decoders, key=lambda one: _decode_wait(one, at) - _bonus(one, home))
+        reader_home = _home(chain, readers)
+        options += [
+            _handed_over(fields, chain, one, target, _bonus(one, reader_home), at)
+            for one in readers
+        ]
+    return min(options, key=lambda pair: pair[0] - _bonus_of(pair[1], home))[1]
+
+
+def _bonus_of(placement: Placement, home: EndpointState) -> float:
+    return HOME_BONUS_SECONDS if placement.endpoint.id == home.info.id else 0.0
+
+
+def _bonus(state: EndpointState, home: EndpointState) -> float:
+    return HOME_BONUS_SECONDS if state is home else 0.0
+
+
+def _direct(
+    fields: CallFields, chain: list[tuple[str, int]], state: EndpointState, at: Surroundings
+) -> tuple[float, Placement]:
+    uncached = max(1, fields.prompt_tokens - state.cached_tokens(chain, at.now))
+    seconds = _decode_wait(state, at) + uncached / DECODE_PREFILL_RATE
+    return seconds, Placement(state.info, None, seconds, uncached, "prompt read where it decodes")
+
+
+def _handed_over(
+    fields: CallFields,
+    chain: list[tuple[str, int]],
+    reader: EndpointState,
+    target: EndpointState,
+    bonus: float,
+    at: Surroundings,
+) -> tuple[float, Placement]:
+    uncached = max(1, fields.prompt_tokens - reader.cached_tokens(chain, at.now))
+    seconds = (
+        reader.prefill_wait(at.now)
+        + uncached / PREFILL_RATE
+        + _distance(reader, at)
+        + FAILURE_SECONDS * reader.failures(at.now)
+        + _decode_wait(target, at)
+        + 2 * FIRST_STEP_SECONDS
+    )
+    placement = Placement(target.info, reader.info, seconds, uncached, "prompt handed over")
+    return seconds - bonus, placement
+
+
+def _decode_wait(state: EndpointState, at: Surroundings) -> float:
+    over = max(0, state.in_flight + 1 - state.info.slots)
+    return (
+        _distance(state, at)
+        + state.prefill_wait(at.now)
+        + BUSY_SLOT_SECONDS * state.in_flight
+        + over * CALL_SECONDS
+        + FAILURE_SECONDS * state.failures(at.now)
+        + FIRST_STEP_SECONDS
+    )
+
+
+def _distance(state: EndpointState, at: Surroundings) -> float:
+    return LOCAL_SECONDS if state.info.data_centre == at.home else REMOTE_SECONDS
+
+
+def _home(chain: list[tuple[str, int]], states: list[EndpointState]) -> EndpointState:
+    """Return the endpoint that rendezvous hashing gives to the shared part of a prompt."""
+    shared = chain[-2][0] if len(chain) > 1 else (chain[0][0] if chain else "")
+    return max(states, key=lambda one: _weight(shared, one.info.id))
+
+
+def _weight(key: str, endpoint: str) -> bytes:
+    return blake2b(f"{key}|{endpoint}".encode(), digest_size=8).digest()
--- /dev/null
+++ b/chivewall/decisions/route_table.py
@@ -0,0 +1,45 @@
+"""Finds the route of a call, and the service that gets it."""
+
+import random
+
+from attrs import define, field
+
+from chivewall.gateway.catalogue import Catalogue, Route
+
+
+@define
+class RouteTable:
+    """Routes of one catalogue by host, longest path prefix first.
+
+    Example: ``table.match("desk.example:80", "/book/7")``.
+    """
+
+    catalogue: Catalogue
+    _by_host: dict[str, list[Route]] = field(factory=dict, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        for route in self.catalogue.routes:
+            self._by_host.setdefault(route.host, []).append(route)
+        for routes in self._by_host.values():
+            routes.sort(key=lambda one: len(one.path_prefix), reverse=True)
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins the path."""
+        for route in self._by_host.get(host_name(host), []):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+
+def host_name(host: str) -> str:
+    """Return a Host header without its port, in lower case."""
+    name, _, port = host.strip().rpartition(":")
+    return (name if name and port.isdigit() else host.strip()).lower()
+
+
+def choose_service(route: Route, rng: random.Random) -> str:
+    """Draw a service by the route's weights."""
+    weights = [max(0.0, one.weight) for one in route.services]
+    if len(route.services) == 1 or sum(weights) <= 0:
+        return route.services[0].service
+    return rng.choices(route.services, weights)[0].service
--- a/chivewall/environment.py
+++ b/chivewall/environment.py
@@ -42,7 +42,7 @@
             settings=settings,
             clock=reactor,
             random=random.Random(core.seed),
-            log=EventLog(stderr, instance=core.instance, data_centre=core.data_centre),
+            log=EventLog(stdout, instance=core.instance, data_centre=core.data_centre),
             reactor=reactor,
             stdout=stdout,
             stderr=stderr,
--- a/chivewall/errors.py
+++ b/chivewall/errors.py
@@ -42,6 +42,12 @@
     code = ResultCode.INVALID_CONFIGURATION
 
 
+class DecodeError(ChivewallError):
+    """A document of the platform can't be read; the message names the field."""
+
+    code = ResultCode.INVALID_CONFIGURATION
+
+
 class StoreError(ChivewallError):
     """Base of errors of the object API."""
 
@@ -60,6 +66,10 @@
     """The object API refused the call because of its rate; nothing was written."""
 
 
+class HistoryLostError(StoreError):
+    """The store no longer has the changes since a revision; a list is needed."""
+
+
 class ObjectMissingError(StoreError):
     """The object does not exist."""
 
--- a/chivewall/events.py
+++ b/chivewall/events.py
@@ -46,6 +46,11 @@
     CONFIGURATION_APPLIED = (502, "info", "operator's configuration change accepted")
     STORE_UNAVAILABLE = (503, "warning", "object API unavailable")
 
+    STORE_HISTORY_LOST = (504, "info", "history of the object API is gone; listing again")
+    STORE_REGAINED = (505, "info", "object API available again")
+    DOCUMENT_REJECTED = (506, "warning", "document of the platform can't be read")
+    SETTINGS_RELOADED = (507, "info", "settings read again")
+
     LEASE_TAKEN = (600, "info", "lease of a data centre's plan taken")
     LEASE_LOST = (601, "warning", "lease of a data centre's plan lost")
     PLACEMENT_DECIDED = (602, "info", "role or models of an endpoint decided")
@@ -55,6 +60,15 @@
     PLAN_REJECTED = (606, "warning", "plan object rejected")
     SLOT_TAKEN = (607, "warning", "the endpoint's slot is held by another process")
 
+    CALL_ENDED = (700, "info", "forwarded call ended")
+    CALL_ATTEMPT = (701, "info", "attempt of a call sent to an endpoint")
+    CALL_ATTEMPT_FAILED = (702, "warning", "attempt of a call failed")
+    CALL_REFUSED = (703, "info", "call refused; it has not run")
+    CATALOGUE_IN_FORCE = (704, "info", "published routes in force")
+    ENDPOINT_LISTED = (705, "info", "endpoint added, changed or removed by the list")
+    ENDPOINT_AVOIDED = (706, "warning", "endpoint avoided after failures")
+    INGRESS_REJECTED = (707, "info", "malformed or oversized call rejected")
+
     def __init__(self, number: int, level: str, text: str) -> None:
         self.number = number
         self.level = level
--- /dev/null
+++ b/chivewall/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Forwards callers' HTTP calls to endpoints without an agent beside them."""
--- /dev/null
+++ b/chivewall/gateway/channels.py
@@ -0,0 +1,264 @@
+"""Owns the outgoing connections of a process; others send it calls as messages."""
+
+import itertools
+from functools import singledispatchmethod
+
+from attrs import field, frozen
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.protocol import Factory
+from twisted.python.failure import Failure
+
+from chivewall.addresses import Address, describe_address
+from chivewall.environment import Environment
+from chivewall.errors import StoreUnavailableError
+from chivewall.gateway.calls import AnswerFields, CallDialect, Headers
+from chivewall.gateway.channel import Channel
+from chivewall.gateway.channel_messages import (
+    AnswerData,
+    AnswerEnded,
+    AnswerStarted,
+    CancelCall,
+    ExchangeFailed,
+    ExchangeMessage,
+    OutgoingCall,
+    SendCall,
+)
+from chivewall.messages import Tick
+from chivewall.plugins.base import Plugin
+from chivewall.plugins.registry import Registry
+from chivewall.task import Inbox, Task
+
+CONNECT_SECONDS = 0.6  # a round trip takes 10 ms, and a lost packet is sent again much later
+SWEEP_SECONDS = 0.5  # between looks for connections that were idle too long
+MAX_IDLE = 32  # connections kept for one address
+
+
+@frozen
+class PlainAnswer:
+    """A whole answer that needs no streaming."""
+
+    status: int
+    headers: Headers
+    body: bytes = field(repr=False)
+
+
+@frozen
+class Connected:
+    """A new connection is open."""
+
+    call: OutgoingCall
+    channel: Channel
+
+
+@frozen
+class ConnectFailed:
+    """No connection could be opened."""
+
+    call: OutgoingCall
+    reason: str
+
+
+class Channels(Task):
+    """Sends calls over kept or new connections."""
+
+    def __init__(self, env: Environment) -> None:
+        super().__init__()
+        self.env = env
+        self._idle: dict[Address, list[Channel]] = {}
+        self._busy: dict[int, Channel] = {}
+        self._connecting: dict[int, Deferred] = {}
+        self._open: set[Channel] = set()
+        self._numbers = itertools.count(1)
+
+    def start(self) -> None:
+        """Begin to look for connections that were idle too long."""
+        super().start()
+        self.tell(Tick())
+
+    async def on_stop(self) -> None:
+        """Close all connections."""
+        for channel in list(self._open):
+            channel.cancel()
+
+    def next_exchange(self) -> int:
+        """Return a number that no other exchange of this process has."""
+        return next(self._numbers)
+
+    async def fetch(
+        self, address: Address, method: bytes, target: bytes, deadline: float
+    ) -> PlainAnswer:
+        """Send a call without a body; raises ``StoreUnavailableError`` without an answer."""
+        sink = Inbox()
+        call = OutgoingCall(
+            exchange=self.next_exchange(),
+            address=address,
+            method=method,
+            target=target,
+            headers=((b"Host", describe_address(address).encode()),),
+            sink=sink,
+        )
+        timer = self.env.clock.callLater(
+            max(0.0, deadline - self.env.now),
+            sink.put,
+            ExchangeFailed(call.exchange, sent=True, reason="no answer in time"),
+        )
+        self.tell(SendCall(call))
+        try:
+            return await self._whole_answer(sink, address)
+        finally:
+            if timer.active():
+                timer.cancel()
+            self.tell(CancelCall(call.exchange))
+
+    async def _whole_answer(self, sink: Inbox, address: Address) -> PlainAnswer:
+        head, parts = None, []
+        while True:
+            message: ExchangeMessage = await sink.get()
+            if isinstance(message, AnswerStarted):
+                head = message.head
+            elif isinstance(message, AnswerData):
+                parts.append(message.data)
+            elif isinstance(message, ExchangeFailed):
+                raise StoreUnavailableError(f"{describe_address(address)}: {message.reason}")
+            elif isinstance(message, AnswerEnded):
+                return PlainAnswer(head.status, head.headers, b"".join(parts))
+
+    @singledispatchmethod
+    async def receive(self, message: object) -> None:
+        """Handle one message."""
+        raise TypeError(f"unexpected message {message!r}")
+
+    @receive.register
+    async def _(self, message: SendCall) -> None:
+        call = message.call
+        channel = self._take_idle(call)
+        if channel is None:
+            self._connect(call)
+        else:
+            self._busy[call.exchange] = channel
+            channel.send(call)
+
+    @receive.register
+    async def _(self, message: CancelCall) -> None:
+        connecting = self._connecting.pop(message.exchange, None)
+        if connecting is not None:
+            connecting.cancel()
+        channel = self._busy.pop(message.exchange, None)
+        if channel is not None:
+            channel.cancel()
+
+    @receive.register
+    async def _(self, message: Connected) -> None:
+        channel = message.channel
+        self._open.add(channel)
+        if self._connecting.pop(message.call.exchange, None) is None:
+            channel.cancel()
+            return
+        self._busy[message.call.exchange] = channel
+        channel.send(message.call)
+
+    @receive.register
+    async def _(self, message: ConnectFailed) -> None:
+        if self._connecting.pop(message.call.exchange, None) is not None:
+            failed = ExchangeFailed(message.call.exchange, sent=False, reason=message.reason)
+            message.call.sink.put(failed)
+
+    @receive.register
+    async def _(self, message: Tick) -> None:
+        now = self.env.now
+        for channels in self._idle.values():
+            for channel in [one for one in channels if one.idle_until <= now]:
+                channels.remove(channel)
+                channel.cancel()
+        self.env.clock.callLater(SWEEP_SECONDS, self.tell, Tick())
+
+    def _take_idle(self, call: OutgoingCall) -> Channel | None:
+        channels = self._idle.get(call.address, [])
+        now = self.env.now
+        while channels:
+            channel = channels.pop()  # the one used last is the least likely to be closed
+            if now < channel.idle_until and now - channel.idle_since <= call.longest_idle:
+                return channel
+            channel.cancel()
+        return None
+
+    def _connect(self, call: OutgoingCall) -> None:
+        limit = CONNECT_SECONDS
+        if call.connect_by is not None:
+            limit = max(0.05, min(limit, call.connect_by - self.env.now))
+        host, port = call.address
+        endpoint = TCP4ClientEndpoint(self.env.reactor, host, port, timeout=limit)
+        attempt = endpoint.connect(ChannelFactory(self._new_channel(call.address)))
+        self._connecting[call.exchange] = attempt
+        attempt.addCallbacks(
+            lambda channel: self.tell(Connected(call, channel)),
+            lambda failure: self._connect_failed(call, failure),
+        )
+
+    def _connect_failed(self, call: OutgoingCall, failure: Failure) -> None:
+        if not failure.check(CancelledError):
+            self.tell(ConnectFailed(call, f"no connection: {failure.getErrorMessage()}"))
+
+    def _new_channel(self, address: Address) -> Channel:
+        channel = Channel(address, self._read_fields)
+        channel.on_idle = self._keep
+        channel.on_lost = self._forget
+        return channel
+
+    def _read_fields(self, status: int, headers: Headers) -> AnswerFields:
+        return self.env.require(CallDialect).read_answer(status, headers)
+
+    def _keep(self, channel: Channel) -> None:
+        self._busy.pop(channel.exchange, None)
+        channel.idle_since = self.env.now
+        channel.idle_until = self.env.now + channel.idle_limit()
+        kept = self._idle.setdefault(channel.address, [])
+        if len(kept) >= MAX_IDLE:
+            channel.cancel()
+        else:
+            kept.append(channel)
+
+    def _forget(self, channel: Channel) -> None:
+        self._open.discard(channel)
+        self._busy.pop(channel.exchange, None)
+        kept = self._idle.get(channel.address, [])
+        if channel in kept:
+            kept.remove(channel)
+
+
+class ChannelFactory(Factory):
+    """Builds channels to one address."""
+
+    noisy = False
+
+    def __init__(self, channel: Channel) -> None:
+        self.channel = channel
+
+    def buildProtocol(self, addr: object) -> Channel:  # noqa: N802 - Twisted's name
+        """Return the channel."""
+        return self.channel
+
+
+class ChannelsPlugin(Plugin):
+    """Offers the outgoing connections."""
+
+    name = "channels"
+
+    async def setup(self) -> None:
+        """Offer the task."""
+        self.channels = Channels(self.env)
+        self.env.provide(Channels, self.channels)
+
+    async def start(self) -> None:
+        """Start the task."""
+        self.channels.start()
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        await self.channels.stop()
+
+
+def register(registry: Registry) -> None:
+    """Register the plug-in."""
+    registry.add(ChannelsPlugin)
--- /dev/null
+++ b/chivewall/gateway/collections.py
@@ -0,0 +1,148 @@
+"""Follows a collection of the platform's store: a list, then watches from its revision."""
+
+from functools import singledispatchmethod
+from typing import Any, Protocol
+
+from attrs import frozen
+from twisted.internet.defer import Deferred
+
+from chivewall.environment import Environment
+from chivewall.errors import HistoryLostError, StoreError
+from chivewall.events import Event
+from chivewall.messages import Tick
+from chivewall.task import Inbox, Task
+
+WATCH_SECONDS = 28.0  # the store takes at most 30 s; each call is priced, so a watch waits long
+RETRY_FIRST = 0.1  # seconds
+RETRY_LIMIT = 0.8  # seconds; a change must be in force 2 s after its acknowledgement
+
+
+@frozen
+class CollectionItem:
+    """An object of a collection; ``value`` is ``None`` if it is gone or unreadable."""
+
+    name: str
+    value: Any
+    revision: int
+
+
+@frozen
+class CollectionSnapshot:
+    """All objects of a collection at a revision of the store."""
+
+    collection: str
+    items: tuple[CollectionItem, ...]
+    revision: int
+
+
+@frozen
+class CollectionChanges:
+    """Objects that changed up to a revision of the store, in order."""
+
+    collection: str
+    items: tuple[CollectionItem, ...]
+    revision: int
+
+
+@frozen
+class CollectionLost:
+    """The store can't be reached; what was known may be stale from now on."""
+
+    collection: str
+
+
+class CollectionSource(Protocol):
+    """Reads one collection of the platform's store."""
+
+    name: str
+
+    def read_all(self) -> Deferred:
+        """Fire with a ``CollectionSnapshot``; fails with ``StoreError``."""
+
+    def watch(self, revision: int, deadline: float) -> Deferred:
+        """Fire with ``CollectionChanges`` after ``revision``, empty at the deadline.
+
+        Fails with ``HistoryLostError`` if the store no longer has the changes,
+        or with another ``StoreError``.
+        """
+
+
+@frozen
+class ReadFailed:
+    """A list or a watch failed."""
+
+    exc: StoreError
+
+
+class CollectionFollower(Task):
+    """Owns the list and the watch of one collection; sends what it reads to a sink."""
+
+    def __init__(self, env: Environment, source: CollectionSource, sink: Inbox) -> None:
+        super().__init__()
+        self.env = env
+        self.source = source
+        self.sink = sink
+        self.revision: int | None = None  # None: a list is needed
+        self.failures = 0
+        self.failed_at: float | None = None
+
+    def start(self) -> None:
+        """Begin to follow the collection."""
+        super().start()
+        self.tell(Tick())
+
+    @singledispatchmethod
+    async def receive(self, message: object) -> None:
+        """Handle one message."""
+        raise TypeError(f"unexpected message {message!r}")
+
+    @receive.register
+    async def _(self, message: Tick) -> None:
+        self.spawn(self._read())
+
+    @receive.register
+    async def _(self, message: CollectionSnapshot) -> None:
+        self._took(message)
+
+    @receive.register
+    async def _(self, message: CollectionChanges) -> None:
+        self._took(message)
+
+    @receive.register
+    async def _(self, message: ReadFailed) -> None:
+        if isinstance(message.exc, HistoryLostError):
+            self.revision = None
+            self.env.log.emit(Event.STORE_HISTORY_LOST, collection=self.source.name)
+        elif self.failures == 0:
+            self.failed_at = self.env.now
+            self.env.log.emit(Event.STORE_UNAVAILABLE, key=self.source.name, error=str(message.exc))
+            self.sink.put(CollectionLost(self.source.name))
+        delay = min(RETRY_LIMIT, RETRY_FIRST * 2 ** min(self.failures, 8))
+        self.failures += 1
+        # Jitter keeps the machines from returning at once after an outage.
+        self.env.clock.callLater(delay * self.env.random.uniform(0.5, 1), self.tell, Tick())
+
+    def _took(self, message: CollectionSnapshot | CollectionChanges) -> None:
+        if self.failed_at is not None:
+            self.env.log.emit(
+                Event.STORE_REGAINED,
+                key=self.source.name,
+                after_seconds=round(self.env.now - self.failed_at, 3),
+            )
+        self.failures = 0
+        self.failed_at = None
+        self.revision = message.revision
+        self.sink.put(message)
+        self.tell(Tick())
+
+    async def _read(self) -> None:
+        try:
+            if self.revision is None:
+                read = await self.source.read_all()
+            else:
+                deadline = self.env.now + WATCH_SECONDS
+                read = await self.source.watch(self.revision, deadline)
+        except StoreError as exc:
+            self.tell(ReadFailed(exc))
+        else:
+            self.tell(read)
--- /dev/null
+++ b/chivewall/gateway/fleet.py
@@ -0,0 +1,270 @@
+"""Owns what this gateway knows of the endpoints, and the allowance of repeats."""
+
+from functools import singledispatchmethod
+
+from attrs import define, field, frozen, validators
+
+from chivewall.decisions.allowance import Allowance, AllowancePolicy
+from chivewall.decisions.placement import EndpointState, Surroundings, choose, prefix_chain
+from chivewall.environment import Environment
+from chivewall.events import Event
+from chivewall.gateway.calls import CallFields
+from chivewall.gateway.catalogue import EndpointInfo, Route, Stage
+from chivewall.gateway.collections import (
+    CollectionChanges,
+    CollectionFollower,
+    CollectionItem,
+    CollectionLost,
+    CollectionSnapshot,
+)
+from chivewall.gateway.sources import Sources
+from chivewall.messages import Tick
+from chivewall.plugins.base import Plugin
+from chivewall.plugins.registry import Registry
+from chivewall.task import Query, Task
+
+MS_PER_SECOND = 1000.0
+SHARERS = 24  # machines that the fixed part of the allowance is divided by
+GONE_MARGIN = 0.3  # seconds before an endpoint that left the list may get no more work
+
+
+@frozen
+class FleetSettings:
+    """Bounds that the platform sets."""
+
+    drain_ms: float = field(
+        validator=validators.gt(0),
+        metadata={"help": "Time after which a leaving endpoint may get no request, ms."},
+    )
+    repeat_ratio: float = field(
+        validator=validators.ge(0),
+        metadata={"help": "Repeated arrivals allowed for each request of a service."},
+    )
+    repeat_window_seconds: float = field(
+        validator=validators.gt(0), metadata={"help": "Window of the allowance, seconds."}
+    )
+    repeat_burst: float = field(
+        validator=validators.ge(0),
+        metadata={"help": "Repeated arrivals allowed beyond the ratio, of all machines."},
+    )
+
+
+@define(eq=False)
+class Place(Query):
+    """Ask for a placement; answered with ``Placement`` or ``None``."""
+
+    route: Route
+    service: str
+    fields: CallFields
+    excluded: frozenset[str]
+    allowed: frozenset[str] | None  # ids; ``None`` allows every endpoint
+
+
+@frozen
+class RequestSeen:
+    """A caller sent a request to the service."""
+
+    service: str
+
+
+@define(eq=False)
+class SpendRepeat(Query):
+    """Ask for one repeated arrival; answered with ``bool``."""
+
+    service: str
+
+
+@frozen
+class WorkSent:
+    """An attempt was sent to an endpoint."""
+
+    endpoint: str
+    prompt_tokens: int  # that it has to read
+    fields: CallFields
+    carries_prompt: bool  # False if it fetches the KV cache
+
+
+@frozen
+class WorkOver:
+    """An attempt at an endpoint ended."""
+
+    endpoint: str
+    outcome: str  # "answered", "failed", "missed", "refused" or "left"
+
+
+class Fleet(Task):
+    """Owns the states of the endpoints."""
+
+    def __init__(self, env: Environment, cfg: FleetSettings, sources: Sources) -> None:
+        super().__init__()
+        self.env = env
+        self.cfg = cfg
+        self.follower = CollectionFollower(env, sources.endpoints, self.inbox)
+        self.known = False  # a list was read since the start
+        self.states: dict[str, EndpointState] = {}
+        self.allowances: dict[str, Allowance] = {}
+        self.policy = AllowancePolicy(
+            ratio=cfg.repeat_ratio,
+            window=cfg.repeat_window_seconds,
+            burst=cfg.repeat_burst / SHARERS,
+        )
+
+    def start(self) -> None:
+        """Begin to follow the list."""
+        super().start()
+        self.follower.start()
+
+    async def on_stop(self) -> None:
+        """Stop following the list."""
+        await self.follower.stop()
+
+    @singledispatchmethod
+    async def receive(self, message: object) -> None:
+        """Handle one message."""
+        raise TypeError(f"unexpected message {message!r}")
+
+    @receive.register
+    async def _(self, message: CollectionSnapshot) -> None:
+        self.known = True
+        listed = {one.name for one in message.items}
+        for item in message.items:
+            self._take(item)
+        for name in self.states.keys() - listed:
+            self._remove(name)
+
+    @receive.register
+    async def _(self, message: CollectionChanges) -> None:
+        for item in message.items:
+            self._take(item)
+
+    @receive.register
+    async def _(self, message: CollectionLost) -> None:
+        """Go on with the endpoints known so far."""
+
+    @receive.register
+    async def _(self, message: Tick) -> None:
+        self._forget_gone()
+
+    @receive.register
+    async def _(self, message: Place) -> None:
+        self._forget_gone()
+        states = [
+            one
+            for one in self.states.values()
+            if one.info.service == message.service
+            and (message.allowed is None or one.info.id in message.allowed)
+        ]
+        at = Surroundings(
+            home=self.env.settings.core.data_centre,
+            now=self.env.now,
+            rng=self.env.random,
+            excluded=message.excluded,
+        )
+        message.answer(choose(message.route, message.fields, states, at))
+
+    @receive.register
+    async def _(self, message: RequestSeen) -> None:
+        self._allowance(message.service).request(self.env.now)
+
+    @receive.register
+    async def _(self, message: SpendRepeat) -> None:
+        message.answer(self._allowance(message.service).spend(self.env.now))
+
+    @receive.register
+    async def _(self, message: WorkSent) -> None:
+        state = self.states.get(message.endpoint)
+        if state is None:
+            return
+        state.in_flight += 1
+        chain = prefix_chain(message.fields)
+        if message.carries_prompt and state.info.stage is not Stage.NONE:
+            state.add_prefill(message.prompt_tokens, self.env.now)
+        state.remember(chain, self.env.now)
+
+    @receive.register
+    async def _(self, message: WorkOver) -> None:
+        state = self.states.get(message.endpoint)
+        if state is None:
+            return
+        state.in_flight = max(0, state.in_flight - 1)
+        if message.outcome == "answered":
+            state.succeeded(self.env.now)
+        elif message.outcome == "failed":
+            state.failed(self.env.now)
+        elif message.outcome == "missed":
+            state.missed(self.env.now)
+            self.env.log.emit(
+                Event.ENDPOINT_AVOIDED,
+                endpoint=message.endpoint,
+                seconds=round(state.avoid_until - self.env.now, 3),
+            )
+
+    def _allowance(self, service: str) -> Allowance:
+        return self.allowances.setdefault(service, Allowance(self.policy))
+
+    def _take(self, item: CollectionItem) -> None:
+        info: EndpointInfo | None = item.value
+        if info is None:
+            self._remove(item.name)
+            return
+        state = self.states.get(item.name)
+        if state is None or state.info.started_ms != info.started_ms:
+            self.states[item.name] = EndpointState(info)
+        else:
+            state.info = info
+            state.gone_at = None
+        self.env.log.emit(
+            Event.ENDPOINT_LISTED,
+            endpoint=info.id,
+            service=info.service,
+            draining=info.draining,
+            stage=info.stage.value,
+            revision=item.revision,
+        )
+
+    def _remove(self, name: str) -> None:
+        state = self.states.get(name)
+        if state is None or state.gone_at is not None:
+            return
+        self.env.log.emit(Event.ENDPOINT_LISTED, endpoint=name, gone=True)
+        if state.info.draining:
+            del self.states[name]
+            return
+        # It may have lapsed while the store was away, or leave without a notice; until the
+        # bound of a leaving endpoint it is used if no listed one is left.
+        state.gone_at = self.env.now
+
+    def _forget_gone(self) -> None:
+        limit = self.env.now - self.cfg.drain_ms / MS_PER_SECOND + GONE_MARGIN
+        for name, state in list(self.states.items()):
+            if state.gone_at is not None and state.gone_at <= limit:
+                del self.states[name]
+
+
+class FleetPlugin(Plugin):
+    """Offers the ``Fleet``."""
+
+    name = "fleet"
+    settings_type = FleetSettings
+
+    async def setup(self) -> None:
+        """Offer the task."""
+        self.fleet = Fleet(self.env, self.cfg, self.env.require(Sources))
+        self.env.provide(Fleet, self.fleet)
+
+    async def start(self) -> None:
+        """Begin to follow the list."""
+        self.fleet.start()
+
+    async def stop(self) -> None:
+        """Stop following."""
+        await self.fleet.stop()
+
+    def ready(self) -> bool:
+        """Return whether the list was read."""
+        return self.fleet.known
+
+
+def register(registry: Registry) -> None:
+    """Register the plug-in."""
+    registry.add(FleetPlugin)
--- /dev/null
+++ b/chivewall/gateway/forwarded_call.py
@@ -0,0 +1,500 @@
+"""The task of one caller's request: places it, sends it, passes the answer on."""
+
+import json
+from collections.abc import Awaitable
+from functools import singledispatchmethod
+
+from attrs import define, frozen
+
+from chivewall.decisions.event_stream import EventStream
+from chivewall.decisions.forwarding import (
+    CallLedger,
+    Next,
+    Outcome,
+    Situation,
+    decide,
+    give_up,
+)
+from chivewall.decisions.placement import Placement
+from chivewall.environment import Environment
+from chivewall.errors import DecodeError, StoreUnavailableError
+from chivewall.events import Event
+from chivewall.gateway.call_messages import (
+    AnswerBegun,
+    AnswerCut,
+    AnswerDone,
+    AnswerPiece,
+    CallerGone,
+    WholeAnswer,
+)
+from chivewall.gateway.calls import AnswerHead, Call, CallDialect, SentFields
+from chivewall.gateway.catalogue import EndpointInfo, Kind, Route, Stage
+from chivewall.gateway.channel_messages import (
+    AnswerData,
+    AnswerEnded,
+    AnswerStarted,
+    CallWritten,
+    CancelCall,
+    ExchangeFailed,
+    OutgoingCall,
+    SendCall,
+)
+from chivewall.gateway.channels import Channels
+from chivewall.gateway.fleet import Fleet, Place, RequestSeen, SpendRepeat, WorkOver, WorkSent
+from chivewall.messages import Tick
+from chivewall.results import ResultCode
+from chivewall.task import Inbox, Task
+
+MS_PER_SECOND = 1000.0
+ANSWER_MARGIN = 0.03  # seconds before the caller's deadline that an own answer is sent
+MAX_PRIORITY = 9
+REUSE_UNSAFE = 0.5  # seconds; a kept connection that was idle longer may be dead unnoticed
+REUSE_IDEMPOTENT = 4.0  # seconds
+RETRY_AFTER = 0.25  # seconds; a refusal for want of an endpoint passes soon
+PREFILL_PATIENCE = 3.0  # times the estimate after which a prefill is given up
+PREFILL_LEAST = 0.6  # seconds
+SUCCESS = range(200, 300)
+SERVER_ERROR = range(500, 600)
+PROMISES = frozenset({408, 421, 429, 503})  # statuses that say that the work has not run
+
+
+@define
+class CallContext:
+    """What the tasks of all calls share."""
+
+    env: Environment
+    fleet: Fleet
+    channels: Channels
+    dialect: CallDialect
+
+
+@frozen
+class Exchange:
+    """A call on its way to an endpoint."""
+
+    number: int
+    endpoint: EndpointInfo
+    prefill: bool  # asks for the KV cache only
+    handed_over: bool  # names a KV cache to fetch
+
+
+class ForwardedCall(Task):
+    """Owns the state of one call from its arrival to its final answer."""
+
+    def __init__(
+        self,
+        context: CallContext,
+        call: Call,
+        route: Route,
+        service: str,
+        sink: Inbox,
+        number: int,
+    ) -> None:
+        super().__init__()
+        self.context = context
+        self.env = context.env
+        self.call = call
+        self.route = route
+        self.service = service
+        self.sink = sink
+        self.number = number
+        wait = min(route.timeout_ms, call.fields.wait_ms or route.timeout_ms)
+        self.deadline = call.received_at + wait / MS_PER_SECOND
+        self.answer_by = max(self.deadline - ANSWER_MARGIN, call.received_at)
+        self.ledger = CallLedger()
+        self.stream = EventStream(last_id=call.fields.last_event_id)
+        self.exchange: Exchange | None = None
+        self.placement: Placement | None = None
+        self.head: AnswerHead | None = None
+        self.body = bytearray()
+        self.begun = False  # the answer's head was sent to the caller
+        self.over = False
+        self.failed: set[str] = set()  # endpoints that failed this call
+        self.arrivals = 0  # sends beyond a first prefill that reached an endpoint
+        self.no_prefill = False
+        self.kv_handle: tuple[EndpointInfo, str] | None = None  # kept and not fetched yet
+        self._timers: list = []
+
+    def start(self) -> None:
+        """Begin to place the call."""
+        super().start()
+        self.context.fleet.tell(RequestSeen(self.service))
+        self._after(self.answer_by - self.env.now, Tick("answer_by"))
+        self.tell(Tick("place"))
+
+    async def on_stop(self) -> None:
+        """Release the exchange."""
+        for timer in self._timers:
+            if timer.active():
+                timer.cancel()
+
+    @singledispatchmethod
+    async def receive(self, message: object) -> None:
+        """Handle one message."""
+        raise TypeError(f"unexpected message {message!r}")
+
+    @receive.register
+    async def _(self, message: Tick) -> None:
+        if self.over:
+            return
+        if message.purpose == "place":
+            await self._place()
+        elif message.purpose == "answer_by":
+            await self._out_of_time()
+        elif self.exchange is not None and message.purpose == f"prefill {self.exchange.number}":
+            await self._prefill_failed("no answer in time")
+
+    @receive.register
+    async def _(self, message: CallWritten) -> None:
+        if self._current(message.exchange) and not self.exchange.prefill:
+            self.ledger.sent(self.exchange.endpoint.id)
+
+    @receive.register
+    async def _(self, message: AnswerStarted) -> None:
+        if self._current(message.exchange):
+            self.head = message.head
+            self.body.clear()
+
+    @receive.register
+    async def _(self, message: AnswerData) -> None:
+        if not self._current(message.exchange):
+            return
+        if not self._streams():
+            self.body += message.data
+            return
+        self._pass_on(self.stream.feed(message.data))
+
+    @receive.register
+    async def _(self, message: AnswerEnded) -> None:
+        if self._current(message.exchange):
+            await self._answered()
+
+    @receive.register
+    async def _(self, message: ExchangeFailed) -> None:
+        if not self._current(message.exchange):
+            return
+        if self.exchange.prefill:
+            await self._prefill_failed(message.reason, missed=not message.sent)
+        elif not message.sent:
+            await self._attempt_failed(Outcome.NOT_SENT, message.reason)
+        elif self._refused_to_run():
+            await self._attempt_failed(Outcome.NOT_RUN, f"status {self.head.status}")
+        else:
+            await self._attempt_failed(Outcome.BROKEN, message.reason)
+
+    @receive.register
+    async def _(self, message: CallerGone) -> None:
+        if not self.over:
+            self._end_exchange("left")
+            self._finish("caller gone")
+
+    async def _place(self) -> None:
+        allowed = None
+        if len(self.ledger.endpoints) >= self.route.attempts:
+            allowed = frozenset(self.ledger.endpoints)
+        placement = await self.context.fleet.ask(
+            Place(
+                route=self.route,
+                service=self.service,
+                fields=self.call.fields,
+                excluded=frozenset(self.failed - self.ledger.endpoints if allowed else self.failed),
+                allowed=allowed,
+            )
+        )
+        if placement is None:
+            await self._attempt_failed(Outcome.NO_ENDPOINT, "no endpoint can take the call")
+            return
+        self.placement = placement
+        if placement.prefill is not None and not self.no_prefill:
+            self._send_prefill(placement)
+        else:
+            await self._send(placement.endpoint, kv_source=None)
+
+    def _send_prefill(self, placement: Placement) -> None:
+        self.no_prefill = True  # one prefill a call is free of the allowance
+        sent = SentFields(
+            time_left_ms=self._time_left_ms(),
+            endpoint=placement.prefill.id,
+            priority=self._priority(),
+            stage=Stage.PREFILL,
+        )
+        self._send_call(placement.prefill, sent, prefill=True)
+        patience = max(PREFILL_LEAST, PREFILL_PATIENCE * placement.estimate)
+        self._after(patience, Tick(f"prefill {self.exchange.number}"))
+
+    async def _send(self, endpoint: EndpointInfo, kv_source: str | None) -> None:
+        if self.arrivals and not await self.context.fleet.ask(SpendRepeat(self.service)):
+            await self._give_up(Outcome.NOT_RUN, "allowance of repeats is spent")
+            return
+        sent = SentFields(
+            time_left_ms=self._time_left_ms(),
+            endpoint=endpoint.id,
+            priority=self._priority(),
+            kv_source=kv_source,
+            last_event_id=self.stream.last_id,
+        )
+        self.arrivals += 1
+        self._send_call(endpoint, sent, prefill=False)
+
+    def _send_call(self, endpoint: EndpointInfo, sent: SentFields, *, prefill: bool) -> None:
+        number = self.context.channels.next_exchange()
+        handed_over = sent.kv_source is not None
+        self.exchange = Exchange(number, endpoint, prefill=prefill, handed_over=handed_over)
+        self.head = None
+        idempotent = self.route.idempotent or prefill
+        self.env.log.emit(
+            Event.CALL_ATTEMPT,
+            request=self.call.fields.request_id,
+            endpoint=endpoint.id,
+            prefill=prefill,
+            handed_over=handed_over,
+            estimate=round(self.placement.estimate, 4),
+            uncached=self.placement.uncached,
+            reason=self.placement.reason,
+            time_left_ms=round(sent.time_left_ms),
+        )
+        self.context.fleet.tell(
+            WorkSent(
+                endpoint=endpoint.id,
+                prompt_tokens=self.placement.uncached,
+                fields=self.call.fields,
+                carries_prompt=not handed_over,
+            )
+        )
+        self.context.channels.tell(
+            SendCall(
+                OutgoingCall(
+                    exchange=number,
+                    address=endpoint.address,
+                    method=self.call.method,
+                    target=self.call.target,
+                    headers=self.context.dialect.call_headers(self.call, sent),
+                    sink=self.inbox,
+                    body=self.call.body,
+                    has_body=self.call.has_body,
+                    request_id=self.call.fields.request_id,
+                    longest_idle=REUSE_IDEMPOTENT if idempotent else REUSE_UNSAFE,
+                    connect_by=self.answer_by,
+                )
+            )
+        )
+
+    async def _answered(self) -> None:
+        if self.exchange.prefill:
+            await self._prefill_answered()
+        elif self._refused_to_run():
+            await self._attempt_failed(Outcome.NOT_RUN, f"status {self.head.status}")
+        elif (problem := self._invalid()) is not None:
+            await self._attempt_failed(Outcome.BROKEN, problem)
+        elif self.head.status in SERVER_ERROR:
+            await self._attempt_failed(Outcome.FAILED, f"status {self.head.status}")
+        else:
+            self._complete()
+
+    def _complete(self) -> None:
+        self._end_exchange("answered")
+        if self._streams():
+            self._pass_on(self.stream.finish())
+            self._begin()
+            self.sink.put(AnswerDone(self.number))
+        else:
+            self._pass_on_whole()
+        self._finish("answered", status=self.head.status)
+
+    def _pass_on_whole(self) -> None:
+        headers = self.context.dialect.answer_headers(self.head.headers)
+        self.sink.put(WholeAnswer(self.number, self.head.status, headers, bytes(self.body)))
+
+    def _pass_on(self, data: bytes) -> None:
+        if data:
+            self._begin()
+            self.sink.put(AnswerPiece(self.number, data))
+
+    def _begin(self) -> None:
+        """Send the head of the first run; later runs continue its body."""
+        if self.begun:
+            return
+        self.begun = True
+        headers = self.context.dialect.answer_headers(self.head.headers)
+        self.sink.put(AnswerBegun(self.number, self.head.status, headers))
+
+    def _streams(self) -> bool:
+        return (
+            self.route.kind is Kind.STREAM
+            and self.head is not None
+            and self.head.status in SUCCESS
+            and not self.exchange.prefill
+            and self._invalid() is None
+        )
+
+    def _refused_to_run(self) -> bool:
+        return self.head is not None and self.head.fields.not_run
+
+    def _invalid(self) -> str | None:
+        """Return why the answer can't be the endpoint's whole answer to this call."""
+        if self.head.fields.proof is None:
+            return "answer without a proof"
+        if any(name.lower() == b"content-encoding" for name, _ in self.head.headers):
+            return "answer with an encoding that nobody asked for"
+        if self.head.status in PROMISES and not self.head.fields.not_run:
+            return f"status {self.head.status} without saying that it has not run"
+        return None
+
+    async def _prefill_answered(self) -> None:
+        if self.head.status not in SUCCESS:
+            await self._prefill_failed(f"status {self.head.status}")
+            return
+        try:
+            kept = self.context.dialect.read_kv_handle(bytes(self.body))
+        except DecodeError as exc:
+            await self._prefill_failed(str(exc))
+            return
+        source = self.exchange.endpoint
+        self._end_exchange("answered")
+        self.kv_handle = (source, kept.handle)
+        kv_source = self.context.dialect.kv_source(source.address, kept.handle)
+        await self._send(self.placement.endpoint, kv_source=kv_source)
+
+    async def _prefill_failed(self, reason: str, *, missed: bool = False) -> None:
+        self._log_failure(Outcome.NOT_SENT if missed else Outcome.NOT_RUN, reason)
+        self._end_exchange("missed" if missed else "failed")
+        await self._place()
+
+    async def _attempt_failed(self, outcome: Outcome, reason: str) -> None:
+        self.ledger.failed(outcome)
+        self._log_failure(outcome, reason)
+        handed_over = self.exchange is not None and self.exchange.handed_over
+        if self.exchange is not None:
+            if not (outcome is Outcome.NOT_RUN and handed_over):
+                self.failed.add(self.exchange.endpoint.id)
+            self._end_exchange(_reported(outcome))
+        if outcome is Outcome.NOT_SENT:
+            self.arrivals -= 1
+        self.stream.restart()
+        at = self._situation(outcome)
+        if decide(at, self.ledger) is Next.RETRY and self._endpoint_left():
+            await self._place()
+        else:
+            await self._give_up(outcome, reason)
+
+    def _endpoint_left(self) -> bool:
+        return len(self.ledger.endpoints) < self.route.attempts or bool(
+            self.ledger.endpoints - self.failed
+        )
+
+    async def _give_up(self, outcome: Outcome, reason: str) -> None:
+        next_step = give_up(self._situation(outcome), self.ledger)
+        if next_step is Next.CUT:
+            self.sink.put(AnswerCut(self.number))
+        elif next_step is Next.PASS_ON:
+            self._pass_on_whole()
+        elif next_step is Next.REFUSE:
+            self._refuse(ResultCode.NO_ENDPOINT, reason)
+        else:
+            self._refuse(ResultCode.ENDPOINT_FAILED, reason)
+        self._finish(next_step.value, reason=reason)
+
+    async def _out_of_time(self) -> None:
+        may_have_run = self.exchange is not None and not self.exchange.prefill
+        self._end_exchange("left")
+        if self.begun:
+            self.sink.put(AnswerCut(self.number))
+        elif may_have_run or self.ledger.may_have_run:
+            self._refuse(ResultCode.DEADLINE_MISSED, "no answer within the time limit")
+        else:
+            self._refuse(ResultCode.NO_ENDPOINT, "not sent within the time limit")
+        self._finish("out of time")
+
+    def _refuse(self, code: ResultCode, reason: str) -> None:
+        answer = refusal(
+            self.context.dialect, self.number, code, reason, self.call.fields.request_id
+        )
+        self.sink.put(answer)
+
+    def _situation(self, outcome: Outcome) -> Situation:
+        return Situation(
+            route=self.route,
+            outcome=outcome,
+            now=self.env.now,
+            answer_by=self.answer_by,
+            answer_begun=self.begun,
+        )
+
+    def _end_exchange(self, outcome: str) -> None:
+        exchange, self.exchange = self.exchange, None
+        if exchange is None:
+            return
+        self.context.channels.tell(CancelCall(exchange.number))
+        self.context.fleet.tell(WorkOver(exchange.endpoint.id, outcome))
+        if exchange.handed_over and outcome in ("answered", "failed"):
+            self.kv_handle = None
+
+    def _finish(self, outcome: str, **fields: object) -> None:
+        self.over = True
+        if self.kv_handle is not None:
+            self._release(*self.kv_handle)
+            self.kv_handle = None
+        self.env.log.emit(
+            Event.CALL_ENDED,
+            request=self.call.fields.request_id,
+            route=self.route.name,
+            outcome=outcome,
+            arrivals=self.arrivals,
+            events=self.stream.passed,
+            seconds=round(self.env.now - self.call.received_at, 4),
+            **fields,
+        )
+        self.stop()
+
+    def _release(self, endpoint: EndpointInfo, handle: str) -> None:
+        method, target = self.context.dialect.release_target(handle)
+        fetched = self.context.channels.fetch(
+            endpoint.address, method, target, self.env.now + PREFILL_LEAST
+        )
+        self.context.fleet.spawn(_ignore_failure(self.env, fetched, handle))
+
+    def _log_failure(self, outcome: Outcome, reason: str) -> None:
+        self.env.log.emit(
+            Event.CALL_ATTEMPT_FAILED,
+            request=self.call.fields.request_id,
+            endpoint=None if self.exchange is None else self.exchange.endpoint.id,
+            outcome=outcome.value,
+            reason=reason,
+        )
+
+    def _priority(self) -> int | None:
+        if not self.route.prefix_affinity:
+            return None
+        return max(0, min(MAX_PRIORITY, self.route.priority))
+
+    def _time_left_ms(self) -> float:
+        return (self.deadline - self.env.now) * MS_PER_SECOND
+
+    def _current(self, exchange: int) -> bool:
+        return not self.over and self.exchange is not None and self.exchange.number == exchange
+
+    def _after(self, seconds: float, message: Tick) -> None:
+        self._timers.append(self.env.clock.callLater(max(0.0, seconds), self.tell, message))
+
+
+async def _ignore_failure(env: Environment, fetched: Awaitable, handle: str) -> None:
+    try:
+        await fetched
+    except StoreUnavailableError as exc:
+        env.log.emit(Event.CALL_ATTEMPT_FAILED, reason=f"KV cache {handle} not freed: {exc}")
+
+
+def refusal(
+    dialect: CallDialect, call: int, code: ResultCode, reason: str, request_id: str | None
+) -> WholeAnswer:
+    """Return the gateway's own answer for a call that gets none of an endpoint."""
+    error = {"code": code.number, "name": code.name, "message": reason, "run": code.run.value}
+    retry_after = RETRY_AFTER if code.http_status in PROMISES else None
+    headers = dialect.own_answer_headers(request_id, retry_after)
+    return WholeAnswer(call, code.http_status, headers, json.dumps({"error": error}).encode())
+
+
+def _reported(outcome: Outcome) -> str:
+    if outcome is Outcome.NOT_SENT:
+        return "missed"
+    return "refused" if outcome is Outcome.NOT_RUN else "failed"
--- /dev/null
+++ b/chivewall/gateway/ingress_connection.py
@@ -0,0 +1,334 @@
+"""One caller's HTTP/1.1 connection: reads whole calls, writes their answers in order.
+
+twisted.web can't be used here: the gateway must see a caller leave at once,
+bound what is read before a call is whole, and end an answer that can't be
+completed without making it look complete.
+"""
+
+from enum import Enum
+from functools import singledispatchmethod
+from http import HTTPStatus
+from typing import Any, Protocol
+
+import h11
+from twisted.internet.protocol import Protocol as TwistedProtocol
+from twisted.python.failure import Failure
+
+from chivewall.environment import Environment
+from chivewall.errors import RequestError
+from chivewall.events import Event
+from chivewall.gateway.call_messages import (
+    AnswerBegun,
+    AnswerCut,
+    AnswerDone,
+    AnswerPiece,
+    CallerGone,
+    WholeAnswer,
+)
+from chivewall.gateway.calls import Call, CallDialect, Headers
+from chivewall.gateway.catalogue import IngressLimits
+from chivewall.gateway.sockets import configure
+from chivewall.results import ResultCode
+from chivewall.task import Inbox
+
+IDLE_MARGIN = 1.0  # seconds beyond the idle limit, so that a reuse in time finds it open
+LINGER_SECONDS = 1.0  # for the caller to read an answer before the connection is reset
+MAX_PIPELINED_BYTES = 65_536  # read ahead while a call is in progress
+BODY_METHODS = frozenset({b"POST", b"PUT", b"PATCH"})
+MS_PER_SECOND = 1000.0
+
+
+class Phase(Enum):
+    """What the connection waits for."""
+
+    IDLE = "idle"  # the first byte of a call
+    HEAD = "head"
+    BODY = "body"
+    ANSWER = "answer"
+    CLOSING = "closing"  # the caller's end
+
+
+class CallOwner(Protocol):
+    """Takes the calls of a connection; see ``Gateway``."""
+
+    limits: IngressLimits
+    closing: bool  # answers ask the caller to close
+
+    def accept(self, call: Call, sink: "IngressConnection") -> Inbox:
+        """Begin a call; return the inbox of its task."""
+
+    def opened(self, connection: "IngressConnection") -> bool:
+        """Count a connection; ``False`` if there are too many."""
+
+    def closed(self, connection: "IngressConnection") -> None:
+        """Forget a connection."""
+
+
+class IngressConnection(TwistedProtocol):
+    """Reads one call at a time; takes the messages of its task through ``put``."""
+
+    def __init__(self, env: Environment, owner: CallOwner, dialect: CallDialect) -> None:
+        self.env = env
+        self.owner = owner
+        self.dialect = dialect
+        self.phase = Phase.IDLE
+        self.number = 0  # of the call in progress
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=owner.limits.header_bytes + 1024
+        )
+        self._request: h11.Request | None = None
+        self._body = bytearray()
+        self._task: Inbox | None = None
+        self._timer: Any = None
+        self._ahead = 0  # bytes read during a call
+
+    def connectionMade(self) -> None:  # noqa: N802 - Twisted's name
+        """Count the connection."""
+        if not self.owner.opened(self):
+            self.transport.abortConnection()
+            return
+        configure(self.transport)
+        self._wait(Phase.IDLE)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
+        """Take in bytes of the caller."""
+        if self.phase is Phase.CLOSING:
+            return
+        if self.phase is Phase.IDLE:
+            self._wait(Phase.HEAD)
+        elif self.phase is Phase.BODY:
+            self._wait(Phase.BODY)
+        elif self.phase is Phase.ANSWER:
+            self._ahead += len(data)
+            if self._ahead > MAX_PIPELINED_BYTES:
+                self.transport.pauseProducing()
+        try:
+            self._http.receive_data(data)
+            self._read_events()
+        except h11.RemoteProtocolError as exc:
+            self._reject_malformed(exc)
+
+    def connectionLost(self, reason: Failure) -> None:  # noqa: N802 - Twisted's name
+        """Tell the task of the call that its caller has gone."""
+        self._stop_timer()
+        task, self._task = self._task, None
+        if task is not None:
+            task.put(CallerGone())
+        self.owner.closed(self)
+
+    def put(self, message: object) -> None:
+        """Take a message of the call's task; those of an earlier call are dropped."""
+        if self._task is not None and message.call == self.number:
+            self._answer(message)
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a call is in progress."""
+        if self.phase in (Phase.IDLE, Phase.CLOSING):
+            self.transport.loseConnection()
+
+    @property
+    def busy(self) -> bool:
+        """Return whether a call is being read or answered."""
+        return self.phase in (Phase.HEAD, Phase.BODY, Phase.ANSWER)
+
+    @singledispatchmethod
+    def _answer(self, message: object) -> None:
+        raise TypeError(f"unexpected message {message!r}")
+
+    @_answer.register
+    def _(self, message: WholeAnswer) -> None:
+        self._write_whole(message.status, message.headers, message.body)
+        self._end_answer()
+
+    @_answer.register
+    def _(self, message: AnswerBegun) -> None:
+        self._write_head(message.status, message.headers, length=None)
+
+    @_answer.register
+    def _(self, message: AnswerPiece) -> None:
+        self.transport.write(self._http.send(h11.Data(data=message.data)))
+
+    @_answer.register
+    def _(self, message: AnswerDone) -> None:
+        self.transport.write(self._http.send(h11.EndOfMessage()))
+        self._end_answer()
+
+    @_answer.register
+    def _(self, message: AnswerCut) -> None:
+        self._task = None
+        self.transport.abortConnection()
+
+    def _read_events(self) -> None:
+        while True:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                if self._http.they_are_waiting_for_100_continue:
+                    self.transport.write(
+                        self._http.send(h11.InformationalResponse(status_code=100, headers=[]))
+                    )
+                return
+            if event is h11.PAUSED:
+                return
+            if isinstance(event, h11.Request):
+                if not self._take_head(event):
+                    return
+            elif isinstance(event, h11.Data):
+                self._body += event.data
+                if len(self._body) > self.owner.limits.body_bytes:
+                    self._reject(ResultCode.BODY_TOO_LARGE, "the body is over the limit")
+                    return
+            elif isinstance(event, h11.EndOfMessage):
+                self._take_call()
+                return
+            elif isinstance(event, h11.ConnectionClosed):
+                self.transport.loseConnection()
+                return
+
+    def _take_head(self, event: h11.Request) -> bool:
+        self._request = event
+        self._body.clear()
+        self._wait(Phase.BODY)
+        names = [name for name, _ in event.headers]
+        if b"transfer-encoding" in names and b"content-length" in names:
+            # Two framings let a request hide in the body of another one.
+            self._reject(ResultCode.BAD_HEADER, "both Transfer-Encoding and Content-Length")
+            return False
+        length = dict(event.headers).get(b"content-length")
+        if length is not None and int(length) > self.owner.limits.body_bytes:
+            self._reject(ResultCode.BODY_TOO_LARGE, "the body is over the limit")
+            return False
+        return True
+
+    def _take_call(self) -> None:
+        request = self._request
+        headers = tuple((bytes(k), bytes(v)) for k, v in request.headers.raw_items())
+        try:
+            fields = self.dialect.read_call(headers)
+        except RequestError as exc:
+            self._reject(exc.code, str(exc))
+            return
+        names = {name for name, _ in request.headers}
+        method = bytes(request.method)
+        call = Call(
+            method=method,
+            target=_origin_form(bytes(request.target)),
+            headers=headers,
+            body=bytes(self._body),
+            has_body=bool(self._body)
+            or method in BODY_METHODS
+            or bool(names & {b"content-length", b"transfer-encoding"}),
+            received_at=self.env.now,
+            fields=fields,
+        )
+        self._body.clear()
+        self._stop_timer()
+        self.phase = Phase.ANSWER
+        self._ahead = 0
+        self.number += 1
+        self._task = _PENDING
+        task = self.owner.accept(call, self)
+        if self._task is _PENDING:  # otherwise it was answered at once
+            self._task = task
+
+    def _end_answer(self) -> None:
+        self._task = None
+        self.transport.resumeProducing()
+        if self._http.our_state is h11.MUST_CLOSE or self._http.their_state is not h11.DONE:
+            self._linger()
+            return
+        try:
+            self._http.start_next_cycle()
+        except h11.LocalProtocolError:
+            self._linger()
+            return
+        self._wait(Phase.IDLE)
+        if self._http.trailing_data[0]:
+            self._wait(Phase.HEAD)
+            try:
+                self._read_events()
+            except h11.RemoteProtocolError as exc:
+                self._reject_malformed(exc)
+
+    def _write_head(self, status: int, headers: Headers, length: int | None) -> None:
+        fields = list(headers)
+        if length is not None:
+            fields.append((b"Content-Length", str(length).encode()))
+        if self.owner.closing:
+            fields.append((b"Connection", b"close"))
+        response = h11.Response(status_code=status, headers=fields, reason=_reason(status))
+        self.transport.write(self._http.send(response))
+
+    def _write_whole(self, status: int, headers: Headers, body: bytes) -> None:
+        head_only = self._request is not None and self._request.method == b"HEAD"
+        bodiless = head_only or status in (204, 304)
+        self._write_head(status, headers, length=None if bodiless else len(body))
+        if body and not bodiless:
+            self.transport.write(self._http.send(h11.Data(data=body)))
+        self.transport.write(self._http.send(h11.EndOfMessage()))
+
+    def _reject_malformed(self, exc: h11.RemoteProtocolError) -> None:
+        code = ResultCode.BAD_HEADER
+        if exc.error_status_hint == ResultCode.HEAD_TOO_LARGE.http_status:
+            code = ResultCode.HEAD_TOO_LARGE
+        self._reject(code, str(exc))
+
+    def _reject(self, code: ResultCode, reason: str) -> None:
+        self.env.log.emit(Event.INGRESS_REJECTED, code=code.number, reason=reason)
+        if self._task is None and self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            body = reason.encode("utf-8", "replace")
+            headers = ((b"Content-Type", b"text/plain"), (b"Connection", b"close"))
+            self._write_whole(code.http_status, headers, body)
+        self._linger()
+
+    def _linger(self) -> None:
+        """Close after the caller could read the answer; a reset could destroy it."""
+        self._stop_timer()
+        self.phase = Phase.CLOSING
+        self.transport.loseWriteConnection()
+        self._timer = self.env.clock.callLater(LINGER_SECONDS, self.transport.abortConnection)
+
+    def _wait(self, phase: Phase) -> None:
+        """Enter a phase with its time limit."""
+        self._stop_timer()
+        self.phase = phase
+        limits = self.owner.limits
+        seconds = limits.header_timeout_ms / MS_PER_SECOND
+        if phase is not Phase.HEAD:
+            seconds = limits.idle_timeout_ms / MS_PER_SECOND + IDLE_MARGIN
+        self._timer = self.env.clock.callLater(seconds, self._timed_out)
+
+    def _timed_out(self) -> None:
+        if self.phase is Phase.IDLE:
+            self.transport.loseConnection()
+        else:
+            self._reject(ResultCode.DEADLINE_PASSED, "the request took too long to arrive")
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+
+
+class _Pending:
+    """Stands for the inbox of a task that is being created."""
+
+    def put(self, message: object) -> None:
+        """Drop the message: the caller went while its call was taken."""
+
+
+_PENDING: Any = _Pending()
+
+
+def _origin_form(target: bytes) -> bytes:
+    """Return path and query of a target in absolute form."""
+    if not target.lower().startswith(b"http://"):
+        return target
+    rest = target[len(b"http://") :]
+    slash = rest.find(b"/")
+    return b"/" if slash < 0 else rest[slash:]
+
+
+def _reason(status: int) -> bytes:
+    try:
+        return HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b""
--- /dev/null
+++ b/chivewall/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: names, formats and calls. Nothing here decides anything."""
--- /dev/null
+++ b/chivewall/platform/adapter.py
@@ -0,0 +1,49 @@
+"""Plug-in ``chivewall.platform.adapter``: offers the store's collections and the dialect."""
+
+from attrs import field, frozen
+
+from chivewall.addresses import check_address, parse_address
+from chivewall.gateway.calls import CallDialect
+from chivewall.gateway.channels import Channels
+from chivewall.gateway.sources import Sources
+from chivewall.platform import manifest, runners
+from chivewall.platform.headers import PlatformDialect
+from chivewall.platform.objects import ObjectClient, ObjectCollection
+from chivewall.plugins.base import Plugin
+from chivewall.plugins.registry import Registry
+
+
+@frozen
+class PlatformSettings:
+    """Where the platform's store is."""
+
+    store: str = field(
+        validator=check_address, metadata={"help": "IP:PORT of the platform's store."}
+    )
+
+
+class PlatformPlugin(Plugin):
+    """Offers what the gateway reads from the platform."""
+
+    name = "adapter"
+    settings_type = PlatformSettings
+
+    async def setup(self) -> None:
+        """Offer the sources and the dialect."""
+        address = parse_address(self.cfg.store)
+        client = ObjectClient(self.env, self.env.require(Channels), address)
+        self.env.provide(CallDialect, PlatformDialect())
+        self.env.provide(
+            Sources,
+            Sources(
+                catalogue=ObjectCollection(
+                    client, manifest.KIND, lambda _, spec: manifest.decode_manifest(spec)
+                ),
+                endpoints=ObjectCollection(client, runners.KIND, runners.decode_runner),
+            ),
+        )
+
+
+def register(registry: Registry) -> None:
+    """Register the plug-in."""
+    registry.add(PlatformPlugin)
--- /dev/null
+++ b/chivewall/platform/objects.py
@@ -0,0 +1,129 @@
+"""The platform's store: lists, watches and writes of objects by kind and name."""
+
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import quote
+
+from twisted.internet.defer import Deferred, ensureDeferred
+
+from chivewall.environment import Environment
+from chivewall.errors import (
+    DecodeError,
+    HistoryLostError,
+    ObjectMissingError,
+    StoreThrottledError,
+    StoreUnavailableError,
+    VersionConflictError,
+)
+from chivewall.events import Event
+from chivewall.gateway.channels import Channels, PlainAnswer
+from chivewall.gateway.collections import CollectionChanges, CollectionItem, CollectionSnapshot
+from chivewall.platform.fields import flag, items, mapping, parse, text, whole
+
+CALL_SECONDS = 2.0  # for an answer; the store answers in milliseconds, when slow in 0.3 s
+LONGEST_WAIT_MS = 30_000  # of a watch; the store takes no more
+HTTP_OK = range(200, 300)
+
+Decoder = Callable[[str, object], Any]
+
+
+class ObjectClient:
+    """Calls of the store over its own channels."""
+
+    def __init__(self, env: Environment, channels: Channels, address: tuple[str, int]) -> None:
+        self.env = env
+        self.channels = channels
+        self.address = address
+
+    async def list_page(self, kind: str, after: str | None) -> tuple[list[Any], bool, int]:
+        """Return the objects of one page, whether more follow, and the revision."""
+        query = "" if after is None else f"?after={quote(after, safe='')}"
+        document = await self._read(f"/objects/{kind}{query}", self.env.now + CALL_SECONDS)
+        return items(document, "items"), flag(document, "truncated"), whole(document, "asOf")
+
+    async def watch(self, kind: str, revision: int, deadline: float) -> tuple[list[Any], int]:
+        """Return the events after a revision, and the revision to go on from."""
+        wait_ms = max(1, min(LONGEST_WAIT_MS, int((deadline - self.env.now) * 1000)))
+        document = await self._read(
+            f"/objects/{kind}?watch={revision}&waitMs={wait_ms}", deadline + CALL_SECONDS
+        )
+        return items(document, "events"), whole(document, "asOf")
+
+    async def _read(self, target: str, deadline: float) -> dict[str, Any]:
+        answer = await self.channels.fetch(self.address, b"GET", target.encode(), deadline)
+        _raise_for_status(answer)
+        try:
+            return mapping(parse(answer.body), "answer")
+        except DecodeError as exc:
+            raise StoreUnavailableError(f"unreadable answer: {exc}") from exc
+
+
+class ObjectCollection:
+    """Implements ``CollectionSource`` for one kind of object."""
+
+    def __init__(self, client: ObjectClient, kind: str, decode: Decoder) -> None:
+        self.client = client
+        self.name = kind
+        self.decode = decode
+
+    def read_all(self) -> Deferred:
+        """See ``CollectionSource.read_all``."""
+        return ensureDeferred(self._read_all())
+
+    def watch(self, revision: int, deadline: float) -> Deferred:
+        """See ``CollectionSource.watch``."""
+        return ensureDeferred(self._watch(revision, deadline))
+
+    async def _read_all(self) -> CollectionSnapshot:
+        found: list[CollectionItem] = []
+        after, first_revision = None, None
+        while True:
+            page, truncated, revision = await self.client.list_page(self.name, after)
+            # Pages are read at different revisions; the watch starts at the oldest one.
+            first_revision = revision if first_revision is None else min(first_revision, revision)
+            found += self._items((one, False) for one in page)
+            if not truncated or not page:
+                break
+            after = found[-1].name
+        return CollectionSnapshot(self.name, tuple(found), first_revision)
+
+    async def _watch(self, revision: int, deadline: float) -> CollectionChanges:
+        events, reached = await self.client.watch(self.name, revision, deadline)
+        pairs = ((one.get("object"), one.get("tombstone") is True) for one in events)
+        return CollectionChanges(self.name, tuple(self._items(pairs)), reached)
+
+    def _items(self, pairs: Any) -> list[CollectionItem]:
+        return [one for raw, gone in pairs if (one := self._item(raw, gone)) is not None]
+
+    def _item(self, raw: object, gone: bool) -> CollectionItem | None:
+        try:
+            document = mapping(raw, "object")
+            metadata = mapping(document.get("metadata"), "metadata")
+            name, revision = text(metadata, "name"), whole(metadata, "rev", 0)
+        except DecodeError as exc:
+            self._reject("", exc)
+            return None
+        if gone:
+            return CollectionItem(name, None, revision)
+        try:
+            return CollectionItem(name, self.decode(name, document.get("spec")), revision)
+        except DecodeError as exc:
+            self._reject(name, exc)
+            return CollectionItem(name, None, revision)
+
+    def _reject(self, name: str, exc: DecodeError) -> None:
+        self.client.env.log.emit(
+            Event.DOCUMENT_REJECTED, collection=self.name, object=name, error=str(exc)
+        )
+
+
+def _raise_for_status(answer: PlainAnswer) -> None:
+    if answer.status in HTTP_OK:
+        return
+    errors = {
+        404: ObjectMissingError,
+        409: VersionConflictError,
+        410: HistoryLostError,
+        429: StoreThrottledError,
+    }
+    raise errors.get(answer.status, StoreUnavailableError)(f"status {answer.status}")
--- /dev/null
+++ b/chivewall/platform/runners.py
@@ -0,0 +1,46 @@
+"""Decodes the runners' own entries (kind ``servers``) into ``EndpointInfo``."""
+
+from chivewall.addresses import Address, parse_address
+from chivewall.errors import DecodeError
+from chivewall.gateway.catalogue import EndpointInfo, Stage
+from chivewall.platform.fields import mapping, number, text, whole
+
+KIND = "servers"
+STATES = ("ready", "draining")
+
+
+def decode_runner(name: str, spec: object) -> EndpointInfo:
+    """Return what the runner says; raises ``DecodeError``, for example for another writer's."""
+    document = mapping(spec, "entry")
+    state = text(document, "state")
+    if state not in STATES:
+        raise DecodeError(f"state: {state!r} is not known")
+    host, port = _address(text(document, "addr"))
+    return EndpointInfo(
+        id=name,
+        service=text(document, "service"),
+        host=host,
+        port=port,
+        data_centre=text(document, "zone"),
+        slots=max(1, whole(document, "slots")),
+        draining=state == "draining",
+        stage=_stage(document.get("stage")),
+        started_ms=whole(document, "born") if "born" in document else None,
+        cold_ms=number(document, "coldLeftMs", 0),
+    )
+
+
+def _address(value: str) -> Address:
+    try:
+        return parse_address(value)
+    except ValueError as exc:
+        raise DecodeError(f"addr: {exc}") from exc
+
+
+def _stage(value: object) -> Stage:
+    if value is None:
+        return Stage.NONE
+    try:
+        return Stage(value)
+    except ValueError as exc:
+        raise DecodeError(f"stage: {value!r} is not known") from exc
--- a/chivewall/plugins/builtin/http_api.py
+++ b/chivewall/plugins/builtin/http_api.py
@@ -14,6 +14,7 @@
 from werkzeug.exceptions import HTTPException, MethodNotAllowed
 
 from chivewall import chat
+from chivewall.addresses import check_address, parse_address
 from chivewall.environment import Environment
 from chivewall.errors import PluginError, RequestError
 from chivewall.http_connections import Connections, CountingSite
@@ -38,6 +39,11 @@
         validator=[validators.ge(0), validators.le(65535)],
         metadata={"help": "TCP port; 0 takes a free one."},
     )
+    address: str = field(
+        default="",
+        validator=validators.or_(validators.in_([""]), check_address),
+        metadata={"help": "IP:PORT to listen on; takes the place of host and port."},
+    )
     max_body_bytes: int = field(
         default=8_000_000,
         validator=validators.gt(0),
@@ -140,8 +146,11 @@
     async def start(self) -> None:
         """Bind the port."""
         self.connections = Connections(CountingSite(self.api.klein.resource()))
+        host, port = self.cfg.host, self.cfg.port
+        if self.cfg.address:
+            host, port = parse_address(self.cfg.address)
         self.listener: IListeningPort = self.env.reactor.listenTCP(
-            self.cfg.port, self.connections, interface=self.cfg.host
+            port, self.connections, interface=host
         )
 
     async def drain(self) -> None:
--- a/chivewall/results.py
+++ b/chivewall/results.py
@@ -30,6 +30,8 @@
     NOT_FOUND = (1010, 404, RunState.NO, "Check the path.")
     METHOD_NOT_ALLOWED = (1011, 405, RunState.NO, "Use a method that the path supports.")
 
+    HEAD_TOO_LARGE = (1012, 431, RunState.NO, "Send smaller headers.")
+
     # Truthful refusals: the work was not run.
     OVER_LIMIT = (2001, 429, RunState.NO, "Wait for Retry-After, or contest the named limit.")
     HOPELESS = (2002, 503, RunState.NO, "Wait for Retry-After or allow a later deadline.")
--- a/chivewall/settings.py
+++ b/chivewall/settings.py
@@ -22,6 +22,7 @@
     ENTRY = "entry"
     AGENT = "agent"
     EMBEDDED = "embedded"
+    GATEWAY = "gateway"
 
 
 @frozen
