--- a/chivewall/gateway/channel.py
+++ b/chivewall/gateway/channel.py
@@ -155,11 +155,11 @@
         self.served += 1
         rest, _ = self._http.trailing_data
         reusable = self._flushed and not rest and self.open and self._next_cycle()
-        call.sink.put(AnswerEnded(call.exchange))
         if reusable:
             self.on_idle(self)
         else:
             self._close()
+        call.sink.put(AnswerEnded(call.exchange))
 
     def _expect_next_answer(self) -> None:
         """Read on for the answer to the call after one that belongs to another request."""
--- a/chivewall/gateway/forwarded_call.py
+++ b/chivewall/gateway/forwarded_call.py
@@ -292,8 +292,9 @@
             self._complete()
 
     def _complete(self) -> None:
+        streams = self._streams()
         self._end_exchange("answered")
-        if self._streams():
+        if streams:
             self._pass_on(self.stream.finish())
             self._begin()
             self.sink.put(AnswerDone(self.number))
