--- a/chivewall/daemon.py
+++ b/chivewall/daemon.py
@@ -14,10 +14,13 @@
 from chivewall import __version__
 from chivewall.environment import Environment
 from chivewall.errors import ChivewallError
+from chivewall.events import Event
 from chivewall.exits import ExitStatus
 from chivewall.kernel import Application
 from chivewall.settings import load
 
+SETTINGS_SECONDS = 2.0  # between looks at the settings file
+
 
 @click.command(name="chivewalld")
 @click.version_option(__version__, prog_name="chivewalld")
@@ -26,7 +29,7 @@
 def main(settings: Path, *, check: bool) -> None:
     """Run one chivewall process with the settings of a JSON file with comments.
 
-    SIGTERM or Ctrl-C drains and stops it; a second signal stops it at once.
+    SIGHUP reads the settings file again. SIGTERM or Ctrl-C drains and stops it; a second signal stops it at once.
     """
     reactor = install_reactor()
     try:
@@ -59,6 +62,7 @@
         self.reactor = reactor
         self.status = ExitStatus.OK
         self.ended = False
+        self.rejected_text = ""  # a changed file that was looked at already
 
     def run(self) -> ExitStatus:
         """Run until the application has stopped; return the exit status."""
@@ -66,8 +70,10 @@
             [self.app.env.log.observe], redirectStandardIO=False, discardBuffer=True
         )
         self.reactor.callWhenRunning(self._start)
+        self.reactor.callLater(SETTINGS_SECONDS, self._look_at_settings)
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self._on_signal)
+        signal.signal(signal.SIGHUP, self._on_hangup)
         self.reactor.run(installSignalHandlers=False)
         return self.status
 
@@ -78,6 +84,29 @@
     def _on_signal(self, number: int, frame: object) -> None:
         self.reactor.callFromThread(self.shut_down)
 
+    def _on_hangup(self, number: int, frame: object) -> None:
+        self.reactor.callFromThread(self.reload)
+
+    def reload(self) -> None:
+        """Read the settings file again; a file with errors changes nothing."""
+        try:
+            self.app.reload(load(Path(self.app.env.settings.source)))
+        except ChivewallError as exc:
+            self.app.env.log.emit(Event.SETTINGS_REJECTED, error=str(exc))
+
+    def _look_at_settings(self) -> None:
+        """Reload a file that changed without a signal."""
+        settings = self.app.env.settings
+        try:
+            text = Path(settings.source).read_text(encoding="utf-8")
+        except OSError as exc:
+            self.app.env.log.emit(Event.SETTINGS_REJECTED, error=str(exc))
+        else:
+            if text not in (settings.text, self.rejected_text):
+                self.rejected_text = text
+                self.reload()
+        self.reactor.callLater(SETTINGS_SECONDS, self._look_at_settings)
+
     def shut_down(self) -> None:
         """Drain and stop; stop at once if a shutdown has begun before."""
         if self.app.draining:
--- a/chivewall/events.py
+++ b/chivewall/events.py
@@ -49,6 +49,7 @@
     STORE_HISTORY_LOST = (504, "info", "history of the object API is gone; listing again")
     STORE_REGAINED = (505, "info", "object API available again")
     DOCUMENT_REJECTED = (506, "warning", "document of the platform can't be read")
+    SETTINGS_REJECTED = (508, "warning", "changed settings are wrong; the former ones stay")
     SETTINGS_RELOADED = (507, "info", "settings read again")
 
     LEASE_TAKEN = (600, "info", "lease of a data centre's plan taken")
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -103,11 +103,14 @@
         self.known = False  # a list was read since the start
         self.states: dict[str, EndpointState] = {}
         self.allowances: dict[str, Allowance] = {}
-        self.policy = AllowancePolicy(
-            ratio=cfg.repeat_ratio,
-            window=cfg.repeat_window_seconds,
-            burst=cfg.repeat_burst / SHARERS,
-        )
+        self.policy = _policy(cfg)
+
+    def reload(self, cfg: FleetSettings) -> None:
+        """Take over changed bounds; what was counted so far stays."""
+        self.cfg = cfg
+        self.policy = _policy(cfg)
+        for allowance in self.allowances.values():
+            allowance.policy = self.policy
 
     def start(self) -> None:
         """Begin to follow the list."""
@@ -241,6 +244,14 @@
                 del self.states[name]
 
 
+def _policy(cfg: FleetSettings) -> AllowancePolicy:
+    return AllowancePolicy(
+        ratio=cfg.repeat_ratio,
+        window=cfg.repeat_window_seconds,
+        burst=cfg.repeat_burst / SHARERS,
+    )
+
+
 class FleetPlugin(Plugin):
     """Offers the ``Fleet``."""
 
@@ -260,6 +271,11 @@
         """Stop following."""
         await self.fleet.stop()
 
+    def reload(self, cfg: FleetSettings) -> None:
+        """Hand changed bounds to the task."""
+        self.cfg = cfg
+        self.fleet.reload(cfg)
+
     def ready(self) -> bool:
         """Return whether the list was read."""
         return self.fleet.known
--- a/chivewall/gateway/gateway.py
+++ b/chivewall/gateway/gateway.py
@@ -210,6 +210,11 @@
         await self.gateway.stop()
         await self.listener.stopListening()
 
+    def reload(self, cfg: GatewaySettings) -> None:
+        """Take over the grace period; the address waits for the next start."""
+        self.cfg = cfg
+        self.gateway.cfg = cfg
+
     def ready(self) -> bool:
         """Return whether the published routes are known."""
         return self.gateway.table is not None
--- a/chivewall/kernel.py
+++ b/chivewall/kernel.py
@@ -8,7 +8,7 @@
 from chivewall.events import Event
 from chivewall.plugins.base import Plugin
 from chivewall.plugins.registry import Registry
-from chivewall.settings import check_section_names
+from chivewall.settings import Settings, check_section_names
 
 PluginT = TypeVar("PluginT", bound=Plugin)
 
@@ -64,6 +64,22 @@
         """Return whether every plug-in can serve and no shutdown has begun."""
         return not self.draining and all(plugin.ready() for plugin in self.plugins)
 
+    def reload(self, settings: Settings) -> None:
+        """Hand changed sections to their plug-ins; raises ``SettingsError`` and changes nothing.
+
+        What a plug-in can't change while it runs, such as an address, waits
+        for the next start.
+        """
+        sections = [
+            (plugin, settings.section(plugin.name, plugin.settings_type)) for plugin in self.plugins
+        ]
+        changed = [plugin.name for plugin, section in sections if section != plugin.cfg]
+        for plugin, section in sections:
+            if plugin.name in changed:
+                plugin.reload(section)
+        self.env.settings = settings
+        self.env.log.emit(Event.SETTINGS_RELOADED, changed=changed)
+
     async def shut_down(self) -> None:
         """Drain until nothing is in flight or the drain deadline, then stop."""
         if not self.draining:
--- a/chivewall/plugins/base.py
+++ b/chivewall/plugins/base.py
@@ -48,6 +48,9 @@
     async def stop(self) -> None:
         """Close sockets and stop tasks."""
 
+    def reload(self, cfg: Any) -> None:
+        """Take over a changed section while running; the base ignores it until the next start."""
+
     def ready(self) -> bool:
         """Return whether the process can serve as far as this plug-in is concerned."""
         return True
