--- a/chivewall/decisions/placement.py
+++ b/chivewall/decisions/placement.py
@@ -24,6 +24,10 @@
 PREFIX_SECONDS = 9.0  # an idle prefix is taken to be evicted after that
 PREFIX_LIMIT = 4096  # remembered chains of one endpoint
 CACHE_FILL = 0.9  # share of the KV cache that remembered prefixes may fill
+# A decode engine reads a prompt in pieces between the steps of its streams. More than
+# this many tokens waiting there hold up the streams longer than a pause may last.
+DIRECT_TOKENS = 6_000
+STALL_WEIGHT = 0.05  # of the time by which reading a prompt holds up each running stream
 HOME_BONUS_SECONDS = 0.15  # by which the home of a prefix may be slower than the best
 
 
@@ -106,6 +110,7 @@
     estimate: float  # seconds to the first event or the answer
     uncached: int  # prompt tokens that are read for it
     reason: str
+    backlog: float = 0.0  # prompt tokens that a decode engine then has to read
 
 
 @frozen
@@ -170,6 +175,7 @@
     home = _home(chain, decoders)
     options = [_direct(fields, chain, one, at) for one in decoders]
     if readers:
+        options = [pair for pair in options if pair[1].backlog <= DIRECT_TOKENS]
         target = min(decoders, key=lambda one: _decode_wait(one, at) - _bonus(one, home))
         reader_home = _home(chain, readers)
         options += [
@@ -191,8 +197,12 @@
     fields: CallFields, chain: list[tuple[str, int]], state: EndpointState, at: Surroundings
 ) -> tuple[float, Placement]:
     uncached = max(1, fields.prompt_tokens - state.cached_tokens(chain, at.now))
-    seconds = _decode_wait(state, at) + uncached / DECODE_PREFILL_RATE
-    return seconds, Placement(state.info, None, seconds, uncached, "prompt read where it decodes")
+    reading = uncached / DECODE_PREFILL_RATE
+    seconds = _decode_wait(state, at) + reading
+    backlog = uncached + state.prefill_wait(at.now) * DECODE_PREFILL_RATE
+    reason = "prompt read where it decodes"
+    placement = Placement(state.info, None, seconds, uncached, reason, backlog)
+    return seconds + STALL_WEIGHT * state.in_flight * reading, placement
 
 
 def _handed_over(
--- a/chivewall/gateway/forwarded_call.py
+++ b/chivewall/gateway/forwarded_call.py
@@ -51,8 +51,8 @@
 REUSE_UNSAFE = 0.5  # seconds; a kept connection that was idle longer may be dead unnoticed
 REUSE_IDEMPOTENT = 4.0  # seconds
 RETRY_AFTER = 0.25  # seconds; a refusal for want of an endpoint passes soon
-PREFILL_PATIENCE = 3.0  # times the estimate after which a prefill is given up
-PREFILL_LEAST = 0.6  # seconds
+PREFILL_PATIENCE = 2.5  # seconds after which a prefill without an answer is given up
+RELEASE_SECONDS = 0.6  # for the call that frees a KV cache
 SUCCESS = range(200, 300)
 SERVER_ERROR = range(500, 600)
 PROMISES = frozenset({408, 421, 429, 503})  # statuses that say that the work has not run
@@ -219,8 +219,7 @@
             stage=Stage.PREFILL,
         )
         self._send_call(placement.prefill, sent, prefill=True)
-        patience = max(PREFILL_LEAST, PREFILL_PATIENCE * placement.estimate)
-        self._after(patience, Tick(f"prefill {self.exchange.number}"))
+        self._after(PREFILL_PATIENCE, Tick(f"prefill {self.exchange.number}"))
 
     async def _send(self, endpoint: EndpointInfo, kv_source: str | None) -> None:
         if self.arrivals and not await self.context.fleet.ask(SpendRepeat(self.service)):
@@ -359,6 +358,8 @@
     async def _prefill_failed(self, reason: str, *, missed: bool = False) -> None:
         self._log_failure(Outcome.NOT_SENT if missed else Outcome.NOT_RUN, reason)
         self._end_exchange("missed" if missed else "failed")
+        if not missed:
+            self.arrivals += 1  # only a prefill that was accepted is free
         await self._place()
 
     async def _attempt_failed(self, outcome: Outcome, reason: str) -> None:
@@ -450,7 +451,7 @@
     def _release(self, endpoint: EndpointInfo, handle: str) -> None:
         method, target = self.context.dialect.release_target(handle)
         fetched = self.context.channels.fetch(
-            endpoint.address, method, target, self.env.now + PREFILL_LEAST
+            endpoint.address, method, target, self.env.now + RELEASE_SECONDS
         )
         self.context.fleet.spawn(_ignore_failure(self.env, fetched, handle))
 
