--- a/chivewall/decisions/placement.py
+++ b/chivewall/decisions/placement.py
@@ -1,7 +1,9 @@
 """Chooses the endpoints of a forwarded call from what one gateway knows of them."""
 
+import heapq
 import random
 from collections import OrderedDict
+from collections.abc import Iterable
 from hashlib import blake2b
 
 from attrs import define, field, frozen
@@ -22,6 +24,7 @@
 AVOID_SECONDS = 1.0  # after a connection that could not be opened, doubled each time
 AVOID_LIMIT = 8.0  # seconds
 PREFIX_SECONDS = 9.0  # an idle prefix is taken to be evicted after that
+KEY_BYTES = 5  # of a prefix's key; a clash costs one wrong estimate
 PREFIX_LIMIT = 4096  # remembered chains of one endpoint
 CACHE_FILL = 0.9  # share of the KV cache that remembered prefixes may fill
 # A decode engine reads a prompt in pieces between the steps of its streams. More than
@@ -36,7 +39,7 @@
     """What this gateway knows of one endpoint; stale as soon as another one sends."""
 
     info: EndpointInfo
-    in_flight: int = 0
+    own_in_flight: int = 0
     prefill_ahead: float = 0.0  # prompt tokens sent that may not be read yet
     prefill_until: float = 0.0  # when they should have been read
     failure_share: float = 0.0
@@ -44,7 +47,19 @@
     avoid_until: float = 0.0
     misses: int = 0  # connections in a row that could not be opened
     gone_at: float | None = None  # when the list dropped it; used only if nothing else is left
-    _prefixes: OrderedDict = field(factory=OrderedDict, init=False)  # chain -> (tokens, time)
+    _prefixes: OrderedDict = field(factory=OrderedDict, init=False)  # key -> time
+    _peer_ends: list[float] = field(factory=list, init=False)  # heap; work of other gateways
+    in_flight: int = 0  # of all gateways, as of the last ``settle``
+
+    def settle(self, now: float) -> None:
+        """Drop the work of other gateways that should have ended."""
+        while self._peer_ends and self._peer_ends[0] <= now:
+            heapq.heappop(self._peer_ends)
+        self.in_flight = self.own_in_flight + len(self._peer_ends)
+
+    def add_peer_work(self, seconds: float, now: float) -> None:
+        """Count work that another gateway sent."""
+        heapq.heappush(self._peer_ends, now + seconds)
 
     def cached_tokens(self, chain: list[tuple[str, int]], now: float) -> int:
         """Return the leading prompt tokens that it probably keeps."""
@@ -56,9 +71,9 @@
             covered += tokens
         return covered
 
-    def remember(self, chain: list[tuple[str, int]], now: float) -> None:
-        """Note that it reads these parts."""
-        for key, _ in chain:
+    def remember(self, keys: Iterable[str], now: float) -> None:
+        """Note that it reads these parts of a prompt."""
+        for key in keys:
             self._prefixes[key] = now
             self._prefixes.move_to_end(key)
         while len(self._prefixes) > PREFIX_LIMIT:
@@ -139,7 +154,7 @@
     """Return a key for each leading run of prompt parts, with the part's tokens."""
     chain, key = [], ""
     for part in fields.parts:
-        key = f"{key}/{part.id}"
+        key = blake2b(f"{key}/{part.id}".encode(), digest_size=KEY_BYTES).hexdigest()
         chain.append((key, part.tokens))
     return chain
 
--- a/chivewall/events.py
+++ b/chivewall/events.py
@@ -70,6 +70,8 @@
     ENDPOINT_AVOIDED = (706, "warning", "endpoint avoided after failures")
     INGRESS_REJECTED = (707, "info", "malformed or oversized call rejected")
 
+    PEER_UNREACHABLE = (708, "warning", "datagram to another gateway not sent")
+
     def __init__(self, number: int, level: str, text: str) -> None:
         self.number = number
         self.level = level
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -17,11 +17,12 @@
     CollectionLost,
     CollectionSnapshot,
 )
+from chivewall.gateway.peer_codec import SharedWork
 from chivewall.gateway.sources import Sources
 from chivewall.messages import Tick
 from chivewall.plugins.base import Plugin
 from chivewall.plugins.registry import Registry
-from chivewall.task import Query, Task
+from chivewall.task import Inbox, Query, Task
 
 MS_PER_SECOND = 1000.0
 SHARERS = 24  # machines that the fixed part of the allowance is divided by
@@ -82,6 +83,21 @@
     prompt_tokens: int  # that it has to read
     fields: CallFields
     carries_prompt: bool  # False if it fetches the KV cache
+    seconds: float  # that it probably runs
+
+
+@frozen
+class ShareWorkWith:
+    """Tell this inbox of the work that is sent, as ``SharedWork``."""
+
+    inbox: Inbox
+
+
+@frozen
+class PeerWork:
+    """Another gateway sent work to an endpoint."""
+
+    work: SharedWork
 
 
 @frozen
@@ -104,6 +120,7 @@
         self.states: dict[str, EndpointState] = {}
         self.allowances: dict[str, Allowance] = {}
         self.policy = _policy(cfg)
+        self.share_with: Inbox | None = None  # what this gateway sends is told there
 
     def reload(self, cfg: FleetSettings) -> None:
         """Take over changed bounds; what was counted so far stays."""
@@ -151,6 +168,8 @@
     @receive.register
     async def _(self, message: Place) -> None:
         self._forget_gone()
+        for one in self.states.values():
+            one.settle(self.env.now)
         states = [
             one
             for one in self.states.values()
@@ -178,18 +197,41 @@
         state = self.states.get(message.endpoint)
         if state is None:
             return
-        state.in_flight += 1
-        chain = prefix_chain(message.fields)
+        state.own_in_flight += 1
+        keys = tuple(key for key, _ in prefix_chain(message.fields))
         if message.carries_prompt and state.info.stage is not Stage.NONE:
             state.add_prefill(message.prompt_tokens, self.env.now)
-        state.remember(chain, self.env.now)
+        state.remember(keys, self.env.now)
+        if self.share_with is not None:
+            work = SharedWork(
+                endpoint=message.endpoint,
+                prompt_tokens=message.prompt_tokens if message.carries_prompt else 0,
+                seconds=message.seconds,
+                prefixes=keys,
+            )
+            self.share_with.put(work)
+
+    @receive.register
+    async def _(self, message: ShareWorkWith) -> None:
+        self.share_with = message.inbox
+
+    @receive.register
+    async def _(self, message: PeerWork) -> None:
+        work = message.work
+        state = self.states.get(work.endpoint)
+        if state is None:
+            return
+        if work.prompt_tokens and state.info.stage is not Stage.NONE:
+            state.add_prefill(work.prompt_tokens, self.env.now)
+        state.remember(work.prefixes, self.env.now)
+        state.add_peer_work(work.seconds, self.env.now)
 
     @receive.register
     async def _(self, message: WorkOver) -> None:
         state = self.states.get(message.endpoint)
         if state is None:
             return
-        state.in_flight = max(0, state.in_flight - 1)
+        state.own_in_flight = max(0, state.own_in_flight - 1)
         if message.outcome == "answered":
             state.succeeded(self.env.now)
         elif message.outcome == "failed":
--- a/chivewall/gateway/forwarded_call.py
+++ b/chivewall/gateway/forwarded_call.py
@@ -53,6 +53,8 @@
 RETRY_AFTER = 0.25  # seconds; a refusal for want of an endpoint passes soon
 PREFILL_PATIENCE = 2.5  # seconds after which a prefill without an answer is given up
 RELEASE_SECONDS = 0.6  # for the call that frees a KV cache
+SERVICE_SECONDS = 0.05  # of a plain call, for the estimates of other gateways
+TOKEN_SECONDS = 0.006  # a decode step with a few streams running
 SUCCESS = range(200, 300)
 SERVER_ERROR = range(500, 600)
 PROMISES = frozenset({408, 421, 429, 503})  # statuses that say that the work has not run
@@ -258,6 +260,7 @@
                 prompt_tokens=self.placement.uncached,
                 fields=self.call.fields,
                 carries_prompt=not handed_over,
+                seconds=0.0 if prefill else self._expected_seconds(),
             )
         )
         self.context.channels.tell(
@@ -464,6 +467,12 @@
             reason=reason,
         )
 
+    def _expected_seconds(self) -> float:
+        """Return how long the endpoint probably works on the call."""
+        if self.route.kind is not Kind.STREAM:
+            return SERVICE_SECONDS
+        return self.call.fields.output_tokens * TOKEN_SECONDS
+
     def _priority(self) -> int | None:
         if not self.route.prefix_affinity:
             return None
--- /dev/null
+++ b/chivewall/gateway/peers.py
@@ -0,0 +1,157 @@
+"""Shares what gateways send to endpoints, so that each can estimate their load.
+
+Datagrams may be lost or late: what they say is one input of an estimate.
+"""
+
+from functools import singledispatchmethod
+
+from attrs import field, frozen, validators
+from twisted.internet.interfaces import IListeningPort
+from twisted.internet.protocol import DatagramProtocol
+
+from chivewall.addresses import Address
+from chivewall.decisions.peers import HELLO_SECONDS, PeerTable
+from chivewall.environment import Environment
+from chivewall.errors import DecodeError
+from chivewall.events import Event
+from chivewall.gateway.fleet import Fleet, PeerWork, ShareWorkWith
+from chivewall.gateway.peer_codec import MAX_DATAGRAM, PeerMessage, SharedWork, decode, encode
+from chivewall.messages import Tick
+from chivewall.plugins.base import Plugin
+from chivewall.plugins.registry import Registry
+from chivewall.task import Task
+
+BATCH_SECONDS = 0.03  # for which work is collected into one datagram
+
+
+@frozen
+class PeersSettings:
+    """Where gateways talk to each other."""
+
+    host: str = field(metadata={"help": "IP address of this gateway."})
+    port: int = field(
+        validator=[validators.ge(1), validators.le(65535)],
+        metadata={"help": "UDP port; the same on all gateways."},
+    )
+    seeds: tuple[str, ...] = field(
+        default=(), metadata={"help": "IP:PORT of some gateways; only the IP addresses are used."}
+    )
+
+
+@frozen
+class DatagramReceived:
+    """A datagram of another gateway."""
+
+    host: str
+    data: bytes = field(repr=False)
+
+
+class PeerSocket(DatagramProtocol):
+    """Hands datagrams to the task."""
+
+    def __init__(self, task: "Peers") -> None:
+        self.task = task
+
+    def datagramReceived(self, datagram: bytes, addr: Address) -> None:  # noqa: N802
+        """Hand over one datagram."""
+        self.task.tell(DatagramReceived(addr[0], datagram))
+
+
+class Peers(Task):
+    """Owns the socket, the known gateways and the work that waits to be shared."""
+
+    def __init__(self, env: Environment, cfg: PeersSettings, fleet: Fleet) -> None:
+        super().__init__()
+        self.env = env
+        self.cfg = cfg
+        self.fleet = fleet
+        seeds = frozenset(one.rpartition(":")[0] for one in cfg.seeds)
+        self.table = PeerTable(own=cfg.host, seeds=seeds)
+        self.waiting: list[SharedWork] = []
+        self.socket = PeerSocket(self)
+
+    def start(self) -> None:
+        """Begin to share."""
+        super().start()
+        self.fleet.tell(ShareWorkWith(self.inbox))
+        self.tell(Tick("hello"))
+
+    @singledispatchmethod
+    async def receive(self, message: object) -> None:
+        """Handle one message."""
+        raise TypeError(f"unexpected message {message!r}")
+
+    @receive.register
+    async def _(self, message: Tick) -> None:
+        if message.purpose == "batch":
+            self._share()
+            return
+        hello = PeerMessage(hosts=self.table.named(self.env.random, self.env.now))
+        self._send(hello, self.table.greeted(self.env.now))
+        self.env.clock.callLater(HELLO_SECONDS, self.tell, Tick("hello"))
+
+    @receive.register
+    async def _(self, message: SharedWork) -> None:
+        if not self.waiting:
+            self.env.clock.callLater(BATCH_SECONDS, self.tell, Tick("batch"))
+        self.waiting.append(message)
+
+    @receive.register
+    async def _(self, message: DatagramReceived) -> None:
+        try:
+            found = decode(message.data)
+        except DecodeError as exc:
+            self.env.log.emit(Event.DOCUMENT_REJECTED, object=message.host, error=str(exc))
+            return
+        self.table.heard(message.host, found.hosts, self.env.now)
+        for work in found.work:
+            self.fleet.tell(PeerWork(work))
+
+    def _share(self) -> None:
+        work, self.waiting = self.waiting, []
+        hosts = self.table.targets(self.env.now)
+        batch: list[SharedWork] = []
+        for one in work:
+            if len(encode(PeerMessage(work=(*batch, one)))) > MAX_DATAGRAM and batch:
+                self._send(PeerMessage(work=tuple(batch)), hosts)
+                batch = []
+            batch.append(one)
+        if batch:
+            self._send(PeerMessage(work=tuple(batch)), hosts)
+
+    def _send(self, message: PeerMessage, hosts: list[str]) -> None:
+        data = encode(message)
+        for host in hosts:
+            try:
+                self.socket.transport.write(data, (host, self.cfg.port))
+            except OSError as exc:
+                # A full socket buffer loses the datagram, as the network may.
+                self.env.log.emit(Event.PEER_UNREACHABLE, peer=host, error=str(exc))
+
+
+class PeersPlugin(Plugin):
+    """Shares work with other gateways."""
+
+    name = "peers"
+    settings_type = PeersSettings
+
+    async def setup(self) -> None:
+        """Build the task."""
+        self.peers = Peers(self.env, self.cfg, self.env.require(Fleet))
+
+    async def start(self) -> None:
+        """Bind the port."""
+        self.listener: IListeningPort = self.env.reactor.listenUDP(
+            self.cfg.port, self.peers.socket, interface=self.cfg.host
+        )
+        self.peers.start()
+
+    async def stop(self) -> None:
+        """Close the port."""
+        await self.peers.stop()
+        await self.listener.stopListening()
+
+
+def register(registry: Registry) -> None:
+    """Register the plug-in."""
+    registry.add(PeersPlugin)
