--- a/chivewall/decisions/placement.py
+++ b/chivewall/decisions/placement.py
@@ -14,8 +14,9 @@
 LOCAL_SECONDS = 0.0005  # round trip inside a data centre
 REMOTE_SECONDS = 0.010  # round trip between data centres, and the price of the bytes
 CALL_SECONDS = 0.045  # work of a plain service, until its own times are known
-PREFILL_RATE = 61_400.0  # prompt tokens a second of a prefill engine, until measured
-DECODE_PREFILL_RATE = 30_700.0  # of a decode engine, which reads prompts between its steps
+READ_TOKEN_SECONDS = 1 / 61_400  # of a prefill engine for a prompt token
+READ_PAIR_SECONDS = 0.525e-9  # more for each token before it, which attention looks at
+DECODE_READ_FACTOR = 2.0  # a decode engine reads prompts at half the speed
 FIRST_STEP_SECONDS = 0.02  # from the end of the prefill to the first event
 BUSY_SLOT_SECONDS = 0.002  # by which each running request delays a first event
 FAILURE_SECONDS = 0.5  # added for a share of failures of 1
@@ -28,8 +29,8 @@
 PREFIX_LIMIT = 4096  # remembered chains of one endpoint
 CACHE_FILL = 0.9  # share of the KV cache that remembered prefixes may fill
 # A decode engine reads a prompt in pieces between the steps of its streams. More than
-# this many tokens waiting there hold up the streams longer than a pause may last.
-DIRECT_TOKENS = 6_000
+# this waiting there holds up the streams longer than a pause may last.
+DIRECT_SECONDS = 0.2
 STALL_WEIGHT = 0.05  # of the time by which reading a prompt holds up each running stream
 HOME_BONUS_SECONDS = 0.15  # by which the home of a prefix may be slower than the best
 
@@ -40,7 +41,6 @@
 
     info: EndpointInfo
     own_in_flight: int = 0
-    prefill_ahead: float = 0.0  # prompt tokens sent that may not be read yet
     prefill_until: float = 0.0  # when they should have been read
     failure_share: float = 0.0
     failed_at: float = 0.0
@@ -102,14 +102,9 @@
         """Return the seconds until the prompts that were sent should have been read."""
         return max(0.0, self.prefill_until - now)
 
-    def prefill_rate(self) -> float:
-        """Return prompt tokens a second."""
-        return PREFILL_RATE if self.info.stage is Stage.PREFILL else DECODE_PREFILL_RATE
-
-    def add_prefill(self, tokens: float, now: float) -> None:
-        """Count prompt tokens that were sent."""
-        start = max(now, self.prefill_until)
-        self.prefill_until = start + tokens / self.prefill_rate()
+    def add_prefill(self, seconds: float, now: float) -> None:
+        """Count a prompt that was sent and takes so long to read."""
+        self.prefill_until = max(now, self.prefill_until) + seconds
 
     def _weigh(self, outcome: float, now: float) -> None:
         self.failure_share = self.failures(now) * (1 - FAILURE_WEIGHT) + FAILURE_WEIGHT * outcome
@@ -125,7 +120,8 @@
     estimate: float  # seconds to the first event or the answer
     uncached: int  # prompt tokens that are read for it
     reason: str
-    backlog: float = 0.0  # prompt tokens that a decode engine then has to read
+    read_seconds: float = 0.0  # that reading them takes
+    backlog: float = 0.0  # seconds of reading that a decode engine then has before it
 
 
 @frozen
@@ -190,7 +186,7 @@
     home = _home(chain, decoders)
     options = [_direct(fields, chain, one, at) for one in decoders]
     if readers:
-        options = [pair for pair in options if pair[1].backlog <= DIRECT_TOKENS]
+        options = [pair for pair in options if pair[1].backlog <= DIRECT_SECONDS]
         target = min(decoders, key=lambda one: _decode_wait(one, at) - _bonus(one, home))
         reader_home = _home(chain, readers)
         options += [
@@ -208,15 +204,29 @@
     return HOME_BONUS_SECONDS if state is home else 0.0
 
 
+def read_seconds(prompt: int, cached: int, stage: Stage) -> float:
+    """Return how long an engine reads the part of a prompt that it doesn't keep."""
+    uncached = max(1, prompt - cached)
+    pairs = uncached * (cached + uncached / 2)
+    seconds = uncached * READ_TOKEN_SECONDS + pairs * READ_PAIR_SECONDS
+    return seconds if stage is Stage.PREFILL else seconds * DECODE_READ_FACTOR
+
+
 def _direct(
     fields: CallFields, chain: list[tuple[str, int]], state: EndpointState, at: Surroundings
 ) -> tuple[float, Placement]:
-    uncached = max(1, fields.prompt_tokens - state.cached_tokens(chain, at.now))
-    reading = uncached / DECODE_PREFILL_RATE
+    cached = state.cached_tokens(chain, at.now)
+    reading = read_seconds(fields.prompt_tokens, cached, Stage.DECODE)
     seconds = _decode_wait(state, at) + reading
-    backlog = uncached + state.prefill_wait(at.now) * DECODE_PREFILL_RATE
-    reason = "prompt read where it decodes"
-    placement = Placement(state.info, None, seconds, uncached, reason, backlog)
+    placement = Placement(
+        endpoint=state.info,
+        prefill=None,
+        estimate=seconds,
+        uncached=fields.prompt_tokens - cached,
+        reason="prompt read where it decodes",
+        read_seconds=reading,
+        backlog=reading + state.prefill_wait(at.now),
+    )
     return seconds + STALL_WEIGHT * state.in_flight * reading, placement
 
 
@@ -228,16 +238,24 @@
     bonus: float,
     at: Surroundings,
 ) -> tuple[float, Placement]:
-    uncached = max(1, fields.prompt_tokens - reader.cached_tokens(chain, at.now))
+    cached = reader.cached_tokens(chain, at.now)
+    reading = read_seconds(fields.prompt_tokens, cached, Stage.PREFILL)
     seconds = (
         reader.prefill_wait(at.now)
-        + uncached / PREFILL_RATE
+        + reading
         + _distance(reader, at)
         + FAILURE_SECONDS * reader.failures(at.now)
         + _decode_wait(target, at)
         + 2 * FIRST_STEP_SECONDS
     )
-    placement = Placement(target.info, reader.info, seconds, uncached, "prompt handed over")
+    placement = Placement(
+        endpoint=target.info,
+        prefill=reader.info,
+        estimate=seconds,
+        uncached=fields.prompt_tokens - cached,
+        reason="prompt handed over",
+        read_seconds=reading,
+    )
     return seconds - bonus, placement
 
 
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -9,7 +9,7 @@
 from chivewall.environment import Environment
 from chivewall.events import Event
 from chivewall.gateway.calls import CallFields
-from chivewall.gateway.catalogue import EndpointInfo, Route, Stage
+from chivewall.gateway.catalogue import EndpointInfo, Route
 from chivewall.gateway.collections import (
     CollectionChanges,
     CollectionFollower,
@@ -80,9 +80,8 @@
     """An attempt was sent to an endpoint."""
 
     endpoint: str
-    prompt_tokens: int  # that it has to read
+    read_seconds: float  # for the prompt; 0 if it fetches the KV cache
     fields: CallFields
-    carries_prompt: bool  # False if it fetches the KV cache
     seconds: float  # that it probably runs
 
 
@@ -199,13 +198,12 @@
             return
         state.own_in_flight += 1
         keys = tuple(key for key, _ in prefix_chain(message.fields))
-        if message.carries_prompt and state.info.stage is not Stage.NONE:
-            state.add_prefill(message.prompt_tokens, self.env.now)
+        state.add_prefill(message.read_seconds, self.env.now)
         state.remember(keys, self.env.now)
         if self.share_with is not None:
             work = SharedWork(
                 endpoint=message.endpoint,
-                prompt_tokens=message.prompt_tokens if message.carries_prompt else 0,
+                read_seconds=message.read_seconds,
                 seconds=message.seconds,
                 prefixes=keys,
             )
@@ -221,8 +219,7 @@
         state = self.states.get(work.endpoint)
         if state is None:
             return
-        if work.prompt_tokens and state.info.stage is not Stage.NONE:
-            state.add_prefill(work.prompt_tokens, self.env.now)
+        state.add_prefill(work.read_seconds, self.env.now)
         state.remember(work.prefixes, self.env.now)
         state.add_peer_work(work.seconds, self.env.now)
 
--- a/chivewall/gateway/forwarded_call.py
+++ b/chivewall/gateway/forwarded_call.py
@@ -110,6 +110,10 @@
         self.head: AnswerHead | None = None
         self.body = bytearray()
         self.begun = False  # the answer's head was sent to the caller
+        self.first_at: float | None = None  # when the first event was passed on
+        self.prefilled_at: float | None = None
+        self.last_at = call.received_at  # when an event was passed on
+        self.longest_pause = 0.0  # seconds between events
         self.over = False
         self.failed: set[str] = set()  # endpoints that failed this call
         self.arrivals = 0  # sends beyond a first prefill that reached an endpoint
@@ -257,9 +261,8 @@
         self.context.fleet.tell(
             WorkSent(
                 endpoint=endpoint.id,
-                prompt_tokens=self.placement.uncached,
+                read_seconds=0.0 if handed_over else self.placement.read_seconds,
                 fields=self.call.fields,
-                carries_prompt=not handed_over,
                 seconds=0.0 if prefill else self._expected_seconds(),
             )
         )
@@ -310,6 +313,9 @@
 
     def _pass_on(self, data: bytes) -> None:
         if data:
+            if self.begun:
+                self.longest_pause = max(self.longest_pause, self.env.now - self.last_at)
+            self.last_at = self.env.now
             self._begin()
             self.sink.put(AnswerPiece(self.number, data))
 
@@ -318,6 +324,7 @@
         if self.begun:
             return
         self.begun = True
+        self.first_at = self.env.now
         headers = self.context.dialect.answer_headers(self.head.headers)
         self.sink.put(AnswerBegun(self.number, self.head.status, headers))
 
@@ -353,6 +360,7 @@
             await self._prefill_failed(str(exc))
             return
         source = self.exchange.endpoint
+        self.prefilled_at = self.env.now
         self._end_exchange("answered")
         self.kv_handle = (source, kept.handle)
         kv_source = self.context.dialect.kv_source(source.address, kept.handle)
@@ -446,7 +454,11 @@
             outcome=outcome,
             arrivals=self.arrivals,
             events=self.stream.passed,
-            seconds=round(self.env.now - self.call.received_at, 4),
+            seconds=self._since_start(self.env.now),
+            prefilled_after=self._since_start(self.prefilled_at),
+            first_after=self._since_start(self.first_at),
+            longest_pause=round(self.longest_pause, 4),
+            prompt_tokens=self.call.fields.prompt_tokens,
             **fields,
         )
         self.stop()
@@ -467,6 +479,9 @@
             reason=reason,
         )
 
+    def _since_start(self, at: float | None) -> float | None:
+        return None if at is None else round(at - self.call.received_at, 4)
+
     def _expected_seconds(self) -> float:
         """Return how long the endpoint probably works on the call."""
         if self.route.kind is not Kind.STREAM:
--- a/chivewall/gateway/peer_codec.py
+++ b/chivewall/gateway/peer_codec.py
@@ -15,7 +15,7 @@
     """Work that a gateway sent to an endpoint, as other gateways need to know it."""
 
     endpoint: str
-    prompt_tokens: int  # that the endpoint reads for it
+    read_seconds: float  # for which the endpoint reads the prompt
     seconds: float  # that it probably runs; 0 for a prefill
     prefixes: tuple[str, ...]  # keys of the prompt's leading parts
 
@@ -31,7 +31,7 @@
 def encode(message: PeerMessage) -> bytes:
     """Return the datagram."""
     work = [
-        [one.endpoint, one.prompt_tokens, round(one.seconds, 2), list(one.prefixes)]
+        [one.endpoint, round(one.read_seconds, 4), round(one.seconds, 2), list(one.prefixes)]
         for one in message.work
     ]
     document = [VERSION, list(message.hosts), work]
@@ -52,10 +52,10 @@
         raise DecodeError(f"datagram: {exc}") from exc
 
 
-def _work(endpoint: str, prompt_tokens: int, seconds: float, prefixes: list[str]) -> SharedWork:
+def _work(endpoint: str, read_seconds: float, seconds: float, prefixes: list[str]) -> SharedWork:
     return SharedWork(
         endpoint=str(endpoint),
-        prompt_tokens=max(0, int(prompt_tokens)),
+        read_seconds=max(0.0, float(read_seconds)),
         seconds=max(0.0, float(seconds)),
         prefixes=tuple(str(one) for one in prefixes),
     )
