--- a/chivewall/gateway/channel.py
+++ b/chivewall/gateway/channel.py
@@ -38,6 +38,7 @@
         self.read_fields = read_fields
         self.on_idle: Released = lambda _: None
         self.on_lost: Released = lambda _: None
+        self.on_data: Released = lambda _: None
         self.call: OutgoingCall | None = None
         self.exchange = 0  # of the latest call
         self.idle_until = 0.0  # deadline after which the endpoint may close it
@@ -74,6 +75,7 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
         """Take in bytes of the endpoint."""
+        self.on_data(self)
         if self.call is None:
             self._close()  # bytes that no request waits for
             return
--- a/chivewall/gateway/channel_messages.py
+++ b/chivewall/gateway/channel_messages.py
@@ -1,9 +1,10 @@
 """Messages between the task that owns outgoing connections and those that use it."""
 
-from attrs import field, frozen
+from attrs import define, field, frozen
 
+from chivewall.addresses import Address
 from chivewall.gateway.calls import AnswerHead, Headers
-from chivewall.task import Inbox
+from chivewall.task import Inbox, Query
 
 
 @frozen
@@ -11,7 +12,7 @@
     """One HTTP request to send, with where its answer goes."""
 
     exchange: int  # names the answer's messages
-    address: tuple[str, int]
+    address: Address
     method: bytes
     target: bytes
     headers: Headers
@@ -37,6 +38,17 @@
     exchange: int
 
 
+@define(eq=False)
+class ProbeAddress(Query):
+    """Ask whether an address is reachable; answered with ``bool``.
+
+    Bytes that came from it a moment ago answer at once; else a connection is
+    opened, and kept for the next call.
+    """
+
+    address: Address
+
+
 @frozen
 class CallWritten:
     """The request was handed to a connection, so the endpoint may have it."""
--- a/chivewall/gateway/channels.py
+++ b/chivewall/gateway/channels.py
@@ -22,6 +22,7 @@
     ExchangeFailed,
     ExchangeMessage,
     OutgoingCall,
+    ProbeAddress,
     SendCall,
 )
 from chivewall.messages import Tick
@@ -31,6 +32,8 @@
 
 CONNECT_SECONDS = 0.6  # a round trip takes 10 ms, and a lost packet is sent again much later
 SWEEP_SECONDS = 0.5  # between looks for connections that were idle too long
+HEARD_SECONDS = 0.3  # for which bytes from an address show that it is reachable
+PROBE_SECONDS = 0.4  # for a connection that tests an address
 MAX_IDLE = 32  # connections kept for one address
 
 
@@ -51,6 +54,14 @@
     channel: Channel
 
 
+@frozen
+class Probed:
+    """A connection that only tests an address is open, or could not be opened."""
+
+    address: Address
+    channel: Channel | None
+
+
 @frozen
 class ConnectFailed:
     """No connection could be opened."""
@@ -69,6 +80,8 @@
         self._busy: dict[int, Channel] = {}
         self._connecting: dict[int, Deferred] = {}
         self._open: set[Channel] = set()
+        self._heard: dict[Address, float] = {}  # when bytes came from an address
+        self._probes: dict[Address, list[ProbeAddress]] = {}
         self._numbers = itertools.count(1)
 
     def start(self) -> None:
@@ -164,6 +177,25 @@
             failed = ExchangeFailed(message.call.exchange, sent=False, reason=message.reason)
             message.call.sink.put(failed)
 
+    @receive.register
+    async def _(self, message: ProbeAddress) -> None:
+        if self.env.now - self._heard.get(message.address, -HEARD_SECONDS) < HEARD_SECONDS:
+            message.answer(True)  # noqa: FBT003 - the value of the answer
+            return
+        waiting = self._probes.setdefault(message.address, [])
+        waiting.append(message)
+        if len(waiting) == 1:
+            self._probe(message.address)
+
+    @receive.register
+    async def _(self, message: Probed) -> None:
+        for query in self._probes.pop(message.address, []):
+            query.answer(message.channel is not None)
+        if message.channel is not None:
+            self._open.add(message.channel)
+            self._heard[message.address] = self.env.now
+            self._keep(message.channel)
+
     @receive.register
     async def _(self, message: Tick) -> None:
         now = self.env.now
@@ -196,6 +228,15 @@
             lambda failure: self._connect_failed(call, failure),
         )
 
+    def _probe(self, address: Address) -> None:
+        host, port = address
+        endpoint = TCP4ClientEndpoint(self.env.reactor, host, port, timeout=PROBE_SECONDS)
+        attempt = endpoint.connect(ChannelFactory(self._new_channel(address)))
+        attempt.addCallbacks(
+            lambda channel: self.tell(Probed(address, channel)),
+            lambda _: self.tell(Probed(address, None)),
+        )
+
     def _connect_failed(self, call: OutgoingCall, failure: Failure) -> None:
         if not failure.check(CancelledError):
             self.tell(ConnectFailed(call, f"no connection: {failure.getErrorMessage()}"))
@@ -204,11 +245,15 @@
         channel = Channel(address, self._read_fields)
         channel.on_idle = self._keep
         channel.on_lost = self._forget
+        channel.on_data = self._hear
         return channel
 
     def _read_fields(self, status: int, headers: Headers) -> AnswerFields:
         return self.env.require(CallDialect).read_answer(status, headers)
 
+    def _hear(self, channel: Channel) -> None:
+        self._heard[channel.address] = self.env.now
+
     def _keep(self, channel: Channel) -> None:
         self._busy.pop(channel.exchange, None)
         channel.idle_since = self.env.now
--- a/chivewall/gateway/forwarded_call.py
+++ b/chivewall/gateway/forwarded_call.py
@@ -37,6 +37,7 @@
     CancelCall,
     ExchangeFailed,
     OutgoingCall,
+    ProbeAddress,
     SendCall,
 )
 from chivewall.gateway.channels import Channels
@@ -51,7 +52,7 @@
 REUSE_UNSAFE = 0.5  # seconds; a kept connection that was idle longer may be dead unnoticed
 REUSE_IDEMPOTENT = 4.0  # seconds
 RETRY_AFTER = 0.25  # seconds; a refusal for want of an endpoint passes soon
-PREFILL_PATIENCE = 2.5  # seconds after which a prefill without an answer is given up
+SILENCE_SECONDS = 0.5  # without a byte, after which the endpoint is tested
 RELEASE_SECONDS = 0.6  # for the call that frees a KV cache
 SERVICE_SECONDS = 0.05  # of a plain call, for the estimates of other gateways
 TOKEN_SECONDS = 0.006  # a decode step with a few streams running
@@ -80,6 +81,14 @@
     handed_over: bool  # names a KV cache to fetch
 
 
+@frozen
+class EndpointTested:
+    """Whether the silent endpoint of an exchange is reachable."""
+
+    exchange: int
+    reachable: bool
+
+
 class ForwardedCall(Task):
     """Owns the state of one call from its arrival to its final answer."""
 
@@ -113,6 +122,7 @@
         self.first_at: float | None = None  # when the first event was passed on
         self.prefilled_at: float | None = None
         self.last_at = call.received_at  # when an event was passed on
+        self.heard_at = call.received_at  # when the exchange was written or had bytes
         self.longest_pause = 0.0  # seconds between events
         self.over = False
         self.failed: set[str] = set()  # endpoints that failed this call
@@ -147,13 +157,18 @@
             await self._place()
         elif message.purpose == "answer_by":
             await self._out_of_time()
-        elif self.exchange is not None and message.purpose == f"prefill {self.exchange.number}":
-            await self._prefill_failed("no answer in time")
+        elif self.exchange is not None and message.purpose == f"silence {self.exchange.number}":
+            self._check_silence()
 
     @receive.register
     async def _(self, message: CallWritten) -> None:
-        if self._current(message.exchange) and not self.exchange.prefill:
+        if not self._current(message.exchange):
+            return
+        if not self.exchange.prefill:
             self.ledger.sent(self.exchange.endpoint.id)
+        self.heard_at = self.env.now
+        if self.exchange.prefill or self.route.idempotent:
+            self._after(SILENCE_SECONDS, Tick(f"silence {message.exchange}"))
 
     @receive.register
     async def _(self, message: AnswerStarted) -> None:
@@ -165,6 +180,7 @@
     async def _(self, message: AnswerData) -> None:
         if not self._current(message.exchange):
             return
+        self.heard_at = self.env.now
         if not self._streams():
             self.body += message.data
             return
@@ -188,6 +204,19 @@
         else:
             await self._attempt_failed(Outcome.BROKEN, message.reason)
 
+    @receive.register
+    async def _(self, message: EndpointTested) -> None:
+        if not self._current(message.exchange):
+            return
+        if message.reachable:
+            self._after(SILENCE_SECONDS, Tick(f"silence {message.exchange}"))
+        elif self.exchange.prefill:
+            await self._prefill_failed("endpoint is not reachable", missed=True)
+        else:
+            await self._attempt_failed(
+                Outcome.BROKEN, "endpoint is not reachable", reported="missed"
+            )
+
     @receive.register
     async def _(self, message: CallerGone) -> None:
         if not self.over:
@@ -225,7 +254,6 @@
             stage=Stage.PREFILL,
         )
         self._send_call(placement.prefill, sent, prefill=True)
-        self._after(PREFILL_PATIENCE, Tick(f"prefill {self.exchange.number}"))
 
     async def _send(self, endpoint: EndpointInfo, kv_source: str | None) -> None:
         if self.arrivals and not await self.context.fleet.ask(SpendRepeat(self.service)):
@@ -373,14 +401,16 @@
             self.arrivals += 1  # only a prefill that was accepted is free
         await self._place()
 
-    async def _attempt_failed(self, outcome: Outcome, reason: str) -> None:
+    async def _attempt_failed(
+        self, outcome: Outcome, reason: str, reported: str | None = None
+    ) -> None:
         self.ledger.failed(outcome)
         self._log_failure(outcome, reason)
         handed_over = self.exchange is not None and self.exchange.handed_over
         if self.exchange is not None:
             if not (outcome is Outcome.NOT_RUN and handed_over):
                 self.failed.add(self.exchange.endpoint.id)
-            self._end_exchange(_reported(outcome))
+            self._end_exchange(reported or _reported(outcome))
         if outcome is Outcome.NOT_SENT:
             self.arrivals -= 1
         self.stream.restart()
@@ -390,6 +420,17 @@
         else:
             await self._give_up(outcome, reason)
 
+    def _check_silence(self) -> None:
+        """Have an endpoint tested that sent nothing for a while."""
+        if self.env.now - self.heard_at >= SILENCE_SECONDS:
+            self.spawn(self._test_endpoint(self.exchange))
+        else:
+            self._after(SILENCE_SECONDS, Tick(f"silence {self.exchange.number}"))
+
+    async def _test_endpoint(self, exchange: Exchange) -> None:
+        reachable = await self.context.channels.ask(ProbeAddress(exchange.endpoint.address))
+        self.tell(EndpointTested(exchange.number, reachable))
+
     def _endpoint_left(self) -> bool:
         return len(self.ledger.endpoints) < self.route.attempts or bool(
             self.ledger.endpoints - self.failed
