--- a/chivewall/gateway/gateway.py
+++ b/chivewall/gateway/gateway.py
@@ -197,8 +197,8 @@
         close_by = self.env.now + self.cfg.grace_seconds - CLOSE_MARGIN
         self.gateway.closing = True
         await self._pause(BALANCER_SECONDS)
-        while self.gateway.busy() and self.env.now < close_by:
-            await self._pause(POLL_SECONDS)
+        # A call that is taken late could be killed before its answer; a caller whose idle
+        # connection closes sends its next call to another gateway.
         await self.listener.stopListening()
         for connection in list(self.gateway.connections):
             connection.close_if_idle()
