--- a/chivewall/gateway/gateway.py
+++ b/chivewall/gateway/gateway.py
@@ -3,7 +3,7 @@
 from functools import singledispatchmethod
 
 from attrs import field, frozen, validators
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, maybeDeferred
 from twisted.internet.interfaces import IListeningPort
 from twisted.internet.protocol import Factory
 
@@ -124,10 +124,6 @@
         """See ``CallOwner.closed``."""
         self.connections.discard(connection)
 
-    def busy(self) -> bool:
-        """Return whether a call is being read or answered."""
-        return any(one.busy for one in self.connections)
-
     def _answer(self, call: Call, sink: IngressConnection, code: ResultCode, reason: str) -> None:
         request_id = call.fields.request_id
         version = None if self.table is None else self.table.catalogue.version
@@ -199,16 +195,16 @@
         await self._pause(BALANCER_SECONDS)
         # A call that is taken late could be killed before its answer; a caller whose idle
         # connection closes sends its next call to another gateway.
-        await self.listener.stopListening()
+        await maybeDeferred(self.listener.stopListening)
         for connection in list(self.gateway.connections):
             connection.close_if_idle()
-        while self.gateway.busy() and self.env.now < close_by:
+        while self.gateway.connections and self.env.now < close_by:
             await self._pause(POLL_SECONDS)
 
     async def stop(self) -> None:
         """Close what is left."""
         await self.gateway.stop()
-        await self.listener.stopListening()
+        await maybeDeferred(self.listener.stopListening)
 
     def reload(self, cfg: GatewaySettings) -> None:
         """Take over the grace period; the address waits for the next start."""
--- a/chivewall/gateway/ingress_connection.py
+++ b/chivewall/gateway/ingress_connection.py
@@ -126,11 +126,6 @@
         if self.phase in (Phase.IDLE, Phase.CLOSING):
             self.transport.loseConnection()
 
-    @property
-    def busy(self) -> bool:
-        """Return whether a call is being read or answered."""
-        return self.phase in (Phase.HEAD, Phase.BODY, Phase.ANSWER)
-
     @singledispatchmethod
     def _answer(self, message: object) -> None:
         raise TypeError(f"unexpected message {message!r}")
@@ -155,39 +150,51 @@
 
     @_answer.register
     def _(self, message: AnswerCut) -> None:
+        # The bytes before the cut still reach the caller; the missing last chunk shows the cut.
         self._task = None
-        self.transport.abortConnection()
+        self.phase = Phase.CLOSING
+        self.transport.loseConnection()
 
     def _read_events(self) -> None:
-        while True:
+        going_on = True
+        while going_on:
             event = self._http.next_event()
-            if event is h11.NEED_DATA:
-                if self._http.they_are_waiting_for_100_continue:
-                    self.transport.write(
-                        self._http.send(h11.InformationalResponse(status_code=100, headers=[]))
-                    )
-                return
-            if event is h11.PAUSED:
-                return
-            if isinstance(event, h11.Request):
-                if not self._take_head(event):
-                    return
-            elif isinstance(event, h11.Data):
-                self._body += event.data
-                if len(self._body) > self.owner.limits.body_bytes:
-                    self._reject(ResultCode.BODY_TOO_LARGE, "the body is over the limit")
-                    return
-            elif isinstance(event, h11.EndOfMessage):
-                self._take_call()
-                return
-            elif isinstance(event, h11.ConnectionClosed):
-                self.transport.loseConnection()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                self._ask_for_body()
                 return
+            going_on = self._take_event(event)
+
+    def _take_event(self, event: h11.Event) -> bool:
+        """Handle one event; return whether to read on."""
+        if isinstance(event, h11.Request):
+            return self._take_head(event)
+        if isinstance(event, h11.Data):
+            return self._take_data(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            self._take_call()
+        else:
+            self.transport.loseConnection()
+        return False
+
+    def _take_data(self, data: bytes) -> bool:
+        self._body += data
+        if len(self._body) <= self.owner.limits.body_bytes:
+            return True
+        self._reject(ResultCode.BODY_TOO_LARGE, "the body is over the limit")
+        return False
+
+    def _ask_for_body(self) -> None:
+        if self._http.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            self.transport.write(self._http.send(go_on))
 
     def _take_head(self, event: h11.Request) -> bool:
         self._request = event
         self._body.clear()
         self._wait(Phase.BODY)
+        if _head_bytes(event) > self.owner.limits.header_bytes:
+            self._reject(ResultCode.HEAD_TOO_LARGE, "the headers are over the limit")
+            return False
         names = [name for name, _ in event.headers]
         if b"transfer-encoding" in names and b"content-length" in names:
             # Two framings let a request hide in the body of another one.
@@ -318,6 +325,11 @@
 _PENDING: Any = _Pending()
 
 
+def _head_bytes(event: h11.Request) -> int:
+    lines = sum(len(name) + len(value) + 4 for name, value in event.headers)
+    return len(event.method) + len(event.target) + lines
+
+
 def _origin_form(target: bytes) -> bytes:
     """Return path and query of a target in absolute form."""
     if not target.lower().startswith(b"http://"):
--- /dev/null
+++ b/chivewall/standins/platform_store.py
@@ -0,0 +1,143 @@
+"""Stand-in of the users' platform store: objects by kind over HTTP, in a thread."""
+
+import json
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+from attrs import define, field
+
+PAGE = 500  # objects of one list answer
+
+
+@define(eq=False)
+class PlatformStore:
+    """Objects with one revision counter; tests change them and set its troubles.
+
+    Example::
+
+        store = PlatformStore()
+        with store.serve() as address:
+            store.put("config", "main", {"version": 1, "routes": []})
+    """
+
+    page: int = PAGE
+    down: bool = False  # every call gets 503
+    delay: float = 0.0  # seconds before each answer
+    calls: int = 0
+    revision: int = 1
+    _objects: dict[tuple[str, str], dict] = field(factory=dict, init=False)
+    _history: list[tuple[int, str, dict, bool]] = field(factory=list, init=False)
+    _oldest: int = field(default=0, init=False)
+    _changed: threading.Condition = field(factory=threading.Condition, init=False)
+
+    def put(self, kind: str, name: str, spec: Any) -> None:
+        """Write an object."""
+        with self._changed:
+            self.revision += 1
+            document = {"metadata": {"name": name, "rev": self.revision}, "spec": spec}
+            self._objects[kind, name] = document
+            self._history.append((self.revision, kind, document, False))
+            self._changed.notify_all()
+
+    def delete(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        with self._changed:
+            self.revision += 1
+            document = self._objects.pop((kind, name))
+            self._history.append((self.revision, kind, document, True))
+            self._changed.notify_all()
+
+    def compact(self) -> None:
+        """Forget the history; watches from older revisions get 410."""
+        with self._changed:
+            self._oldest = self.revision
+            self._history.clear()
+            self._changed.notify_all()
+
+    def serve(self) -> "Served":
+        """Return a context manager that serves the store on a free loopback port."""
+        return Served(_handler(self))
+
+    def answer(self, target: str) -> tuple[int, dict]:
+        """Return status and document of a GET."""
+        self.calls += 1
+        if self.delay:
+            time.sleep(self.delay)
+        if self.down:
+            return 503, {}
+        parts = urlsplit(target)
+        query = {key: values[0] for key, values in parse_qs(parts.query).items()}
+        kind = parts.path.split("/")[2]
+        if "watch" in query:
+            return self._watch(kind, int(query["watch"]), int(query["waitMs"]) / 1000)
+        return self._list(kind, query.get("after", ""))
+
+    def _list(self, kind: str, after: str) -> tuple[int, dict]:
+        with self._changed:
+            names = sorted(name for one, name in self._objects if one == kind and name > after)
+            items = [self._objects[kind, name] for name in names[: self.page]]
+            truncated = len(names) > self.page
+            return 200, {"items": items, "truncated": truncated, "asOf": self.revision}
+
+    def _watch(self, kind: str, revision: int, seconds: float) -> tuple[int, dict]:
+        deadline = time.monotonic() + seconds
+        with self._changed:
+            while True:
+                if revision < self._oldest:
+                    return 410, {}
+                events = [
+                    {"object": document, "tombstone": gone}
+                    for at, one, document, gone in self._history
+                    if one == kind and at > revision
+                ]
+                left = deadline - time.monotonic()
+                if events or left <= 0 or self.down:
+                    return 200, {"events": events, "asOf": self.revision}
+                self._changed.wait(left)
+
+
+@define(eq=False)
+class Served:
+    """An HTTP server in a thread."""
+
+    handler: type[BaseHTTPRequestHandler]
+    server: ThreadingHTTPServer | None = None
+
+    def __enter__(self) -> tuple[str, int]:
+        self.server = ThreadingHTTPServer(("127.0.0.1", 0), self.handler)
+        self.server.daemon_threads = True
+        threading.Thread(target=self.server.serve_forever, args=(0.02,), daemon=True).start()
+        return self.server.server_address
+
+    def __exit__(self, *_: object) -> None:
+        self.server.shutdown()
+        self.server.server_close()
+
+
+class QuietHandler(BaseHTTPRequestHandler):
+    """Speaks HTTP/1.1 and writes no log."""
+
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, format: str, *args: object) -> None:  # noqa: A002 - inherited name
+        """Write nothing."""
+
+    def send_document(self, status: int, document: dict) -> None:
+        """Answer with JSON."""
+        body = json.dumps(document).encode()
+        self.send_response(status)
+        self.send_header("Content-Type", "application/json")
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+def _handler(store: PlatformStore) -> type[BaseHTTPRequestHandler]:
+    class StoreHandler(QuietHandler):
+        def do_GET(self) -> None:  # noqa: N802 - inherited name
+            self.send_document(*store.answer(self.path))
+
+    return StoreHandler
--- /dev/null
+++ b/chivewall/standins/runner.py
@@ -0,0 +1,189 @@
+"""Stand-in of a runner of the users' platform: a plain service or an engine, in a thread."""
+
+import threading
+import time
+from collections.abc import Callable
+
+from attrs import define, field
+
+from chivewall.standins.platform_store import QuietHandler, Served
+
+PROOF = "stamp-1"
+Behaviour = Callable[["RunnerHandler"], None]
+
+
+@define(eq=False)
+class Runner:
+    """Counts what it runs; ``behaviours`` are taken first, one for each request.
+
+    Example: ``runner.behaviours.append(cut_answer)`` spoils the next answer.
+    """
+
+    id: str
+    service: str
+    stage: str | None = None
+    events: int = 0  # of a stream; 0 answers with a plain body
+    behaviours: list[Behaviour] = field(factory=list)
+    ran: list[str] = field(factory=list)  # ids of requests that it ran
+    heard: list[dict[str, str]] = field(factory=list)  # headers of every request
+    bodies: list[bytes] = field(factory=list)
+    gaps: float = 0.0  # seconds between events
+    _lock: threading.Lock = field(factory=threading.Lock, init=False)
+
+    def entry(self, address: tuple[str, int], state: str = "ready") -> dict:
+        """Return what the runner writes of itself into the store."""
+        document = {
+            "service": self.service,
+            "addr": f"{address[0]}:{address[1]}",
+            "zone": "north",
+            "version": "v1",
+            "slots": 4,
+            "state": state,
+            "coldLeftMs": 0,
+            "seq": 1,
+            "born": 1,
+        }
+        if self.stage is not None:
+            document["stage"] = self.stage
+        return document
+
+    def serve(self) -> Served:
+        """Return a context manager that serves the runner on a free loopback port."""
+        runner = self
+
+        class Handler(RunnerHandler):
+            owner = runner
+
+        return Served(Handler)
+
+    def take(self, handler: "RunnerHandler") -> None:
+        """Handle one request."""
+        with self._lock:
+            self.heard.append({name.lower(): value for name, value in handler.headers.items()})
+            behaviour = self.behaviours.pop(0) if self.behaviours else answer
+        behaviour(handler)
+
+
+class RunnerHandler(QuietHandler):
+    """One connection of a runner."""
+
+    owner: Runner
+
+    def handle_one_call(self) -> None:
+        """Read the body and answer."""
+        length = int(self.headers.get("Content-Length") or 0)
+        self.owner.bodies.append(self.rfile.read(length))
+        self.owner.take(self)
+
+    do_GET = do_POST = do_PUT = do_DELETE = handle_one_call  # noqa: N815 - inherited names
+
+    @property
+    def request_id(self) -> str:
+        """Id of the request."""
+        return self.headers.get("X-Request-Id", "")
+
+    def expects_other(self) -> bool:
+        """Return whether the request names another runner."""
+        return self.headers.get("X-Expect-Instance") not in (None, self.owner.id)
+
+    def head(self, status: int, *headers: tuple[str, str], proof: bool = True) -> None:
+        """Write a status line and headers."""
+        self.send_response(status)
+        self.send_header("X-Request-Id", self.request_id)
+        if proof:
+            self.send_header("X-Answer-Stamp", PROOF)
+        for name, value in headers:
+            self.send_header(name, value)
+        self.end_headers()
+
+    def plain(
+        self, status: int, body: bytes, *headers: tuple[str, str], proof: bool = True
+    ) -> None:
+        """Write a whole answer."""
+        self.head(status, *headers, ("Content-Length", str(len(body))), proof=proof)
+        self.wfile.write(body)
+
+    def chunk(self, data: bytes) -> None:
+        """Write a piece of a chunked body."""
+        self.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
+        self.wfile.flush()
+
+    def reset(self) -> None:
+        """Close the connection in the middle."""
+        self.close_connection = True
+
+
+def answer(handler: RunnerHandler) -> None:
+    """Run the request and answer it."""
+    runner = handler.owner
+    if handler.expects_other():
+        refuse(handler, status=421)
+    elif handler.headers.get("X-Stage") == "prefill":
+        handler.plain(200, b'{"handle":"h1","tokens":10,"version":1}', proof=False)
+    else:
+        runner.ran.append(handler.request_id)
+        if runner.events:
+            stream(handler, until=runner.events)
+        else:
+            handler.plain(200, b"done by " + runner.id.encode())
+
+
+def refuse(handler: RunnerHandler, status: int = 503) -> None:
+    """Promise that the request has not run."""
+    handler.plain(status, b"", ("X-Not-Run", "1"), ("X-Runner-Id", handler.owner.id), proof=False)
+
+
+def fail(handler: RunnerHandler) -> None:
+    """Run the request and fail."""
+    handler.owner.ran.append(handler.request_id)
+    handler.plain(500, b"failed")
+
+
+def vanish(handler: RunnerHandler) -> None:
+    """Run the request and close without an answer."""
+    handler.owner.ran.append(handler.request_id)
+    handler.reset()
+
+
+def cut_body(handler: RunnerHandler) -> None:
+    """Run the request and close in the middle of the body."""
+    handler.owner.ran.append(handler.request_id)
+    handler.head(200, ("Content-Length", "100"))
+    handler.wfile.write(b"part")
+    handler.reset()
+
+
+def answer_twice(handler: RunnerHandler) -> None:
+    """Run the request and send its answer a second time."""
+    answer(handler)
+    handler.plain(200, b"late copy")
+
+
+def without_proof(handler: RunnerHandler) -> None:
+    """Run the request and answer without the proof."""
+    handler.owner.ran.append(handler.request_id)
+    handler.plain(200, b"forged", proof=False)
+
+
+def stream(handler: RunnerHandler, until: int, *, broken: bool = False) -> None:
+    """Send events from the one after ``Last-Event-Id``; perhaps stop inside the next one."""
+    handler.head(200, ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked"))
+    first = int(handler.headers.get("Last-Event-Id") or 0) + 1
+    for number in range(first, until + 1):
+        handler.chunk(b"id: %d\ndata: token %d\n\n" % (number, number))
+        time.sleep(handler.owner.gaps)
+    if broken:
+        handler.chunk(b"id: %d\nda" % (until + 1))
+        handler.reset()
+    else:
+        handler.wfile.write(b"0\r\n\r\n")
+
+
+def break_stream(after: int) -> Behaviour:
+    """Return a behaviour that stops inside the event after the given number of events."""
+
+    def behave(handler: RunnerHandler) -> None:
+        handler.owner.ran.append(handler.request_id)
+        stream(handler, until=after, broken=True)
+
+    return behave
--- /dev/null
+++ b/tests/test_gateway_process.py
@@ -0,0 +1,232 @@
+"""The gateway as a process, with a settings file as the platform writes it."""
+
+import signal
+import socket
+from pathlib import Path
+
+import httpx
+import pytest
+
+from chivewall.standins import runner as behaviours
+from chivewall.standins.runner import Runner
+from tests.utils.gateways import GatewaySite, manifest, route
+from tests.utils.sites import until
+
+EVENTS = b"".join(b"id: %d\ndata: token %d\n\n" % (one, one) for one in range(1, 6))
+
+
+@pytest.fixture
+def site(tmp_path: Path):
+    with GatewaySite(tmp_path) as one:
+        one.store.put(
+            "config",
+            "main",
+            manifest(
+                3,
+                route("read", "desk"),
+                route("book", "desk", kind="unsafe", attempts=1),
+                route("audit", "engines", kind="stream", resumable=True, sticky=True),
+                route("brief", "engines", kind="stream", attempts=1),
+            ),
+        )
+        yield one
+
+
+def test_calls_of_each_kind_are_answered(site):
+    desk = site.add(Runner("i-desk", "desk"))
+    site.add(Runner("i-engine", "engines", stage="decode", events=5))
+    site.start()
+    body = site.send("GET", "/read/1?x=2")
+    assert (body.status_code, body.content) == (200, b"done by i-desk")
+    assert body.headers["X-Answer-Stamp"] == behaviours.PROOF
+    assert site.send("POST", "/book/1", content=b"slot 4").status_code == 200
+    assert desk.bodies[-1] == b"slot 4"
+    assert site.send("POST", "/audit/1", content=b"{}").content == EVENTS
+
+
+def test_own_headers_are_not_taken_from_the_caller(site):
+    """Guards calls that name another request's KV cache or an endpoint themselves."""
+    desk = site.add(Runner("i-desk", "desk"))
+    site.start()
+    forged = {"X-Kv-From": "10.0.0.1:1/h", "X-Expect-Instance": "i-other", "X-Kv-Hold": "a"}
+    assert site.send("GET", "/read/1", headers=forged).status_code == 200
+    heard = desk.heard[-1]
+    assert "x-kv-from" not in heard
+    assert "x-kv-hold" not in heard
+    assert heard["x-expect-instance"] == "i-desk"
+    assert int(heard["x-deadline-ms"]) <= 3000
+
+
+def test_unsafe_call_that_may_have_run_is_not_repeated(site):
+    """Guards a second booking after an answer that got lost."""
+    first = site.add(Runner("i-1", "desk"))
+    second = site.add(Runner("i-2", "desk"))
+    first.behaviours = [behaviours.vanish]
+    second.behaviours = [behaviours.vanish]
+    site.start()
+    assert site.send("POST", "/book/1").status_code == 502
+    assert len(first.ran) + len(second.ran) == 1
+
+
+def test_unsafe_call_that_was_refused_gets_a_truthful_refusal(site):
+    desk = site.add(Runner("i-1", "desk"))
+    desk.behaviours = [behaviours.refuse]
+    site.start()
+    answer = site.send("POST", "/book/1")
+    assert answer.status_code == 503
+    assert float(answer.headers["Retry-After"]) > 0
+    assert desk.ran == []
+
+
+def test_safe_call_goes_to_another_endpoint_after_a_failure(site):
+    broken = site.add(Runner("i-1", "desk"))
+    broken.behaviours = [behaviours.fail, behaviours.cut_body, behaviours.without_proof]
+    site.add(Runner("i-2", "desk"))
+    site.start()
+    answers = [site.send("GET", f"/read/{one}", request_id=f"r{one}") for one in range(8)]
+    assert {one.content for one in answers} <= {b"done by i-1", b"done by i-2"}
+
+
+def test_extra_answer_is_not_given_to_the_next_call(site):
+    """Guards an answer to another request on a kept connection."""
+    desk = site.add(Runner("i-1", "desk"))
+    desk.behaviours = [behaviours.answer_twice, behaviours.answer_twice]
+    site.start()
+    for one in range(4):
+        assert site.send("GET", "/read/1", request_id=f"r{one}").content == b"done by i-1"
+
+
+def test_broken_stream_goes_on_exactly(site):
+    """Guards a piece that is missing, doubled or cut after an engine stops inside an event."""
+    once = [behaviours.break_stream(2)]
+    for one in ("i-1", "i-2"):
+        site.add(Runner(one, "engines", stage="decode", events=5, behaviours=once))
+    site.start()
+    assert site.send("POST", "/audit/1", content=b"{}").content == EVENTS
+
+
+def test_broken_stream_that_may_not_be_resumed_is_cut(site):
+    """Guards an incomplete answer that looks complete."""
+    site.add(Runner("i-1", "engines", stage="decode", events=5)).behaviours = [
+        behaviours.break_stream(2)
+    ]
+    site.start()
+    with pytest.raises(httpx.TransportError):
+        site.send("POST", "/brief/1", content=b"{}")
+
+
+def test_prompt_is_handed_over_from_a_prefill_engine(site):
+    reader = site.add(Runner("i-p", "engines", stage="prefill"))
+    engine = site.add(Runner("i-d", "engines", stage="decode", events=5))
+    site.start()
+    prompt = {"X-Token-Count": "20000,10", "X-Prompt-Prefix": "aa:15000,bb:5000"}
+    assert site.send("POST", "/audit/1", content=b"{}", headers=prompt).content == EVENTS
+    assert reader.heard[-1]["x-stage"] == "prefill"
+    host, port = site.addresses["i-p"]
+    assert engine.heard[-1]["x-kv-from"] == f"{host}:{port}/h1"
+
+
+def test_leaving_endpoint_gets_no_calls(site):
+    leaving = site.add(Runner("i-1", "desk"))
+    site.add(Runner("i-2", "desk"))
+    site.start()
+    site.store.put("servers", "i-1", leaving.entry(site.addresses["i-1"], state="draining"))
+    until(lambda: site.events("ENDPOINT_LISTED", endpoint="i-1", draining=True), "leaving")
+    seen = len(leaving.ran)
+    for one in range(6):
+        site.send("GET", "/read/1", request_id=f"r{one}")
+    assert len(leaving.ran) == seen
+
+
+def test_routes_change_and_never_revert(site):
+    site.add(Runner("i-1", "desk"))
+    site.start()
+    site.store.put("config", "main", manifest(9, route("new", "desk")))
+    until(lambda: site.send("GET", "/new/1").status_code == 200, "new route")
+    site.store.put("config", "main", manifest(5, route("read", "desk")))
+    site.store.compact()
+    until(lambda: site.events("STORE_HISTORY_LOST", collection="config"), "compaction")
+    assert site.send("GET", "/read/1").status_code == 404
+    assert site.send("GET", "/new/1").status_code == 200
+
+
+def test_serves_on_while_the_store_is_down(site):
+    site.add(Runner("i-1", "desk"))
+    site.start()
+    site.store.down = True
+    site.store.compact()
+    until(lambda: site.events("STORE_UNAVAILABLE"), "outage")
+    assert site.send("GET", "/read/1").status_code == 200
+    assert site.ready()
+
+
+def test_not_ready_and_refuses_before_the_routes_are_known(site):
+    site.store.down = True
+    site.start(ready=False)
+    until(lambda: site.events("STORE_UNAVAILABLE"), "start")
+    assert site.send("GET", "/read/1").status_code == 503
+    assert not site.ready()
+
+
+def test_gateway_starts_with_entries_of_other_writers(site):
+    """Guards a gateway that stops at an unreadable entry of the list."""
+    site.add(Runner("i-1", "desk"))
+    for number, spec in enumerate([None, [], {"addr": 4}, {"service": "desk", "state": "odd"}]):
+        site.store.put("servers", f"x-{number}", spec)
+    site.start()
+    assert site.send("GET", "/read/1").status_code == 200
+    assert len(site.events("DOCUMENT_REJECTED")) == 4
+
+
+def test_hangup_reads_the_settings_again(site):
+    """Guards a gateway that ended at SIGHUP."""
+    site.add(Runner("i-1", "desk"))
+    site.start()
+    site.write_settings(retryBurst=0)
+    site.process.send_signal(signal.SIGHUP)
+    until(lambda: site.events("SETTINGS_RELOADED", changed=["fleet"]), "reload")
+    assert site.send("GET", "/read/1").status_code == 200
+
+
+def test_stopping_gateway_answers_what_it_took_and_takes_nothing_late(site):
+    """Guards calls taken on a kept connection just before the kill."""
+    engine = site.add(Runner("i-1", "engines", stage="decode", events=5))
+    engine.gaps = 0.2
+    site.start()
+    kept = httpx.Client(headers={"Host": "desk.example", "X-Request-Id": "r1"})
+    with kept.stream("POST", site.url("/audit/1"), content=b"{}", timeout=8) as answer:
+        site.process.send_signal(signal.SIGTERM)
+        assert answer.read() == EVENTS
+    idle = site.connect()
+    until(lambda: site.process.poll() is not None, "end of the process", seconds=8)
+    assert site.process.returncode == 0
+    assert idle.recv(1) == b""
+
+
+def test_oversized_and_malformed_calls_are_rejected(site):
+    site.add(Runner("i-1", "desk"))
+    site.start()
+    assert site.send("GET", "/read/1", headers={"X-Long": "a" * 20_000}).status_code == 431
+    assert site.send("GET", "/none/1").status_code == 404
+    with site.connect() as raw:
+        raw.sendall(
+            b"POST /book/1 HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 4\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+        )
+        assert raw.recv(100).startswith(b"HTTP/1.1 400 ")
+
+
+def test_caller_that_leaves_frees_the_endpoint(site):
+    """Guards an endpoint that works on for a caller that has gone."""
+    engine = site.add(Runner("i-1", "engines", stage="decode", events=500))
+    engine.gaps = 0.05
+    site.start()
+    raw = site.connect()
+    raw.sendall(
+        b"POST /audit/1 HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: r1\r\n"
+        b"Content-Length: 0\r\n\r\n"
+    )
+    raw.recv(10)
+    raw.shutdown(socket.SHUT_RDWR)
+    raw.close()
+    until(lambda: site.events("CALL_ENDED", outcome="caller gone"), "end of the call")
--- /dev/null
+++ b/tests/utils/gateways.py
@@ -0,0 +1,162 @@
+"""A gateway as a process in front of stand-ins of the users' platform."""
+
+import json
+import re
+import signal
+import socket
+import subprocess
+import sys
+from contextlib import ExitStack
+from pathlib import Path
+
+import httpx
+from attrs import define, field
+
+from chivewall.standins.platform_store import PlatformStore
+from chivewall.standins.runner import Runner
+from tests.utils.sites import free_port, until
+
+ROOT = Path(__file__).parents[2]
+TEMPLATE = ROOT / "deploy" / "gateway.jsonc"
+HOST = "desk.example"
+PLACEHOLDER = re.compile(r"\{\{([\w.]+)\|json\}\}")
+
+
+def render(fields):
+    """Fill in the deploy template as the platform does."""
+
+    def value(match):
+        found = fields
+        for key in match.group(1).split("."):
+            found = found[int(key)] if key.isdigit() else found[key]
+        return json.dumps(found)
+
+    return PLACEHOLDER.sub(value, TEMPLATE.read_text())
+
+
+def route(name, service, kind="safe", **fields):
+    """Return a route as the manifest has it."""
+    return {
+        "name": name,
+        "host": HOST,
+        "pathPrefix": f"/{name}/",
+        "kind": kind,
+        "timeoutMs": 3000,
+        "sloMs": 500,
+        "priority": 1,
+        "service": service,
+        "attempts": 2,
+        **fields,
+    }
+
+
+def manifest(version, *routes):
+    """Return a manifest with these routes."""
+    services = [{"name": one} for one in sorted({one["service"] for one in routes})]
+    return {"version": version, "routes": list(routes), "services": services, "limits": {}}
+
+
+@define(eq=False)
+class GatewaySite:
+    """A store, runners and one gateway process."""
+
+    folder: Path
+    store: PlatformStore = field(factory=PlatformStore)
+    process: subprocess.Popen | None = None
+    ports: dict[str, int] = field(factory=dict)
+    stack: ExitStack = field(factory=ExitStack)
+    addresses: dict[str, tuple[str, int]] = field(factory=dict)
+    store_address: tuple[str, int] | None = None
+
+    def __enter__(self):
+        taken = set()
+        for name in ("front", "ready", "peer"):
+            self.ports[name] = free_port(taken)
+            taken.add(self.ports[name])
+        self.store_address = self.stack.enter_context(self.store.serve())
+        return self
+
+    def __exit__(self, *_):
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+            self.process.wait(10)
+        self.stack.close()
+
+    @property
+    def settings(self):
+        return self.folder / "node.jsonc"
+
+    @property
+    def log(self):
+        return self.folder / "gateway.log"
+
+    def write_settings(self, **bounds):
+        fields = {
+            "node": "gateway-1",
+            "zone": "north",
+            "ip": "127.0.0.1",
+            "portRange": [self.ports["peer"], self.ports["peer"]],
+            "seeds": [],
+            "listen": {
+                "front": f"127.0.0.1:{self.ports['front']}",
+                "ready": f"127.0.0.1:{self.ports['ready']}",
+            },
+            "bounds": {
+                "graceS": 8,
+                "drainMs": 2000,
+                "retryRatio": 0.2,
+                "retryWindowS": 10,
+                "retryBurst": 240,
+                **bounds,
+            },
+            "provider": {"addr": f"127.0.0.1:{self.store_address[1]}"},
+        }
+        self.settings.write_text(render(fields))
+
+    def start(self, *, ready=True):
+        self.write_settings()
+        # A background job of a shell ignores some signals, and its children would too.
+        with self.log.open("w") as stream:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "chivewall.daemon", str(self.settings)],
+                stdout=stream,
+                stderr=subprocess.STDOUT,
+                cwd=ROOT,
+                preexec_fn=lambda: signal.signal(signal.SIGINT, signal.default_int_handler),
+            )
+        if ready:
+            until(self.ready, "gateway is ready")
+        return self
+
+    def ready(self):
+        answer = httpx.get(f"http://127.0.0.1:{self.ports['ready']}/readyz", timeout=2)
+        return answer.status_code == 200
+
+    def add(self, runner: Runner):
+        """Serve a runner and list it in the store."""
+        address = self.stack.enter_context(runner.serve())
+        self.addresses[runner.id] = address
+        self.store.put("servers", runner.id, runner.entry(address))
+        return runner
+
+    def url(self, path):
+        return f"http://127.0.0.1:{self.ports['front']}{path}"
+
+    def send(self, method, path, request_id="r1", **options):
+        headers = {"Host": HOST, "X-Request-Id": request_id, "X-Deadline-Ms": "5000"}
+        headers |= options.pop("headers", {})
+        return httpx.request(method, self.url(path), headers=headers, timeout=8, **options)
+
+    def connect(self):
+        """Return a raw connection to the callers' port."""
+        return socket.create_connection(("127.0.0.1", self.ports["front"]), timeout=8)
+
+    def events(self, name, **fields):
+        """Return the log lines of that event with these fields."""
+        found = []
+        for line in self.log.read_text().splitlines():
+            if line.startswith("{"):
+                one = json.loads(line)
+                if one["name"] == name and fields.items() <= one.items():
+                    found.append(one)
+        return found
