--- a/chivewall/gateway/forwarded_call.py
+++ b/chivewall/gateway/forwarded_call.py
@@ -49,6 +49,7 @@
 MS_PER_SECOND = 1000.0
 ANSWER_MARGIN = 0.03  # seconds before the caller's deadline that an own answer is sent
 MAX_PRIORITY = 9
+LATE_STEPS = 3  # by which work that misses its objective anyway stands behind the rest
 REUSE_UNSAFE = 0.5  # seconds; a kept connection that was idle longer may be dead unnoticed
 REUSE_IDEMPOTENT = 4.0  # seconds
 RETRY_AFTER = 0.25  # seconds; a refusal for want of an endpoint passes soon
@@ -532,7 +533,12 @@
     def _priority(self) -> int | None:
         if not self.route.prefix_affinity:
             return None
-        return max(0, min(MAX_PRIORITY, self.route.priority))
+        late = self.placement.estimate * MS_PER_SECOND > self.route.objective_ms - self._spent_ms()
+        base = self.route.priority + (LATE_STEPS if late else 0)
+        return max(0, min(MAX_PRIORITY, base))
+
+    def _spent_ms(self) -> float:
+        return (self.env.now - self.call.received_at) * MS_PER_SECOND
 
     def _time_left_ms(self) -> float:
         return (self.deadline - self.env.now) * MS_PER_SECOND
