--- a/chivewall/decisions/peers.py
+++ b/chivewall/decisions/peers.py
@@ -45,6 +45,10 @@
         hosts = self.targets(now)
         return tuple(rng.sample(hosts, min(HOSTS_IN_HELLO, len(hosts))))
 
+    def comes_first(self, now: float) -> bool:
+        """Return whether this gateway comes first among the live ones."""
+        return self.own <= min(self.targets(now), default=self.own)
+
     def _expire(self, now: float) -> None:
         for table in (self._heard, self._named):
             for host in [one for one, at in table.items() if now - at > SILENCE_SECONDS]:
--- a/chivewall/decisions/placement.py
+++ b/chivewall/decisions/placement.py
@@ -9,7 +9,7 @@
 from attrs import define, field, frozen
 
 from chivewall.gateway.calls import CallFields
-from chivewall.gateway.catalogue import EndpointInfo, Route, Stage
+from chivewall.gateway.catalogue import EndpointInfo, Stage
 
 LOCAL_SECONDS = 0.0005  # round trip inside a data centre
 REMOTE_SECONDS = 0.010  # round trip between data centres, and the price of the bytes
@@ -45,6 +45,7 @@
     failure_share: float = 0.0
     failed_at: float = 0.0
     avoid_until: float = 0.0
+    changing_until: float = 0.0  # an ordered change of its stage may be going on
     misses: int = 0  # connections in a row that could not be opened
     gone_at: float | None = None  # when the list dropped it; used only if nothing else is left
     _prefixes: OrderedDict = field(factory=OrderedDict, init=False)  # key -> time
@@ -135,14 +136,19 @@
 
 
 def choose(
-    route: Route, fields: CallFields, states: list[EndpointState], at: Surroundings
+    fields: CallFields, states: list[EndpointState], at: Surroundings, *, prompt_read: bool = False
 ) -> Placement | None:
-    """Return the placement of the next attempt, or ``None`` if no endpoint can take it."""
+    """Return the placement of the next attempt, or ``None`` if no endpoint can take it.
+
+    With ``prompt_read``, a KV cache waits to be fetched by the engine that decodes.
+    """
     usable = _usable(states, at)
     if not usable:
         return None
     if all(one.info.stage is Stage.NONE for one in usable):
         return _choose_plain(usable, at)
+    if prompt_read:
+        return _choose_decoder(usable, at)
     return _choose_engine(fields, usable, at)
 
 
@@ -158,7 +164,8 @@
 def _usable(states: list[EndpointState], at: Surroundings) -> list[EndpointState]:
     listed = [one for one in states if not one.info.draining and one.info.id not in at.excluded]
     present = [one for one in listed if one.gone_at is None] or listed
-    return [one for one in present if one.avoid_until <= at.now] or present
+    steady = [one for one in present if one.changing_until <= at.now] or present
+    return [one for one in steady if one.avoid_until <= at.now] or steady
 
 
 def _choose_plain(states: list[EndpointState], at: Surroundings) -> Placement:
@@ -175,6 +182,14 @@
     return Placement(best.info, None, cost(best), 0, "lowest cost")
 
 
+def _choose_decoder(states: list[EndpointState], at: Surroundings) -> Placement | None:
+    decoders = [one for one in states if one.info.stage is not Stage.PREFILL]
+    if not decoders:
+        return None
+    best = min(decoders, key=lambda one: (_decode_wait(one, at), at.rng.random()))
+    return Placement(best.info, None, _decode_wait(best, at), 0, "shortest wait to decode")
+
+
 def _choose_engine(
     fields: CallFields, states: list[EndpointState], at: Surroundings
 ) -> Placement | None:
--- a/chivewall/gateway/channels.py
+++ b/chivewall/gateway/channels.py
@@ -99,17 +99,26 @@
         return next(self._numbers)
 
     async def fetch(
-        self, address: Address, method: bytes, target: bytes, deadline: float
+        self,
+        address: Address,
+        method: bytes,
+        target: bytes,
+        deadline: float,
+        *,
+        headers: Headers = (),
+        body: bytes = b"",
     ) -> PlainAnswer:
-        """Send a call without a body; raises ``StoreUnavailableError`` without an answer."""
+        """Send a call of the gateway itself; raises ``StoreUnavailableError`` without an answer."""
         sink = Inbox()
         call = OutgoingCall(
             exchange=self.next_exchange(),
             address=address,
             method=method,
             target=target,
-            headers=((b"Host", describe_address(address).encode()),),
+            headers=((b"Host", describe_address(address).encode()), *headers),
             sink=sink,
+            body=body,
+            has_body=bool(body),
         )
         timer = self.env.clock.callLater(
             max(0.0, deadline - self.env.now),
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -5,11 +5,18 @@
 from attrs import define, field, frozen, validators
 
 from chivewall.decisions.allowance import Allowance, AllowancePolicy
-from chivewall.decisions.placement import EndpointState, Surroundings, choose, prefix_chain
+from chivewall.decisions.placement import (
+    DECODE_READ_FACTOR,
+    EndpointState,
+    Surroundings,
+    choose,
+    prefix_chain,
+)
+from chivewall.decisions.stages import EngineView, ReadLoad, StageLoad
 from chivewall.environment import Environment
 from chivewall.events import Event
 from chivewall.gateway.calls import CallFields
-from chivewall.gateway.catalogue import EndpointInfo, Route
+from chivewall.gateway.catalogue import EndpointInfo, Stage
 from chivewall.gateway.collections import (
     CollectionChanges,
     CollectionFollower,
@@ -26,6 +33,7 @@
 
 MS_PER_SECOND = 1000.0
 SHARERS = 24  # machines that the fixed part of the allowance is divided by
+CHANGE_SECONDS = 12.0  # longest time that an ordered engine is left alone
 GONE_MARGIN = 0.3  # seconds before an endpoint that left the list may get no more work
 
 
@@ -54,11 +62,11 @@
 class Place(Query):
     """Ask for a placement; answered with ``Placement`` or ``None``."""
 
-    route: Route
     service: str
     fields: CallFields
     excluded: frozenset[str]
     allowed: frozenset[str] | None  # ids; ``None`` allows every endpoint
+    prompt_read: bool = False  # a KV cache waits to be fetched
 
 
 @frozen
@@ -107,6 +115,34 @@
     outcome: str  # "answered", "failed", "missed", "refused" or "left"
 
 
+@frozen
+class StageOrdered:
+    """An engine was ordered to change its stage; it takes no work until it has."""
+
+    endpoint: str
+
+
+@frozen
+class PeerOrdered:
+    """Another gateway ordered an engine to change its stage."""
+
+    endpoint: str
+
+
+@frozen
+class ServiceLoad:
+    """The load of one service's engines."""
+
+    service: str
+    load: StageLoad
+    endpoints: dict[str, EndpointInfo]
+
+
+@define(eq=False)
+class EngineLoads(Query):
+    """Ask for the load of all engines; answered with a list of ``ServiceLoad``."""
+
+
 class Fleet(Task):
     """Owns the states of the endpoints."""
 
@@ -119,6 +155,7 @@
         self.states: dict[str, EndpointState] = {}
         self.allowances: dict[str, Allowance] = {}
         self.policy = _policy(cfg)
+        self.reading: dict[str, ReadLoad] = {}  # by service
         self.share_with: Inbox | None = None  # what this gateway sends is told there
 
     def reload(self, cfg: FleetSettings) -> None:
@@ -181,7 +218,7 @@
             rng=self.env.random,
             excluded=message.excluded,
         )
-        message.answer(choose(message.route, message.fields, states, at))
+        message.answer(choose(message.fields, states, at, prompt_read=message.prompt_read))
 
     @receive.register
     async def _(self, message: RequestSeen) -> None:
@@ -198,7 +235,7 @@
             return
         state.own_in_flight += 1
         keys = tuple(key for key, _ in prefix_chain(message.fields))
-        state.add_prefill(message.read_seconds, self.env.now)
+        self._count_reading(state, message.read_seconds)
         state.remember(keys, self.env.now)
         if self.share_with is not None:
             work = SharedWork(
@@ -219,7 +256,7 @@
         state = self.states.get(work.endpoint)
         if state is None:
             return
-        state.add_prefill(work.read_seconds, self.env.now)
+        self._count_reading(state, work.read_seconds)
         state.remember(work.prefixes, self.env.now)
         state.add_peer_work(work.seconds, self.env.now)
 
@@ -241,6 +278,53 @@
                 seconds=round(state.avoid_until - self.env.now, 3),
             )
 
+    @receive.register
+    async def _(self, message: StageOrdered) -> None:
+        self._start_change(message.endpoint)
+        if self.share_with is not None:
+            self.share_with.put(message)
+
+    @receive.register
+    async def _(self, message: PeerOrdered) -> None:
+        self._start_change(message.endpoint)
+
+    @receive.register
+    async def _(self, message: EngineLoads) -> None:
+        message.answer([self._load(service) for service in self.reading])
+
+    def _load(self, service: str) -> ServiceLoad:
+        now = self.env.now
+        states = [one for one in self.states.values() if one.info.service == service]
+        for one in states:
+            one.settle(now)
+        engines = tuple(
+            EngineView(
+                id=one.info.id,
+                stage=one.info.stage,
+                in_flight=one.in_flight,
+                usable=one.gone_at is None
+                and not one.info.draining
+                and one.changing_until <= now
+                and one.avoid_until <= now,
+            )
+            for one in states
+        )
+        load = StageLoad(engines, self.reading[service].share(now))
+        return ServiceLoad(service, load, {one.info.id: one.info for one in states})
+
+    def _start_change(self, endpoint: str) -> None:
+        state = self.states.get(endpoint)
+        if state is not None:
+            state.changing_until = self.env.now + CHANGE_SECONDS
+
+    def _count_reading(self, state: EndpointState, seconds: float) -> None:
+        if state.info.stage is Stage.NONE:
+            return
+        state.add_prefill(seconds, self.env.now)
+        load = self.reading.setdefault(state.info.service, ReadLoad())
+        own_speed = 1.0 if state.info.stage is Stage.PREFILL else DECODE_READ_FACTOR
+        load.add(seconds / own_speed, self.env.now)
+
     def _allowance(self, service: str) -> Allowance:
         return self.allowances.setdefault(service, Allowance(self.policy))
 
@@ -253,6 +337,8 @@
         if state is None or state.info.started_ms != info.started_ms:
             self.states[item.name] = EndpointState(info)
         else:
+            if state.info.stage is not info.stage:
+                state.changing_until = 0.0
             state.info = info
             state.gone_at = None
         self.env.log.emit(
--- a/chivewall/gateway/forwarded_call.py
+++ b/chivewall/gateway/forwarded_call.py
@@ -224,19 +224,22 @@
             self._end_exchange("left")
             self._finish("caller gone")
 
-    async def _place(self) -> None:
+    async def _ask_placement(self, *, prompt_read: bool) -> Placement | None:
         allowed = None
         if len(self.ledger.endpoints) >= self.route.attempts:
             allowed = frozenset(self.ledger.endpoints)
-        placement = await self.context.fleet.ask(
+        return await self.context.fleet.ask(
             Place(
-                route=self.route,
                 service=self.service,
                 fields=self.call.fields,
                 excluded=frozenset(self.failed - self.ledger.endpoints if allowed else self.failed),
                 allowed=allowed,
+                prompt_read=prompt_read,
             )
         )
+
+    async def _place(self) -> None:
+        placement = await self._ask_placement(prompt_read=False)
         if placement is None:
             await self._attempt_failed(Outcome.NO_ENDPOINT, "no endpoint can take the call")
             return
@@ -392,8 +395,14 @@
         self.prefilled_at = self.env.now
         self._end_exchange("answered")
         self.kv_handle = (source, kept.handle)
+        # The prompt may have waited for seconds; the engine that was to decode may leave by now.
+        placement = await self._ask_placement(prompt_read=True)
+        if placement is None:
+            await self._attempt_failed(Outcome.NO_ENDPOINT, "no endpoint can decode")
+            return
+        self.placement = placement
         kv_source = self.context.dialect.kv_source(source.address, kept.handle)
-        await self._send(self.placement.endpoint, kv_source=kv_source)
+        await self._send(placement.endpoint, kv_source=kv_source)
 
     async def _prefill_failed(self, reason: str, *, missed: bool = False) -> None:
         self._log_failure(Outcome.NOT_SENT if missed else Outcome.NOT_RUN, reason)
--- a/chivewall/gateway/peer_codec.py
+++ b/chivewall/gateway/peer_codec.py
@@ -26,6 +26,7 @@
 
     hosts: tuple[str, ...] = ()  # gateways that the sender knows
     work: tuple[SharedWork, ...] = ()
+    changing: tuple[str, ...] = ()  # engines that were ordered to change their stage
 
 
 def encode(message: PeerMessage) -> bytes:
@@ -34,19 +35,20 @@
         [one.endpoint, round(one.read_seconds, 4), round(one.seconds, 2), list(one.prefixes)]
         for one in message.work
     ]
-    document = [VERSION, list(message.hosts), work]
+    document = [VERSION, list(message.hosts), work, list(message.changing)]
     return json.dumps(document, separators=(",", ":")).encode()
 
 
 def decode(datagram: bytes) -> PeerMessage:
     """Read a datagram; raises ``DecodeError``."""
     try:
-        version, hosts, work = json.loads(datagram)
+        version, hosts, work, changing = json.loads(datagram)
         if version != VERSION:
             raise DecodeError(f"version {version!r} of a datagram is not known")
         return PeerMessage(
             hosts=tuple(str(one) for one in hosts),
             work=tuple(_work(*one) for one in work),
+            changing=tuple(str(one) for one in changing),
         )
     except (ValueError, TypeError, RecursionError) as exc:
         raise DecodeError(f"datagram: {exc}") from exc
--- a/chivewall/gateway/peers.py
+++ b/chivewall/gateway/peers.py
@@ -5,7 +5,7 @@
 
 from functools import singledispatchmethod
 
-from attrs import field, frozen, validators
+from attrs import define, field, frozen, validators
 from twisted.internet.interfaces import IListeningPort
 from twisted.internet.protocol import DatagramProtocol
 
@@ -14,12 +14,12 @@
 from chivewall.environment import Environment
 from chivewall.errors import DecodeError
 from chivewall.events import Event
-from chivewall.gateway.fleet import Fleet, PeerWork, ShareWorkWith
+from chivewall.gateway.fleet import Fleet, PeerOrdered, PeerWork, ShareWorkWith, StageOrdered
 from chivewall.gateway.peer_codec import MAX_DATAGRAM, PeerMessage, SharedWork, decode, encode
 from chivewall.messages import Tick
 from chivewall.plugins.base import Plugin
 from chivewall.plugins.registry import Registry
-from chivewall.task import Task
+from chivewall.task import Query, Task
 
 BATCH_SECONDS = 0.03  # for which work is collected into one datagram
 
@@ -46,6 +46,11 @@
     data: bytes = field(repr=False)
 
 
+@define(eq=False)
+class ComesFirst(Query):
+    """Ask whether this gateway comes first among the live ones; answered with ``bool``."""
+
+
 class PeerSocket(DatagramProtocol):
     """Hands datagrams to the task."""
 
@@ -96,6 +101,15 @@
             self.env.clock.callLater(BATCH_SECONDS, self.tell, Tick("batch"))
         self.waiting.append(message)
 
+    @receive.register
+    async def _(self, message: StageOrdered) -> None:
+        hosts = self.table.targets(self.env.now)
+        self._send(PeerMessage(changing=(message.endpoint,)), hosts)
+
+    @receive.register
+    async def _(self, message: ComesFirst) -> None:
+        message.answer(self.table.comes_first(self.env.now))
+
     @receive.register
     async def _(self, message: DatagramReceived) -> None:
         try:
@@ -106,6 +120,8 @@
         self.table.heard(message.host, found.hosts, self.env.now)
         for work in found.work:
             self.fleet.tell(PeerWork(work))
+        for endpoint in found.changing:
+            self.fleet.tell(PeerOrdered(endpoint))
 
     def _share(self) -> None:
         work, self.waiting = self.waiting, []
@@ -138,6 +154,7 @@
     async def setup(self) -> None:
         """Build the task."""
         self.peers = Peers(self.env, self.cfg, self.env.require(Fleet))
+        self.env.provide(Peers, self.peers)
 
     async def start(self) -> None:
         """Bind the port."""
--- a/chivewall/platform/adapter.py
+++ b/chivewall/platform/adapter.py
@@ -5,8 +5,10 @@
 from chivewall.addresses import check_address, parse_address
 from chivewall.gateway.calls import CallDialect
 from chivewall.gateway.channels import Channels
+from chivewall.gateway.engine_control import EngineControl, TurnStore
 from chivewall.gateway.sources import Sources
 from chivewall.platform import manifest, runners
+from chivewall.platform.engines import RunnerControl, StoredTurns
 from chivewall.platform.headers import PlatformDialect
 from chivewall.platform.objects import ObjectClient, ObjectCollection
 from chivewall.plugins.base import Plugin
@@ -32,6 +34,8 @@
         """Offer the sources and the dialect."""
         address = parse_address(self.cfg.store)
         client = ObjectClient(self.env, self.env.require(Channels), address)
+        self.env.provide(EngineControl, RunnerControl(self.env, self.env.require(Channels)))
+        self.env.provide(TurnStore, StoredTurns(client))
         self.env.provide(CallDialect, PlatformDialect())
         self.env.provide(
             Sources,
--- a/chivewall/platform/objects.py
+++ b/chivewall/platform/objects.py
@@ -1,5 +1,6 @@
 """The platform's store: lists, watches and writes of objects by kind and name."""
 
+import json
 from collections.abc import Callable
 from typing import Any
 from urllib.parse import quote
@@ -49,6 +50,37 @@
         )
         return items(document, "events"), whole(document, "asOf")
 
+    async def get(self, kind: str, name: str) -> tuple[Any, int]:
+        """Return the ``spec`` and revision of one object; raises ``ObjectMissingError``."""
+        document = await self._read(_path(kind, name), self.env.now + CALL_SECONDS)
+        return document.get("spec"), _revision(document)
+
+    async def put(self, kind: str, name: str, spec: Any, revision: int) -> int:
+        """Replace an object at a revision, or create it at 0; return the new revision.
+
+        Raises ``VersionConflictError`` if the object has another revision, and
+        ``StoreUnavailableError`` if the write may have taken effect.
+        """
+        metadata: dict[str, Any] = {"name": name}
+        method, target = b"POST", f"/objects/{quote(kind, safe='')}"
+        if revision:
+            metadata["rev"] = revision
+            method, target = b"PUT", _path(kind, name)
+        body = json.dumps({"metadata": metadata, "spec": spec}).encode()
+        answer = await self.channels.fetch(
+            self.address,
+            method,
+            target.encode(),
+            self.env.now + CALL_SECONDS,
+            headers=((b"Content-Type", b"application/json"),),
+            body=body,
+        )
+        _raise_for_status(answer)
+        try:
+            return _revision(mapping(parse(answer.body), "answer"))
+        except DecodeError as exc:
+            raise StoreUnavailableError(f"unreadable answer: {exc}") from exc
+
     async def _read(self, target: str, deadline: float) -> dict[str, Any]:
         answer = await self.channels.fetch(self.address, b"GET", target.encode(), deadline)
         _raise_for_status(answer)
@@ -117,6 +149,14 @@
         )
 
 
+def _path(kind: str, name: str) -> str:
+    return f"/objects/{quote(kind, safe='')}/{quote(name, safe='')}"
+
+
+def _revision(document: dict[str, Any]) -> int:
+    return whole(mapping(document.get("metadata"), "metadata"), "rev")
+
+
 def _raise_for_status(answer: PlainAnswer) -> None:
     if answer.status in HTTP_OK:
         return
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -230,3 +230,21 @@
     raw.shutdown(socket.SHUT_RDWR)
     raw.close()
     until(lambda: site.events("CALL_ENDED", outcome="caller gone"), "end of the call")
+
+
+def test_decoding_engine_is_chosen_after_the_prompt_was_read(site):
+    """Guards a request that reaches an engine which began to leave while its prompt waited."""
+    leaving = site.add(Runner("i-1", "engines", stage="decode", events=5))
+    reader = site.add(Runner("i-p", "engines", stage="prefill"))
+
+    def leave_and_answer(handler):
+        site.store.put("servers", "i-1", leaving.entry(site.addresses["i-1"], state="draining"))
+        site.add(Runner("i-2", "engines", stage="decode", events=5))
+        until(lambda: site.events("ENDPOINT_LISTED", endpoint="i-2"), "new engine")
+        behaviours.answer(handler)
+
+    reader.behaviours = [leave_and_answer]
+    site.start()
+    prompt = {"X-Token-Count": "20000,10", "X-Prompt-Prefix": "aa:15000,bb:5000"}
+    assert site.send("POST", "/audit/1", content=b"{}", headers=prompt).content == EVENTS
+    assert leaving.ran == []
--- a/tests/utils/gateways.py
+++ b/tests/utils/gateways.py
@@ -107,6 +107,7 @@
                 "retryRatio": 0.2,
                 "retryWindowS": 10,
                 "retryBurst": 240,
+                "leaseMs": 3000,
                 **bounds,
             },
             "provider": {"addr": f"127.0.0.1:{self.store_address[1]}"},
