--- a/chivewall/decisions/placement.py
+++ b/chivewall/decisions/placement.py
@@ -25,6 +25,11 @@
 AVOID_SECONDS = 1.0  # after a connection that could not be opened, doubled each time
 AVOID_LIMIT = 8.0  # seconds
 PREFIX_SECONDS = 9.0  # an idle prefix is taken to be evicted after that
+OVERDUE_SHARE = 1.3  # of the expected time after which a prompt shows that the engine is behind
+OVERDUE_SECONDS = 0.2
+PACE_WEIGHT = 0.4  # of the newest stream
+PACE_HALF_LIFE = 6.0  # seconds
+PACE_EVENTS = 0  # of a stream, by whose pause a slow engine counts as farther away
 KEY_BYTES = 5  # of a prefix's key; a clash costs one wrong estimate
 PREFIX_LIMIT = 4096  # remembered chains of one endpoint
 CACHE_FILL = 0.9  # share of the KV cache that remembered prefixes may fill
@@ -35,13 +40,52 @@
 HOME_BONUS_SECONDS = 0.15  # by which the home of a prefix may be slower than the best
 
 
+@define
+class ReadQueue:
+    """Estimates the prompts that an engine still has to read.
+
+    A prompt that is overdue shows that the engine is slower or fuller than known.
+    """
+
+    _ahead: float = field(default=0.0, init=False)  # seconds of reading
+    _drained_at: float = field(default=0.0, init=False)
+    _sent: dict[int, tuple[float, float]] = field(factory=dict, init=False)  # time, expected
+
+    def wait(self, now: float) -> float:
+        """Return the seconds until a prompt that is sent now would be read."""
+        self._drain(now)
+        overdue = 0.0
+        for sent_at, expected in self._sent.values():
+            overdue = max(overdue, now - sent_at - expected * OVERDUE_SHARE - OVERDUE_SECONDS)
+        return self._ahead + overdue
+
+    def add(self, seconds: float, now: float) -> None:
+        """Count a prompt."""
+        self._drain(now)
+        self._ahead += seconds
+
+    def sent(self, exchange: int, expected: float, now: float) -> None:
+        """Expect a prompt to be read in so many seconds."""
+        self._sent[exchange] = (now, expected)
+
+    def ended(self, exchange: int) -> None:
+        """Expect nothing more of a prompt that was read or given up."""
+        self._sent.pop(exchange, None)
+
+    def _drain(self, now: float) -> None:
+        self._ahead = max(0.0, self._ahead - (now - self._drained_at))
+        self._drained_at = now
+
+
 @define
 class EndpointState:
     """What this gateway knows of one endpoint; stale as soon as another one sends."""
 
     info: EndpointInfo
     own_in_flight: int = 0
-    prefill_until: float = 0.0  # when they should have been read
+    reading: ReadQueue = field(factory=ReadQueue)
+    pace: float = 0.0  # seconds between events of the streams that ended last
+    pace_at: float = 0.0
     failure_share: float = 0.0
     failed_at: float = 0.0
     avoid_until: float = 0.0
@@ -99,13 +143,15 @@
         """Return the share of failures, which fades with time."""
         return self.failure_share * 0.5 ** ((now - self.failed_at) / FAILURE_HALF_LIFE)
 
-    def prefill_wait(self, now: float) -> float:
-        """Return the seconds until the prompts that were sent should have been read."""
-        return max(0.0, self.prefill_until - now)
+    def observe_pace(self, seconds: float, now: float) -> None:
+        """Take in the mean time between the events of a stream."""
+        known = self.fading_pace(now)
+        self.pace = seconds if not known else known + PACE_WEIGHT * (seconds - known)
+        self.pace_at = now
 
-    def add_prefill(self, seconds: float, now: float) -> None:
-        """Count a prompt that was sent and takes so long to read."""
-        self.prefill_until = max(now, self.prefill_until) + seconds
+    def fading_pace(self, now: float) -> float:
+        """Return the time between events, less the longer ago it was seen."""
+        return self.pace * 0.5 ** ((now - self.pace_at) / PACE_HALF_LIFE)
 
     def _weigh(self, outcome: float, now: float) -> None:
         self.failure_share = self.failures(now) * (1 - FAILURE_WEIGHT) + FAILURE_WEIGHT * outcome
@@ -122,6 +168,7 @@
     uncached: int  # prompt tokens that are read for it
     reason: str
     read_seconds: float = 0.0  # that reading them takes
+    read_by: float = 0.0  # seconds until a prefill engine should have read them
     backlog: float = 0.0  # seconds of reading that a decode engine then has before it
 
 
@@ -205,7 +252,14 @@
         target = min(decoders, key=lambda one: _decode_wait(one, at) - _bonus(one, home))
         reader_home = _home(chain, readers)
         options += [
-            _handed_over(fields, chain, one, target, _bonus(one, reader_home), at)
+            _handed_over(
+                fields,
+                chain,
+                reader=one,
+                target=target,
+                bonus=_bonus(one, reader_home),
+                at=at,
+            )
             for one in readers
         ]
     return min(options, key=lambda pair: pair[0] - _bonus_of(pair[1], home))[1]
@@ -240,7 +294,7 @@
         uncached=fields.prompt_tokens - cached,
         reason="prompt read where it decodes",
         read_seconds=reading,
-        backlog=reading + state.prefill_wait(at.now),
+        backlog=reading + state.reading.wait(at.now),
     )
     return seconds + STALL_WEIGHT * state.in_flight * reading, placement
 
@@ -256,7 +310,7 @@
     cached = reader.cached_tokens(chain, at.now)
     reading = read_seconds(fields.prompt_tokens, cached, Stage.PREFILL)
     seconds = (
-        reader.prefill_wait(at.now)
+        reader.reading.wait(at.now)
         + reading
         + _distance(reader, at)
         + FAILURE_SECONDS * reader.failures(at.now)
@@ -270,6 +324,7 @@
         uncached=fields.prompt_tokens - cached,
         reason="prompt handed over",
         read_seconds=reading,
+        read_by=reader.reading.wait(at.now) + reading,
     )
     return seconds - bonus, placement
 
@@ -278,7 +333,8 @@
     over = max(0, state.in_flight + 1 - state.info.slots)
     return (
         _distance(state, at)
-        + state.prefill_wait(at.now)
+        + state.reading.wait(at.now)
+        + PACE_EVENTS * state.fading_pace(at.now)
         + BUSY_SLOT_SECONDS * state.in_flight
         + over * CALL_SECONDS
         + FAILURE_SECONDS * state.failures(at.now)
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -91,6 +91,8 @@
     read_seconds: float  # for the prompt; 0 if it fetches the KV cache
     fields: CallFields
     seconds: float  # that it probably runs
+    exchange: int
+    read_by: float | None = None  # when the prompt should have been read, of a prefill
 
 
 @frozen
@@ -112,7 +114,9 @@
     """An attempt at an endpoint ended."""
 
     endpoint: str
+    exchange: int
     outcome: str  # "answered", "failed", "missed", "refused" or "left"
+    pace: float | None = None  # mean seconds between the events of a stream
 
 
 @frozen
@@ -236,6 +240,8 @@
         state.own_in_flight += 1
         keys = tuple(key for key, _ in prefix_chain(message.fields))
         self._count_reading(state, message.read_seconds)
+        if message.read_by is not None:
+            state.reading.sent(message.exchange, message.read_by - self.env.now, self.env.now)
         state.remember(keys, self.env.now)
         if self.share_with is not None:
             work = SharedWork(
@@ -266,7 +272,11 @@
         if state is None:
             return
         state.own_in_flight = max(0, state.own_in_flight - 1)
-        if message.outcome == "answered":
+        answered = message.outcome == "answered"
+        state.reading.ended(message.exchange)
+        if message.pace is not None:
+            state.observe_pace(message.pace, self.env.now)
+        if answered:
             state.succeeded(self.env.now)
         elif message.outcome == "failed":
             state.failed(self.env.now)
@@ -320,7 +330,7 @@
     def _count_reading(self, state: EndpointState, seconds: float) -> None:
         if state.info.stage is Stage.NONE:
             return
-        state.add_prefill(seconds, self.env.now)
+        state.reading.add(seconds, self.env.now)
         load = self.reading.setdefault(state.info.service, ReadLoad())
         own_speed = 1.0 if state.info.stage is Stage.PREFILL else DECODE_READ_FACTOR
         load.add(seconds / own_speed, self.env.now)
--- a/chivewall/gateway/forwarded_call.py
+++ b/chivewall/gateway/forwarded_call.py
@@ -55,6 +55,7 @@
 RETRY_AFTER = 0.25  # seconds; a refusal for want of an endpoint passes soon
 SILENCE_SECONDS = 0.5  # without a byte, after which the endpoint is tested
 RELEASE_SECONDS = 0.6  # for the call that frees a KV cache
+PACED_EVENTS = 3  # of a stream that tells how fast its engine decodes
 SERVICE_SECONDS = 0.05  # of a plain call, for the estimates of other gateways
 TOKEN_SECONDS = 0.006  # a decode step with a few streams running
 SUCCESS = range(200, 300)
@@ -296,6 +297,8 @@
                 read_seconds=0.0 if handed_over else self.placement.read_seconds,
                 fields=self.call.fields,
                 seconds=0.0 if prefill else self._expected_seconds(),
+                exchange=number,
+                read_by=self.env.now + self.placement.read_by if prefill else None,
             )
         )
         self.context.channels.tell(
@@ -489,7 +492,10 @@
         if exchange is None:
             return
         self.context.channels.tell(CancelCall(exchange.number))
-        self.context.fleet.tell(WorkOver(exchange.endpoint.id, outcome))
+        pace = None
+        if outcome == "answered" and not exchange.prefill and self.stream.passed >= PACED_EVENTS:
+            pace = (self.last_at - self.first_at) / (self.stream.passed - 1)
+        self.context.fleet.tell(WorkOver(exchange.endpoint.id, exchange.number, outcome, pace))
         if exchange.handed_over and outcome in ("answered", "failed"):
             self.kv_handle = None
 
@@ -542,7 +548,8 @@
     def _priority(self) -> int | None:
         if not self.route.prefix_affinity:
             return None
-        late = self.placement.estimate * MS_PER_SECOND > self.route.objective_ms - self._spent_ms()
+        estimate = 0.0 if self.placement is None else self.placement.estimate
+        late = estimate * MS_PER_SECOND > self.route.objective_ms - self._spent_ms()
         base = self.route.priority + (LATE_STEPS if late else 0)
         return max(0, min(MAX_PRIORITY, base))
 
--- a/chivewall/gateway/peer_codec.py
+++ b/chivewall/gateway/peer_codec.py
@@ -32,7 +32,12 @@
 def encode(message: PeerMessage) -> bytes:
     """Return the datagram."""
     work = [
-        [one.endpoint, round(one.read_seconds, 4), round(one.seconds, 2), list(one.prefixes)]
+        [
+            one.endpoint,
+            round(one.read_seconds, 4),
+            round(one.seconds, 2),
+            list(one.prefixes),
+        ]
         for one in message.work
     ]
     document = [VERSION, list(message.hosts), work, list(message.changing)]
