Test the gateway's decisions and the platform's formats

Found by a test: the bonus of a prefix's home also weighed prefill engines against reading where it decodes, so a prompt of 200 tokens without shared parts was handed over.

--- a/chivewall/addresses.py
+++ b/chivewall/addresses.py
@@ -21,6 +21,6 @@
     return f"{address[0]}:{address[1]}"
 
 
-def check_address(instance: object, attribute: object, value: str) -> None:
+def check_address(_instance: object, _attribute: object, value: str) -> None:
     """Validate a setting that holds ``IP:PORT``."""
     parse_address(value)
--- a/chivewall/daemon.py
+++ b/chivewall/daemon.py
@@ -29,7 +29,8 @@
 def main(settings: Path, *, check: bool) -> None:
     """Run one chivewall process with the settings of a JSON file with comments.
 
-    SIGHUP reads the settings file again. SIGTERM or Ctrl-C drains and stops it; a second signal stops it at once.
+    SIGTERM or Ctrl-C drains and stops it; a second signal stops it at once.
+    SIGHUP reads the settings file again.
     """
     reactor = install_reactor()
     try:
--- a/chivewall/decisions/forwarding.py
+++ b/chivewall/decisions/forwarding.py
@@ -24,7 +24,7 @@
     """What to do after a failed attempt."""
 
     RETRY = "retry"
-    PASS_ON = "pass on"  # give the caller the endpoint's own failure
+    FORWARD = "forward"  # give the caller the endpoint's own failure
     REFUSE = "refuse"  # it has not run and never will
     FAIL = "fail"  # it may have run
     CUT = "cut"  # bytes of an answer were sent; only a broken connection is honest
@@ -86,5 +86,5 @@
     if at.answer_begun:
         return Next.CUT
     if at.outcome is Outcome.FAILED:
-        return Next.PASS_ON
+        return Next.FORWARD
     return Next.FAIL if ledger.may_have_run else Next.REFUSE
--- a/chivewall/decisions/placement.py
+++ b/chivewall/decisions/placement.py
@@ -246,31 +246,34 @@
     if not decoders:
         return None
     home = _home(chain, decoders)
-    options = [_direct(fields, chain, one, at) for one in decoders]
-    if readers:
-        options = [pair for pair in options if pair[1].backlog <= DIRECT_SECONDS]
-        target = min(decoders, key=lambda one: _decode_wait(one, at) - _bonus(one, home))
-        reader_home = _home(chain, readers)
-        options += [
-            _handed_over(
-                fields,
-                chain,
-                reader=one,
-                target=target,
-                bonus=_bonus(one, reader_home),
-                at=at,
-            )
-            for one in readers
-        ]
-    return min(options, key=lambda pair: pair[0] - _bonus_of(pair[1], home))[1]
+    direct = [_direct(fields, chain, one, at) for one in decoders]
+    if not readers:
+        return _cheapest(direct, home).placement
+    direct = [one for one in direct if one.placement.backlog <= DIRECT_SECONDS]
+    target = min(decoders, key=lambda one: _decode_wait(one, at))
+    handed_over = [_handed_over(fields, chain, one, target, at) for one in readers]
+    options = [_cheapest(handed_over, _home(chain, readers))]
+    if direct:
+        options.append(_cheapest(direct, home))
+    return min(options, key=lambda one: one.cost).placement
 
 
-def _bonus_of(placement: Placement, home: EndpointState) -> float:
-    return HOME_BONUS_SECONDS if placement.endpoint.id == home.info.id else 0.0
+@frozen
+class Option:
+    """A placement with its cost; ``reader`` reads the prompt."""
+
+    cost: float  # seconds to the first event, and what it delays others
+    reader: EndpointState
+    placement: Placement
+
+
+def _cheapest(options: list[Option], home: EndpointState) -> Option:
+    """Return the cheapest option; the home of the prefix may cost a little more."""
 
+    def cost(option: Option) -> float:
+        return option.cost - (HOME_BONUS_SECONDS if option.reader is home else 0.0)
 
-def _bonus(state: EndpointState, home: EndpointState) -> float:
-    return HOME_BONUS_SECONDS if state is home else 0.0
+    return min(options, key=cost)
 
 
 def read_seconds(prompt: int, cached: int, stage: Stage) -> float:
@@ -283,7 +286,7 @@
 
 def _direct(
     fields: CallFields, chain: list[tuple[str, int]], state: EndpointState, at: Surroundings
-) -> tuple[float, Placement]:
+) -> Option:
     cached = state.cached_tokens(chain, at.now)
     reading = read_seconds(fields.prompt_tokens, cached, Stage.DECODE)
     seconds = _decode_wait(state, at) + reading
@@ -296,7 +299,7 @@
         read_seconds=reading,
         backlog=reading + state.reading.wait(at.now),
     )
-    return seconds + STALL_WEIGHT * state.in_flight * reading, placement
+    return Option(seconds + STALL_WEIGHT * state.in_flight * reading, state, placement)
 
 
 def _handed_over(
@@ -304,9 +307,8 @@
     chain: list[tuple[str, int]],
     reader: EndpointState,
     target: EndpointState,
-    bonus: float,
     at: Surroundings,
-) -> tuple[float, Placement]:
+) -> Option:
     cached = reader.cached_tokens(chain, at.now)
     reading = read_seconds(fields.prompt_tokens, cached, Stage.PREFILL)
     seconds = (
@@ -326,7 +328,7 @@
         read_seconds=reading,
         read_by=reader.reading.wait(at.now) + reading,
     )
-    return seconds - bonus, placement
+    return Option(seconds, reader, placement)
 
 
 def _decode_wait(state: EndpointState, at: Surroundings) -> float:
--- a/chivewall/gateway/channel.py
+++ b/chivewall/gateway/channel.py
@@ -99,15 +99,15 @@
         self.on_lost(self)
 
     def pauseProducing(self) -> None:  # noqa: N802 - Twisted's name
-        """The request isn't written completely yet."""
+        """Note that the request isn't written completely yet."""
         self._flushed = False
 
     def resumeProducing(self) -> None:  # noqa: N802 - Twisted's name
-        """The request is written."""
+        """Note that the request is written."""
         self._flushed = True
 
     def stopProducing(self) -> None:  # noqa: N802 - Twisted's name
-        """The connection ends; ``connectionLost`` follows."""
+        """Leave the end of the connection to ``connectionLost``."""
 
     def _serialize(self, call: OutgoingCall) -> bytes:
         headers = list(call.headers)
--- a/chivewall/gateway/channels.py
+++ b/chivewall/gateway/channels.py
@@ -189,7 +189,7 @@
     @receive.register
     async def _(self, message: ProbeAddress) -> None:
         if self.env.now - self._heard.get(message.address, -HEARD_SECONDS) < HEARD_SECONDS:
-            message.answer(True)  # noqa: FBT003 - the value of the answer
+            message.answer(True)
             return
         waiting = self._probes.setdefault(message.address, [])
         waiting.append(message)
--- a/chivewall/gateway/forwarded_call.py
+++ b/chivewall/gateway/forwarded_call.py
@@ -453,7 +453,7 @@
         next_step = give_up(self._situation(outcome), self.ledger)
         if next_step is Next.CUT:
             self.sink.put(AnswerCut(self.number))
-        elif next_step is Next.PASS_ON:
+        elif next_step is Next.FORWARD:
             self._pass_on_whole()
         elif next_step is Next.REFUSE:
             self._refuse(ResultCode.NO_ENDPOINT, reason)
--- a/chivewall/gateway/stage_changer.py
+++ b/chivewall/gateway/stage_changer.py
@@ -51,7 +51,7 @@
 class StageChanger(Task):
     """Owns this process's view of the turns."""
 
-    def __init__(  # noqa: PLR0913 - what an order needs
+    def __init__(
         self,
         env: Environment,
         cfg: StageChangerSettings,
--- a/chivewall/standins/platform_store.py
+++ b/chivewall/standins/platform_store.py
@@ -137,7 +137,7 @@
 
 def _handler(store: PlatformStore) -> type[BaseHTTPRequestHandler]:
     class StoreHandler(QuietHandler):
-        def do_GET(self) -> None:  # noqa: N802 - inherited name
+        def do_GET(self) -> None:
             self.send_document(*store.answer(self.path))
 
     return StoreHandler
--- /dev/null
+++ b/tests/test_gateway_decisions.py
@@ -0,0 +1,439 @@
+"""Decisions of the gateway: routes, allowance, streams, retries, endpoints, stages."""
+
+import random
+
+import pytest
+from attrs import evolve
+from hypothesis import given
+from hypothesis import strategies as st
+
+from chivewall.decisions.allowance import Allowance, AllowancePolicy
+from chivewall.decisions.event_stream import EventStream
+from chivewall.decisions.forwarding import CallLedger, Next, Outcome, Situation, decide
+from chivewall.decisions.peers import SILENCE_SECONDS, PeerTable
+from chivewall.decisions.placement import (
+    EndpointState,
+    ReadQueue,
+    Surroundings,
+    choose,
+    prefix_chain,
+    read_seconds,
+)
+from chivewall.decisions.route_table import RouteTable, choose_service
+from chivewall.decisions.stages import (
+    EngineView,
+    ReadLoad,
+    StageChange,
+    StageLoad,
+    Turn,
+    TurnView,
+    propose,
+)
+from chivewall.gateway.calls import CallFields, PromptPart
+from chivewall.gateway.catalogue import (
+    Catalogue,
+    EndpointInfo,
+    IngressLimits,
+    Kind,
+    Route,
+    Stage,
+    WeightedService,
+)
+
+
+def make_route(**fields):
+    known = {
+        "name": "r",
+        "host": "a.example",
+        "path_prefix": "/",
+        "kind": Kind.SAFE,
+        "services": (WeightedService("desk", 1),),
+        "attempts": 2,
+        "timeout_ms": 1000,
+        "objective_ms": 200,
+        "priority": 1,
+    }
+    return Route(**(known | fields))
+
+
+def make_info(name="i-1", **fields):
+    known = {
+        "id": name,
+        "service": "desk",
+        "host": "10.0.0.1",
+        "port": 80,
+        "data_centre": "north",
+        "slots": 4,
+        "draining": False,
+        "stage": Stage.NONE,
+    }
+    return EndpointInfo(**(known | fields))
+
+
+def make_state(name="i-1", **fields):
+    return EndpointState(make_info(name, **fields))
+
+
+def around(now=100.0, **fields):
+    return Surroundings(home="north", now=now, rng=random.Random(1), **fields)
+
+
+class TestRoutes:
+    """Routes by host and path prefix."""
+
+    table = RouteTable(
+        Catalogue(
+            version=1,
+            routes=tuple(
+                make_route(name=prefix, path_prefix=prefix, host=host)
+                for host, prefix in (
+                    ("a.example", "/"),
+                    ("a.example", "/book/"),
+                    ("a.example", "/book/new/"),
+                    ("b.example", "/only/"),
+                )
+            ),
+            services={},
+            limits=IngressLimits(),
+        )
+    )
+
+    @pytest.mark.parametrize(
+        ("host", "path", "expected"),
+        [
+            ("a.example", "/x", "/"),
+            ("A.Example:8080", "/book/7", "/book/"),
+            ("a.example", "/book/new/7", "/book/new/"),
+            ("a.example", "/book", "/"),
+            ("b.example", "/only/1", "/only/"),
+        ],
+    )
+    def test_longest_prefix_of_the_host_wins(self, host, path, expected):
+        assert self.table.match(host, path).name == expected
+
+    @pytest.mark.parametrize(
+        ("host", "path"), [("b.example", "/other/"), ("c.example", "/"), ("", "/")]
+    )
+    def test_unknown_host_or_path_has_no_route(self, host, path):
+        assert self.table.match(host, path) is None
+
+    def test_split_follows_the_weights(self):
+        route = make_route(services=(WeightedService("a", 90), WeightedService("b", 10)))
+        rng = random.Random(3)
+        drawn = [choose_service(route, rng) for _ in range(1000)]
+        assert 850 < drawn.count("a") < 950
+
+    @given(st.text(), st.text())
+    def test_any_host_and_path_is_taken(self, host, path):
+        found = self.table.match(host, path)
+        assert found is None or path.startswith(found.path_prefix)
+
+
+class TestAllowance:
+    """The share of repeats."""
+
+    def test_repeats_stay_within_the_share_of_the_window(self):
+        """Guards a retry storm: the bound holds for every window, also a sliding one."""
+        allowance = Allowance(AllowancePolicy(ratio=0.2, window=10, burst=2))
+        rng = random.Random(5)
+        requests, repeats = [], []
+        now = 0.0
+        for _ in range(2000):
+            now += rng.expovariate(20)
+            allowance.request(now)
+            requests.append(now)
+            if rng.random() < 0.6 and allowance.spend(now):
+                repeats.append(now)
+        for start in range(int(now) - 10):
+            asked = sum(start - 10 <= one < start + 10 for one in requests)
+            spent = sum(start <= one < start + 10 for one in repeats)
+            assert spent <= 0.2 * asked + 2
+
+    def test_nothing_is_left_over_from_an_old_window(self):
+        allowance = Allowance(AllowancePolicy(ratio=0.2, window=10, burst=0))
+        for _ in range(100):
+            allowance.request(0.0)
+        assert not allowance.spend(11.0)
+
+
+def events(first, last):
+    return b"".join(b"id: %d\ndata: x%d\n\n" % (one, one) for one in range(first, last + 1))
+
+
+class TestEventStream:
+    """Streams over several runs."""
+
+    @given(st.integers(1, 30), st.lists(st.integers(1, 40), max_size=30))
+    def test_cuts_anywhere_change_nothing(self, count, cuts):
+        whole, stream, out = events(1, count), EventStream(), b""
+        for size in cuts:
+            out += stream.feed(whole[:size])
+            whole = whole[size:]
+        out += stream.feed(whole)
+        assert out == events(1, count)
+        assert stream.finish() == b""
+
+    @given(st.data())
+    def test_resumed_stream_has_each_event_once(self, data):
+        """Guards pieces that are missing, doubled or joined of two runs."""
+        count = data.draw(st.integers(1, 20))
+        stream, out = EventStream(), b""
+        for _ in range(data.draw(st.integers(0, 4))):
+            after = int(stream.last_id or 0)
+            run = events(max(1, after - data.draw(st.integers(0, 3))), count)
+            out += stream.feed(run[: data.draw(st.integers(0, len(run)))])
+            stream.restart()
+        out += stream.feed(events(int(stream.last_id or 0) + 1, count))
+        assert out == events(1, count)
+
+    def test_events_without_an_id_are_passed_on(self):
+        assert EventStream().feed(b"data: a\r\n\r\n: note\n\n") == b"data: a\r\n\r\n: note\n\n"
+
+    def test_stream_begins_after_the_callers_last_event(self):
+        stream = EventStream(last_id="3")
+        assert stream.feed(events(1, 5)) == events(4, 5)
+
+
+def situation(outcome, **fields):
+    known = {"route": make_route(), "outcome": outcome, "now": 0.0, "answer_by": 1.0}
+    return Situation(**(known | fields))
+
+
+class TestForwarding:
+    """What follows a failed attempt."""
+
+    UNSAFE = make_route(kind=Kind.UNSAFE)
+    STREAM = make_route(kind=Kind.STREAM)
+    RESUMABLE = make_route(kind=Kind.STREAM, resumable=True)
+
+    @pytest.mark.parametrize("route", [UNSAFE, STREAM])
+    @pytest.mark.parametrize("outcome", [Outcome.BROKEN, Outcome.FAILED])
+    def test_call_that_may_have_run_is_not_repeated(self, route, outcome):
+        ledger = CallLedger()
+        ledger.failed(outcome)
+        assert decide(situation(outcome, route=route), ledger) in (Next.FAIL, Next.FORWARD)
+
+    @pytest.mark.parametrize("route", [UNSAFE, STREAM, RESUMABLE, make_route()])
+    @pytest.mark.parametrize("outcome", [Outcome.NOT_SENT, Outcome.NOT_RUN])
+    def test_call_that_has_not_run_is_tried_again(self, route, outcome):
+        ledger = CallLedger()
+        ledger.failed(outcome)
+        assert decide(situation(outcome, route=route), ledger) is Next.RETRY
+
+    def test_refusal_is_only_claimed_if_no_attempt_may_have_run(self):
+        """Guards an untrue refusal after a broken attempt and a refused one."""
+        ledger = CallLedger()
+        ledger.failed(Outcome.BROKEN)
+        ledger.failed(Outcome.NOT_RUN)
+        assert decide(situation(Outcome.NO_ENDPOINT), ledger) is Next.FAIL
+
+    def test_begun_answer_is_cut_or_resumed(self):
+        ledger = CallLedger()
+        ledger.failed(Outcome.BROKEN)
+        begun = situation(Outcome.BROKEN, answer_begun=True)
+        assert decide(evolve(begun, route=self.RESUMABLE), ledger) is Next.RETRY
+        assert decide(evolve(begun, route=self.STREAM), ledger) is Next.CUT
+        assert decide(evolve(begun, route=make_route()), ledger) is Next.CUT
+
+    def test_no_attempt_begins_without_time_to_serve_it(self):
+        late = situation(Outcome.NOT_RUN, now=0.99)
+        assert decide(late, CallLedger()) is Next.REFUSE
+
+
+class TestPlainPlacement:
+    """Endpoints of plain services."""
+
+    def test_leaving_and_excluded_endpoints_are_not_used(self):
+        states = [make_state("a", draining=True), make_state("b")]
+        assert choose(CallFields(), states, around()).endpoint.id == "b"
+        assert choose(CallFields(), states, around(excluded=frozenset("b"))) is None
+
+    def test_endpoint_that_left_the_list_is_the_last_resort(self):
+        gone, listed = make_state("a"), make_state("b", data_centre="south")
+        gone.gone_at = 99.0
+        assert choose(CallFields(), [gone, listed], around()).endpoint.id == "b"
+        assert choose(CallFields(), [gone], around()).endpoint.id == "a"
+
+    def test_unreachable_endpoint_is_avoided_for_a_while(self):
+        states = [make_state("a"), make_state("b", data_centre="south")]
+        states[0].missed(100.0)
+        assert choose(CallFields(), states, around(100.5)).endpoint.id == "b"
+        assert choose(CallFields(), states, around(102.0)).endpoint.id == "a"
+
+    def test_failing_endpoint_gets_less(self):
+        states = [make_state("a"), make_state("b", data_centre="south")]
+        for _ in range(3):
+            states[0].failed(100.0)
+        assert choose(CallFields(), states, around()).endpoint.id == "b"
+
+
+PARTS = (PromptPart("aa", 12_000), PromptPart("bb", 3_000))
+PROMPT = CallFields(prompt_tokens=15_000, output_tokens=80, parts=PARTS)
+
+
+class TestEnginePlacement:
+    """Engines of a generation."""
+
+    def engines(self):
+        return [
+            make_state("p1", stage=Stage.PREFILL),
+            make_state("p2", stage=Stage.PREFILL),
+            make_state("d1", stage=Stage.DECODE),
+            make_state("d2", stage=Stage.DECODE),
+        ]
+
+    def test_long_prompt_is_read_by_a_prefill_engine(self):
+        found = choose(PROMPT, self.engines(), around())
+        assert found.prefill.stage is Stage.PREFILL
+        assert found.endpoint.stage is Stage.DECODE
+
+    def test_short_prompt_is_read_where_it_decodes(self):
+        assert choose(CallFields(prompt_tokens=200), self.engines(), around()).prefill is None
+
+    def test_prompt_goes_where_its_shared_part_is_kept(self):
+        states = self.engines()
+        keys = [key for key, _ in prefix_chain(PROMPT)][:1]
+        states[1].remember(keys, 99.0)
+        found = choose(PROMPT, states, around())
+        assert found.prefill.id == "p2"
+        assert found.uncached == 3_000
+
+    def test_full_prefill_engine_is_left_for_the_other(self):
+        states = self.engines()
+        states[1].remember([key for key, _ in prefix_chain(PROMPT)], 99.0)
+        states[1].reading.add(2.0, 100.0)
+        assert choose(PROMPT, states, around()).prefill.id == "p1"
+
+    def test_decode_engine_reads_no_more_than_its_streams_bear(self):
+        states = self.engines()
+        for one in states[:2]:
+            one.reading.add(30.0, 100.0)
+        assert choose(PROMPT, states, around()).prefill is not None
+
+    def test_without_prefill_engines_decode_engines_read(self):
+        found = choose(PROMPT, self.engines()[2:], around())
+        assert found.prefill is None
+
+    def test_engine_that_changes_is_left_alone(self):
+        states = self.engines()
+        states[2].changing_until = 105.0
+        assert choose(PROMPT, states, around(), prompt_read=True).endpoint.id == "d2"
+
+    def test_parts_count_only_behind_the_parts_before_them(self):
+        state = make_state(stage=Stage.PREFILL)
+        chain = prefix_chain(PROMPT)
+        state.remember([chain[1][0]], 100.0)
+        assert state.cached_tokens(chain, 100.0) == 0
+        assert prefix_chain(evolve(PROMPT, parts=PARTS[1:]))[0][0] != chain[1][0]
+
+    def test_long_prompts_take_more_than_their_share(self):
+        """Guards estimates that were short by half for prompts of 40,000 tokens."""
+        single = read_seconds(10_000, 0, Stage.PREFILL)
+        assert read_seconds(40_000, 0, Stage.PREFILL) > 5 * single
+        assert read_seconds(10_000, 0, Stage.DECODE) == 2 * single
+
+    def test_overdue_prompt_shows_that_an_engine_is_behind(self):
+        queue = ReadQueue()
+        queue.sent(1, 0.1, 100.0)
+        assert queue.wait(100.1) == 0
+        assert queue.wait(102.0) > 1.0
+        queue.ended(1)
+        assert queue.wait(102.0) == 0
+
+    def test_work_of_other_gateways_ends_by_itself(self):
+        state = make_state()
+        state.add_peer_work(2.0, 100.0)
+        state.settle(101.0)
+        assert state.in_flight == 1
+        state.settle(102.0)
+        assert state.in_flight == 0
+
+
+def view(name, stage, in_flight=2, **fields):
+    return EngineView(name, stage, in_flight, **({"usable": True} | fields))
+
+
+class TestStages:
+    """Changes between prefill and decode."""
+
+    DECODERS = tuple(view(f"d{one}", Stage.DECODE, in_flight=one) for one in (3, 1, 2))
+
+    def test_busy_prefill_gets_the_idlest_decoder(self):
+        load = StageLoad((view("p", Stage.PREFILL), *self.DECODERS), read_share=1.5)
+        assert propose(load) == StageChange("d1", Stage.PREFILL, "prefill busy 1.50 engines")
+
+    def test_steady_load_changes_nothing(self):
+        load = StageLoad((view("p", Stage.PREFILL), *self.DECODERS), read_share=0.7)
+        assert propose(load) is None
+
+    def test_two_decoders_stay(self):
+        load = StageLoad((view("p", Stage.PREFILL), *self.DECODERS[:2]), read_share=3.0)
+        assert propose(load) is None
+
+    def test_without_a_decoder_a_reader_becomes_one(self):
+        readers = (view("p1", Stage.PREFILL), view("p2", Stage.PREFILL))
+        assert propose(StageLoad(readers, read_share=1.0)).stage is Stage.DECODE
+
+    def test_crowded_decoders_get_an_idle_reader(self):
+        engines = (
+            view("p1", Stage.PREFILL),
+            view("p2", Stage.PREFILL),
+            view("d1", Stage.DECODE, in_flight=60),
+        )
+        assert propose(StageLoad(engines, read_share=0.1)).stage is Stage.DECODE
+
+    def test_load_counts_after_a_whole_window(self):
+        load = ReadLoad()
+        load.add(2.0, 0.0)
+        assert load.share(1.0) == 0
+        load.add(2.0, 4.0)
+        assert load.share(5.5) == pytest.approx(2.0 / 5.0)
+
+
+class TestTurns:
+    """Who may give the next order."""
+
+    CHANGE = StageChange("d1", Stage.PREFILL, "")
+    OTHER = Turn(7, "gateway-2", "d2", Stage.PREFILL, taken_at=1000.0)
+
+    def test_other_holders_turn_must_have_been_seen_for_two_leases(self):
+        """Guards orders of two machines within one lease time."""
+        turns = TurnView(lease_seconds=3.0)
+        turns.see(self.OTHER, 50.0)
+        assert not turns.may_take("gateway-1", 55.9, unix_time=1002.0)
+        assert turns.may_take("gateway-1", 56.0, unix_time=1002.0)
+
+    def test_newer_turn_starts_the_wait_again(self):
+        turns = TurnView(lease_seconds=3.0)
+        turns.see(self.OTHER, 50.0)
+        turns.see(evolve(self.OTHER, number=8), 55.0)
+        assert not turns.may_take("gateway-1", 56.0, unix_time=1002.0)
+
+    def test_wrong_clock_of_some_seconds_allows_nothing(self):
+        turns = TurnView(lease_seconds=3.0)
+        turns.see(self.OTHER, 50.0)
+        assert not turns.may_take("gateway-1", 50.0, unix_time=1010.0)
+
+    def test_each_turn_has_its_own_fencing_number(self):
+        turns = TurnView(lease_seconds=3.0)
+        assert turns.next("gateway-1", self.CHANGE, 0.0).number == 1
+        turns.see(self.OTHER, 0.0)
+        assert turns.next("gateway-1", self.CHANGE, 0.0).number == 8
+
+
+class TestPeers:
+    """Gateways that share their work."""
+
+    def test_seeds_are_greeted_and_live_ones_get_work(self):
+        table = PeerTable(own="10.0.0.1", seeds=frozenset({"10.0.0.1", "10.0.0.2"}))
+        assert table.greeted(0.0) == ["10.0.0.2"]
+        assert table.targets(0.0) == []
+        table.heard("10.0.0.3", ("10.0.0.4", "10.0.0.1"), 0.0)
+        assert table.targets(0.0) == ["10.0.0.3"]
+        assert table.greeted(0.0) == ["10.0.0.2", "10.0.0.3", "10.0.0.4"]
+
+    def test_silent_gateway_is_forgotten(self):
+        table = PeerTable(own="10.0.0.2", seeds=frozenset())
+        table.heard("10.0.0.1", (), 0.0)
+        assert not table.comes_first(1.0)
+        assert table.comes_first(SILENCE_SECONDS + 1)
--- /dev/null
+++ b/tests/test_platform_formats.py
@@ -0,0 +1,188 @@
+"""Formats of the users' platform: any input gives a value or a typed error."""
+
+import json
+from contextlib import suppress
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from chivewall.errors import DecodeError, RequestError
+from chivewall.gateway.calls import Call, CallFields, SentFields
+from chivewall.gateway.catalogue import Kind, Stage
+from chivewall.gateway.peer_codec import PeerMessage, SharedWork, decode, encode
+from chivewall.platform.headers import PlatformDialect
+from chivewall.platform.manifest import decode_manifest
+from chivewall.platform.runners import decode_runner
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=20,
+)
+ROUTE = {
+    "name": "r",
+    "host": "Desk.example",
+    "pathPrefix": "/a/",
+    "kind": "stream",
+    "timeoutMs": 6000,
+    "sloMs": 800,
+    "priority": 0,
+    "split": [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}],
+    "attempts": 2,
+    "sticky": True,
+    "resumable": True,
+}
+MANIFEST = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [{"name": "a", "healthPath": "/healthz", "maxConns": 9, "engine": {"slots": 4}}],
+    "limits": {"maxHeaderBytes": 100, "maxBodyBytes": 200, "idleTimeoutMs": 300},
+}
+ENTRY = {
+    "service": "a",
+    "addr": "10.0.0.9:8080",
+    "zone": "north",
+    "version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "coldLeftMs": 0,
+    "stage": "decode",
+    "seq": 4,
+    "born": 1700000000000,
+}
+
+
+def spoiled(document, data):
+    """Return the document with one field missing or of another type."""
+    key = data.draw(st.sampled_from(sorted(document)))
+    rest = {name: value for name, value in document.items() if name != key}
+    return rest if data.draw(st.booleans()) else rest | {key: data.draw(JSON)}
+
+
+def test_manifest_is_decoded():
+    found = decode_manifest(MANIFEST)
+    route = found.routes[0]
+    assert (found.version, route.host, route.kind) == (7, "desk.example", Kind.STREAM)
+    assert [one.service for one in route.services] == ["a", "b"]
+    assert route.idempotent
+    assert found.limits.header_bytes == 100
+    assert found.services["a"].engine.slots == 4
+
+
+def test_entry_is_decoded():
+    found = decode_runner("i-1", ENTRY)
+    assert found.address == ("10.0.0.9", 8080)
+    assert (found.stage, found.draining) == (Stage.DECODE, False)
+
+
+@given(JSON)
+def test_any_document_is_decoded_or_rejected(document):
+    for decoder in (decode_manifest, lambda one: decode_runner("i", one)):
+        with suppress(DecodeError):
+            decoder(document)
+
+
+@given(st.data())
+def test_spoiled_documents_are_decoded_or_rejected(data):
+    """Guards an exit at entries of other writers with odd fields."""
+    for document, decoder in (
+        (MANIFEST, decode_manifest),
+        (ENTRY, lambda one: decode_runner("i", one)),
+    ):
+        with suppress(DecodeError):
+            decoder(spoiled(document, data))
+    with suppress(DecodeError):
+        decode_manifest(MANIFEST | {"routes": [spoiled(ROUTE, data)]})
+
+
+@pytest.mark.parametrize("addr", ["10.0.0.1", "10.0.0.1:0", "10.0.0.1:x", ":80", "10.0.0.1:99999"])
+def test_entry_without_an_address_is_rejected(addr):
+    with pytest.raises(DecodeError):
+        decode_runner("i-1", ENTRY | {"addr": addr})
+
+
+HEADERS = st.lists(
+    st.tuples(
+        st.sampled_from([b"X-Deadline-Ms", b"X-Token-Count", b"X-Prompt-Prefix", b"Retry-After"]),
+        st.binary(max_size=30),
+    )
+)
+
+
+@given(HEADERS)
+def test_any_headers_are_read_or_rejected(headers):
+    dialect = PlatformDialect()
+    with suppress(RequestError):
+        dialect.read_call(tuple(headers))
+    dialect.read_answer(200, tuple(headers))
+
+
+def call(*headers):
+    return Call(
+        method=b"GET",
+        target=b"/a/1?b=2",
+        headers=headers,
+        body=b"",
+        has_body=False,
+        received_at=0.0,
+        fields=CallFields(),
+    )
+
+
+def test_headers_of_one_channel_are_not_forwarded():
+    """Guards a Connection header that removes what makes the call this call."""
+    sent = PlatformDialect().call_headers(
+        call(
+            (b"Connection", b"close, X-Hop, X-Request-Id"),
+            (b"X-Hop", b"1"),
+            (b"X-Request-Id", b"r1"),
+            (b"Transfer-Encoding", b"chunked"),
+            (b"X-Pin-Ms", b"10"),
+            (b"X-Model", b"m"),
+        ),
+        SentFields(time_left_ms=120.7, endpoint="i-1", stage=Stage.PREFILL),
+    )
+    assert dict(sent) == {
+        b"X-Request-Id": b"r1",
+        b"X-Model": b"m",
+        b"X-Deadline-Ms": b"120",
+        b"X-Expect-Instance": b"i-1",
+        b"X-Stage": b"prefill",
+    }
+
+
+def test_prompt_is_read_from_the_headers():
+    fields = PlatformDialect().read_call(
+        ((b"X-Token-Count", b"1460,80"), (b"X-Prompt-Prefix", b"5c:800,91:410,e4:250"))
+    )
+    assert (fields.prompt_tokens, fields.output_tokens) == (1460, 80)
+    assert [one.tokens for one in fields.parts] == [800, 410, 250]
+
+
+def test_refusals_of_runners_are_recognised():
+    dialect = PlatformDialect()
+    assert dialect.read_answer(503, ((b"X-Not-Run", b"1"),)).not_run
+    assert dialect.read_answer(421, ()).not_run
+    assert not dialect.read_answer(503, ()).not_run
+
+
+WORK = st.builds(
+    SharedWork,
+    endpoint=st.text(max_size=12),
+    read_seconds=st.floats(0, 10).map(lambda one: round(one, 4)),
+    seconds=st.floats(0, 10).map(lambda one: round(one, 2)),
+    prefixes=st.lists(st.text(max_size=10), max_size=4).map(tuple),
+)
+
+
+@given(st.lists(WORK, max_size=4).map(tuple), st.lists(st.text(max_size=9), max_size=3).map(tuple))
+def test_datagrams_are_read_as_written(work, names):
+    message = PeerMessage(hosts=names, work=work, changing=names)
+    assert decode(encode(message)) == message
+
+
+@given(st.binary() | JSON.map(lambda one: json.dumps(one).encode()))
+def test_any_datagram_is_read_or_rejected(datagram):
+    with suppress(DecodeError):
+        decode(datagram)
--- a/tests/utils/gateways.py
+++ b/tests/utils/gateways.py
@@ -2,7 +2,6 @@
 
 import json
 import re
-import signal
 import socket
 import subprocess
 import sys
@@ -116,14 +115,12 @@
 
     def start(self, *, ready=True):
         self.write_settings()
-        # A background job of a shell ignores some signals, and its children would too.
         with self.log.open("w") as stream:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "chivewall.daemon", str(self.settings)],
                 stdout=stream,
                 stderr=subprocess.STDOUT,
                 cwd=ROOT,
-                preexec_fn=lambda: signal.signal(signal.SIGINT, signal.default_int_handler),
             )
         if ready:
             until(self.ready, "gateway is ready")
