Serve a gateway's metrics; bound its log and never block on it

The log goes to standard output without blocking; slow readers lose whole lines, and each event has at most 100 lines a second with the count of what was left out.

--- a/chivewall/environment.py
+++ b/chivewall/environment.py
@@ -10,6 +10,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from chivewall.events import EventLog
+from chivewall.log_stream import LineRate, NonBlockingStream
 from chivewall.settings import Settings
 
 ServiceT = TypeVar("ServiceT")
@@ -42,7 +43,12 @@
             settings=settings,
             clock=reactor,
             random=random.Random(core.seed),
-            log=EventLog(stdout, instance=core.instance, data_centre=core.data_centre),
+            log=EventLog(
+                NonBlockingStream(stdout),
+                rate=LineRate(),
+                instance=core.instance,
+                data_centre=core.data_centre,
+            ),
             reactor=reactor,
             stdout=stdout,
             stderr=stderr,
--- a/chivewall/events.py
+++ b/chivewall/events.py
@@ -1,5 +1,6 @@
 """Catalogue of numbered log events and the log that writes them."""
 
+import time
 from collections.abc import Callable
 from enum import Enum
 from typing import Any, TextIO
@@ -7,6 +8,10 @@
 import structlog
 from twisted.logger import formatEvent
 
+from chivewall.log_stream import LineRate
+
+Clock = Callable[[], float]
+
 
 class Event(Enum):
     """A log event: number, level and text.
@@ -70,6 +75,7 @@
     ENDPOINT_AVOIDED = (706, "warning", "endpoint avoided after failures")
     INGRESS_REJECTED = (707, "info", "malformed or oversized call rejected")
 
+    KV_CACHE_LEFT = (709, "info", "KV cache that nobody fetches could not be freed")
     PEER_UNREACHABLE = (708, "warning", "datagram to another gateway not sent")
 
     def __init__(self, number: int, level: str, text: str) -> None:
@@ -79,13 +85,21 @@
 
 
 class EventLog:
-    """Writes events as JSON lines.
+    """Writes events as JSON lines; observers see every event, also one without a line.
 
     Example: ``log.emit(Event.READY, instance="entry-1")``.
     """
 
-    def __init__(self, stream: TextIO, **context: Any) -> None:
+    def __init__(
+        self,
+        stream: TextIO,
+        rate: LineRate | None = None,
+        clock: Clock = time.monotonic,
+        **context: Any,
+    ) -> None:
         self._observers: list[Callable[[Event, dict[str, Any]], None]] = []
+        self._rate = rate
+        self._clock = clock
         self._log = structlog.wrap_logger(
             structlog.WriteLogger(stream),
             processors=[
@@ -104,6 +118,12 @@
         """Write one event with its fields."""
         for observer in self._observers:
             observer(event, fields)
+        if self._rate is not None:
+            left_out = self._rate.admit(event, self._clock())
+            if left_out is None:
+                return
+            if left_out:
+                fields["left_out"] = left_out
         self._log.info(
             event.text, number=event.number, level=event.level, name=event.name, **fields
         )
--- a/chivewall/gateway/forwarded_call.py
+++ b/chivewall/gateway/forwarded_call.py
@@ -570,7 +570,7 @@
     try:
         await fetched
     except StoreUnavailableError as exc:
-        env.log.emit(Event.CALL_ATTEMPT_FAILED, reason=f"KV cache {handle} not freed: {exc}")
+        env.log.emit(Event.KV_CACHE_LEFT, handle=handle, error=str(exc))
 
 
 def refusal(
--- /dev/null
+++ b/chivewall/gateway/metrics.py
@@ -0,0 +1,108 @@
+"""Counters and latency histograms of a gateway, on an address of their own."""
+
+from typing import Any
+
+from aioprometheus import Counter, Histogram, Registry, render
+from attrs import field, frozen
+from twisted.internet.interfaces import IListeningPort
+from twisted.web.resource import Resource
+from twisted.web.server import Request as HttpRequest
+from twisted.web.server import Site
+
+from chivewall.addresses import check_address, parse_address
+from chivewall.events import Event
+from chivewall.plugins.base import Plugin
+from chivewall.plugins.registry import Registry as PluginRegistry
+
+SECONDS = [0.025, 0.05, 0.1, 0.2, 0.34, 0.5, 0.8, 1.2, 2.0, 3.0, 5.0, 8.0]  # has 0.34
+
+
+@frozen
+class GatewayMetricsSettings:
+    """Where the metrics are read."""
+
+    address: str = field(validator=check_address, metadata={"help": "IP:PORT to listen on."})
+
+
+class GatewayMetrics:
+    """Counts the events of one gateway."""
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        self.calls = self._counter("calls_total", "Ended calls by route and outcome.")
+        self.attempts = self._counter("attempts_total", "Attempts by kind.")
+        self.failures = self._counter("attempt_failures_total", "Failed attempts by outcome.")
+        self.refusals = self._counter("refusals_total", "Calls refused without a route, by code.")
+        self.outages = self._counter("store_outages_total", "Outages of the store by collection.")
+        self.orders = self._counter("orders_total", "Orders to engines by stage.")
+        self.seconds = self._histogram("call_seconds", "Whole time of a call by route.")
+        self.first = self._histogram("first_event_seconds", "Time to the first event by route.")
+
+    def observe(self, event: Event, fields: dict[str, Any]) -> None:
+        """Count one event."""
+        if event is Event.CALL_ENDED:
+            route = {"route": fields["route"]}
+            self.calls.inc(route | {"outcome": fields["outcome"]})
+            self.seconds.observe(route, fields["seconds"])
+            if fields["first_after"] is not None:
+                self.first.observe(route, fields["first_after"])
+        elif event is Event.CALL_ATTEMPT:
+            self.attempts.inc({"kind": "prefill" if fields["prefill"] else "run"})
+        elif event is Event.CALL_ATTEMPT_FAILED:
+            self.failures.inc({"outcome": fields["outcome"]})
+        elif event is Event.CALL_REFUSED:
+            self.refusals.inc({"code": str(fields["code"])})
+        elif event is Event.STORE_UNAVAILABLE:
+            self.outages.inc({"collection": fields["key"]})
+        elif event is Event.ORDER_SENT:
+            self.orders.inc({"stage": fields["stage"]})
+
+    def _counter(self, name: str, doc: str) -> Counter:
+        return Counter(f"chivewall_gateway_{name}", doc, registry=self.registry)
+
+    def _histogram(self, name: str, doc: str) -> Histogram:
+        return Histogram(f"chivewall_gateway_{name}", doc, buckets=SECONDS, registry=self.registry)
+
+
+class MetricsResource(Resource):
+    """Answers any path with the counters as text."""
+
+    isLeaf = True  # noqa: N815 - Twisted's name
+
+    def __init__(self, metrics: GatewayMetrics) -> None:
+        super().__init__()
+        self.metrics = metrics
+
+    def render_GET(self, http: HttpRequest) -> bytes:  # noqa: N802 - Twisted's name
+        """Answer with all counters."""
+        content, headers = render(self.metrics.registry, [http.getHeader("Accept") or "*/*"])
+        for name, value in headers.items():
+            http.setHeader(name, value)
+        return content
+
+
+class GatewayMetricsPlugin(Plugin):
+    """Follows the event log and serves the counters."""
+
+    name = "metrics"
+    settings_type = GatewayMetricsSettings
+
+    async def setup(self) -> None:
+        """Follow the event log."""
+        self.metrics = GatewayMetrics()
+        self.env.log.subscribe(self.metrics.observe)
+
+    async def start(self) -> None:
+        """Bind the port."""
+        host, port = parse_address(self.cfg.address)
+        site = Site(MetricsResource(self.metrics))
+        self.listener: IListeningPort = self.env.reactor.listenTCP(port, site, interface=host)
+
+    async def stop(self) -> None:
+        """Close the port."""
+        await self.listener.stopListening()
+
+
+def register(registry: PluginRegistry) -> None:
+    """Register the plug-in."""
+    registry.add(GatewayMetricsPlugin)
--- /dev/null
+++ b/chivewall/log_stream.py
@@ -0,0 +1,73 @@
+"""Standard output for the log: writing never blocks, and its volume is bounded."""
+
+import os
+from contextlib import suppress
+from typing import Any, TextIO
+
+from attrs import define, field
+
+MAX_WAITING_BYTES = 1_048_576  # lines that a slow reader has not taken yet
+LINES_PER_SECOND = 100  # of one event; a process serves fewer calls than that in normal load
+
+
+@define(eq=False)
+class NonBlockingStream:
+    """Writes lines to a file descriptor; drops new lines while a reader is too slow.
+
+    Implements the part of ``TextIO`` that a logger needs.
+    """
+
+    stream: TextIO
+    dropped: int = 0  # lines
+    _waiting: bytearray = field(factory=bytearray, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        with suppress(OSError, ValueError):  # a stream without a descriptor never blocks
+            os.set_blocking(self.stream.fileno(), False)
+
+    def write(self, text: str) -> int:
+        """Write or keep a line."""
+        data = text.encode("utf-8", "backslashreplace")
+        if len(self._waiting) + len(data) > MAX_WAITING_BYTES:
+            self.dropped += 1
+        else:
+            self._waiting += data
+        self.flush()
+        return len(text)
+
+    def flush(self) -> None:
+        """Write what the descriptor takes now."""
+        while self._waiting:
+            try:
+                written = os.write(self.stream.fileno(), self._waiting)
+            except BlockingIOError:
+                return
+            except OSError:  # the reader has gone; there is nowhere to tell it
+                self._waiting.clear()
+                return
+            del self._waiting[:written]
+
+
+@define
+class LineRate:
+    """Bounds the lines a second of each event and counts what is left out."""
+
+    limit: int = LINES_PER_SECOND
+    _second: int = field(default=0, init=False)
+    _lines: dict[Any, int] = field(factory=dict, init=False)
+    _left_out: dict[Any, int] = field(factory=dict, init=False)
+
+    def admit(self, event: Any, now: float) -> int | None:
+        """Return how many lines of the event were left out before this one.
+
+        ``None`` leaves this line out too.
+        """
+        if int(now) != self._second:
+            self._second = int(now)
+            self._lines.clear()
+        lines = self._lines.get(event, 0) + 1
+        self._lines[event] = lines
+        if lines > self.limit:
+            self._left_out[event] = self._left_out.get(event, 0) + 1
+            return None
+        return self._left_out.pop(event, 0)
--- a/chivewall/standins/platform_store.py
+++ b/chivewall/standins/platform_store.py
@@ -99,6 +99,13 @@
                 self._changed.wait(left)
 
 
+class QuietServer(ThreadingHTTPServer):
+    """Leaves connections that the peer resets without a word."""
+
+    def handle_error(self, request: object, client_address: object) -> None:
+        """Write nothing."""
+
+
 @define(eq=False)
 class Served:
     """An HTTP server in a thread."""
@@ -107,7 +114,7 @@
     server: ThreadingHTTPServer | None = None
 
     def __enter__(self) -> tuple[str, int]:
-        self.server = ThreadingHTTPServer(("127.0.0.1", 0), self.handler)
+        self.server = QuietServer(("127.0.0.1", 0), self.handler)
         self.server.daemon_threads = True
         threading.Thread(target=self.server.serve_forever, args=(0.02,), daemon=True).start()
         return self.server.server_address
--- a/extras/reference.py
+++ b/extras/reference.py
@@ -16,6 +16,16 @@
 from chivewall.results import ResultCode
 from chivewall.settings import CoreSettings
 
+GATEWAY_PLUGINS = (
+    "chivewall.gateway.metrics",
+    "chivewall.gateway.channels",
+    "chivewall.platform.adapter",
+    "chivewall.gateway.fleet",
+    "chivewall.gateway.peers",
+    "chivewall.gateway.stage_changer",
+    "chivewall.gateway.gateway",
+)
+
 DOCS = Path(__file__).resolve().parent.parent / "docs"
 
 
@@ -67,9 +77,11 @@
         "",
         *_settings_table(CoreSettings),
     ]
-    registry = Registry()
-    for module in sorted(pkgutil.iter_modules(builtin.__path__), key=lambda one: one.name):
-        plugin = registry.load(module.name)
+    builtins = sorted(one.name for one in pkgutil.iter_modules(builtin.__path__))
+    registry, gateway = Registry(), Registry()  # plug-ins of both kinds of process share names
+    plugins = [registry.load(name) for name in builtins]
+    plugins += [gateway.load(name) for name in GATEWAY_PLUGINS]
+    for plugin in plugins:
         lines += ["", f"## `{plugin.name}`", "", _first_line(plugin), ""]
         lines += _settings_table(plugin.settings_type)
     return "\n".join(lines) + "\n"
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -248,3 +248,20 @@
     prompt = {"X-Token-Count": "20000,10", "X-Prompt-Prefix": "aa:15000,bb:5000"}
     assert site.send("POST", "/audit/1", content=b"{}", headers=prompt).content == EVENTS
     assert leaving.ran == []
+
+
+def test_metrics_count_calls(site):
+    site.add(Runner("i-1", "desk"))
+    site.start()
+    site.send("GET", "/read/1")
+    text = httpx.get(f"http://127.0.0.1:{site.ports['metrics']}/metrics", timeout=5).text
+    assert 'chivewall_gateway_calls_total{outcome="answered",route="read"} 1' in text
+    assert "chivewall_gateway_call_seconds_bucket" in text
+
+
+def test_log_line_of_each_decision_names_the_request(site):
+    site.add(Runner("i-1", "desk"))
+    site.start()
+    site.send("GET", "/read/1", request_id="r-77")
+    assert site.events("CALL_ATTEMPT", request="r-77", endpoint="i-1")
+    assert site.events("CALL_ENDED", request="r-77", outcome="answered", route="read")
--- a/tests/utils/gateways.py
+++ b/tests/utils/gateways.py
@@ -30,7 +30,8 @@
             found = found[int(key)] if key.isdigit() else found[key]
         return json.dumps(found)
 
-    return PLACEHOLDER.sub(value, TEMPLATE.read_text())
+    text = PLACEHOLDER.sub(value, TEMPLATE.read_text())
+    return text.replace("{{ip}}:9464", f"{fields['ip']}:{fields['metricsPort']}")
 
 
 def route(name, service, kind="safe", **fields):
@@ -69,7 +70,7 @@
 
     def __enter__(self):
         taken = set()
-        for name in ("front", "ready", "peer"):
+        for name in ("front", "ready", "peer", "metrics"):
             self.ports[name] = free_port(taken)
             taken.add(self.ports[name])
         self.store_address = self.stack.enter_context(self.store.serve())
@@ -94,6 +95,7 @@
             "node": "gateway-1",
             "zone": "north",
             "ip": "127.0.0.1",
+            "metricsPort": self.ports["metrics"],
             "portRange": [self.ports["peer"], self.ports["peer"]],
             "seeds": [],
             "listen": {
