Share the allowance by the gateways that are known; bound the bodies being read

The fixed part of the allowance went to 24 machines at most, too few for the grown sites. A prefill that reached no engine is tried at another one; a refused order leaves the engine in use; a lost KV cache is replaced by a prompt read where it decodes best.

--- a/chivewall/decisions/peers.py
+++ b/chivewall/decisions/peers.py
@@ -34,6 +34,11 @@
         self._expire(now)
         return sorted(self._heard)[:MAX_PEERS]
 
+    def live(self, now: float) -> int:
+        """Return how many other gateways are live."""
+        self._expire(now)
+        return len(self._heard)
+
     def greeted(self, now: float) -> list[str]:
         """Return the gateways that get a hello: live ones, named ones and seeds."""
         self._expire(now)
--- a/chivewall/decisions/placement.py
+++ b/chivewall/decisions/placement.py
@@ -4,6 +4,7 @@
 import random
 from collections import OrderedDict
 from collections.abc import Iterable
+from enum import Enum
 from hashlib import blake2b
 
 from attrs import define, field, frozen
@@ -182,20 +183,30 @@
     excluded: frozenset[str] = frozenset()  # ids that failed the call or may not get it
 
 
+class Prompt(Enum):
+    """What has become of a call's prompt."""
+
+    UNREAD = "unread"  # a prefill engine may read it first
+    READ = "read"  # a KV cache waits to be fetched
+    DIRECT = "direct"  # the engine that decodes has to read it
+
+
 def choose(
-    fields: CallFields, states: list[EndpointState], at: Surroundings, *, prompt_read: bool = False
+    fields: CallFields,
+    states: list[EndpointState],
+    at: Surroundings,
+    prompt: Prompt = Prompt.UNREAD,
 ) -> Placement | None:
-    """Return the placement of the next attempt, or ``None`` if no endpoint can take it.
-
-    With ``prompt_read``, a KV cache waits to be fetched by the engine that decodes.
-    """
+    """Return the placement of the next attempt, or ``None`` if no endpoint can take it."""
     usable = _usable(states, at)
     if not usable:
         return None
     if all(one.info.stage is Stage.NONE for one in usable):
         return _choose_plain(usable, at)
-    if prompt_read:
+    if prompt is Prompt.READ:
         return _choose_decoder(usable, at)
+    if prompt is Prompt.DIRECT:
+        usable = [one for one in usable if one.info.stage is not Stage.PREFILL]
     return _choose_engine(fields, usable, at)
 
 
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -8,6 +8,7 @@
 from chivewall.decisions.placement import (
     DECODE_READ_FACTOR,
     EndpointState,
+    Prompt,
     Surroundings,
     choose,
     prefix_chain,
@@ -32,7 +33,10 @@
 from chivewall.task import Inbox, Query, Task
 
 MS_PER_SECOND = 1000.0
-SHARERS = 24  # machines that the fixed part of the allowance is divided by
+# The fixed part of the allowance is divided by twice the gateways that are known, and by
+# this many at least: a restarted one spends its part again, and some may be unknown.
+LEAST_SHARERS = 24
+SHARERS_PER_GATEWAY = 2
 CHANGE_SECONDS = 12.0  # longest time that an ordered engine is left alone
 GONE_MARGIN = 0.3  # seconds before an endpoint that left the list may get no more work
 
@@ -66,7 +70,7 @@
     fields: CallFields
     excluded: frozenset[str]
     allowed: frozenset[str] | None  # ids; ``None`` allows every endpoint
-    prompt_read: bool = False  # a KV cache waits to be fetched
+    prompt: Prompt = Prompt.UNREAD
 
 
 @frozen
@@ -102,6 +106,13 @@
     inbox: Inbox
 
 
+@frozen
+class GatewaysLive:
+    """How many gateways are live, with this one."""
+
+    count: int
+
+
 @frozen
 class PeerWork:
     """Another gateway sent work to an endpoint."""
@@ -158,14 +169,18 @@
         self.known = False  # a list was read since the start
         self.states: dict[str, EndpointState] = {}
         self.allowances: dict[str, Allowance] = {}
-        self.policy = _policy(cfg)
+        self.gateways = 1  # live ones, with this one
+        self.policy = _policy(cfg, self.gateways)
         self.reading: dict[str, ReadLoad] = {}  # by service
         self.share_with: Inbox | None = None  # what this gateway sends is told there
 
     def reload(self, cfg: FleetSettings) -> None:
         """Take over changed bounds; what was counted so far stays."""
         self.cfg = cfg
-        self.policy = _policy(cfg)
+        self._share_allowance()
+
+    def _share_allowance(self) -> None:
+        self.policy = _policy(self.cfg, self.gateways)
         for allowance in self.allowances.values():
             allowance.policy = self.policy
 
@@ -222,7 +237,7 @@
             rng=self.env.random,
             excluded=message.excluded,
         )
-        message.answer(choose(message.fields, states, at, prompt_read=message.prompt_read))
+        message.answer(choose(message.fields, states, at, message.prompt))
 
     @receive.register
     async def _(self, message: RequestSeen) -> None:
@@ -256,6 +271,12 @@
     async def _(self, message: ShareWorkWith) -> None:
         self.share_with = message.inbox
 
+    @receive.register
+    async def _(self, message: GatewaysLive) -> None:
+        if message.count != self.gateways:
+            self.gateways = message.count
+            self._share_allowance()
+
     @receive.register
     async def _(self, message: PeerWork) -> None:
         work = message.work
@@ -379,11 +400,12 @@
                 del self.states[name]
 
 
-def _policy(cfg: FleetSettings) -> AllowancePolicy:
+def _policy(cfg: FleetSettings, gateways: int) -> AllowancePolicy:
+    sharers = max(LEAST_SHARERS, SHARERS_PER_GATEWAY * gateways)
     return AllowancePolicy(
         ratio=cfg.repeat_ratio,
         window=cfg.repeat_window_seconds,
-        burst=cfg.repeat_burst / SHARERS,
+        burst=cfg.repeat_burst / sharers,
     )
 
 
--- a/chivewall/gateway/forwarded_call.py
+++ b/chivewall/gateway/forwarded_call.py
@@ -15,7 +15,7 @@
     decide,
     give_up,
 )
-from chivewall.decisions.placement import Placement
+from chivewall.decisions.placement import Placement, Prompt
 from chivewall.environment import Environment
 from chivewall.errors import DecodeError, StoreUnavailableError
 from chivewall.events import Event
@@ -54,6 +54,7 @@
 REUSE_IDEMPOTENT = 4.0  # seconds
 RETRY_AFTER = 0.25  # seconds; a refusal for want of an endpoint passes soon
 SILENCE_SECONDS = 0.5  # without a byte, after which the endpoint is tested
+MAX_MISSED_PREFILLS = 2  # after which the decoding engine reads the prompt
 RELEASE_SECONDS = 0.6  # for the call that frees a KV cache
 PACED_EVENTS = 3  # of a stream that tells how fast its engine decodes
 SERVICE_SECONDS = 0.05  # of a plain call, for the estimates of other gateways
@@ -129,7 +130,8 @@
         self.over = False
         self.failed: set[str] = set()  # endpoints that failed this call
         self.arrivals = 0  # sends beyond a first prefill that reached an endpoint
-        self.no_prefill = False
+        self.prefills = 0
+        self.missed_prefills = 0  # that reached no engine, so another one costs no repeat
         self.kv_handle: tuple[EndpointInfo, str] | None = None  # kept and not fetched yet
         self._timers: list = []
 
@@ -225,7 +227,7 @@
             self._end_exchange("left")
             self._finish("caller gone")
 
-    async def _ask_placement(self, *, prompt_read: bool) -> Placement | None:
+    async def _ask_placement(self, prompt: Prompt) -> Placement | None:
         allowed = None
         if len(self.ledger.endpoints) >= self.route.attempts:
             allowed = frozenset(self.ledger.endpoints)
@@ -235,23 +237,24 @@
                 fields=self.call.fields,
                 excluded=frozenset(self.failed - self.ledger.endpoints if allowed else self.failed),
                 allowed=allowed,
-                prompt_read=prompt_read,
+                prompt=prompt,
             )
         )
 
     async def _place(self) -> None:
-        placement = await self._ask_placement(prompt_read=False)
+        unread = self.prefills <= self.missed_prefills
+        placement = await self._ask_placement(Prompt.UNREAD if unread else Prompt.DIRECT)
         if placement is None:
             await self._attempt_failed(Outcome.NO_ENDPOINT, "no endpoint can take the call")
             return
         self.placement = placement
-        if placement.prefill is not None and not self.no_prefill:
+        if placement.prefill is not None:
             self._send_prefill(placement)
         else:
             await self._send(placement.endpoint, kv_source=None)
 
     def _send_prefill(self, placement: Placement) -> None:
-        self.no_prefill = True  # one prefill a call is free of the allowance
+        self.prefills += 1
         sent = SentFields(
             time_left_ms=self._time_left_ms(),
             endpoint=placement.prefill.id,
@@ -399,7 +402,7 @@
         self._end_exchange("answered")
         self.kv_handle = (source, kept.handle)
         # The prompt may have waited for seconds; the engine that was to decode may leave by now.
-        placement = await self._ask_placement(prompt_read=True)
+        placement = await self._ask_placement(Prompt.READ)
         if placement is None:
             await self._attempt_failed(Outcome.NO_ENDPOINT, "no endpoint can decode")
             return
@@ -410,7 +413,9 @@
     async def _prefill_failed(self, reason: str, *, missed: bool = False) -> None:
         self._log_failure(Outcome.NOT_SENT if missed else Outcome.NOT_RUN, reason)
         self._end_exchange("missed" if missed else "failed")
-        if not missed:
+        if missed:
+            self.missed_prefills = min(MAX_MISSED_PREFILLS, self.missed_prefills + 1)
+        else:
             self.arrivals += 1  # only a prefill that was accepted is free
         await self._place()
 
--- a/chivewall/gateway/gateway.py
+++ b/chivewall/gateway/gateway.py
@@ -36,6 +36,7 @@
 CLOSE_MARGIN = 0.7  # seconds before the platform kills the process
 POLL_SECONDS = 0.1  # between looks whether calls are in progress
 BACKLOG = 512
+MAX_BODY_BYTES = 67_108_864  # of all bodies being read; a quarter of the smallest machine
 
 
 @frozen
@@ -69,6 +70,7 @@
         self.limits = IngressLimits()
         self.closing = False
         self.connections: set[IngressConnection] = set()
+        self.body_bytes = 0  # of bodies that are being read
 
     def start(self) -> None:
         """Begin to follow the published routes."""
@@ -113,6 +115,13 @@
         task.start()
         return task.inbox
 
+    def reserve(self, size: int) -> bool:
+        """See ``CallOwner.reserve``."""
+        if size > 0 and self.body_bytes + size > MAX_BODY_BYTES:
+            return False
+        self.body_bytes += size
+        return True
+
     def opened(self, connection: IngressConnection) -> bool:
         """See ``CallOwner.opened``."""
         if len(self.connections) >= self.cfg.max_connections:
--- a/chivewall/gateway/ingress_connection.py
+++ b/chivewall/gateway/ingress_connection.py
@@ -57,6 +57,9 @@
     def accept(self, call: Call, sink: "IngressConnection") -> Inbox:
         """Begin a call; return the inbox of its task."""
 
+    def reserve(self, size: int) -> bool:
+        """Count bytes of bodies that are being read; ``False`` if there are too many."""
+
     def opened(self, connection: "IngressConnection") -> bool:
         """Count a connection; ``False`` if there are too many."""
 
@@ -111,6 +114,7 @@
     def connectionLost(self, reason: Failure) -> None:  # noqa: N802 - Twisted's name
         """Tell the task of the call that its caller has gone."""
         self._stop_timer()
+        self._drop_body()
         task, self._task = self._task, None
         if task is not None:
             task.put(CallerGone())
@@ -177,12 +181,19 @@
         return False
 
     def _take_data(self, data: bytes) -> bool:
+        if not self.owner.reserve(len(data)):
+            self._reject(ResultCode.QUEUE_FULL, "too many bodies are being read")
+            return False
         self._body += data
         if len(self._body) <= self.owner.limits.body_bytes:
             return True
         self._reject(ResultCode.BODY_TOO_LARGE, "the body is over the limit")
         return False
 
+    def _drop_body(self) -> None:
+        self.owner.reserve(-len(self._body))
+        self._body.clear()
+
     def _ask_for_body(self) -> None:
         if self._http.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
@@ -190,7 +201,7 @@
 
     def _take_head(self, event: h11.Request) -> bool:
         self._request = event
-        self._body.clear()
+        self._drop_body()
         self._wait(Phase.BODY)
         if _head_bytes(event) > self.owner.limits.header_bytes:
             self._reject(ResultCode.HEAD_TOO_LARGE, "the headers are over the limit")
@@ -227,7 +238,7 @@
             received_at=self.env.now,
             fields=fields,
         )
-        self._body.clear()
+        self._drop_body()
         self._stop_timer()
         self.phase = Phase.ANSWER
         self._ahead = 0
@@ -281,6 +292,7 @@
 
     def _reject(self, code: ResultCode, reason: str) -> None:
         self.env.log.emit(Event.INGRESS_REJECTED, code=code.number, reason=reason)
+        self._drop_body()
         if self._task is None and self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             body = reason.encode("utf-8", "replace")
             headers = ((b"Content-Type", b"text/plain"), (b"Connection", b"close"))
--- a/chivewall/gateway/peers.py
+++ b/chivewall/gateway/peers.py
@@ -14,7 +14,14 @@
 from chivewall.environment import Environment
 from chivewall.errors import DecodeError
 from chivewall.events import Event
-from chivewall.gateway.fleet import Fleet, PeerOrdered, PeerWork, ShareWorkWith, StageOrdered
+from chivewall.gateway.fleet import (
+    Fleet,
+    GatewaysLive,
+    PeerOrdered,
+    PeerWork,
+    ShareWorkWith,
+    StageOrdered,
+)
 from chivewall.gateway.peer_codec import MAX_DATAGRAM, PeerMessage, SharedWork, decode, encode
 from chivewall.messages import Tick
 from chivewall.plugins.base import Plugin
@@ -91,6 +98,7 @@
         if message.purpose == "batch":
             self._share()
             return
+        self.fleet.tell(GatewaysLive(1 + self.table.live(self.env.now)))
         hello = PeerMessage(hosts=self.table.named(self.env.random, self.env.now))
         self._send(hello, self.table.greeted(self.env.now))
         self.env.clock.callLater(HELLO_SECONDS, self.tell, Tick("hello"))
--- a/chivewall/gateway/stage_changer.py
+++ b/chivewall/gateway/stage_changer.py
@@ -18,7 +18,7 @@
     propose,
 )
 from chivewall.environment import Environment
-from chivewall.errors import EndpointError, StoreError, VersionConflictError
+from chivewall.errors import EndpointError, OrderRefusedError, StoreError, VersionConflictError
 from chivewall.events import Event
 from chivewall.gateway.engine_control import EngineControl, TurnStore
 from chivewall.gateway.fleet import EngineLoads, Fleet, ServiceLoad, StageOrdered
@@ -121,7 +121,6 @@
         if self.clock() - started > TURN_SECONDS:
             self._held(load, change, "the turn is too old; the process may have been paused")
             return
-        self.fleet.tell(StageOrdered(change.engine))
         self.env.log.emit(
             Event.ORDER_SENT,
             endpoint=change.engine,
@@ -130,7 +129,14 @@
             precondition=report.orders,
             reason=change.reason,
         )
-        await self.control.order(info, taken, report.orders)
+        try:
+            await self.control.order(info, taken, report.orders)
+        except OrderRefusedError:
+            raise  # the engine stays as it is
+        except EndpointError:
+            self.fleet.tell(StageOrdered(change.engine))  # it may have been accepted
+            raise
+        self.fleet.tell(StageOrdered(change.engine))
 
     def _held(self, load: ServiceLoad, change: StageChange, reason: str) -> None:
         self.env.log.emit(
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -13,6 +13,7 @@
 from chivewall.decisions.peers import SILENCE_SECONDS, PeerTable
 from chivewall.decisions.placement import (
     EndpointState,
+    Prompt,
     ReadQueue,
     Surroundings,
     choose,
@@ -317,7 +318,7 @@
     def test_engine_that_changes_is_left_alone(self):
         states = self.engines()
         states[2].changing_until = 105.0
-        assert choose(PROMPT, states, around(), prompt_read=True).endpoint.id == "d2"
+        assert choose(PROMPT, states, around(), Prompt.READ).endpoint.id == "d2"
 
     def test_parts_count_only_behind_the_parts_before_them(self):
         state = make_state(stage=Stage.PREFILL)
