--- a/chivewall/decisions/stages.py
+++ b/chivewall/decisions/stages.py
@@ -10,6 +10,8 @@
 from chivewall.gateway.catalogue import Stage
 
 BUSY_PREFILL = 0.85  # share of time that prefill engines read; nearly all of it
+QUEUED_PREFILL = 0.6  # seconds that a prompt waits at the emptiest prefill engine
+QUEUED_LOOKS = 3  # in a row, one a second, before a queue counts as lasting
 IDLE_PREFILL = 0.25  # share of time, after the change, below which one is given up
 CROWDED_DECODE = 40  # requests of one decode engine, above which its steps get long
 ROOMY_DECODE = 20  # requests of one decode engine after a change, at most
@@ -39,6 +41,7 @@
 
     engines: tuple[EngineView, ...]
     read_share: float  # engine seconds of reading sent a second
+    queued_looks: int = 0  # in a row at which every prefill engine had a queue
 
 
 @frozen
@@ -67,7 +70,8 @@
     if decoders <= LEAST_DECODERS:
         return False
     room = running <= ROOMY_DECODE * (decoders - 1)
-    return room and load.read_share > BUSY_PREFILL * readers
+    queued = load.queued_looks >= QUEUED_LOOKS
+    return room and (queued or load.read_share > BUSY_PREFILL * readers)
 
 
 def _needs_decoder(load: StageLoad, readers: int, decoders: int, running: int) -> bool:
@@ -89,6 +93,7 @@
     """Seconds of reading that were sent in the last window."""
 
     _sent: list[tuple[float, float]] = field(factory=list, init=False)  # time, seconds
+    _queued: int = field(default=0, init=False)
     _since: float | None = field(default=None, init=False)
 
     def add(self, seconds: float, now: float) -> None:
@@ -97,6 +102,11 @@
             self._since = now
         self._sent.append((now, seconds))
 
+    def look(self, shortest_wait: float) -> int:
+        """Count a look at the queues; return how many in a row had one everywhere."""
+        self._queued = self._queued + 1 if shortest_wait > QUEUED_PREFILL else 0
+        return self._queued
+
     def share(self, now: float) -> float:
         """Return engine seconds a second; 0 until a whole window was seen."""
         self._sent = [pair for pair in self._sent if pair[0] > now - WINDOW]
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -340,7 +340,13 @@
             )
             for one in states
         )
-        load = StageLoad(engines, self.reading[service].share(now))
+        waits = [
+            one.reading.wait(now)
+            for one, view in zip(states, engines, strict=True)
+            if view.usable and view.stage is Stage.PREFILL
+        ]
+        reading = self.reading[service]
+        load = StageLoad(engines, reading.share(now), reading.look(min(waits, default=0.0)))
         return ServiceLoad(service, load, {one.info.id: one.info for one in states})
 
     def _start_change(self, endpoint: str) -> None:
