--- a/chivewall/decisions/placement.py
+++ b/chivewall/decisions/placement.py
@@ -37,6 +37,7 @@
 # A decode engine reads a prompt in pieces between the steps of its streams. More than
 # this waiting there holds up the streams longer than a pause may last.
 DIRECT_SECONDS = 0.2
+DIRECT_SHARE = 0.35  # of a decode engine's time that may go into prompts; streams need the rest
 STALL_WEIGHT = 0.05  # of the time by which reading a prompt holds up each running stream
 HOME_BONUS_SECONDS = 0.15  # by which the home of a prefix may be slower than the best
 
@@ -48,6 +49,7 @@
     A prompt that is overdue shows that the engine is slower or fuller than known.
     """
 
+    share: float = 1.0  # of the engine's time that goes into prompts
     _ahead: float = field(default=0.0, init=False)  # seconds of reading
     _drained_at: float = field(default=0.0, init=False)
     _sent: dict[int, tuple[float, float]] = field(factory=dict, init=False)  # time, expected
@@ -74,7 +76,7 @@
         self._sent.pop(exchange, None)
 
     def _drain(self, now: float) -> None:
-        self._ahead = max(0.0, self._ahead - (now - self._drained_at))
+        self._ahead = max(0.0, self._ahead - (now - self._drained_at) * self.share)
         self._drained_at = now
 
 
@@ -99,6 +101,7 @@
 
     def settle(self, now: float) -> None:
         """Drop the work of other gateways that should have ended."""
+        self.reading.share = 1.0 if self.info.stage is Stage.PREFILL else DIRECT_SHARE
         while self._peer_ends and self._peer_ends[0] <= now:
             heapq.heappop(self._peer_ends)
         self.in_flight = self.own_in_flight + len(self._peer_ends)
