Price prompts beyond a decode engine's limit instead of forbidding them

Cause: with one prefill engine left, prompts waited 3 to 6 s there while decode engines could have read them.

--- a/chivewall/decisions/placement.py
+++ b/chivewall/decisions/placement.py
@@ -37,6 +37,7 @@
 # A decode engine reads a prompt in pieces between the steps of its streams. More than
 # this waiting there holds up the streams longer than a pause may last.
 DIRECT_SECONDS = 0.2
+EXCESS_WEIGHT = 4.0  # of each second more; a prefill engine may be that much fuller
 DIRECT_SHARE = 0.35  # of a decode engine's time that may go into prompts; streams need the rest
 STALL_WEIGHT = 0.05  # of the time by which reading a prompt holds up each running stream
 HOME_BONUS_SECONDS = 0.15  # by which the home of a prefix may be slower than the best
@@ -263,12 +264,9 @@
     direct = [_direct(fields, chain, one, at) for one in decoders]
     if not readers:
         return _cheapest(direct, home).placement
-    direct = [one for one in direct if one.placement.backlog <= DIRECT_SECONDS]
     target = min(decoders, key=lambda one: _decode_wait(one, at))
     handed_over = [_handed_over(fields, chain, one, target, at) for one in readers]
-    options = [_cheapest(handed_over, _home(chain, readers))]
-    if direct:
-        options.append(_cheapest(direct, home))
+    options = (_cheapest(handed_over, _home(chain, readers)), _cheapest(direct, home))
     return min(options, key=lambda one: one.cost).placement
 
 
@@ -313,7 +311,9 @@
         read_seconds=reading,
         backlog=reading + state.reading.wait(at.now),
     )
-    return Option(seconds + STALL_WEIGHT * state.in_flight * reading, state, placement)
+    stall = STALL_WEIGHT * state.in_flight * reading
+    excess = EXCESS_WEIGHT * max(0.0, placement.backlog - DIRECT_SECONDS)
+    return Option(seconds + stall + excess, state, placement)
 
 
 def _handed_over(
