--- a/chivewall/decisions/placement.py
+++ b/chivewall/decisions/placement.py
@@ -28,9 +28,6 @@
 PREFIX_SECONDS = 9.0  # an idle prefix is taken to be evicted after that
 OVERDUE_SHARE = 1.3  # of the expected time after which a prompt shows that the engine is behind
 OVERDUE_SECONDS = 0.2
-PACE_WEIGHT = 0.4  # of the newest stream
-PACE_HALF_LIFE = 6.0  # seconds
-PACE_EVENTS = 0  # of a stream, by whose pause a slow engine counts as farther away
 KEY_BYTES = 5  # of a prefix's key; a clash costs one wrong estimate
 PREFIX_LIMIT = 4096  # remembered chains of one endpoint
 CACHE_FILL = 0.9  # share of the KV cache that remembered prefixes may fill
@@ -88,8 +85,6 @@
     info: EndpointInfo
     own_in_flight: int = 0
     reading: ReadQueue = field(factory=ReadQueue)
-    pace: float = 0.0  # seconds between events of the streams that ended last
-    pace_at: float = 0.0
     failure_share: float = 0.0
     failed_at: float = 0.0
     avoid_until: float = 0.0
@@ -148,16 +143,6 @@
         """Return the share of failures, which fades with time."""
         return self.failure_share * 0.5 ** ((now - self.failed_at) / FAILURE_HALF_LIFE)
 
-    def observe_pace(self, seconds: float, now: float) -> None:
-        """Take in the mean time between the events of a stream."""
-        known = self.fading_pace(now)
-        self.pace = seconds if not known else known + PACE_WEIGHT * (seconds - known)
-        self.pace_at = now
-
-    def fading_pace(self, now: float) -> float:
-        """Return the time between events, less the longer ago it was seen."""
-        return self.pace * 0.5 ** ((now - self.pace_at) / PACE_HALF_LIFE)
-
     def _weigh(self, outcome: float, now: float) -> None:
         self.failure_share = self.failures(now) * (1 - FAILURE_WEIGHT) + FAILURE_WEIGHT * outcome
         self.failed_at = now
@@ -350,7 +335,6 @@
     return (
         _distance(state, at)
         + state.reading.wait(at.now)
-        + PACE_EVENTS * state.fading_pace(at.now)
         + BUSY_SLOT_SECONDS * state.in_flight
         + over * CALL_SECONDS
         + FAILURE_SECONDS * state.failures(at.now)
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -127,7 +127,6 @@
     endpoint: str
     exchange: int
     outcome: str  # "answered", "failed", "missed", "refused" or "left"
-    pace: float | None = None  # mean seconds between the events of a stream
 
 
 @frozen
@@ -295,8 +294,6 @@
         state.own_in_flight = max(0, state.own_in_flight - 1)
         answered = message.outcome == "answered"
         state.reading.ended(message.exchange)
-        if message.pace is not None:
-            state.observe_pace(message.pace, self.env.now)
         if answered:
             state.succeeded(self.env.now)
         elif message.outcome == "failed":
--- a/chivewall/gateway/forwarded_call.py
+++ b/chivewall/gateway/forwarded_call.py
@@ -56,7 +56,6 @@
 SILENCE_SECONDS = 0.5  # without a byte, after which the endpoint is tested
 MAX_MISSED_PREFILLS = 2  # after which the decoding engine reads the prompt
 RELEASE_SECONDS = 0.6  # for the call that frees a KV cache
-PACED_EVENTS = 3  # of a stream that tells how fast its engine decodes
 SERVICE_SECONDS = 0.05  # of a plain call, for the estimates of other gateways
 TOKEN_SECONDS = 0.006  # a decode step with a few streams running
 SUCCESS = range(200, 300)
@@ -497,10 +496,7 @@
         if exchange is None:
             return
         self.context.channels.tell(CancelCall(exchange.number))
-        pace = None
-        if outcome == "answered" and not exchange.prefill and self.stream.passed >= PACED_EVENTS:
-            pace = (self.last_at - self.first_at) / (self.stream.passed - 1)
-        self.context.fleet.tell(WorkOver(exchange.endpoint.id, exchange.number, outcome, pace))
+        self.context.fleet.tell(WorkOver(exchange.endpoint.id, exchange.number, outcome))
         if exchange.handed_over and outcome in ("answered", "failed"):
             self.kv_handle = None
 
