Count lost KV caches against their engine; split the call's answer and the fleet's messages

Cause: with handles that lapse at once, each handover cost a refused arrival, and refusals for want of allowance followed. A later run that answers with another status than success no longer follows a begun stream as a whole answer.

--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -2,13 +2,12 @@
 
 from functools import singledispatchmethod
 
-from attrs import define, field, frozen, validators
+from attrs import field, frozen, validators
 
 from chivewall.decisions.allowance import Allowance, AllowancePolicy
 from chivewall.decisions.placement import (
     DECODE_READ_FACTOR,
     EndpointState,
-    Prompt,
     Surroundings,
     choose,
     prefix_chain,
@@ -16,7 +15,6 @@
 from chivewall.decisions.stages import EngineView, ReadLoad, StageLoad
 from chivewall.environment import Environment
 from chivewall.events import Event
-from chivewall.gateway.calls import CallFields
 from chivewall.gateway.catalogue import EndpointInfo, Stage
 from chivewall.gateway.collections import (
     CollectionChanges,
@@ -25,17 +23,32 @@
     CollectionLost,
     CollectionSnapshot,
 )
+from chivewall.gateway.fleet_messages import (
+    EngineLoads,
+    GatewaysLive,
+    KvCacheLost,
+    PeerOrdered,
+    PeerWork,
+    Place,
+    RequestSeen,
+    ServiceLoad,
+    ShareWorkWith,
+    SpendRepeat,
+    StageOrdered,
+    WorkOver,
+    WorkSent,
+)
 from chivewall.gateway.peer_codec import SharedWork
 from chivewall.gateway.sources import Sources
 from chivewall.messages import Tick
 from chivewall.plugins.base import Plugin
 from chivewall.plugins.registry import Registry
-from chivewall.task import Inbox, Query, Task
+from chivewall.task import Inbox, Task
 
 MS_PER_SECOND = 1000.0
 # The fixed part of the allowance is divided by twice the gateways that are known, and by
 # this many at least: a restarted one spends its part again, and some may be unknown.
-LEAST_SHARERS = 24
+LEAST_SHARERS = 12
 SHARERS_PER_GATEWAY = 2
 CHANGE_SECONDS = 12.0  # longest time that an ordered engine is left alone
 GONE_MARGIN = 0.3  # seconds before an endpoint that left the list may get no more work
@@ -62,101 +75,6 @@
     )
 
 
-@define(eq=False)
-class Place(Query):
-    """Ask for a placement; answered with ``Placement`` or ``None``."""
-
-    service: str
-    fields: CallFields
-    excluded: frozenset[str]
-    allowed: frozenset[str] | None  # ids; ``None`` allows every endpoint
-    prompt: Prompt = Prompt.UNREAD
-
-
-@frozen
-class RequestSeen:
-    """A caller sent a request to the service."""
-
-    service: str
-
-
-@define(eq=False)
-class SpendRepeat(Query):
-    """Ask for one repeated arrival; answered with ``bool``."""
-
-    service: str
-
-
-@frozen
-class WorkSent:
-    """An attempt was sent to an endpoint."""
-
-    endpoint: str
-    read_seconds: float  # for the prompt; 0 if it fetches the KV cache
-    fields: CallFields
-    seconds: float  # that it probably runs
-    exchange: int
-    read_by: float | None = None  # when the prompt should have been read, of a prefill
-
-
-@frozen
-class ShareWorkWith:
-    """Tell this inbox of the work that is sent, as ``SharedWork``."""
-
-    inbox: Inbox
-
-
-@frozen
-class GatewaysLive:
-    """How many gateways are live, with this one."""
-
-    count: int
-
-
-@frozen
-class PeerWork:
-    """Another gateway sent work to an endpoint."""
-
-    work: SharedWork
-
-
-@frozen
-class WorkOver:
-    """An attempt at an endpoint ended."""
-
-    endpoint: str
-    exchange: int
-    outcome: str  # "answered", "failed", "missed", "refused" or "left"
-
-
-@frozen
-class StageOrdered:
-    """An engine was ordered to change its stage; it takes no work until it has."""
-
-    endpoint: str
-
-
-@frozen
-class PeerOrdered:
-    """Another gateway ordered an engine to change its stage."""
-
-    endpoint: str
-
-
-@frozen
-class ServiceLoad:
-    """The load of one service's engines."""
-
-    service: str
-    load: StageLoad
-    endpoints: dict[str, EndpointInfo]
-
-
-@define(eq=False)
-class EngineLoads(Query):
-    """Ask for the load of all engines; answered with a list of ``ServiceLoad``."""
-
-
 class Fleet(Task):
     """Owns the states of the endpoints."""
 
@@ -306,6 +224,12 @@
                 seconds=round(state.avoid_until - self.env.now, 3),
             )
 
+    @receive.register
+    async def _(self, message: KvCacheLost) -> None:
+        state = self.states.get(message.endpoint)
+        if state is not None:
+            state.failed(self.env.now)
+
     @receive.register
     async def _(self, message: StageOrdered) -> None:
         self._start_change(message.endpoint)
--- /dev/null
+++ b/chivewall/gateway/fleet_messages.py
@@ -0,0 +1,112 @@
+"""Messages to the task that owns what is known of the endpoints."""
+
+from attrs import define, frozen
+
+from chivewall.decisions.placement import Prompt
+from chivewall.decisions.stages import StageLoad
+from chivewall.gateway.calls import CallFields
+from chivewall.gateway.catalogue import EndpointInfo
+from chivewall.gateway.peer_codec import SharedWork
+from chivewall.task import Inbox, Query
+
+
+@define(eq=False)
+class Place(Query):
+    """Ask for a placement; answered with ``Placement`` or ``None``."""
+
+    service: str
+    fields: CallFields
+    excluded: frozenset[str]
+    allowed: frozenset[str] | None  # ids; ``None`` allows every endpoint
+    prompt: Prompt = Prompt.UNREAD
+
+
+@frozen
+class RequestSeen:
+    """A caller sent a request to the service."""
+
+    service: str
+
+
+@define(eq=False)
+class SpendRepeat(Query):
+    """Ask for one repeated arrival; answered with ``bool``."""
+
+    service: str
+
+
+@frozen
+class WorkSent:
+    """An attempt was sent to an endpoint."""
+
+    endpoint: str
+    read_seconds: float  # for the prompt; 0 if it fetches the KV cache
+    fields: CallFields
+    seconds: float  # that it probably runs
+    exchange: int
+    read_by: float | None = None  # when the prompt should have been read, of a prefill
+
+
+@frozen
+class ShareWorkWith:
+    """Tell this inbox of the work that is sent, as ``SharedWork``."""
+
+    inbox: Inbox
+
+
+@frozen
+class GatewaysLive:
+    """How many gateways are live, with this one."""
+
+    count: int
+
+
+@frozen
+class PeerWork:
+    """Another gateway sent work to an endpoint."""
+
+    work: SharedWork
+
+
+@frozen
+class WorkOver:
+    """An attempt at an endpoint ended."""
+
+    endpoint: str
+    exchange: int
+    outcome: str  # "answered", "failed", "missed", "refused" or "left"
+
+
+@frozen
+class KvCacheLost:
+    """An engine no longer had the KV cache that it had promised to keep."""
+
+    endpoint: str
+
+
+@frozen
+class StageOrdered:
+    """An engine was ordered to change its stage; it takes no work until it has."""
+
+    endpoint: str
+
+
+@frozen
+class PeerOrdered:
+    """Another gateway ordered an engine to change its stage."""
+
+    endpoint: str
+
+
+@frozen
+class ServiceLoad:
+    """The load of one service's engines."""
+
+    service: str
+    load: StageLoad
+    endpoints: dict[str, EndpointInfo]
+
+
+@define(eq=False)
+class EngineLoads(Query):
+    """Ask for the load of all engines; answered with a list of ``ServiceLoad``."""
--- a/chivewall/gateway/forwarded_call.py
+++ b/chivewall/gateway/forwarded_call.py
@@ -1,6 +1,5 @@
 """The task of one caller's request: places it, sends it, passes the answer on."""
 
-import json
 from collections.abc import Awaitable
 from functools import singledispatchmethod
 
@@ -19,14 +18,8 @@
 from chivewall.environment import Environment
 from chivewall.errors import DecodeError, StoreUnavailableError
 from chivewall.events import Event
-from chivewall.gateway.call_messages import (
-    AnswerBegun,
-    AnswerCut,
-    AnswerDone,
-    AnswerPiece,
-    CallerGone,
-    WholeAnswer,
-)
+from chivewall.gateway.call_messages import CallerGone
+from chivewall.gateway.caller_answer import PROMISES, CallerAnswer
 from chivewall.gateway.calls import AnswerHead, Call, CallDialect, SentFields
 from chivewall.gateway.catalogue import EndpointInfo, Kind, Route, Stage
 from chivewall.gateway.channel_messages import (
@@ -41,7 +34,15 @@
     SendCall,
 )
 from chivewall.gateway.channels import Channels
-from chivewall.gateway.fleet import Fleet, Place, RequestSeen, SpendRepeat, WorkOver, WorkSent
+from chivewall.gateway.fleet import Fleet
+from chivewall.gateway.fleet_messages import (
+    KvCacheLost,
+    Place,
+    RequestSeen,
+    SpendRepeat,
+    WorkOver,
+    WorkSent,
+)
 from chivewall.messages import Tick
 from chivewall.results import ResultCode
 from chivewall.task import Inbox, Task
@@ -52,7 +53,6 @@
 LATE_STEPS = 3  # by which work that misses its objective anyway stands behind the rest
 REUSE_UNSAFE = 0.5  # seconds; a kept connection that was idle longer may be dead unnoticed
 REUSE_IDEMPOTENT = 4.0  # seconds
-RETRY_AFTER = 0.25  # seconds; a refusal for want of an endpoint passes soon
 SILENCE_SECONDS = 0.5  # without a byte, after which the endpoint is tested
 MAX_MISSED_PREFILLS = 2  # after which the decoding engine reads the prompt
 RELEASE_SECONDS = 0.6  # for the call that frees a KV cache
@@ -60,7 +60,6 @@
 TOKEN_SECONDS = 0.006  # a decode step with a few streams running
 SUCCESS = range(200, 300)
 SERVER_ERROR = range(500, 600)
-PROMISES = frozenset({408, 421, 429, 503})  # statuses that say that the work has not run
 
 
 @define
@@ -109,23 +108,24 @@
         self.call = call
         self.route = route
         self.service = service
-        self.sink = sink
-        self.number = number
         wait = min(route.timeout_ms, call.fields.wait_ms or route.timeout_ms)
         self.deadline = call.received_at + wait / MS_PER_SECOND
         self.answer_by = max(self.deadline - ANSWER_MARGIN, call.received_at)
         self.ledger = CallLedger()
-        self.stream = EventStream(last_id=call.fields.last_event_id)
+        self.answer = CallerAnswer(
+            env=context.env,
+            dialect=context.dialect,
+            sink=sink,
+            call=number,
+            request_id=call.fields.request_id,
+            stream=EventStream(last_id=call.fields.last_event_id),
+        )
         self.exchange: Exchange | None = None
         self.placement: Placement | None = None
         self.head: AnswerHead | None = None
         self.body = bytearray()
-        self.begun = False  # the answer's head was sent to the caller
-        self.first_at: float | None = None  # when the first event was passed on
         self.prefilled_at: float | None = None
-        self.last_at = call.received_at  # when an event was passed on
         self.heard_at = call.received_at  # when the exchange was written or had bytes
-        self.longest_pause = 0.0  # seconds between events
         self.over = False
         self.failed: set[str] = set()  # endpoints that failed this call
         self.arrivals = 0  # sends beyond a first prefill that reached an endpoint
@@ -184,10 +184,10 @@
         if not self._current(message.exchange):
             return
         self.heard_at = self.env.now
-        if not self._streams():
+        if self._streams():
+            self.answer.send_events(self.head, message.data)
+        else:
             self.body += message.data
-            return
-        self._pass_on(self.stream.feed(message.data))
 
     @receive.register
     async def _(self, message: AnswerEnded) -> None:
@@ -271,7 +271,7 @@
             endpoint=endpoint.id,
             priority=self._priority(),
             kv_source=kv_source,
-            last_event_id=self.stream.last_id,
+            last_event_id=self.answer.stream.last_id,
         )
         self.arrivals += 1
         self._send_call(endpoint, sent, prefill=False)
@@ -328,7 +328,7 @@
             await self._attempt_failed(Outcome.NOT_RUN, f"status {self.head.status}")
         elif (problem := self._invalid()) is not None:
             await self._attempt_failed(Outcome.BROKEN, problem)
-        elif self.head.status in SERVER_ERROR:
+        elif self.head.status in SERVER_ERROR or (self.answer.begun and not self._streams()):
             await self._attempt_failed(Outcome.FAILED, f"status {self.head.status}")
         else:
             self._complete()
@@ -337,34 +337,11 @@
         streams = self._streams()
         self._end_exchange("answered")
         if streams:
-            self._pass_on(self.stream.finish())
-            self._begin()
-            self.sink.put(AnswerDone(self.number))
+            self.answer.finish_events(self.head)
         else:
-            self._pass_on_whole()
+            self.answer.send_whole(self.head, bytes(self.body))
         self._finish("answered", status=self.head.status)
 
-    def _pass_on_whole(self) -> None:
-        headers = self.context.dialect.answer_headers(self.head.headers)
-        self.sink.put(WholeAnswer(self.number, self.head.status, headers, bytes(self.body)))
-
-    def _pass_on(self, data: bytes) -> None:
-        if data:
-            if self.begun:
-                self.longest_pause = max(self.longest_pause, self.env.now - self.last_at)
-            self.last_at = self.env.now
-            self._begin()
-            self.sink.put(AnswerPiece(self.number, data))
-
-    def _begin(self) -> None:
-        """Send the head of the first run; later runs continue its body."""
-        if self.begun:
-            return
-        self.begun = True
-        self.first_at = self.env.now
-        headers = self.context.dialect.answer_headers(self.head.headers)
-        self.sink.put(AnswerBegun(self.number, self.head.status, headers))
-
     def _streams(self) -> bool:
         return (
             self.route.kind is Kind.STREAM
@@ -425,12 +402,14 @@
         self._log_failure(outcome, reason)
         handed_over = self.exchange is not None and self.exchange.handed_over
         if self.exchange is not None:
-            if not (outcome is Outcome.NOT_RUN and handed_over):
+            if outcome is Outcome.NOT_RUN and handed_over:
+                self.context.fleet.tell(KvCacheLost(self.kv_handle[0].id))
+            else:
                 self.failed.add(self.exchange.endpoint.id)
             self._end_exchange(reported or _reported(outcome))
         if outcome is Outcome.NOT_SENT:
             self.arrivals -= 1
-        self.stream.restart()
+        self.answer.stream.restart()
         at = self._situation(outcome)
         if decide(at, self.ledger) is Next.RETRY and self._endpoint_left():
             await self._place()
@@ -456,39 +435,33 @@
     async def _give_up(self, outcome: Outcome, reason: str) -> None:
         next_step = give_up(self._situation(outcome), self.ledger)
         if next_step is Next.CUT:
-            self.sink.put(AnswerCut(self.number))
+            self.answer.cut()
         elif next_step is Next.FORWARD:
-            self._pass_on_whole()
+            self.answer.send_whole(self.head, bytes(self.body))
         elif next_step is Next.REFUSE:
-            self._refuse(ResultCode.NO_ENDPOINT, reason)
+            self.answer.refuse(ResultCode.NO_ENDPOINT, reason)
         else:
-            self._refuse(ResultCode.ENDPOINT_FAILED, reason)
+            self.answer.refuse(ResultCode.ENDPOINT_FAILED, reason)
         self._finish(next_step.value, reason=reason)
 
     async def _out_of_time(self) -> None:
         may_have_run = self.exchange is not None and not self.exchange.prefill
         self._end_exchange("left")
-        if self.begun:
-            self.sink.put(AnswerCut(self.number))
+        if self.answer.begun:
+            self.answer.cut()
         elif may_have_run or self.ledger.may_have_run:
-            self._refuse(ResultCode.DEADLINE_MISSED, "no answer within the time limit")
+            self.answer.refuse(ResultCode.DEADLINE_MISSED, "no answer within the time limit")
         else:
-            self._refuse(ResultCode.NO_ENDPOINT, "not sent within the time limit")
+            self.answer.refuse(ResultCode.NO_ENDPOINT, "not sent within the time limit")
         self._finish("out of time")
 
-    def _refuse(self, code: ResultCode, reason: str) -> None:
-        answer = refusal(
-            self.context.dialect, self.number, code, reason, self.call.fields.request_id
-        )
-        self.sink.put(answer)
-
     def _situation(self, outcome: Outcome) -> Situation:
         return Situation(
             route=self.route,
             outcome=outcome,
             now=self.env.now,
             answer_by=self.answer_by,
-            answer_begun=self.begun,
+            answer_begun=self.answer.begun,
         )
 
     def _end_exchange(self, outcome: str) -> None:
@@ -511,11 +484,11 @@
             route=self.route.name,
             outcome=outcome,
             arrivals=self.arrivals,
-            events=self.stream.passed,
+            events=self.answer.stream.passed,
             seconds=self._since_start(self.env.now),
             prefilled_after=self._since_start(self.prefilled_at),
-            first_after=self._since_start(self.first_at),
-            longest_pause=round(self.longest_pause, 4),
+            first_after=self._since_start(self.answer.first_at),
+            longest_pause=round(self.answer.longest_pause, 4),
             prompt_tokens=self.call.fields.prompt_tokens,
             **fields,
         )
@@ -574,16 +547,6 @@
         env.log.emit(Event.KV_CACHE_LEFT, handle=handle, error=str(exc))
 
 
-def refusal(
-    dialect: CallDialect, call: int, code: ResultCode, reason: str, request_id: str | None
-) -> WholeAnswer:
-    """Return the gateway's own answer for a call that gets none of an endpoint."""
-    error = {"code": code.number, "name": code.name, "message": reason, "run": code.run.value}
-    retry_after = RETRY_AFTER if code.http_status in PROMISES else None
-    headers = dialect.own_answer_headers(request_id, retry_after)
-    return WholeAnswer(call, code.http_status, headers, json.dumps({"error": error}).encode())
-
-
 def _reported(outcome: Outcome) -> str:
     if outcome is Outcome.NOT_SENT:
         return "missed"
--- a/chivewall/gateway/gateway.py
+++ b/chivewall/gateway/gateway.py
@@ -11,6 +11,7 @@
 from chivewall.decisions.route_table import RouteTable, choose_service
 from chivewall.environment import Environment
 from chivewall.events import Event
+from chivewall.gateway.caller_answer import refusal
 from chivewall.gateway.calls import Call, CallDialect
 from chivewall.gateway.catalogue import Catalogue, IngressLimits
 from chivewall.gateway.channels import Channels
@@ -22,7 +23,7 @@
     CollectionSnapshot,
 )
 from chivewall.gateway.fleet import Fleet
-from chivewall.gateway.forwarded_call import CallContext, ForwardedCall, refusal
+from chivewall.gateway.forwarded_call import CallContext, ForwardedCall
 from chivewall.gateway.ingress_connection import IngressConnection
 from chivewall.gateway.sources import Sources
 from chivewall.plugins.base import Plugin
--- a/chivewall/gateway/peers.py
+++ b/chivewall/gateway/peers.py
@@ -14,8 +14,8 @@
 from chivewall.environment import Environment
 from chivewall.errors import DecodeError
 from chivewall.events import Event
-from chivewall.gateway.fleet import (
-    Fleet,
+from chivewall.gateway.fleet import Fleet
+from chivewall.gateway.fleet_messages import (
     GatewaysLive,
     PeerOrdered,
     PeerWork,
--- a/chivewall/gateway/stage_changer.py
+++ b/chivewall/gateway/stage_changer.py
@@ -21,7 +21,8 @@
 from chivewall.errors import EndpointError, OrderRefusedError, StoreError, VersionConflictError
 from chivewall.events import Event
 from chivewall.gateway.engine_control import EngineControl, TurnStore
-from chivewall.gateway.fleet import EngineLoads, Fleet, ServiceLoad, StageOrdered
+from chivewall.gateway.fleet import Fleet
+from chivewall.gateway.fleet_messages import EngineLoads, ServiceLoad, StageOrdered
 from chivewall.gateway.peers import ComesFirst, Peers
 from chivewall.messages import Tick
 from chivewall.plugins.base import Plugin
