--- a/chivewall/gateway/channel_messages.py
+++ b/chivewall/gateway/channel_messages.py
@@ -21,7 +21,6 @@
     has_body: bool = False
     request_id: str | None = None  # the answer must echo it
     longest_idle: float = 4.0  # seconds that a reused connection may have been idle
-    connect_by: float | None = None  # deadline of a new connection
 
 
 @frozen
--- a/chivewall/gateway/channels.py
+++ b/chivewall/gateway/channels.py
@@ -225,11 +225,8 @@
         return None
 
     def _connect(self, call: OutgoingCall) -> None:
-        limit = CONNECT_SECONDS
-        if call.connect_by is not None:
-            limit = max(0.05, min(limit, call.connect_by - self.env.now))
         host, port = call.address
-        endpoint = TCP4ClientEndpoint(self.env.reactor, host, port, timeout=limit)
+        endpoint = TCP4ClientEndpoint(self.env.reactor, host, port, timeout=CONNECT_SECONDS)
         attempt = endpoint.connect(ChannelFactory(self._new_channel(call.address)))
         self._connecting[call.exchange] = attempt
         attempt.addCallbacks(
--- a/chivewall/gateway/forwarded_call.py
+++ b/chivewall/gateway/forwarded_call.py
@@ -1,10 +1,7 @@
 """The task of one caller's request: places it, sends it, passes the answer on."""
 
-from collections.abc import Awaitable
 from functools import singledispatchmethod
 
-from attrs import define, frozen
-
 from chivewall.decisions.event_stream import EventStream
 from chivewall.decisions.forwarding import (
     CallLedger,
@@ -15,12 +12,11 @@
     give_up,
 )
 from chivewall.decisions.placement import Placement, Prompt
-from chivewall.environment import Environment
-from chivewall.errors import DecodeError, StoreUnavailableError
+from chivewall.errors import DecodeError
 from chivewall.events import Event
 from chivewall.gateway.call_messages import CallerGone
-from chivewall.gateway.caller_answer import PROMISES, CallerAnswer
-from chivewall.gateway.calls import AnswerHead, Call, CallDialect, SentFields
+from chivewall.gateway.caller_answer import CallerAnswer
+from chivewall.gateway.calls import AnswerHead, Call, SentFields
 from chivewall.gateway.catalogue import EndpointInfo, Kind, Route, Stage
 from chivewall.gateway.channel_messages import (
     AnswerData,
@@ -29,12 +25,19 @@
     CallWritten,
     CancelCall,
     ExchangeFailed,
-    OutgoingCall,
     ProbeAddress,
     SendCall,
 )
-from chivewall.gateway.channels import Channels
-from chivewall.gateway.fleet import Fleet
+from chivewall.gateway.exchange import (
+    CallContext,
+    EndpointTested,
+    Exchange,
+    expected_seconds,
+    invalid_answer,
+    outgoing_call,
+    priority,
+    release_kv_cache,
+)
 from chivewall.gateway.fleet_messages import (
     KvCacheLost,
     Place,
@@ -49,47 +52,12 @@
 
 MS_PER_SECOND = 1000.0
 ANSWER_MARGIN = 0.03  # seconds before the caller's deadline that an own answer is sent
-MAX_PRIORITY = 9
-LATE_STEPS = 3  # by which work that misses its objective anyway stands behind the rest
-REUSE_UNSAFE = 0.5  # seconds; a kept connection that was idle longer may be dead unnoticed
-REUSE_IDEMPOTENT = 4.0  # seconds
 SILENCE_SECONDS = 0.5  # without a byte, after which the endpoint is tested
 MAX_MISSED_PREFILLS = 2  # after which the decoding engine reads the prompt
-RELEASE_SECONDS = 0.6  # for the call that frees a KV cache
-SERVICE_SECONDS = 0.05  # of a plain call, for the estimates of other gateways
-TOKEN_SECONDS = 0.006  # a decode step with a few streams running
 SUCCESS = range(200, 300)
 SERVER_ERROR = range(500, 600)
 
 
-@define
-class CallContext:
-    """What the tasks of all calls share."""
-
-    env: Environment
-    fleet: Fleet
-    channels: Channels
-    dialect: CallDialect
-
-
-@frozen
-class Exchange:
-    """A call on its way to an endpoint."""
-
-    number: int
-    endpoint: EndpointInfo
-    prefill: bool  # asks for the KV cache only
-    handed_over: bool  # names a KV cache to fetch
-
-
-@frozen
-class EndpointTested:
-    """Whether the silent endpoint of an exchange is reachable."""
-
-    exchange: int
-    reachable: bool
-
-
 class ForwardedCall(Task):
     """Owns the state of one call from its arrival to its final answer."""
 
@@ -281,7 +249,6 @@
         handed_over = sent.kv_source is not None
         self.exchange = Exchange(number, endpoint, prefill=prefill, handed_over=handed_over)
         self.head = None
-        idempotent = self.route.idempotent or prefill
         self.env.log.emit(
             Event.CALL_ATTEMPT,
             request=self.call.fields.request_id,
@@ -298,35 +265,27 @@
                 endpoint=endpoint.id,
                 read_seconds=0.0 if handed_over else self.placement.read_seconds,
                 fields=self.call.fields,
-                seconds=0.0 if prefill else self._expected_seconds(),
+                seconds=0.0 if prefill else expected_seconds(self.route, self.call),
                 exchange=number,
                 read_by=self.env.now + self.placement.read_by if prefill else None,
             )
         )
-        self.context.channels.tell(
-            SendCall(
-                OutgoingCall(
-                    exchange=number,
-                    address=endpoint.address,
-                    method=self.call.method,
-                    target=self.call.target,
-                    headers=self.context.dialect.call_headers(self.call, sent),
-                    sink=self.inbox,
-                    body=self.call.body,
-                    has_body=self.call.has_body,
-                    request_id=self.call.fields.request_id,
-                    longest_idle=REUSE_IDEMPOTENT if idempotent else REUSE_UNSAFE,
-                    connect_by=self.answer_by,
-                )
-            )
+        outgoing = outgoing_call(
+            exchange=self.exchange,
+            call=self.call,
+            route=self.route,
+            sent=sent,
+            dialect=self.context.dialect,
+            sink=self.inbox,
         )
+        self.context.channels.tell(SendCall(outgoing))
 
     async def _answered(self) -> None:
         if self.exchange.prefill:
             await self._prefill_answered()
         elif self._refused_to_run():
             await self._attempt_failed(Outcome.NOT_RUN, f"status {self.head.status}")
-        elif (problem := self._invalid()) is not None:
+        elif (problem := invalid_answer(self.head)) is not None:
             await self._attempt_failed(Outcome.BROKEN, problem)
         elif self.head.status in SERVER_ERROR or (self.answer.begun and not self._streams()):
             await self._attempt_failed(Outcome.FAILED, f"status {self.head.status}")
@@ -348,22 +307,12 @@
             and self.head is not None
             and self.head.status in SUCCESS
             and not self.exchange.prefill
-            and self._invalid() is None
+            and invalid_answer(self.head) is None
         )
 
     def _refused_to_run(self) -> bool:
         return self.head is not None and self.head.fields.not_run
 
-    def _invalid(self) -> str | None:
-        """Return why the answer can't be the endpoint's whole answer to this call."""
-        if self.head.fields.proof is None:
-            return "answer without a proof"
-        if any(name.lower() == b"content-encoding" for name, _ in self.head.headers):
-            return "answer with an encoding that nobody asked for"
-        if self.head.status in PROMISES and not self.head.fields.not_run:
-            return f"status {self.head.status} without saying that it has not run"
-        return None
-
     async def _prefill_answered(self) -> None:
         if self.head.status not in SUCCESS:
             await self._prefill_failed(f"status {self.head.status}")
@@ -476,7 +425,7 @@
     def _finish(self, outcome: str, **fields: object) -> None:
         self.over = True
         if self.kv_handle is not None:
-            self._release(*self.kv_handle)
+            self.context.fleet.spawn(release_kv_cache(self.context, *self.kv_handle))
             self.kv_handle = None
         self.env.log.emit(
             Event.CALL_ENDED,
@@ -494,13 +443,6 @@
         )
         self.stop()
 
-    def _release(self, endpoint: EndpointInfo, handle: str) -> None:
-        method, target = self.context.dialect.release_target(handle)
-        fetched = self.context.channels.fetch(
-            endpoint.address, method, target, self.env.now + RELEASE_SECONDS
-        )
-        self.context.fleet.spawn(_ignore_failure(self.env, fetched, handle))
-
     def _log_failure(self, outcome: Outcome, reason: str) -> None:
         self.env.log.emit(
             Event.CALL_ATTEMPT_FAILED,
@@ -513,19 +455,10 @@
     def _since_start(self, at: float | None) -> float | None:
         return None if at is None else round(at - self.call.received_at, 4)
 
-    def _expected_seconds(self) -> float:
-        """Return how long the endpoint probably works on the call."""
-        if self.route.kind is not Kind.STREAM:
-            return SERVICE_SECONDS
-        return self.call.fields.output_tokens * TOKEN_SECONDS
-
     def _priority(self) -> int | None:
-        if not self.route.prefix_affinity:
-            return None
         estimate = 0.0 if self.placement is None else self.placement.estimate
         late = estimate * MS_PER_SECOND > self.route.objective_ms - self._spent_ms()
-        base = self.route.priority + (LATE_STEPS if late else 0)
-        return max(0, min(MAX_PRIORITY, base))
+        return priority(self.route, late=late)
 
     def _spent_ms(self) -> float:
         return (self.env.now - self.call.received_at) * MS_PER_SECOND
@@ -540,13 +473,6 @@
         self._timers.append(self.env.clock.callLater(max(0.0, seconds), self.tell, message))
 
 
-async def _ignore_failure(env: Environment, fetched: Awaitable, handle: str) -> None:
-    try:
-        await fetched
-    except StoreUnavailableError as exc:
-        env.log.emit(Event.KV_CACHE_LEFT, handle=handle, error=str(exc))
-
-
 def _reported(outcome: Outcome) -> str:
     if outcome is Outcome.NOT_SENT:
         return "missed"
--- a/chivewall/gateway/gateway.py
+++ b/chivewall/gateway/gateway.py
@@ -22,8 +22,9 @@
     CollectionLost,
     CollectionSnapshot,
 )
+from chivewall.gateway.exchange import CallContext
 from chivewall.gateway.fleet import Fleet
-from chivewall.gateway.forwarded_call import CallContext, ForwardedCall
+from chivewall.gateway.forwarded_call import ForwardedCall
 from chivewall.gateway.ingress_connection import IngressConnection
 from chivewall.gateway.sources import Sources
 from chivewall.plugins.base import Plugin
