--- a/tests/test_cli_commands.py
+++ b/tests/test_cli_commands.py
@@ -38,6 +38,16 @@
     return subprocess.run(command, capture_output=True, text=True, timeout=30, check=False, env=env)
 
 
+# A child inherits an ignored SIGINT, for example from a background job of a script; the
+# command is interrupted as in a terminal whatever started the tests.
+INTERRUPTIBLE = """
+import signal
+signal.signal(signal.SIGINT, signal.default_int_handler)
+from chivewall.cli import main
+main()
+"""
+
+
 class ScriptedEntry(BaseHTTPRequestHandler):
     """An entry that accepts a change; one endpoint never has it."""
 
@@ -131,7 +141,7 @@
             remove = ["exceptions", "remove", "x", "--author", "a", "--reason", "r"]
             ends = ((["status"], 1, "Aborted!"), (["status", "--watch"], 0, ""))
             for arguments, status, text in (*ends, (remove, 1, "may have been accepted")):
-                command = [sys.executable, "-m", "chivewall.cli", "--address", base, *arguments]
+                command = [sys.executable, "-c", INTERRUPTIBLE, "--address", base, *arguments]
                 process = subprocess.Popen(command, stderr=subprocess.PIPE, text=True)
                 connection, _ = silent.accept()
                 with connection:
