--- /dev/null
+++ b/tests/test_collection_follower.py
@@ -0,0 +1,105 @@
+"""Following a collection of the store through outages and a lost history."""
+
+import random
+from io import StringIO
+
+import pytest
+from attrs import define, field
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from chivewall.environment import Environment
+from chivewall.errors import HistoryLostError, StoreUnavailableError
+from chivewall.events import EventLog
+from chivewall.gateway.collections import (
+    RETRY_LIMIT,
+    CollectionChanges,
+    CollectionFollower,
+    CollectionLost,
+    CollectionSnapshot,
+)
+from chivewall.settings import CoreSettings, Role, Settings
+from chivewall.task import Inbox
+
+
+@define(eq=False)
+class Source:
+    """Keeps every call open until the test answers it."""
+
+    name: str = "servers"
+    lists: list = field(factory=list)
+    watches: list = field(factory=list)  # revision, Deferred
+
+    def read_all(self):
+        self.lists.append(Deferred())
+        return self.lists[-1]
+
+    def watch(self, revision, deadline):
+        self.watches.append((revision, Deferred()))
+        return self.watches[-1][1]
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def source():
+    return Source()
+
+
+@pytest.fixture
+def sink():
+    return Inbox()
+
+
+@pytest.fixture(autouse=True)
+def follower(clock, source, sink):
+    core = CoreSettings(role=Role.GATEWAY, instance="g", data_centre="north", plugins=("x",))
+    env = Environment(
+        settings=Settings(core=core), clock=clock, random=random.Random(1), log=EventLog(StringIO())
+    )
+    task = CollectionFollower(env, source, sink)
+    task.start()
+    return task
+
+
+def taken(sink):
+    found = []
+    while len(sink):
+        sink.get().addCallback(found.append)
+    return found
+
+
+def test_watch_goes_on_from_the_revision_of_the_list(source, sink):
+    source.lists[0].callback(CollectionSnapshot("servers", (), 7))
+    assert [revision for revision, _ in source.watches] == [7]
+    source.watches[0][1].callback(CollectionChanges("servers", (), 9))
+    assert [revision for revision, _ in source.watches] == [7, 9]
+    assert [type(one) for one in taken(sink)] == [CollectionSnapshot, CollectionChanges]
+
+
+def test_lost_history_is_listed_again(source, clock):
+    """Guards a follower that watches a revision which the store has forgotten."""
+    source.lists[0].callback(CollectionSnapshot("servers", (), 7))
+    source.watches[0][1].errback(HistoryLostError("410"))
+    clock.advance(RETRY_LIMIT)
+    assert len(source.lists) == 2
+
+
+def test_cut_watch_goes_on_without_a_list(source, sink, clock):
+    source.lists[0].callback(CollectionSnapshot("servers", (), 7))
+    source.watches[0][1].errback(StoreUnavailableError("cut"))
+    clock.advance(RETRY_LIMIT)
+    assert [revision for revision, _ in source.watches] == [7, 7]
+    assert len(source.lists) == 1
+    assert CollectionLost("servers") in taken(sink)
+
+
+def test_outage_is_tried_often_enough_for_the_bound_of_a_change(source, clock):
+    """Guards a backoff that outlasts the 2 s in which a change must be in force."""
+    for number in range(30):
+        source.lists[number].errback(StoreUnavailableError("down"))
+        clock.advance(RETRY_LIMIT)
+        assert len(source.lists) == number + 2
