--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -34,6 +34,7 @@
     ServiceLoad,
     ShareWorkWith,
     SpendRepeat,
+    StageKept,
     StageOrdered,
     WorkOver,
     WorkSent,
@@ -236,6 +237,12 @@
         if self.share_with is not None:
             self.share_with.put(message)
 
+    @receive.register
+    async def _(self, message: StageKept) -> None:
+        state = self.states.get(message.endpoint)
+        if state is not None:
+            state.changing_until = 0.0
+
     @receive.register
     async def _(self, message: PeerOrdered) -> None:
         self._start_change(message.endpoint)
--- a/chivewall/gateway/fleet_messages.py
+++ b/chivewall/gateway/fleet_messages.py
@@ -91,6 +91,13 @@
     endpoint: str
 
 
+@frozen
+class StageKept:
+    """An engine refused the order and stays as it is."""
+
+    endpoint: str
+
+
 @frozen
 class PeerOrdered:
     """Another gateway ordered an engine to change its stage."""
--- a/chivewall/gateway/stage_changer.py
+++ b/chivewall/gateway/stage_changer.py
@@ -22,7 +22,7 @@
 from chivewall.events import Event
 from chivewall.gateway.engine_control import EngineControl, TurnStore
 from chivewall.gateway.fleet import Fleet
-from chivewall.gateway.fleet_messages import EngineLoads, ServiceLoad, StageOrdered
+from chivewall.gateway.fleet_messages import EngineLoads, ServiceLoad, StageKept, StageOrdered
 from chivewall.gateway.peers import ComesFirst, Peers
 from chivewall.messages import Tick
 from chivewall.plugins.base import Plugin
@@ -130,14 +130,13 @@
             precondition=report.orders,
             reason=change.reason,
         )
+        # Before the order: a call that reaches an engine which begins to change is refused.
+        self.fleet.tell(StageOrdered(change.engine))
         try:
             await self.control.order(info, taken, report.orders)
         except OrderRefusedError:
-            raise  # the engine stays as it is
-        except EndpointError:
-            self.fleet.tell(StageOrdered(change.engine))  # it may have been accepted
+            self.fleet.tell(StageKept(change.engine))
             raise
-        self.fleet.tell(StageOrdered(change.engine))
 
     def _held(self, load: ServiceLoad, change: StageChange, reason: str) -> None:
         self.env.log.emit(
--- a/tests/test_stage_changer.py
+++ b/tests/test_stage_changer.py
@@ -14,7 +14,7 @@
 from chivewall.events import EventLog
 from chivewall.gateway.catalogue import EndpointInfo, Stage
 from chivewall.gateway.engine_control import EngineReport
-from chivewall.gateway.fleet_messages import ServiceLoad, StageOrdered
+from chivewall.gateway.fleet_messages import ServiceLoad, StageKept, StageOrdered
 from chivewall.gateway.stage_changer import StageChanger, StageChangerSettings
 from chivewall.settings import CoreSettings, Role, Settings
 
@@ -56,6 +56,7 @@
     order_result: Exception | None = None
     write_seconds: float = 0.0
     conflict: bool = False
+    told_before_order: list = field(factory=list)
 
     def ask(self, query):
         return succeed(self.first if type(query).__name__ == "ComesFirst" else [busy_load()])
@@ -77,6 +78,7 @@
         return succeed(EngineReport(stage=endpoint.stage, changing=False, orders=2))
 
     def order(self, endpoint, turn, orders):
+        self.told_before_order = list(self.told)
         self.orders.append((endpoint.id, turn.stage, turn.number, orders))
         return succeed(None) if self.order_result is None else fail(self.order_result)
 
@@ -119,7 +121,8 @@
 def test_one_order_with_the_number_of_its_turn(world, clock):
     clock.advance(1.0)
     assert world.orders == [("d1", Stage.PREFILL, 1, 2)]
-    assert world.told == [StageOrdered("d1")]
+    # Guards a call that is sent to the engine while the order is on its way.
+    assert world.told_before_order == [StageOrdered("d1")]
     clock.pump([1.0] * 5)
     assert len(world.orders) == 1  # the change settles first
 
@@ -167,7 +170,10 @@
 
 @pytest.mark.parametrize(
     ("error", "told"),
-    [(OrderRefusedError("409"), []), (EndpointError("no answer"), [StageOrdered("d1")])],
+    [
+        (OrderRefusedError("409"), [StageOrdered("d1"), StageKept("d1")]),
+        (EndpointError("no answer"), [StageOrdered("d1")]),
+    ],
 )
 def test_order_is_sent_once_whatever_the_engine_says(world, clock, error, told):
     """Guards a second order beside one that is carried out late."""
