Look after engines of a service that no work was sent to

All decode engines had left; after the loss of power the new gateways had sent no work, so the load of the service was never looked at and no prefill engine was made a decode engine: 568 calls refused with 'no endpoint can take the call'. The test fails without the change.

--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -249,7 +249,10 @@
 
     @receive.register
     async def _(self, message: EngineLoads) -> None:
-        message.answer([self._load(service) for service in self.reading])
+        # Services without any work count too: without a decode engine none can be sent.
+        engines = [one.info for one in self.states.values() if one.info.stage is not Stage.NONE]
+        services = sorted({one.service for one in engines})
+        message.answer([self._load(service) for service in services])
 
     def _load(self, service: str) -> ServiceLoad:
         now = self.env.now
@@ -273,7 +276,7 @@
             for one, view in zip(states, engines, strict=True)
             if view.usable and view.stage is Stage.PREFILL
         ]
-        reading = self.reading[service]
+        reading = self.reading.setdefault(service, ReadLoad())
         load = StageLoad(engines, reading.share(now), reading.look(min(waits, default=0.0)))
         return ServiceLoad(service, load, {one.info.id: one.info for one in states})
 
