Order no change of stage while the engines of a start still appear

Cause: at a start the list names the engines one by one. Whether it happens depends on timing. The order now needs three looks in a row, one a second. The test of engines without any work asks three times for that reason; it still fails if they are not looked at. The new test fails on the code before.

--- a/chivewall/decisions/stages.py
+++ b/chivewall/decisions/stages.py
@@ -12,6 +12,9 @@
 BUSY_PREFILL = 0.85  # share of time that prefill engines read; nearly all of it
 QUEUED_PREFILL = 0.6  # seconds that a prompt waits at the emptiest prefill engine
 QUEUED_LOOKS = 3  # in a row, one a second, before a queue counts as lasting
+# In a row, one a second, without a usable decode engine. At a start the engines appear in
+# the list one by one, and the first ones may all be prefill engines.
+BARE_LOOKS = 3
 IDLE_PREFILL = 0.25  # share of time, after the change, below which one is given up
 CROWDED_DECODE = 40  # requests of one decode engine, above which its steps get long
 ROOMY_DECODE = 20  # requests of one decode engine after a change, at most
@@ -42,6 +45,7 @@
     engines: tuple[EngineView, ...]
     read_share: float  # engine seconds of reading sent a second
     queued_looks: int = 0  # in a row at which every prefill engine had a queue
+    bare_looks: int = 0  # in a row at which no decode engine was usable
 
 
 @frozen
@@ -78,7 +82,7 @@
     if readers == 0:
         return False
     if decoders == 0:
-        return True
+        return load.bare_looks >= BARE_LOOKS
     crowded = running > CROWDED_DECODE * decoders
     return readers > 1 and crowded and load.read_share < IDLE_PREFILL * (readers - 1)
 
@@ -94,6 +98,7 @@
 
     _sent: list[tuple[float, float]] = field(factory=list, init=False)  # time, seconds
     _queued: int = field(default=0, init=False)
+    _bare: int = field(default=0, init=False)
     _since: float | None = field(default=None, init=False)
 
     def add(self, seconds: float, now: float) -> None:
@@ -102,10 +107,12 @@
             self._since = now
         self._sent.append((now, seconds))
 
-    def look(self, shortest_wait: float) -> int:
-        """Count a look at the queues; return how many in a row had one everywhere."""
+    def look(self, engines: tuple[EngineView, ...], shortest_wait: float, now: float) -> StageLoad:
+        """Count a look at the engines and their queues; return the load."""
+        bare = not any(one.usable and one.stage is Stage.DECODE for one in engines)
+        self._bare = self._bare + 1 if bare else 0
         self._queued = self._queued + 1 if shortest_wait > QUEUED_PREFILL else 0
-        return self._queued
+        return StageLoad(engines, self.share(now), self._queued, self._bare)
 
     def share(self, now: float) -> float:
         """Return engine seconds a second; 0 until a whole window was seen."""
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -12,7 +12,7 @@
     choose,
     prefix_chain,
 )
-from chivewall.decisions.stages import EngineView, ReadLoad, StageLoad
+from chivewall.decisions.stages import EngineView, ReadLoad
 from chivewall.environment import Environment
 from chivewall.events import Event
 from chivewall.gateway.catalogue import EndpointInfo, Stage
@@ -277,7 +277,7 @@
             if view.usable and view.stage is Stage.PREFILL
         ]
         reading = self.reading.setdefault(service, ReadLoad())
-        load = StageLoad(engines, reading.share(now), reading.look(min(waits, default=0.0)))
+        load = reading.look(engines, min(waits, default=0.0), now)
         return ServiceLoad(service, load, {one.info.id: one.info for one in states})
 
     def _start_change(self, endpoint: str) -> None:
