Let another prefill engine read a prompt whose prefill failed

A second prefill counts as an attempt and takes a repeat from the allowance, so it needs a route with two attempts; other routes go on as before. The process test fails on the code before. Ruled out: forbidding decode engines such prompts (nothing else is left on routes with one attempt).

--- a/chivewall/gateway/forwarded_call.py
+++ b/chivewall/gateway/forwarded_call.py
@@ -135,7 +135,8 @@
     async def _(self, message: CallWritten) -> None:
         if not self._current(message.exchange):
             return
-        if not self.exchange.prefill:
+        # The first prefill doesn't count as an attempt, a second one does.
+        if not self.exchange.prefill or self.prefills - self.missed_prefills > 1:
             self.ledger.sent(self.exchange.endpoint.id)
         self.heard_at = self.env.now
         if self.exchange.prefill or self.route.idempotent:
@@ -209,8 +210,12 @@
         )
 
     async def _place(self) -> None:
-        unread = self.prefills <= self.missed_prefills
+        repeated = self.prefills > self.missed_prefills
+        unread = not repeated or self._may_prefill_again()
         placement = await self._ask_placement(Prompt.UNREAD if unread else Prompt.DIRECT)
+        read_again = repeated and placement is not None and placement.prefill is not None
+        if read_again and not await self.context.fleet.ask(SpendRepeat(self.service)):
+            placement = await self._ask_placement(Prompt.DIRECT)
         if placement is None:
             await self._attempt_failed(Outcome.NO_ENDPOINT, "no endpoint can take the call")
             return
@@ -220,6 +225,11 @@
         else:
             await self._send(placement.endpoint, kv_source=None)
 
+    def _may_prefill_again(self) -> bool:
+        """Return whether the engine of a second prefill and one that decodes are allowed."""
+        engines_left = self.route.attempts - len(self.ledger.endpoints)
+        return self.prefills - self.missed_prefills == 1 and engines_left >= 2
+
     def _send_prefill(self, placement: Placement) -> None:
         self.prefills += 1
         sent = SentFields(
@@ -336,12 +346,14 @@
         await self._send(placement.endpoint, kv_source=kv_source)
 
     async def _prefill_failed(self, reason: str, *, missed: bool = False) -> None:
+        failed = self.exchange.endpoint
         self._log_failure(Outcome.NOT_SENT if missed else Outcome.NOT_RUN, reason)
         self._end_exchange("missed" if missed else "failed")
         if missed:
             self.missed_prefills = min(MAX_MISSED_PREFILLS, self.missed_prefills + 1)
         else:
             self.arrivals += 1  # only a prefill that was accepted is free
+            self.failed.add(failed.id)
         await self._place()
 
     async def _attempt_failed(
--- a/chivewall/standins/runner.py
+++ b/chivewall/standins/runner.py
@@ -145,6 +145,11 @@
     handler.reset()
 
 
+def drop(handler: RunnerHandler) -> None:
+    """Close without running the request or saying so."""
+    handler.reset()
+
+
 def cut_body(handler: RunnerHandler) -> None:
     """Run the request and close in the middle of the body."""
     handler.owner.ran.append(handler.request_id)
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -126,6 +126,25 @@
     assert engine.heard[-1]["x-kv-from"] == f"{host}:{port}/h1"
 
 
+@pytest.mark.parametrize(("path", "prefills"), [("/audit/1", 2), ("/brief/1", 1)])
+def test_prompt_whose_prefill_failed_is_read_by_another_prefill_engine(site, path, prefills):
+    """Guards long prompts that stop the streams of a decode engine after a lost answer.
+
+    A second prefill counts as an attempt, so a route with one attempt has none
+    (rmsk-totems trouble-2).
+    """
+    readers = [site.add(Runner(one, "engines", stage="prefill")) for one in ("i-p", "i-q")]
+    drops = [behaviours.drop]
+    for one in readers:
+        one.behaviours = drops
+    engine = site.add(Runner("i-d", "engines", stage="decode", events=5))
+    site.start()
+    prompt = {"X-Token-Count": "20000,10", "X-Prompt-Prefix": "aa:15000,bb:5000"}
+    assert site.send("POST", path, content=b"{}", headers=prompt).content == EVENTS
+    assert sum(len(one.heard) for one in readers) == prefills
+    assert ("x-kv-from" in engine.heard[-1]) == (prefills == 2)
+
+
 def test_leaving_endpoint_gets_no_calls(site):
     leaving = site.add(Runner("i-1", "desk"))
     site.add(Runner("i-2", "desk"))
