Count prompts at an engine until they are known to be read

And an urgent prompt was placed as if those with a lower rank were before it, and late ones as if they were not behind the rest. Now each gateway shares the numbers of the prompts that were read and of the work that ended; the wait is the prompt being read and those with the same or an earlier rank. Decode engines keep a budget for prompts besides. Measured on the way: the answer to a prefill comes 0.1 s after its reading, and the engine reads the next prompts meanwhile; ranks are followed in the queue, but a prompt that has begun is not interrupted.

--- a/chivewall/decisions/placement.py
+++ b/chivewall/decisions/placement.py
@@ -1,14 +1,15 @@
 """Chooses the endpoints of a forwarded call from what one gateway knows of them."""
 
-import heapq
+import math
 import random
 from collections import OrderedDict
 from collections.abc import Iterable
 from enum import Enum
 from hashlib import blake2b
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
+from chivewall.decisions.sent_work import ReadBudget, SentWork, WorkItem, WorkKey
 from chivewall.gateway.calls import CallFields
 from chivewall.gateway.catalogue import EndpointInfo, Stage
 
@@ -18,7 +19,8 @@
 READ_TOKEN_SECONDS = 1 / 61_400  # of a prefill engine for a prompt token
 READ_PAIR_SECONDS = 0.525e-9  # more for each token before it, which attention looks at
 DECODE_READ_FACTOR = 2.0  # a decode engine reads prompts at half the speed
-FIRST_STEP_SECONDS = 0.02  # from the end of the prefill to the first event
+FIRST_EVENT_SECONDS = 0.1  # from the end of reading until the first event is here
+HANDOVER_SECONDS = 0.04  # more for a KV cache that is fetched first
 BUSY_SLOT_SECONDS = 0.002  # by which each running request delays a first event
 FAILURE_SECONDS = 0.5  # added for a share of failures of 1
 FAILURE_WEIGHT = 0.25  # of the newest outcome in the share of failures
@@ -26,65 +28,25 @@
 AVOID_SECONDS = 1.0  # after a connection that could not be opened, doubled each time
 AVOID_LIMIT = 8.0  # seconds
 PREFIX_SECONDS = 9.0  # an idle prefix is taken to be evicted after that
-OVERDUE_SHARE = 1.3  # of the expected time after which a prompt shows that the engine is behind
-OVERDUE_SECONDS = 0.2
 KEY_BYTES = 5  # of a prefix's key; a clash costs one wrong estimate
 PREFIX_LIMIT = 4096  # remembered chains of one endpoint
-CACHE_FILL = 0.9  # share of the KV cache that remembered prefixes may fill
 # A decode engine reads a prompt in pieces between the steps of its streams. More than
 # this waiting there holds up the streams longer than a pause may last.
 DIRECT_SECONDS = 0.2
 EXCESS_WEIGHT = 4.0  # of each second more; a prefill engine may be that much fuller
-DIRECT_SHARE = 0.35  # of a decode engine's time that may go into prompts; streams need the rest
 STALL_WEIGHT = 0.05  # of the time by which reading a prompt holds up each running stream
+MAX_RANK = 9  # the last one
+LATE_STEPS = 3  # by which work that misses its objective anyway stands behind the rest
 HOME_BONUS_SECONDS = 0.15  # by which the home of a prefix may be slower than the best
 
 
-@define
-class ReadQueue:
-    """Estimates the prompts that an engine still has to read.
-
-    A prompt that is overdue shows that the engine is slower or fuller than known.
-    """
-
-    share: float = 1.0  # of the engine's time that goes into prompts
-    _ahead: float = field(default=0.0, init=False)  # seconds of reading
-    _drained_at: float = field(default=0.0, init=False)
-    _sent: dict[int, tuple[float, float]] = field(factory=dict, init=False)  # time, expected
-
-    def wait(self, now: float) -> float:
-        """Return the seconds until a prompt that is sent now would be read."""
-        self._drain(now)
-        overdue = 0.0
-        for sent_at, expected in self._sent.values():
-            overdue = max(overdue, now - sent_at - expected * OVERDUE_SHARE - OVERDUE_SECONDS)
-        return self._ahead + overdue
-
-    def add(self, seconds: float, now: float) -> None:
-        """Count a prompt."""
-        self._drain(now)
-        self._ahead += seconds
-
-    def sent(self, exchange: int, expected: float, now: float) -> None:
-        """Expect a prompt to be read in so many seconds."""
-        self._sent[exchange] = (now, expected)
-
-    def ended(self, exchange: int) -> None:
-        """Expect nothing more of a prompt that was read or given up."""
-        self._sent.pop(exchange, None)
-
-    def _drain(self, now: float) -> None:
-        self._ahead = max(0.0, self._ahead - (now - self._drained_at) * self.share)
-        self._drained_at = now
-
-
 @define
 class EndpointState:
     """What this gateway knows of one endpoint; stale as soon as another one sends."""
 
     info: EndpointInfo
-    own_in_flight: int = 0
-    reading: ReadQueue = field(factory=ReadQueue)
+    work: SentWork = field(factory=SentWork)  # of all gateways that are heard
+    budget: ReadBudget = field(factory=ReadBudget)  # for prompts, of a decode engine
     failure_share: float = 0.0
     failed_at: float = 0.0
     avoid_until: float = 0.0
@@ -92,19 +54,22 @@
     misses: int = 0  # connections in a row that could not be opened
     gone_at: float | None = None  # when the list dropped it; used only if nothing else is left
     _prefixes: OrderedDict = field(factory=OrderedDict, init=False)  # key -> time
-    _peer_ends: list[float] = field(factory=list, init=False)  # heap; work of other gateways
-    in_flight: int = 0  # of all gateways, as of the last ``settle``
 
-    def settle(self, now: float) -> None:
-        """Drop the work of other gateways that should have ended."""
-        self.reading.share = 1.0 if self.info.stage is Stage.PREFILL else DIRECT_SHARE
-        while self._peer_ends and self._peer_ends[0] <= now:
-            heapq.heappop(self._peer_ends)
-        self.in_flight = self.own_in_flight + len(self._peer_ends)
+    def add_work(self, key: WorkKey, item: WorkItem, now: float) -> None:
+        """Count work that a gateway sent."""
+        self.work.add(key, item, now)
+        if self.info.stage is Stage.DECODE:
+            self.budget.add(item.read_seconds, now)
+
+    def read_wait(self, now: float, rank: int) -> float:
+        """Return the seconds until a prompt that is sent now with this rank may be read."""
+        wait = self.work.wait(now, rank)
+        return max(self.budget.level(now), wait) if self.info.stage is Stage.DECODE else wait
 
-    def add_peer_work(self, seconds: float, now: float) -> None:
-        """Count work that another gateway sent."""
-        heapq.heappush(self._peer_ends, now + seconds)
+    @property
+    def in_flight(self) -> int:
+        """Return the calls of all gateways, as of the last ``work.expire``."""
+        return self.work.running
 
     def cached_tokens(self, chain: list[tuple[str, int]], now: float) -> int:
         """Return the leading prompt tokens that it probably keeps."""
@@ -158,8 +123,8 @@
     uncached: int  # prompt tokens that are read for it
     reason: str
     read_seconds: float = 0.0  # that reading them takes
-    read_by: float = 0.0  # seconds until a prefill engine should have read them
     backlog: float = 0.0  # seconds of reading that a decode engine then has before it
+    rank: int = 0  # with which it is sent
 
 
 @frozen
@@ -170,6 +135,8 @@
     now: float
     rng: random.Random
     excluded: frozenset[str] = frozenset()  # ids that failed the call or may not get it
+    rank: int = 0  # of the call's route, 0 first
+    slack: float = math.inf  # seconds until its objective is missed
 
 
 class Prompt(Enum):
@@ -192,6 +159,17 @@
         return None
     if all(one.info.stage is Stage.NONE for one in usable):
         return _choose_plain(usable, at)
+    found = _choose_ranked(fields, usable, at, prompt)
+    if found is not None and found.estimate > at.slack:
+        # It misses its objective anyway and lets the others pass.
+        late = evolve(at, rank=min(MAX_RANK, at.rank + LATE_STEPS))
+        found = _choose_ranked(fields, usable, late, prompt)
+    return found
+
+
+def _choose_ranked(
+    fields: CallFields, usable: list[EndpointState], at: Surroundings, prompt: Prompt
+) -> Placement | None:
     if prompt is Prompt.READ:
         return _choose_decoder(usable, at)
     if prompt is Prompt.DIRECT:
@@ -234,7 +212,8 @@
     if not decoders:
         return None
     best = min(decoders, key=lambda one: (_decode_wait(one, at), at.rng.random()))
-    return Placement(best.info, None, _decode_wait(best, at), 0, "shortest wait to decode")
+    wait = _decode_wait(best, at)
+    return Placement(best.info, None, wait, 0, "shortest wait to decode", rank=at.rank)
 
 
 def _choose_engine(
@@ -294,7 +273,8 @@
         uncached=fields.prompt_tokens - cached,
         reason="prompt read where it decodes",
         read_seconds=reading,
-        backlog=reading + state.reading.wait(at.now),
+        backlog=reading + state.read_wait(at.now, at.rank),
+        rank=at.rank,
     )
     stall = STALL_WEIGHT * state.in_flight * reading
     excess = EXCESS_WEIGHT * max(0.0, placement.backlog - DIRECT_SECONDS)
@@ -311,12 +291,12 @@
     cached = reader.cached_tokens(chain, at.now)
     reading = read_seconds(fields.prompt_tokens, cached, Stage.PREFILL)
     seconds = (
-        reader.reading.wait(at.now)
+        reader.read_wait(at.now, at.rank)
         + reading
         + _distance(reader, at)
         + FAILURE_SECONDS * reader.failures(at.now)
         + _decode_wait(target, at)
-        + 2 * FIRST_STEP_SECONDS
+        + HANDOVER_SECONDS
     )
     placement = Placement(
         endpoint=target.info,
@@ -325,7 +305,7 @@
         uncached=fields.prompt_tokens - cached,
         reason="prompt handed over",
         read_seconds=reading,
-        read_by=reader.reading.wait(at.now) + reading,
+        rank=at.rank,
     )
     return Option(seconds, reader, placement)
 
@@ -334,11 +314,11 @@
     over = max(0, state.in_flight + 1 - state.info.slots)
     return (
         _distance(state, at)
-        + state.reading.wait(at.now)
+        + state.read_wait(at.now, at.rank)
         + BUSY_SLOT_SECONDS * state.in_flight
         + over * CALL_SECONDS
         + FAILURE_SECONDS * state.failures(at.now)
-        + FIRST_STEP_SECONDS
+        + FIRST_EVENT_SECONDS
     )
 
 
--- a/chivewall/gateway/exchange.py
+++ b/chivewall/gateway/exchange.py
@@ -13,13 +13,10 @@
 from chivewall.gateway.fleet import Fleet
 from chivewall.task import Inbox
 
-MAX_PRIORITY = 9
-LATE_STEPS = 3  # by which work that misses its objective anyway stands behind the rest
 REUSE_UNSAFE = 0.5  # seconds; a kept connection that was idle longer may be dead unnoticed
 REUSE_IDEMPOTENT = 4.0  # seconds
 RELEASE_SECONDS = 0.6  # for the call that frees a KV cache
 SERVICE_SECONDS = 0.05  # of a plain call, for the estimates of other gateways
-TOKEN_SECONDS = 0.006  # a decode step with a few streams running
 
 
 @define
@@ -85,18 +82,9 @@
     return None
 
 
-def priority(route: Route, *, late: bool) -> int | None:
-    """Return the priority of a generation, 0 first; ``None`` for a plain call."""
-    if not route.prefix_affinity:
-        return None
-    return max(0, min(MAX_PRIORITY, route.priority + (LATE_STEPS if late else 0)))
-
-
-def expected_seconds(route: Route, call: Call) -> float:
-    """Return how long an endpoint probably works on a call."""
-    if route.kind is not Kind.STREAM:
-        return SERVICE_SECONDS
-    return call.fields.output_tokens * TOKEN_SECONDS
+def longest_seconds(route: Route, time_left: float) -> float:
+    """Return how long other gateways count a call whose end they don't hear of."""
+    return time_left if route.kind is Kind.STREAM else min(time_left, SERVICE_SECONDS)
 
 
 async def release_kv_cache(context: CallContext, endpoint: EndpointInfo, handle: str) -> None:
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -1,5 +1,6 @@
 """Owns what this gateway knows of the endpoints, and the allowance of repeats."""
 
+from collections import OrderedDict
 from functools import singledispatchmethod
 
 from attrs import field, frozen, validators
@@ -7,11 +8,13 @@
 from chivewall.decisions.allowance import Allowance, AllowancePolicy
 from chivewall.decisions.placement import (
     DECODE_READ_FACTOR,
+    MAX_RANK,
     EndpointState,
     Surroundings,
     choose,
     prefix_chain,
 )
+from chivewall.decisions.sent_work import WorkItem, WorkKey
 from chivewall.decisions.stages import EngineView, ReadLoad
 from chivewall.environment import Environment
 from chivewall.events import Event
@@ -28,8 +31,10 @@
     GatewaysLive,
     KvCacheLost,
     PeerOrdered,
+    PeerProgress,
     PeerWork,
     Place,
+    PromptRead,
     RequestSeen,
     ServiceLoad,
     ShareWorkWith,
@@ -39,7 +44,7 @@
     WorkOver,
     WorkSent,
 )
-from chivewall.gateway.peer_codec import SharedWork
+from chivewall.gateway.peer_codec import SharedWork, WorkProgress
 from chivewall.gateway.sources import Sources
 from chivewall.messages import Tick
 from chivewall.plugins.base import Plugin
@@ -52,6 +57,7 @@
 LEAST_SHARERS = 12
 SHARERS_PER_GATEWAY = 2
 CHANGE_SECONDS = 12.0  # longest time that an ordered engine is left alone
+PEER_WORK_LIMIT = 20_000  # of other gateways' work whose end is waited for
 GONE_MARGIN = 0.3  # seconds before an endpoint that left the list may get no more work
 
 
@@ -90,6 +96,7 @@
         self.gateways = 1  # live ones, with this one
         self.policy = _policy(cfg, self.gateways)
         self.reading: dict[str, ReadLoad] = {}  # by service
+        self.peer_work: OrderedDict[WorkKey, str] = OrderedDict()  # endpoint of each
         self.share_with: Inbox | None = None  # what this gateway sends is told there
 
     def reload(self, cfg: FleetSettings) -> None:
@@ -142,7 +149,7 @@
     async def _(self, message: Place) -> None:
         self._forget_gone()
         for one in self.states.values():
-            one.settle(self.env.now)
+            one.work.expire(self.env.now)
         states = [
             one
             for one in self.states.values()
@@ -154,6 +161,8 @@
             now=self.env.now,
             rng=self.env.random,
             excluded=message.excluded,
+            rank=message.rank,
+            slack=message.slack,
         )
         message.answer(choose(message.fields, states, at, message.prompt))
 
@@ -170,20 +179,26 @@
         state = self.states.get(message.endpoint)
         if state is None:
             return
-        state.own_in_flight += 1
         keys = tuple(key for key, _ in prefix_chain(message.fields))
-        self._count_reading(state, message.read_seconds)
-        if message.read_by is not None:
-            state.reading.sent(message.exchange, message.read_by - self.env.now, self.env.now)
-        state.remember(keys, self.env.now)
-        if self.share_with is not None:
-            work = SharedWork(
+        item = WorkItem(message.read_seconds, message.rank, self.env.now + message.seconds)
+        self._count(state, ("", message.exchange), item, keys)
+        self._share(
+            SharedWork(
+                number=message.exchange,
                 endpoint=message.endpoint,
                 read_seconds=message.read_seconds,
                 seconds=message.seconds,
+                rank=message.rank,
                 prefixes=keys,
             )
-            self.share_with.put(work)
+        )
+
+    @receive.register
+    async def _(self, message: PromptRead) -> None:
+        state = self.states.get(message.endpoint)
+        if state is not None:
+            state.work.read(("", message.exchange), self.env.now)
+            self._share(WorkProgress(message.exchange, over=False))
 
     @receive.register
     async def _(self, message: ShareWorkWith) -> None:
@@ -201,18 +216,33 @@
         state = self.states.get(work.endpoint)
         if state is None:
             return
-        self._count_reading(state, work.read_seconds)
-        state.remember(work.prefixes, self.env.now)
-        state.add_peer_work(work.seconds, self.env.now)
+        key = (message.host, work.number)
+        item = WorkItem(work.read_seconds, work.rank, self.env.now + work.seconds)
+        self._count(state, key, item, work.prefixes)
+        self.peer_work[key] = work.endpoint
+        if len(self.peer_work) > PEER_WORK_LIMIT:
+            self.peer_work.popitem(last=False)
+
+    @receive.register
+    async def _(self, message: PeerProgress) -> None:
+        for number in message.read:
+            state = self.states.get(self.peer_work.get((message.host, number)))
+            if state is not None:
+                state.work.read((message.host, number), self.env.now)
+        for number in message.over:
+            state = self.states.get(self.peer_work.pop((message.host, number), None))
+            if state is not None:
+                state.work.over((message.host, number), self.env.now)
 
     @receive.register
     async def _(self, message: WorkOver) -> None:
         state = self.states.get(message.endpoint)
         if state is None:
             return
-        state.own_in_flight = max(0, state.own_in_flight - 1)
+        state.work.over(("", message.exchange), self.env.now)
+        if state.info.stage is not Stage.NONE:  # other gateways let the short calls expire
+            self._share(WorkProgress(message.exchange, over=True))
         answered = message.outcome == "answered"
-        state.reading.ended(message.exchange)
         if answered:
             state.succeeded(self.env.now)
         elif message.outcome == "failed":
@@ -234,8 +264,7 @@
     @receive.register
     async def _(self, message: StageOrdered) -> None:
         self._start_change(message.endpoint)
-        if self.share_with is not None:
-            self.share_with.put(message)
+        self._share(message)
 
     @receive.register
     async def _(self, message: StageKept) -> None:
@@ -258,7 +287,7 @@
         now = self.env.now
         states = [one for one in self.states.values() if one.info.service == service]
         for one in states:
-            one.settle(now)
+            one.work.expire(now)
         engines = tuple(
             EngineView(
                 id=one.info.id,
@@ -272,7 +301,7 @@
             for one in states
         )
         waits = [
-            one.reading.wait(now)
+            one.work.wait(now, MAX_RANK)
             for one, view in zip(states, engines, strict=True)
             if view.usable and view.stage is Stage.PREFILL
         ]
@@ -285,13 +314,21 @@
         if state is not None:
             state.changing_until = self.env.now + CHANGE_SECONDS
 
-    def _count_reading(self, state: EndpointState, seconds: float) -> None:
+    def _count(
+        self, state: EndpointState, key: WorkKey, item: WorkItem, prefixes: tuple[str, ...]
+    ) -> None:
+        now = self.env.now
+        state.add_work(key, item, now)
+        state.remember(prefixes, now)
         if state.info.stage is Stage.NONE:
             return
-        state.reading.add(seconds, self.env.now)
         load = self.reading.setdefault(state.info.service, ReadLoad())
         own_speed = 1.0 if state.info.stage is Stage.PREFILL else DECODE_READ_FACTOR
-        load.add(seconds / own_speed, self.env.now)
+        load.add(item.read_seconds / own_speed, now)
+
+    def _share(self, message: SharedWork | WorkProgress | StageOrdered) -> None:
+        if self.share_with is not None:
+            self.share_with.put(message)
 
     def _allowance(self, service: str) -> Allowance:
         return self.allowances.setdefault(service, Allowance(self.policy))
--- a/chivewall/gateway/fleet_messages.py
+++ b/chivewall/gateway/fleet_messages.py
@@ -1,5 +1,7 @@
 """Messages to the task that owns what is known of the endpoints."""
 
+import math
+
 from attrs import define, frozen
 
 from chivewall.decisions.placement import Prompt
@@ -19,6 +21,8 @@
     excluded: frozenset[str]
     allowed: frozenset[str] | None  # ids; ``None`` allows every endpoint
     prompt: Prompt = Prompt.UNREAD
+    rank: int = 0  # of the route, 0 first
+    slack: float = math.inf  # seconds until the objective is missed
 
 
 @frozen
@@ -44,12 +48,20 @@
     fields: CallFields
     seconds: float  # that it probably runs
     exchange: int
-    read_by: float | None = None  # when the prompt should have been read, of a prefill
+    rank: int = 0  # with which it was sent
+
+
+@frozen
+class PromptRead:
+    """An endpoint has read the prompt of an attempt."""
+
+    endpoint: str
+    exchange: int
 
 
 @frozen
 class ShareWorkWith:
-    """Tell this inbox of the work that is sent, as ``SharedWork``."""
+    """Tell this inbox of work as ``SharedWork`` and ``WorkProgress``."""
 
     inbox: Inbox
 
@@ -65,9 +77,19 @@
 class PeerWork:
     """Another gateway sent work to an endpoint."""
 
+    host: str
     work: SharedWork
 
 
+@frozen
+class PeerProgress:
+    """What became of another gateway's work, by the numbers that it gave."""
+
+    host: str
+    read: tuple[int, ...]
+    over: tuple[int, ...]
+
+
 @frozen
 class WorkOver:
     """An attempt at an endpoint ended."""
--- a/chivewall/gateway/forwarded_call.py
+++ b/chivewall/gateway/forwarded_call.py
@@ -32,15 +32,15 @@
     CallContext,
     EndpointTested,
     Exchange,
-    expected_seconds,
     invalid_answer,
+    longest_seconds,
     outgoing_call,
-    priority,
     release_kv_cache,
 )
 from chivewall.gateway.fleet_messages import (
     KvCacheLost,
     Place,
+    PromptRead,
     RequestSeen,
     SpendRepeat,
     WorkOver,
@@ -93,6 +93,7 @@
         self.head: AnswerHead | None = None
         self.body = bytearray()
         self.prefilled_at: float | None = None
+        self.prompt_read = False  # by the endpoint of the exchange
         self.heard_at = call.received_at  # when the exchange was written or had bytes
         self.over = False
         self.failed: set[str] = set()  # endpoints that failed this call
@@ -153,6 +154,9 @@
         if not self._current(message.exchange):
             return
         self.heard_at = self.env.now
+        if not (self.exchange.prefill or self.exchange.handed_over or self.prompt_read):
+            self.prompt_read = True
+            self.context.fleet.tell(PromptRead(self.exchange.endpoint.id, message.exchange))
         if self._streams():
             self.answer.send_events(self.head, message.data)
         else:
@@ -206,6 +210,8 @@
                 excluded=frozenset(self.failed - self.ledger.endpoints if allowed else self.failed),
                 allowed=allowed,
                 prompt=prompt,
+                rank=self.route.priority,
+                slack=self._slack(),
             )
         )
 
@@ -259,6 +265,7 @@
         handed_over = sent.kv_source is not None
         self.exchange = Exchange(number, endpoint, prefill=prefill, handed_over=handed_over)
         self.head = None
+        self.prompt_read = False
         self.env.log.emit(
             Event.CALL_ATTEMPT,
             request=self.call.fields.request_id,
@@ -268,6 +275,7 @@
             estimate=round(self.placement.estimate, 4),
             uncached=self.placement.uncached,
             reason=self.placement.reason,
+            rank=self.placement.rank,
             time_left_ms=round(sent.time_left_ms),
         )
         self.context.fleet.tell(
@@ -275,9 +283,9 @@
                 endpoint=endpoint.id,
                 read_seconds=0.0 if handed_over else self.placement.read_seconds,
                 fields=self.call.fields,
-                seconds=0.0 if prefill else expected_seconds(self.route, self.call),
+                seconds=longest_seconds(self.route, self.deadline - self.env.now),
                 exchange=number,
-                read_by=self.env.now + self.placement.read_by if prefill else None,
+                rank=self.placement.rank,
             )
         )
         outgoing = outgoing_call(
@@ -334,6 +342,7 @@
             return
         source = self.exchange.endpoint
         self.prefilled_at = self.env.now
+        self.context.fleet.tell(PromptRead(source.id, self.exchange.number))
         self._end_exchange("answered")
         self.kv_handle = (source, kept.handle)
         # The prompt may have waited for seconds; the engine that was to decode may leave by now.
@@ -468,12 +477,11 @@
         return None if at is None else round(at - self.call.received_at, 4)
 
     def _priority(self) -> int | None:
-        estimate = 0.0 if self.placement is None else self.placement.estimate
-        late = estimate * MS_PER_SECOND > self.route.objective_ms - self._spent_ms()
-        return priority(self.route, late=late)
+        return self.placement.rank if self.route.prefix_affinity else None
 
-    def _spent_ms(self) -> float:
-        return (self.env.now - self.call.received_at) * MS_PER_SECOND
+    def _slack(self) -> float:
+        """Return the seconds until the objective is missed."""
+        return self.route.objective_ms / MS_PER_SECOND - (self.env.now - self.call.received_at)
 
     def _time_left_ms(self) -> float:
         return (self.deadline - self.env.now) * MS_PER_SECOND
--- a/chivewall/gateway/peer_codec.py
+++ b/chivewall/gateway/peer_codec.py
@@ -1,25 +1,37 @@
 """Datagrams between gateways: JSON arrays, small enough for one packet."""
 
 import json
+from collections.abc import Iterable, Iterator
 
 from attrs import frozen
 
 from chivewall.errors import DecodeError
 
-VERSION = 1
+VERSION = 2
 MAX_DATAGRAM = 1_200  # bytes; a larger one would be cut up on the way
+FRAME_BYTES = 20  # of a datagram without items
 
 
 @frozen
 class SharedWork:
     """Work that a gateway sent to an endpoint, as other gateways need to know it."""
 
+    number: int  # by which the sender says later that it ended
     endpoint: str
     read_seconds: float  # for which the endpoint reads the prompt
-    seconds: float  # that it probably runs; 0 for a prefill
+    seconds: float  # that it counts if its end isn't heard of
+    rank: int  # with which it was sent, 0 first
     prefixes: tuple[str, ...]  # keys of the prompt's leading parts
 
 
+@frozen
+class WorkProgress:
+    """What became of shared work, by its number."""
+
+    number: int
+    over: bool  # else its prompt was read
+
+
 @frozen
 class PeerMessage:
     """One datagram."""
@@ -27,42 +39,87 @@
     hosts: tuple[str, ...] = ()  # gateways that the sender knows
     work: tuple[SharedWork, ...] = ()
     changing: tuple[str, ...] = ()  # engines that were ordered to change their stage
+    read: tuple[int, ...] = ()  # numbers of work whose prompts were read
+    over: tuple[int, ...] = ()  # numbers of work that ended
 
 
 def encode(message: PeerMessage) -> bytes:
     """Return the datagram."""
-    work = [
-        [
-            one.endpoint,
-            round(one.read_seconds, 4),
-            round(one.seconds, 2),
-            list(one.prefixes),
-        ]
-        for one in message.work
+    document = [
+        VERSION,
+        list(message.hosts),
+        [_row(one) for one in message.work],
+        list(message.changing),
+        list(message.read),
+        list(message.over),
     ]
-    document = [VERSION, list(message.hosts), work, list(message.changing)]
     return json.dumps(document, separators=(",", ":")).encode()
 
 
 def decode(datagram: bytes) -> PeerMessage:
     """Read a datagram; raises ``DecodeError``."""
     try:
-        version, hosts, work, changing = json.loads(datagram)
+        version, *rest = json.loads(datagram)
         if version != VERSION:
             raise DecodeError(f"version {version!r} of a datagram is not known")
+        hosts, work, changing, read, over = rest
         return PeerMessage(
             hosts=tuple(str(one) for one in hosts),
             work=tuple(_work(*one) for one in work),
             changing=tuple(str(one) for one in changing),
+            read=tuple(int(one) for one in read),
+            over=tuple(int(one) for one in over),
         )
-    except (ValueError, TypeError, RecursionError) as exc:
+    except (ValueError, TypeError, OverflowError, RecursionError) as exc:
         raise DecodeError(f"datagram: {exc}") from exc
 
 
-def _work(endpoint: str, read_seconds: float, seconds: float, prefixes: list[str]) -> SharedWork:
+def _work(
+    number: int,
+    endpoint: str,
+    read_seconds: float,
+    seconds: float,
+    rank: int,
+    prefixes: list[str],
+) -> SharedWork:
     return SharedWork(
+        number=int(number),
         endpoint=str(endpoint),
         read_seconds=max(0.0, float(read_seconds)),
         seconds=max(0.0, float(seconds)),
+        rank=int(rank),
         prefixes=tuple(str(one) for one in prefixes),
     )
+
+
+def batches(items: Iterable[SharedWork | WorkProgress]) -> Iterator[PeerMessage]:
+    """Yield messages that hold the items in order, each small enough for one datagram."""
+    work: list[SharedWork] = []
+    read: list[int] = []
+    over: list[int] = []
+    size = FRAME_BYTES
+    for one in items:
+        length = len(json.dumps(_row(one), separators=(",", ":"))) + 1
+        if size + length > MAX_DATAGRAM and size > FRAME_BYTES:
+            yield PeerMessage(work=tuple(work), read=tuple(read), over=tuple(over))
+            work, read, over, size = [], [], [], FRAME_BYTES
+        size += length
+        if isinstance(one, SharedWork):
+            work.append(one)
+        else:
+            (over if one.over else read).append(one.number)
+    if size > FRAME_BYTES:
+        yield PeerMessage(work=tuple(work), read=tuple(read), over=tuple(over))
+
+
+def _row(item: SharedWork | WorkProgress) -> list[object] | int:
+    if isinstance(item, WorkProgress):
+        return item.number
+    return [
+        item.number,
+        item.endpoint,
+        round(item.read_seconds, 4),
+        round(item.seconds, 2),
+        item.rank,
+        list(item.prefixes),
+    ]
--- a/chivewall/gateway/peers.py
+++ b/chivewall/gateway/peers.py
@@ -18,11 +18,19 @@
 from chivewall.gateway.fleet_messages import (
     GatewaysLive,
     PeerOrdered,
+    PeerProgress,
     PeerWork,
     ShareWorkWith,
     StageOrdered,
 )
-from chivewall.gateway.peer_codec import MAX_DATAGRAM, PeerMessage, SharedWork, decode, encode
+from chivewall.gateway.peer_codec import (
+    PeerMessage,
+    SharedWork,
+    WorkProgress,
+    batches,
+    decode,
+    encode,
+)
 from chivewall.messages import Tick
 from chivewall.plugins.base import Plugin
 from chivewall.plugins.registry import Registry
@@ -79,7 +87,7 @@
         self.fleet = fleet
         seeds = frozenset(one.rpartition(":")[0] for one in cfg.seeds)
         self.table = PeerTable(own=cfg.host, seeds=seeds)
-        self.waiting: list[SharedWork] = []
+        self.waiting: list[SharedWork | WorkProgress] = []
         self.socket = PeerSocket(self)
 
     def start(self) -> None:
@@ -103,8 +111,9 @@
         self._send(hello, self.table.greeted(self.env.now))
         self.env.clock.callLater(HELLO_SECONDS, self.tell, Tick("hello"))
 
-    @receive.register
-    async def _(self, message: SharedWork) -> None:
+    @receive.register(SharedWork)
+    @receive.register(WorkProgress)
+    async def _(self, message: SharedWork | WorkProgress) -> None:
         if not self.waiting:
             self.env.clock.callLater(BATCH_SECONDS, self.tell, Tick("batch"))
         self.waiting.append(message)
@@ -127,21 +136,17 @@
             return
         self.table.heard(message.host, found.hosts, self.env.now)
         for work in found.work:
-            self.fleet.tell(PeerWork(work))
+            self.fleet.tell(PeerWork(message.host, work))
+        if found.read or found.over:
+            self.fleet.tell(PeerProgress(message.host, found.read, found.over))
         for endpoint in found.changing:
             self.fleet.tell(PeerOrdered(endpoint))
 
     def _share(self) -> None:
-        work, self.waiting = self.waiting, []
+        waiting, self.waiting = self.waiting, []
         hosts = self.table.targets(self.env.now)
-        batch: list[SharedWork] = []
-        for one in work:
-            if len(encode(PeerMessage(work=(*batch, one)))) > MAX_DATAGRAM and batch:
-                self._send(PeerMessage(work=tuple(batch)), hosts)
-                batch = []
-            batch.append(one)
-        if batch:
-            self._send(PeerMessage(work=tuple(batch)), hosts)
+        for message in batches(waiting):
+            self._send(message, hosts)
 
     def _send(self, message: PeerMessage, hosts: list[str]) -> None:
         data = encode(message)
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -10,7 +10,15 @@
 from chivewall.errors import DecodeError, RequestError
 from chivewall.gateway.calls import Call, CallFields, SentFields
 from chivewall.gateway.catalogue import Kind, Stage
-from chivewall.gateway.peer_codec import PeerMessage, SharedWork, decode, encode
+from chivewall.gateway.peer_codec import (
+    MAX_DATAGRAM,
+    PeerMessage,
+    SharedWork,
+    WorkProgress,
+    batches,
+    decode,
+    encode,
+)
 from chivewall.platform.headers import PlatformDialect
 from chivewall.platform.manifest import decode_manifest
 from chivewall.platform.runners import decode_runner
@@ -169,6 +177,8 @@
 
 WORK = st.builds(
     SharedWork,
+    number=st.integers(0, 10**9),
+    rank=st.integers(0, 9),
     endpoint=st.text(max_size=12),
     read_seconds=st.floats(0, 10).map(lambda one: round(one, 4)),
     seconds=st.floats(0, 10).map(lambda one: round(one, 2)),
@@ -182,6 +192,17 @@
     assert decode(encode(message)) == message
 
 
+@given(st.lists(WORK | st.builds(WorkProgress, st.integers(0, 10**9), st.booleans())))
+def test_work_is_cut_into_datagrams_in_order(items):
+    """Guards datagrams that the way would cut up, and work that is lost or comes twice."""
+    messages = list(batches(items))
+    assert all(len(encode(one)) <= MAX_DATAGRAM for one in messages)
+    work = [one for message in messages for one in message.work]
+    assert work == [one for one in items if isinstance(one, SharedWork)]
+    over = [one for message in messages for one in message.over]
+    assert over == [one.number for one in items if isinstance(one, WorkProgress) and one.over]
+
+
 @given(st.binary() | JSON.map(lambda one: json.dumps(one).encode()))
 def test_any_datagram_is_read_or_rejected(datagram):
     with suppress(DecodeError):
