Let an engine rest after a refusal; don't wait for an unanswered order

An accepted order still keeps the engine from work for up to 12 s; without an answer it works on. A refusal gives any engine a rest of 0.5 s, doubled each time up to 4 s, which the other gateways are told. Ruled out: leaving it as it was (an engine of nine idle in the burst).

--- a/chivewall/decisions/placement.py
+++ b/chivewall/decisions/placement.py
@@ -25,6 +25,10 @@
 FAILURE_SECONDS = 0.5  # added for a share of failures of 1
 FAILURE_WEIGHT = 0.25  # of the newest outcome in the share of failures
 FAILURE_HALF_LIFE = 4.0  # seconds after which an old share of failures counts half
+# Without new work after a refusal, doubled each time: an engine that changes its stage
+# refuses for the time of its running work and the change.
+REFUSED_SECONDS = 0.5
+REFUSED_LIMIT = 4.0
 AVOID_SECONDS = 1.0  # after a connection that could not be opened, doubled each time
 AVOID_LIMIT = 8.0  # seconds
 PREFIX_SECONDS = 9.0  # an idle prefix is taken to be evicted after that
@@ -50,7 +54,8 @@
     failure_share: float = 0.0
     failed_at: float = 0.0
     avoid_until: float = 0.0
-    changing_until: float = 0.0  # an ordered change of its stage may be going on
+    rest_until: float = 0.0  # gets no new work: it is changing its stage or refused some
+    refusals: int = 0  # in a row
     misses: int = 0  # connections in a row that could not be opened
     gone_at: float | None = None  # when the list dropped it; used only if nothing else is left
     _prefixes: OrderedDict = field(factory=OrderedDict, init=False)  # key -> time
@@ -91,7 +96,7 @@
 
     def succeeded(self, now: float) -> None:
         """Take in a whole answer."""
-        self.misses = 0
+        self.misses = self.refusals = 0
         self.avoid_until = 0.0
         self._weigh(0.0, now)
 
@@ -99,6 +104,12 @@
         """Take in a failed answer or a broken connection."""
         self._weigh(1.0, now)
 
+    def refused(self) -> float:
+        """Take in a refusal; return the seconds for which it should get no new work."""
+        seconds = min(REFUSED_LIMIT, REFUSED_SECONDS * 2**self.refusals)
+        self.refusals = min(self.refusals + 1, 8)
+        return seconds
+
     def missed(self, now: float) -> None:
         """Take in a connection that could not be opened."""
         self.avoid_until = now + min(AVOID_LIMIT, AVOID_SECONDS * 2**self.misses)
@@ -189,7 +200,7 @@
 def _usable(states: list[EndpointState], at: Surroundings) -> list[EndpointState]:
     listed = [one for one in states if not one.info.draining and one.info.id not in at.excluded]
     present = [one for one in listed if one.gone_at is None] or listed
-    steady = [one for one in present if one.changing_until <= at.now] or present
+    steady = [one for one in present if one.rest_until <= at.now] or present
     return [one for one in steady if one.avoid_until <= at.now] or steady
 
 
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -28,9 +28,10 @@
 )
 from chivewall.gateway.fleet_messages import (
     EngineLoads,
+    EngineRests,
     GatewaysLive,
     KvCacheLost,
-    PeerOrdered,
+    PeerEngineRests,
     PeerProgress,
     PeerWork,
     Place,
@@ -39,8 +40,6 @@
     ServiceLoad,
     ShareWorkWith,
     SpendRepeat,
-    StageKept,
-    StageOrdered,
     WorkOver,
     WorkSent,
 )
@@ -56,7 +55,6 @@
 # this many at least: a restarted one spends its part again, and some may be unknown.
 LEAST_SHARERS = 12
 SHARERS_PER_GATEWAY = 2
-CHANGE_SECONDS = 12.0  # longest time that an ordered engine is left alone
 PEER_WORK_LIMIT = 20_000  # of other gateways' work whose end is waited for
 GONE_MARGIN = 0.3  # seconds before an endpoint that left the list may get no more work
 
@@ -247,6 +245,8 @@
             state.succeeded(self.env.now)
         elif message.outcome == "failed":
             state.failed(self.env.now)
+        elif message.outcome == "refused" and state.info.stage is not Stage.NONE:
+            self.tell(EngineRests(message.endpoint, state.refused()))
         elif message.outcome == "missed":
             state.missed(self.env.now)
             self.env.log.emit(
@@ -262,19 +262,13 @@
             state.failed(self.env.now)
 
     @receive.register
-    async def _(self, message: StageOrdered) -> None:
-        self._start_change(message.endpoint)
+    async def _(self, message: EngineRests) -> None:
+        self._rest(message.endpoint, message.seconds)
         self._share(message)
 
     @receive.register
-    async def _(self, message: StageKept) -> None:
-        state = self.states.get(message.endpoint)
-        if state is not None:
-            state.changing_until = 0.0
-
-    @receive.register
-    async def _(self, message: PeerOrdered) -> None:
-        self._start_change(message.endpoint)
+    async def _(self, message: PeerEngineRests) -> None:
+        self._rest(message.endpoint, message.seconds)
 
     @receive.register
     async def _(self, message: EngineLoads) -> None:
@@ -295,7 +289,7 @@
                 in_flight=one.in_flight,
                 usable=one.gone_at is None
                 and not one.info.draining
-                and one.changing_until <= now
+                and one.rest_until <= now
                 and one.avoid_until <= now,
             )
             for one in states
@@ -309,10 +303,10 @@
         load = reading.look(engines, min(waits, default=0.0), now)
         return ServiceLoad(service, load, {one.info.id: one.info for one in states})
 
-    def _start_change(self, endpoint: str) -> None:
+    def _rest(self, endpoint: str, seconds: float) -> None:
         state = self.states.get(endpoint)
         if state is not None:
-            state.changing_until = self.env.now + CHANGE_SECONDS
+            state.rest_until = self.env.now + seconds
 
     def _count(
         self, state: EndpointState, key: WorkKey, item: WorkItem, prefixes: tuple[str, ...]
@@ -326,7 +320,7 @@
         own_speed = 1.0 if state.info.stage is Stage.PREFILL else DECODE_READ_FACTOR
         load.add(item.read_seconds / own_speed, now)
 
-    def _share(self, message: SharedWork | WorkProgress | StageOrdered) -> None:
+    def _share(self, message: SharedWork | WorkProgress | EngineRests) -> None:
         if self.share_with is not None:
             self.share_with.put(message)
 
@@ -343,7 +337,7 @@
             self.states[item.name] = EndpointState(info)
         else:
             if state.info.stage is not info.stage:
-                state.changing_until = 0.0
+                state.rest_until = 0.0
             state.info = info
             state.gone_at = None
         self.env.log.emit(
--- a/chivewall/gateway/fleet_messages.py
+++ b/chivewall/gateway/fleet_messages.py
@@ -107,24 +107,19 @@
 
 
 @frozen
-class StageOrdered:
-    """An engine was ordered to change its stage; it takes no work until it has."""
+class EngineRests:
+    """An engine gets no new work for so long, while others can take it; 0 ends that."""
 
     endpoint: str
+    seconds: float
 
 
 @frozen
-class StageKept:
-    """An engine refused the order and stays as it is."""
-
-    endpoint: str
-
-
-@frozen
-class PeerOrdered:
-    """Another gateway ordered an engine to change its stage."""
+class PeerEngineRests:
+    """Another gateway says that an engine gets no new work for so long."""
 
     endpoint: str
+    seconds: float
 
 
 @frozen
--- a/chivewall/gateway/forwarded_call.py
+++ b/chivewall/gateway/forwarded_call.py
@@ -357,7 +357,8 @@
     async def _prefill_failed(self, reason: str, *, missed: bool = False) -> None:
         failed = self.exchange.endpoint
         self._log_failure(Outcome.NOT_SENT if missed else Outcome.NOT_RUN, reason)
-        self._end_exchange("missed" if missed else "failed")
+        refused = not missed and self._refused_to_run()
+        self._end_exchange("missed" if missed else "refused" if refused else "failed")
         if missed:
             self.missed_prefills = min(MAX_MISSED_PREFILLS, self.missed_prefills + 1)
         else:
@@ -374,6 +375,7 @@
         if self.exchange is not None:
             if outcome is Outcome.NOT_RUN and handed_over:
                 self.context.fleet.tell(KvCacheLost(self.kv_handle[0].id))
+                reported = "left"
             else:
                 self.failed.add(self.exchange.endpoint.id)
             self._end_exchange(reported or _reported(outcome))
--- a/chivewall/gateway/peer_codec.py
+++ b/chivewall/gateway/peer_codec.py
@@ -7,7 +7,7 @@
 
 from chivewall.errors import DecodeError
 
-VERSION = 2
+VERSION = 3
 MAX_DATAGRAM = 1_200  # bytes; a larger one would be cut up on the way
 FRAME_BYTES = 20  # of a datagram without items
 
@@ -38,7 +38,7 @@
 
     hosts: tuple[str, ...] = ()  # gateways that the sender knows
     work: tuple[SharedWork, ...] = ()
-    changing: tuple[str, ...] = ()  # engines that were ordered to change their stage
+    resting: tuple[tuple[str, float], ...] = ()  # engines without new work, for seconds
     read: tuple[int, ...] = ()  # numbers of work whose prompts were read
     over: tuple[int, ...] = ()  # numbers of work that ended
 
@@ -49,7 +49,7 @@
         VERSION,
         list(message.hosts),
         [_row(one) for one in message.work],
-        list(message.changing),
+        [[endpoint, round(seconds, 2)] for endpoint, seconds in message.resting],
         list(message.read),
         list(message.over),
     ]
@@ -62,11 +62,11 @@
         version, *rest = json.loads(datagram)
         if version != VERSION:
             raise DecodeError(f"version {version!r} of a datagram is not known")
-        hosts, work, changing, read, over = rest
+        hosts, work, resting, read, over = rest
         return PeerMessage(
             hosts=tuple(str(one) for one in hosts),
             work=tuple(_work(*one) for one in work),
-            changing=tuple(str(one) for one in changing),
+            resting=tuple((str(one), max(0.0, float(seconds))) for one, seconds in resting),
             read=tuple(int(one) for one in read),
             over=tuple(int(one) for one in over),
         )
--- a/chivewall/gateway/peers.py
+++ b/chivewall/gateway/peers.py
@@ -16,12 +16,12 @@
 from chivewall.events import Event
 from chivewall.gateway.fleet import Fleet
 from chivewall.gateway.fleet_messages import (
+    EngineRests,
     GatewaysLive,
-    PeerOrdered,
+    PeerEngineRests,
     PeerProgress,
     PeerWork,
     ShareWorkWith,
-    StageOrdered,
 )
 from chivewall.gateway.peer_codec import (
     PeerMessage,
@@ -119,9 +119,9 @@
         self.waiting.append(message)
 
     @receive.register
-    async def _(self, message: StageOrdered) -> None:
+    async def _(self, message: EngineRests) -> None:
         hosts = self.table.targets(self.env.now)
-        self._send(PeerMessage(changing=(message.endpoint,)), hosts)
+        self._send(PeerMessage(resting=((message.endpoint, message.seconds),)), hosts)
 
     @receive.register
     async def _(self, message: ComesFirst) -> None:
@@ -139,8 +139,8 @@
             self.fleet.tell(PeerWork(message.host, work))
         if found.read or found.over:
             self.fleet.tell(PeerProgress(message.host, found.read, found.over))
-        for endpoint in found.changing:
-            self.fleet.tell(PeerOrdered(endpoint))
+        for endpoint, seconds in found.resting:
+            self.fleet.tell(PeerEngineRests(endpoint, seconds))
 
     def _share(self) -> None:
         waiting, self.waiting = self.waiting, []
--- a/chivewall/gateway/stage_changer.py
+++ b/chivewall/gateway/stage_changer.py
@@ -22,7 +22,7 @@
 from chivewall.events import Event
 from chivewall.gateway.engine_control import EngineControl, TurnStore
 from chivewall.gateway.fleet import Fleet
-from chivewall.gateway.fleet_messages import EngineLoads, ServiceLoad, StageKept, StageOrdered
+from chivewall.gateway.fleet_messages import EngineLoads, EngineRests, ServiceLoad
 from chivewall.gateway.peers import ComesFirst, Peers
 from chivewall.messages import Tick
 from chivewall.plugins.base import Plugin
@@ -30,6 +30,8 @@
 from chivewall.task import Task
 
 LOOK_SECONDS = 1.0  # between looks at the load
+ORDER_REST_SECONDS = 2.0  # without new work until the order is answered
+CHANGE_REST_SECONDS = 12.0  # longest time without new work once the order is accepted
 
 Clock = Callable[[], float]
 
@@ -131,12 +133,14 @@
             reason=change.reason,
         )
         # Before the order: a call that reaches an engine which begins to change is refused.
-        self.fleet.tell(StageOrdered(change.engine))
+        self.fleet.tell(EngineRests(change.engine, ORDER_REST_SECONDS))
         try:
             await self.control.order(info, taken, report.orders)
-        except OrderRefusedError:
-            self.fleet.tell(StageKept(change.engine))
+        except (OrderRefusedError, EndpointError):
+            # Without an answer it may be carried out seconds later; until then it can work.
+            self.fleet.tell(EngineRests(change.engine, 0.0))
             raise
+        self.fleet.tell(EngineRests(change.engine, CHANGE_REST_SECONDS))
 
     def _held(self, load: ServiceLoad, change: StageChange, reason: str) -> None:
         self.env.log.emit(
