Count the time to the first event little while the objective is far

A second before the objective now costs a quarter of one after it, so that what a choice delays others counts more.

--- a/chivewall/decisions/placement.py
+++ b/chivewall/decisions/placement.py
@@ -39,6 +39,8 @@
 DIRECT_SECONDS = 0.2
 EXCESS_WEIGHT = 4.0  # of each second more; a prefill engine may be that much fuller
 STALL_WEIGHT = 0.05  # of the time by which reading a prompt holds up each running stream
+EARLY_WEIGHT = 0.25  # of a second that leaves the objective in reach
+SLACK_SHARE = 0.8  # of the time to the objective; estimates are wrong by some tenths
 MAX_RANK = 9  # the last one
 LATE_STEPS = 3  # by which work that misses its objective anyway stands behind the rest
 HOME_BONUS_SECONDS = 0.15  # by which the home of a prefix may be slower than the best
@@ -249,7 +251,7 @@
 class Option:
     """A placement with its cost; ``reader`` reads the prompt."""
 
-    cost: float  # seconds to the first event, and what it delays others
+    cost: float  # of the time to the first event, and what it delays others, in seconds
     reader: EndpointState
     placement: Placement
 
@@ -289,7 +291,13 @@
     )
     stall = STALL_WEIGHT * state.in_flight * reading
     excess = EXCESS_WEIGHT * max(0.0, placement.backlog - DIRECT_SECONDS)
-    return Option(seconds + stall + excess, state, placement)
+    return Option(_cost(seconds, at) + stall + excess, state, placement)
+
+
+def _cost(seconds: float, at: Surroundings) -> float:
+    """Return what the time to the first event costs: little, unless the objective is near."""
+    late = max(0.0, seconds - SLACK_SHARE * at.slack)
+    return EARLY_WEIGHT * seconds + (1 - EARLY_WEIGHT) * late
 
 
 def _handed_over(
@@ -318,7 +326,7 @@
         read_seconds=reading,
         rank=at.rank,
     )
-    return Option(seconds, reader, placement)
+    return Option(_cost(seconds, at), reader, placement)
 
 
 def _decode_wait(state: EndpointState, at: Surroundings) -> float:
