Decode in the data centre of the KV cache

Cause: the decode engine was chosen by the data centre of the gateway; two thirds of the KV caches moved between data centres, which takes twice as long and is priced higher.

--- a/chivewall/decisions/placement.py
+++ b/chivewall/decisions/placement.py
@@ -15,6 +15,9 @@
 
 LOCAL_SECONDS = 0.0005  # round trip inside a data centre
 REMOTE_SECONDS = 0.010  # round trip between data centres, and the price of the bytes
+# For a token of a KV cache that moves between data centres: its transfer takes twice as long,
+# and moved bytes are priced higher there.
+REMOTE_TOKEN_SECONDS = 4e-6
 CALL_SECONDS = 0.045  # work of a plain service, until its own times are known
 READ_TOKEN_SECONDS = 1 / 61_400  # of a prefill engine for a prompt token
 READ_PAIR_SECONDS = 0.525e-9  # more for each token before it, which attention looks at
@@ -150,6 +153,7 @@
     excluded: frozenset[str] = frozenset()  # ids that failed the call or may not get it
     rank: int = 0  # of the call's route, 0 first
     slack: float = math.inf  # seconds until its objective is missed
+    kv_home: str | None = None  # data centre of the engine that keeps the read prompt
 
 
 class Prompt(Enum):
@@ -184,7 +188,7 @@
     fields: CallFields, usable: list[EndpointState], at: Surroundings, prompt: Prompt
 ) -> Placement | None:
     if prompt is Prompt.READ:
-        return _choose_decoder(usable, at)
+        return _choose_decoder(fields, usable, at)
     if prompt is Prompt.DIRECT:
         usable = [one for one in usable if one.info.stage is not Stage.PREFILL]
     return _choose_engine(fields, usable, at)
@@ -220,12 +224,14 @@
     return Placement(best.info, None, cost(best), 0, "lowest cost")
 
 
-def _choose_decoder(states: list[EndpointState], at: Surroundings) -> Placement | None:
+def _choose_decoder(
+    fields: CallFields, states: list[EndpointState], at: Surroundings
+) -> Placement | None:
     decoders = [one for one in states if one.info.stage is not Stage.PREFILL]
     if not decoders:
         return None
-    best = min(decoders, key=lambda one: (_decode_wait(one, at), at.rng.random()))
-    wait = _decode_wait(best, at)
+    waits = [_decode_wait(one, at) + _fetch_seconds(fields, at.kv_home, one) for one in decoders]
+    wait, _, best = min(zip(waits, (at.rng.random() for _ in waits), decoders, strict=True))
     return Placement(best.info, None, wait, 0, "shortest wait to decode", rank=at.rank)
 
 
@@ -241,8 +247,7 @@
     direct = [_direct(fields, chain, one, at) for one in decoders]
     if not readers:
         return _cheapest(direct, home).placement
-    target = min(decoders, key=lambda one: _decode_wait(one, at))
-    handed_over = [_handed_over(fields, chain, one, target, at) for one in readers]
+    handed_over = [_handed_over(fields, chain, one, decoders, at) for one in readers]
     options = (_cheapest(handed_over, _home(chain, readers)), _cheapest(direct, home))
     return min(options, key=lambda one: one.cost).placement
 
@@ -304,17 +309,22 @@
     fields: CallFields,
     chain: list[tuple[str, int]],
     reader: EndpointState,
-    target: EndpointState,
+    decoders: list[EndpointState],
     at: Surroundings,
 ) -> Option:
     cached = reader.cached_tokens(chain, at.now)
     reading = read_seconds(fields.prompt_tokens, cached, Stage.PREFILL)
+    home = reader.info.data_centre
+    decode_wait, target = min(
+        ((_decode_wait(one, at) + _fetch_seconds(fields, home, one), one) for one in decoders),
+        key=lambda pair: pair[0],
+    )
     seconds = (
         reader.read_wait(at.now, at.rank)
         + reading
         + _distance(reader, at)
         + FAILURE_SECONDS * reader.failures(at.now)
-        + _decode_wait(target, at)
+        + decode_wait
         + HANDOVER_SECONDS
     )
     placement = Placement(
@@ -341,6 +351,13 @@
     )
 
 
+def _fetch_seconds(fields: CallFields, kv_home: str | None, decoder: EndpointState) -> float:
+    """Return what it costs to fetch a KV cache from another data centre."""
+    if kv_home is None or kv_home == decoder.info.data_centre:
+        return 0.0
+    return fields.prompt_tokens * REMOTE_TOKEN_SECONDS
+
+
 def _distance(state: EndpointState, at: Surroundings) -> float:
     return LOCAL_SECONDS if state.info.data_centre == at.home else REMOTE_SECONDS
 
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -161,6 +161,7 @@
             excluded=message.excluded,
             rank=message.rank,
             slack=message.slack,
+            kv_home=message.kv_home,
         )
         message.answer(choose(message.fields, states, at, message.prompt))
 
--- a/chivewall/gateway/fleet_messages.py
+++ b/chivewall/gateway/fleet_messages.py
@@ -23,6 +23,7 @@
     prompt: Prompt = Prompt.UNREAD
     rank: int = 0  # of the route, 0 first
     slack: float = math.inf  # seconds until the objective is missed
+    kv_home: str | None = None  # data centre of the engine that keeps the read prompt
 
 
 @frozen
--- a/chivewall/gateway/forwarded_call.py
+++ b/chivewall/gateway/forwarded_call.py
@@ -212,6 +212,7 @@
                 prompt=prompt,
                 rank=self.route.priority,
                 slack=self._slack(),
+                kv_home=None if self.kv_handle is None else self.kv_handle[0].data_centre,
             )
         )
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -38,7 +38,8 @@
 
 
 def around(now=100.0, **fields):
-    return Surroundings(home="north", now=now, rng=random.Random(1), **fields)
+    known = {"home": "north", "now": now, "rng": random.Random(1), "slack": 0.8}
+    return Surroundings(**(known | fields))
 
 
 def read(state, seconds, number=1, rank=0):
@@ -147,6 +148,26 @@
         assert choose(PROMPT, states, around(rank=1, slack=0.1)).rank == 1 + LATE_STEPS
         assert choose(PROMPT, states, around(rank=8, slack=0.1)).rank == MAX_RANK
 
+    def test_kv_cache_stays_in_its_data_centre_while_engines_there_have_room(self):
+        """Guards KV caches that are moved between data centres without a gain."""
+        states = self.engines()
+        states[2].info = evolve(states[2].info, data_centre="south")
+        found = choose(PROMPT, states, around(kv_home="south"), Prompt.READ)
+        assert found.endpoint.id == "d1"
+        for number in range(60):
+            states[2].add_work(("", number), WorkItem(0.0, rank=0, until=200.0), 100.0)
+        found = choose(PROMPT, states, around(kv_home="south"), Prompt.READ)
+        assert found.endpoint.id == "d2"
+
+    def test_prompt_with_time_to_spare_waits_rather_than_stop_streams(self):
+        """Guards streams that are stopped for prompts whose objective is far (pwani scale-1)."""
+        states = self.engines()
+        short = CallFields(prompt_tokens=1_000)
+        for one in states:
+            read(one, 0.8 if one.info.stage is Stage.PREFILL else 0.3)
+        assert choose(short, states, around(slack=3.0)).prefill is not None
+        assert choose(short, states, around(slack=0.2)).prefill is None
+
     def test_without_prefill_engines_decode_engines_read(self):
         found = choose(PROMPT, self.engines()[2:], around())
         assert found.prefill is None
