--- a/chivewall/decisions/placement.py
+++ b/chivewall/decisions/placement.py
@@ -17,7 +17,7 @@
 REMOTE_SECONDS = 0.010  # round trip between data centres, and the price of the bytes
 # For a token of a KV cache that moves between data centres: its transfer takes twice as long,
 # and moved bytes are priced higher there.
-REMOTE_TOKEN_SECONDS = 4e-6
+REMOTE_TOKEN_SECONDS = 1e-6
 CALL_SECONDS = 0.045  # work of a plain service, until its own times are known
 READ_TOKEN_SECONDS = 1 / 61_400  # of a prefill engine for a prompt token
 READ_PAIR_SECONDS = 0.525e-9  # more for each token before it, which attention looks at
