Split what grew in the gateway; share the doubling of waiting times

Moved: a call's log lines (call_log.py), the state of its prompt (prompt_reading.py), the settings of the fleet (fleet_settings.py), the doubling (backoff.py). The unused types are gone, with the one assertion that read them.

--- a/chivewall/claim_store.py
+++ b/chivewall/claim_store.py
@@ -6,6 +6,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
+from chivewall.backoff import doubled
 from chivewall.decisions import claims as decisions
 from chivewall.decisions.claims import Change, Outcome, Result, ShardState, Verdict
 from chivewall.environment import Environment
@@ -140,7 +141,7 @@
 
 def backoff(rng: random.Random, failures: int, limit: float) -> float:
     """Return a pause with jitter that doubles with each failure, in seconds."""
-    longest = min(limit, BACKOFF_BASE * 2 ** min(failures, 10))
+    longest = doubled(BACKOFF_BASE, limit, failures)
     return rng.uniform(longest / 4, longest)
 
 
--- a/chivewall/decisions/membership.py
+++ b/chivewall/decisions/membership.py
@@ -7,6 +7,7 @@
 
 from attrs import define, field, frozen
 
+from chivewall.backoff import doubled
 from chivewall.interfaces import Instance, InstanceKind
 from chivewall.work import LoadReport
 
@@ -194,7 +195,7 @@
             return None
         change = self.count_failure(endpoint, now, silent=False)
         member.failed_probes += 1
-        backoff = min(PROBE_LIMIT, PROBE_FIRST * 2 ** min(member.failed_probes - 1, 10))
+        backoff = doubled(PROBE_FIRST, PROBE_LIMIT, member.failed_probes - 1)
         member.probe_at = now + self._jitter(backoff)
         return change
 
--- a/chivewall/decisions/placement.py
+++ b/chivewall/decisions/placement.py
@@ -9,6 +9,7 @@
 
 from attrs import define, evolve, field, frozen
 
+from chivewall.backoff import doubled
 from chivewall.decisions.sent_work import ReadBudget, SentWork, WorkItem, WorkKey
 from chivewall.gateway.calls import CallFields
 from chivewall.gateway.catalogue import EndpointInfo, Stage
@@ -111,14 +112,14 @@
 
     def refused(self) -> float:
         """Take in a refusal; return the seconds for which it should get no new work."""
-        seconds = min(REFUSED_LIMIT, REFUSED_SECONDS * 2**self.refusals)
-        self.refusals = min(self.refusals + 1, 8)
+        seconds = doubled(REFUSED_SECONDS, REFUSED_LIMIT, self.refusals)
+        self.refusals += 1
         return seconds
 
     def missed(self, now: float) -> None:
         """Take in a connection that could not be opened."""
-        self.avoid_until = now + min(AVOID_LIMIT, AVOID_SECONDS * 2**self.misses)
-        self.misses = min(self.misses + 1, 8)
+        self.avoid_until = now + doubled(AVOID_SECONDS, AVOID_LIMIT, self.misses)
+        self.misses += 1
 
     def failures(self, now: float) -> float:
         """Return the share of failures, which fades with time."""
--- a/chivewall/decisions/retries.py
+++ b/chivewall/decisions/retries.py
@@ -5,6 +5,7 @@
 
 from attrs import define, evolve, field, frozen
 
+from chivewall.backoff import doubled
 from chivewall.results import ResultCode, RunState
 from chivewall.work import Call, Rank, Refusal, Request
 
@@ -176,7 +177,7 @@
     if refusal.code is ResultCode.OVER_LIMIT and refusal.retry_after is None:
         return GiveUp(ledger.truthful(refusal))
     reason = f"{refusal.code.name}, run {refusal.run.value}"
-    backoff = min(BACKOFF_LIMIT, BACKOFF_BASE * 2 ** min(10, max(0, tries - 1)))
+    backoff = doubled(BACKOFF_BASE, BACKOFF_LIMIT, tries - 1)
     if refusal.code is ResultCode.IN_PROGRESS:
         pause = max(backoff, min(BACKOFF_LIMIT, refusal.retry_after or 0.0))
         retry = Retry(at=now + pause, reason=reason, cost=Cost.FREE, exclude=False)
--- a/chivewall/gateway/catalogue.py
+++ b/chivewall/gateway/catalogue.py
@@ -1,4 +1,4 @@
-"""What operators publish (routes, services, limits) and what endpoints say of themselves."""
+"""What operators publish (routes and limits) and what endpoints say of themselves."""
 
 from enum import Enum
 
@@ -53,27 +53,6 @@
         return self.kind is Kind.SAFE or (self.kind is Kind.STREAM and self.resumable)
 
 
-@frozen
-class EngineModel:
-    """Figures of the engines of one service, as the operator publishes them."""
-
-    slots: int
-    kv_capacity_tokens: int
-    kv_token_bytes: float
-    link_mbps: float
-    event_feeds: int  # callers that may follow one engine's cache events
-
-
-@frozen
-class Service:
-    """A group of endpoints that do the same work."""
-
-    name: str
-    health_path: str
-    max_connections: int  # open at one endpoint, of all callers together
-    engine: EngineModel | None = None
-
-
 @frozen
 class IngressLimits:
     """What a caller may send, and how long it may take or stay idle."""
@@ -90,7 +69,6 @@
 
     version: int
     routes: tuple[Route, ...]
-    services: dict[str, Service]
     limits: IngressLimits
 
 
--- a/chivewall/gateway/collections.py
+++ b/chivewall/gateway/collections.py
@@ -6,6 +6,7 @@
 from attrs import frozen
 from twisted.internet.defer import Deferred
 
+from chivewall.backoff import doubled
 from chivewall.environment import Environment
 from chivewall.errors import HistoryLostError, StoreError
 from chivewall.events import Event
@@ -117,7 +118,7 @@
             self.failed_at = self.env.now
             self.env.log.emit(Event.STORE_UNAVAILABLE, key=self.source.name, error=str(message.exc))
             self.sink.put(CollectionLost(self.source.name))
-        delay = min(RETRY_LIMIT, RETRY_FIRST * 2 ** min(self.failures, 8))
+        delay = doubled(RETRY_FIRST, RETRY_LIMIT, self.failures)
         self.failures += 1
         # Jitter keeps the machines from returning at once after an outage.
         self.env.clock.callLater(delay * self.env.random.uniform(0.5, 1), self.tell, Tick())
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -3,9 +3,7 @@
 from collections import OrderedDict
 from functools import singledispatchmethod
 
-from attrs import field, frozen, validators
-
-from chivewall.decisions.allowance import Allowance, AllowancePolicy
+from chivewall.decisions.allowance import Allowance
 from chivewall.decisions.placement import (
     DECODE_READ_FACTOR,
     MAX_RANK,
@@ -43,6 +41,7 @@
     WorkOver,
     WorkSent,
 )
+from chivewall.gateway.fleet_settings import FleetSettings, allowance_policy
 from chivewall.gateway.peer_codec import SharedWork, WorkProgress
 from chivewall.gateway.sources import Sources
 from chivewall.messages import Tick
@@ -51,35 +50,10 @@
 from chivewall.task import Inbox, Task
 
 MS_PER_SECOND = 1000.0
-# The fixed part of the allowance is divided by twice the gateways that are known, and by
-# this many at least: a restarted one spends its part again, and some may be unknown.
-LEAST_SHARERS = 12
-SHARERS_PER_GATEWAY = 2
 PEER_WORK_LIMIT = 20_000  # of other gateways' work whose end is waited for
 GONE_MARGIN = 0.3  # seconds before an endpoint that left the list may get no more work
 
 
-@frozen
-class FleetSettings:
-    """Bounds that the platform sets."""
-
-    drain_ms: float = field(
-        validator=validators.gt(0),
-        metadata={"help": "Time after which a leaving endpoint may get no request, ms."},
-    )
-    repeat_ratio: float = field(
-        validator=validators.ge(0),
-        metadata={"help": "Repeated arrivals allowed for each request of a service."},
-    )
-    repeat_window_seconds: float = field(
-        validator=validators.gt(0), metadata={"help": "Window of the allowance, seconds."}
-    )
-    repeat_burst: float = field(
-        validator=validators.ge(0),
-        metadata={"help": "Repeated arrivals allowed beyond the ratio, of all machines."},
-    )
-
-
 class Fleet(Task):
     """Owns the states of the endpoints."""
 
@@ -92,7 +66,7 @@
         self.states: dict[str, EndpointState] = {}
         self.allowances: dict[str, Allowance] = {}
         self.gateways = 1  # live ones, with this one
-        self.policy = _policy(cfg, self.gateways)
+        self.policy = allowance_policy(cfg, self.gateways)
         self.reading: dict[str, ReadLoad] = {}  # by service
         self.peer_work: OrderedDict[WorkKey, str] = OrderedDict()  # endpoint of each
         self.share_with: Inbox | None = None  # what this gateway sends is told there
@@ -103,7 +77,7 @@
         self._share_allowance()
 
     def _share_allowance(self) -> None:
-        self.policy = _policy(self.cfg, self.gateways)
+        self.policy = allowance_policy(self.cfg, self.gateways)
         for allowance in self.allowances.values():
             allowance.policy = self.policy
 
@@ -369,15 +343,6 @@
                 del self.states[name]
 
 
-def _policy(cfg: FleetSettings, gateways: int) -> AllowancePolicy:
-    sharers = max(LEAST_SHARERS, SHARERS_PER_GATEWAY * gateways)
-    return AllowancePolicy(
-        ratio=cfg.repeat_ratio,
-        window=cfg.repeat_window_seconds,
-        burst=cfg.repeat_burst / sharers,
-    )
-
-
 class FleetPlugin(Plugin):
     """Offers the ``Fleet``."""
 
--- a/chivewall/gateway/forwarded_call.py
+++ b/chivewall/gateway/forwarded_call.py
@@ -13,7 +13,7 @@
 )
 from chivewall.decisions.placement import Placement, Prompt
 from chivewall.errors import DecodeError
-from chivewall.events import Event
+from chivewall.gateway.call_log import CallLog
 from chivewall.gateway.call_messages import CallerGone
 from chivewall.gateway.caller_answer import CallerAnswer
 from chivewall.gateway.calls import AnswerHead, Call, SentFields
@@ -46,6 +46,7 @@
     WorkOver,
     WorkSent,
 )
+from chivewall.gateway.prompt_reading import PromptReading
 from chivewall.messages import Tick
 from chivewall.results import ResultCode
 from chivewall.task import Inbox, Task
@@ -53,7 +54,6 @@
 MS_PER_SECOND = 1000.0
 ANSWER_MARGIN = 0.03  # seconds before the caller's deadline that an own answer is sent
 SILENCE_SECONDS = 0.5  # without a byte, after which the endpoint is tested
-MAX_MISSED_PREFILLS = 2  # after which the decoding engine reads the prompt
 SUCCESS = range(200, 300)
 SERVER_ERROR = range(500, 600)
 
@@ -79,6 +79,7 @@
         wait = min(route.timeout_ms, call.fields.wait_ms or route.timeout_ms)
         self.deadline = call.received_at + wait / MS_PER_SECOND
         self.answer_by = max(self.deadline - ANSWER_MARGIN, call.received_at)
+        self.log = CallLog(context.env, call, route)
         self.ledger = CallLedger()
         self.answer = CallerAnswer(
             env=context.env,
@@ -92,15 +93,12 @@
         self.placement: Placement | None = None
         self.head: AnswerHead | None = None
         self.body = bytearray()
-        self.prefilled_at: float | None = None
         self.prompt_read = False  # by the endpoint of the exchange
         self.heard_at = call.received_at  # when the exchange was written or had bytes
         self.over = False
         self.failed: set[str] = set()  # endpoints that failed this call
         self.arrivals = 0  # sends beyond a first prefill that reached an endpoint
-        self.prefills = 0
-        self.missed_prefills = 0  # that reached no engine, so another one costs no repeat
-        self.kv_handle: tuple[EndpointInfo, str] | None = None  # kept and not fetched yet
+        self.prompt = PromptReading()
         self._timers: list = []
 
     def start(self) -> None:
@@ -137,7 +135,7 @@
         if not self._current(message.exchange):
             return
         # The first prefill doesn't count as an attempt, a second one does.
-        if not self.exchange.prefill or self.prefills - self.missed_prefills > 1:
+        if not self.exchange.prefill or self.prompt.reached > 1:
             self.ledger.sent(self.exchange.endpoint.id)
         self.heard_at = self.env.now
         if self.exchange.prefill or self.route.idempotent:
@@ -212,14 +210,14 @@
                 prompt=prompt,
                 rank=self.route.priority,
                 slack=self._slack(),
-                kv_home=None if self.kv_handle is None else self.kv_handle[0].data_centre,
+                kv_home=self.prompt.kv_home,
             )
         )
 
     async def _place(self) -> None:
-        repeated = self.prefills > self.missed_prefills
-        unread = not repeated or self._may_prefill_again()
-        placement = await self._ask_placement(Prompt.UNREAD if unread else Prompt.DIRECT)
+        repeated = self.prompt.reached > 0
+        attempts_left = self.route.attempts - len(self.ledger.endpoints)
+        placement = await self._ask_placement(self.prompt.next(attempts_left))
         read_again = repeated and placement is not None and placement.prefill is not None
         if read_again and not await self.context.fleet.ask(SpendRepeat(self.service)):
             placement = await self._ask_placement(Prompt.DIRECT)
@@ -232,13 +230,8 @@
         else:
             await self._send(placement.endpoint, kv_source=None)
 
-    def _may_prefill_again(self) -> bool:
-        """Return whether the engine of a second prefill and one that decodes are allowed."""
-        engines_left = self.route.attempts - len(self.ledger.endpoints)
-        return self.prefills - self.missed_prefills == 1 and engines_left >= 2
-
     def _send_prefill(self, placement: Placement) -> None:
-        self.prefills += 1
+        self.prompt.sent += 1
         sent = SentFields(
             time_left_ms=self._time_left_ms(),
             endpoint=placement.prefill.id,
@@ -267,18 +260,7 @@
         self.exchange = Exchange(number, endpoint, prefill=prefill, handed_over=handed_over)
         self.head = None
         self.prompt_read = False
-        self.env.log.emit(
-            Event.CALL_ATTEMPT,
-            request=self.call.fields.request_id,
-            endpoint=endpoint.id,
-            prefill=prefill,
-            handed_over=handed_over,
-            estimate=round(self.placement.estimate, 4),
-            uncached=self.placement.uncached,
-            reason=self.placement.reason,
-            rank=self.placement.rank,
-            time_left_ms=round(sent.time_left_ms),
-        )
+        self.log.attempt(self.exchange, self.placement, sent)
         self.context.fleet.tell(
             WorkSent(
                 endpoint=endpoint.id,
@@ -342,10 +324,9 @@
             await self._prefill_failed(str(exc))
             return
         source = self.exchange.endpoint
-        self.prefilled_at = self.env.now
+        self.prompt.keep(source, kept.handle, self.env.now)
         self.context.fleet.tell(PromptRead(source.id, self.exchange.number))
         self._end_exchange("answered")
-        self.kv_handle = (source, kept.handle)
         # The prompt may have waited for seconds; the engine that was to decode may leave by now.
         placement = await self._ask_placement(Prompt.READ)
         if placement is None:
@@ -357,11 +338,11 @@
 
     async def _prefill_failed(self, reason: str, *, missed: bool = False) -> None:
         failed = self.exchange.endpoint
-        self._log_failure(Outcome.NOT_SENT if missed else Outcome.NOT_RUN, reason)
+        self.log.failed(self.exchange, Outcome.NOT_SENT if missed else Outcome.NOT_RUN, reason)
         refused = not missed and self._refused_to_run()
         self._end_exchange("missed" if missed else "refused" if refused else "failed")
         if missed:
-            self.missed_prefills = min(MAX_MISSED_PREFILLS, self.missed_prefills + 1)
+            self.prompt.miss()
         else:
             self.arrivals += 1  # only a prefill that was accepted is free
             self.failed.add(failed.id)
@@ -371,11 +352,11 @@
         self, outcome: Outcome, reason: str, reported: str | None = None
     ) -> None:
         self.ledger.failed(outcome)
-        self._log_failure(outcome, reason)
+        self.log.failed(self.exchange, outcome, reason)
         handed_over = self.exchange is not None and self.exchange.handed_over
         if self.exchange is not None:
             if outcome is Outcome.NOT_RUN and handed_over:
-                self.context.fleet.tell(KvCacheLost(self.kv_handle[0].id))
+                self.context.fleet.tell(KvCacheLost(self.prompt.kv_source.id))
                 reported = "left"
             else:
                 self.failed.add(self.exchange.endpoint.id)
@@ -444,41 +425,15 @@
         self.context.channels.tell(CancelCall(exchange.number))
         self.context.fleet.tell(WorkOver(exchange.endpoint.id, exchange.number, outcome))
         if exchange.handed_over and outcome in ("answered", "failed"):
-            self.kv_handle = None
+            self.prompt.release()
 
     def _finish(self, outcome: str, **fields: object) -> None:
         self.over = True
-        if self.kv_handle is not None:
-            self.context.fleet.spawn(release_kv_cache(self.context, *self.kv_handle))
-            self.kv_handle = None
-        self.env.log.emit(
-            Event.CALL_ENDED,
-            request=self.call.fields.request_id,
-            route=self.route.name,
-            outcome=outcome,
-            arrivals=self.arrivals,
-            events=self.answer.stream.passed,
-            seconds=self._since_start(self.env.now),
-            prefilled_after=self._since_start(self.prefilled_at),
-            first_after=self._since_start(self.answer.first_at),
-            longest_pause=round(self.answer.longest_pause, 4),
-            prompt_tokens=self.call.fields.prompt_tokens,
-            **fields,
-        )
+        if (kept := self.prompt.release()) is not None:
+            self.context.fleet.spawn(release_kv_cache(self.context, *kept))
+        self.log.ended(outcome, self.answer, self.arrivals, self.prompt.read_at, **fields)
         self.stop()
 
-    def _log_failure(self, outcome: Outcome, reason: str) -> None:
-        self.env.log.emit(
-            Event.CALL_ATTEMPT_FAILED,
-            request=self.call.fields.request_id,
-            endpoint=None if self.exchange is None else self.exchange.endpoint.id,
-            outcome=outcome.value,
-            reason=reason,
-        )
-
-    def _since_start(self, at: float | None) -> float | None:
-        return None if at is None else round(at - self.call.received_at, 4)
-
     def _priority(self) -> int | None:
         return self.placement.rank if self.route.prefix_affinity else None
 
--- a/chivewall/platform/manifest.py
+++ b/chivewall/platform/manifest.py
@@ -5,11 +5,9 @@
 from chivewall.errors import DecodeError
 from chivewall.gateway.catalogue import (
     Catalogue,
-    EngineModel,
     IngressLimits,
     Kind,
     Route,
-    Service,
     WeightedService,
 )
 from chivewall.platform.fields import flag, items, mapping, number, text, whole
@@ -21,11 +19,9 @@
 def decode_manifest(spec: object) -> Catalogue:
     """Return the catalogue; raises ``DecodeError`` that names the wrong field."""
     document = mapping(spec, "manifest")
-    services = [_service(mapping(one, "services")) for one in items(document, "services")]
     return Catalogue(
         version=whole(document, "version"),
         routes=tuple(_route(mapping(one, "routes")) for one in items(document, "routes")),
-        services={one.name: one for one in services},
         limits=_limits(mapping(document.get("limits", {}), "limits")),
     )
 
@@ -63,26 +59,6 @@
     return tuple(WeightedService(text(one, "service"), number(one, "weight")) for one in parts)
 
 
-def _service(document: dict[str, Any]) -> Service:
-    engine = document.get("engine")
-    return Service(
-        name=text(document, "name"),
-        health_path=text(document, "healthPath", "/"),
-        max_connections=whole(document, "maxConns", 0),
-        engine=None if engine is None else _engine(mapping(engine, "engine")),
-    )
-
-
-def _engine(document: dict[str, Any]) -> EngineModel:
-    return EngineModel(
-        slots=whole(document, "slots", 1),
-        kv_capacity_tokens=whole(document, "kvCapTokens", 0),
-        kv_token_bytes=number(document, "kvTokenBytes", 0),
-        link_mbps=number(document, "linkMbps", 0),
-        event_feeds=whole(document, "most", 0),
-    )
-
-
 def _limits(document: dict[str, Any]) -> IngressLimits:
     known = IngressLimits()
     return IngressLimits(
--- a/chivewall/watch.py
+++ b/chivewall/watch.py
@@ -4,6 +4,7 @@
 
 from attrs import frozen
 
+from chivewall.backoff import doubled
 from chivewall.environment import Environment
 from chivewall.errors import ObjectMissingError, StoreError
 from chivewall.events import Event
@@ -83,7 +84,7 @@
     async def _(self, message: WatchFailed) -> None:
         if not isinstance(message.exc, ObjectMissingError):
             self.env.log.emit(Event.STORE_UNAVAILABLE, key=self.key, error=str(message.exc))
-        delay = min(RETRY_LIMIT, RETRY_FIRST * 2 ** min(self.failures, 8))
+        delay = doubled(RETRY_FIRST, RETRY_LIMIT, self.failures)
         self.failures += 1
         # Jitter keeps a few hundred processes from returning at once after an outage.
         self.env.clock.callLater(delay * self.env.random.uniform(0.5, 1), self.tell, Tick())
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -11,8 +11,9 @@
 from chivewall.events import EventLog
 from chivewall.gateway.catalogue import EndpointInfo, Stage
 from chivewall.gateway.collections import CollectionItem, CollectionSnapshot
-from chivewall.gateway.fleet import Fleet, FleetSettings
+from chivewall.gateway.fleet import Fleet
 from chivewall.gateway.fleet_messages import EngineLoads
+from chivewall.gateway.fleet_settings import FleetSettings
 from chivewall.gateway.sources import Sources
 from chivewall.settings import CoreSettings, Role, Settings
 
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -51,7 +51,6 @@
                     ("b.example", "/only/"),
                 )
             ),
-            services={},
             limits=IngressLimits(),
         )
     )
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -75,7 +75,6 @@
     assert [one.service for one in route.services] == ["a", "b"]
     assert route.idempotent
     assert found.limits.header_bytes == 100
-    assert found.services["a"].engine.slots == 4
 
 
 def test_entry_is_decoded():
