--- a/chivewall/cli/explain.py
+++ b/chivewall/cli/explain.py
@@ -1,23 +1,46 @@
 """``chivewall explain``."""
 
+from pathlib import Path
 from urllib.parse import quote
 
 import click
+from attrs import asdict
 
 from chivewall.cli.client import Client
+from chivewall.cli.logs import read_lines, story
 from chivewall.cli.output import AS_JSON, show
 
 
 @click.command()
 @click.argument("request")
+@click.option(
+    "--log",
+    "logs",
+    multiple=True,
+    type=click.Path(path_type=Path, exists=True, dir_okay=False),
+    help="Read log files instead of asking an entry; may be given several times.",
+)
 @AS_JSON
 @click.pass_obj
-def explain(client: Client, request: str, *, as_json: bool) -> None:
-    """Tell what happened to a recent request, by the id in its X-Request-Id header.
+def explain(client: Client, request: str, logs: tuple[Path, ...], *, as_json: bool) -> None:
+    """Tell what happened to a request, by the id in its X-Request-Id header.
 
-    Ask the entry that served the request; --json also gives the raw events.
+    Ask the entry that served a recent request, or read the log files of daemons;
+    --json also gives the raw events.
 
     Example: chivewall explain req-0123456789abcdef0123456789abcdef
+
+    Example: chivewall explain 9c41d07be2a35f68 --log front-1.log --log front-2.log
     """
+    if logs:
+        _explain_from_logs(request, logs, as_json=as_json)
+        return
     answer = client.call("GET", f"/operator/requests/{quote(request, safe='')}")
     show(answer, "\n".join(answer["lines"]), as_json=as_json)
+
+
+def _explain_from_logs(request: str, logs: tuple[Path, ...], *, as_json: bool) -> None:
+    found = story((line for path in logs for line in read_lines(path)), request)
+    if not found:
+        raise click.ClickException(f"no line of the log files names request {request}")
+    show([asdict(one) for one in found], "\n".join(map(str, found)), as_json=as_json)
