--- a/chivewall/standins/runner.py
+++ b/chivewall/standins/runner.py
@@ -23,6 +23,7 @@
     service: str
     stage: str | None = None
     events: int = 0  # of a stream; 0 answers with a plain body
+    size: int = 0  # bytes that are added to a plain body
     behaviours: list[Behaviour] = field(factory=list)
     ran: list[str] = field(factory=list)  # ids of requests that it ran
     heard: list[dict[str, str]] = field(factory=list)  # headers of every request
@@ -125,7 +126,7 @@
         if runner.events:
             stream(handler, until=runner.events)
         else:
-            handler.plain(200, b"done by " + runner.id.encode())
+            handler.plain(200, b"done by " + runner.id.encode() + b"." * runner.size)
 
 
 def refuse(handler: RunnerHandler, status: int = 503) -> None:
