Test the ledger of one call over any run of failures

Cause: the property was tested case by case only. For each kind of route no sequence of failures leads to a second run of what may not be repeated, to a refusal after a possible run, or to an own answer after a begun one.

--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -192,6 +192,23 @@
         assert decide(evolve(begun, route=self.STREAM), ledger) is Next.CUT
         assert decide(evolve(begun, route=make_route()), ledger) is Next.CUT
 
+    @given(st.lists(st.sampled_from(list(Outcome)), min_size=1, max_size=8), st.booleans())
+    def test_no_failures_lead_to_a_second_run_or_an_untrue_refusal(self, outcomes, begun):
+        """Guards the promises of a refusal and of unsafe calls over any run of failures."""
+        for route in (self.UNSAFE, self.STREAM, self.RESUMABLE, make_route()):
+            ledger = CallLedger()
+            ran = False
+            for outcome in outcomes:
+                ledger.failed(outcome)
+                ran = ran or outcome in (Outcome.FAILED, Outcome.BROKEN)
+                at = situation(outcome, route=route, answer_begun=begun)
+                found = decide(at, ledger)
+                assert not (found is Next.REFUSE and ran)
+                assert not (found is Next.RETRY and not route.idempotent and ran)
+                assert not (begun and found in (Next.REFUSE, Next.FORWARD, Next.FAIL))
+                if found is not Next.RETRY:
+                    break
+
     def test_no_attempt_begins_without_time_to_serve_it(self):
         late = situation(Outcome.NOT_RUN, now=0.99)
         assert decide(late, CallLedger()) is Next.REFUSE
