Count an own call until it ends

Cause: since work is counted with a time at which it ends by itself, an own call to a plain service counted for 50 ms only, the time that other gateways count it, so a slow service got ever more calls. The test fails with that time.

--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -153,7 +153,7 @@
         if state is None:
             return
         keys = tuple(key for key, _ in prefix_chain(message.fields))
-        item = WorkItem(message.read_seconds, message.rank, self.env.now + message.seconds)
+        item = WorkItem(message.read_seconds, message.rank, self.env.now + message.time_left)
         self._count(state, ("", message.exchange), item, keys)
         self._share(
             SharedWork(
--- a/chivewall/gateway/fleet_messages.py
+++ b/chivewall/gateway/fleet_messages.py
@@ -47,7 +47,8 @@
     endpoint: str
     read_seconds: float  # for the prompt; 0 if it fetches the KV cache
     fields: CallFields
-    seconds: float  # that it probably runs
+    seconds: float  # that other gateways count it if they don't hear of its end
+    time_left: float  # seconds until it ends at the latest
     exchange: int
     rank: int = 0  # with which it was sent
 
--- a/chivewall/gateway/forwarded_call.py
+++ b/chivewall/gateway/forwarded_call.py
@@ -267,6 +267,7 @@
                 read_seconds=0.0 if handed_over else self.placement.read_seconds,
                 fields=self.call.fields,
                 seconds=longest_seconds(self.route, self.deadline - self.env.now),
+                time_left=self.deadline - self.env.now,
                 exchange=number,
                 rank=self.placement.rank,
             )
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -80,6 +80,12 @@
     return found[0]
 
 
+def sent(endpoint, exchange, fields, rank=0):
+    return WorkSent(
+        endpoint, 0.3, fields, seconds=0.05, time_left=6.0, exchange=exchange, rank=rank
+    )
+
+
 class Sink:
     """Keeps what would be shared with other gateways."""
 
@@ -139,12 +145,24 @@
     assert place(fleet).prefill.id == "p1"
 
 
+def test_own_call_counts_until_it_ends():
+    """Guards a slow plain service that gets ever more calls, as the old ones count no more."""
+    clock = Clock()
+    fleet = make_fleet(clock, s1=Stage.NONE, s2=Stage.NONE)
+    first = place(fleet).endpoint.id
+    for exchange in range(4):
+        fleet.tell(sent(first, exchange, CallFields()))
+    clock.advance(1.0)
+    assert place(fleet).endpoint.id != first
+    assert fleet.states[first].in_flight == 4
+
+
 def test_own_work_is_shared_with_its_end():
     fleet = make_fleet(Clock(), p1=Stage.PREFILL, d1=Stage.DECODE)
     sink = Sink()
     fleet.tell(ShareWorkWith(sink))
-    fleet.tell(WorkSent("p1", 0.3, CallFields(prompt_tokens=20_000), 6.0, exchange=4, rank=2))
+    fleet.tell(sent("p1", 4, CallFields(prompt_tokens=20_000), rank=2))
     fleet.tell(WorkOver("p1", 4, "answered"))
-    sent, ended = sink.heard
-    assert (sent.number, sent.endpoint, sent.rank) == (4, "p1", 2)
+    shared, ended = sink.heard
+    assert (shared.number, shared.endpoint, shared.rank) == (4, "p1", 2)
     assert ended == WorkProgress(4, over=True)
