Begin a fault soak of real gateway processes

Real gateways as processes on loopback, the project's store and runners, a relay that delays, resets, cuts one way or silences connections, signals, a store that misbehaves, changes of routes and leaving runners. Ten promises are judged from what callers and runners saw; each has a broken variant.

--- /dev/null
+++ b/chivewall/standins/template.py
@@ -0,0 +1,53 @@
+"""Fills in the deploy template of the gateway as the users' platform does."""
+
+import json
+import re
+from pathlib import Path
+from typing import Any
+
+TEMPLATE = Path(__file__).parents[2] / "deploy" / "gateway.jsonc"
+PLACEHOLDER = re.compile(r"\{\{([\w.]+)\|json\}\}")
+
+
+def render(fields: dict[str, Any]) -> str:
+    """Return the settings file of a machine with these fields; ``metricsPort`` is ours."""
+
+    def value(match: re.Match[str]) -> str:
+        found = fields
+        for key in match.group(1).split("."):
+            found = found[int(key)] if key.isdigit() else found[key]
+        return json.dumps(found)
+
+    text = PLACEHOLDER.sub(value, TEMPLATE.read_text())
+    return text.replace("{{ip}}:9464", f"{fields['ip']}:{fields['metricsPort']}")
+
+
+def machine_fields(
+    name: str,
+    ports: dict[str, int],
+    store: tuple[str, int],
+    ip: str = "127.0.0.1",
+    seeds: tuple[str, ...] = (),
+) -> dict[str, Any]:
+    """Return a machine's fields as the platform has them, with everything on loopback."""
+    return {
+        "node": name,
+        "zone": "north",
+        "ip": ip,
+        "metricsPort": ports["metrics"],
+        "portRange": [ports["peer"], ports["peer"]],
+        "seeds": list(seeds),
+        "listen": {
+            "front": f"{ip}:{ports['front']}",
+            "ready": f"{ip}:{ports['ready']}",
+        },
+        "bounds": {
+            "graceS": 8,
+            "drainMs": 2000,
+            "retryRatio": 0.2,
+            "retryWindowS": 10,
+            "retryBurst": 240,
+            "leaseMs": 3000,
+        },
+        "provider": {"addr": f"{store[0]}:{store[1]}"},
+    }
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,45 @@
+"""``python -m soak``: plays seeds, or a variant with a broken promise."""
+
+import time
+from concurrent.futures import ProcessPoolExecutor, as_completed
+
+import click
+
+from soak.seed import play
+from soak.variants import VARIANTS
+
+
+@click.command()
+@click.option("--seeds", default=50, show_default=True, help="How many seeds to play.")
+@click.option("--first", default=None, type=int, help="First seed; drawn from the time if absent.")
+@click.option("--minutes", default=0.0, help="Begin no seed after that; 0 for no limit.")
+@click.option("--jobs", default=3, show_default=True, help="Seeds at the same time.")
+@click.option("--variant", default="whole", type=click.Choice(sorted(VARIANTS)), show_default=True)
+def main(seeds: int, first: int | None, minutes: float, jobs: int, variant: str) -> None:
+    """Play seeds against real gateway processes; exit status 1 if a promise was broken.
+
+    Example: python -m soak --seeds 1 --first 1207 plays one seed again.
+    """
+    start = int(time.time()) % 1_000_000 if first is None else first
+    deadline = time.monotonic() + minutes * 60 if minutes else float("inf")
+    broken = played = 0
+    with ProcessPoolExecutor(max_workers=jobs) as pool:
+        numbers = iter(range(start, start + seeds))
+        waiting = {
+            pool.submit(play, one, variant) for one, _ in zip(numbers, range(jobs), strict=False)
+        }
+        while waiting:
+            done = next(as_completed(waiting))
+            waiting.remove(done)
+            verdict = done.result()
+            click.echo(str(verdict))
+            played += 1
+            broken += bool(verdict.broken)
+            if time.monotonic() < deadline and (following := next(numbers, None)) is not None:
+                waiting.add(pool.submit(play, following, variant))
+    click.echo(f"{played} seeds, {broken} with a broken promise")
+    raise SystemExit(1 if broken else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,82 @@
+"""Callers: each owns a connection to each gateway and keeps it until it breaks."""
+
+import http.client
+import random
+import threading
+import time
+
+from attrs import define, field
+
+from soak.records import Answered
+from soak.site import HOST, GatewayProcess, Site
+
+PAUSE_SECONDS = 0.05  # between two requests of a caller, at the mean
+READ_SECONDS = 12.0  # after which a caller takes its connection to be dead
+SHARES = {"read": 4, "book": 4, "audit": 4, "brief": 3, "new": 1}
+PROMPTS = (("300,50", "aa:200,bb:100"), ("20000,50", "cc:15000,dd:5000"))
+
+
+@define(eq=False)
+class Caller:
+    """Sends one request after the other until it is told to stop."""
+
+    site: Site
+    number: int
+    rng: random.Random
+    stop: threading.Event
+    connections: dict[str, http.client.HTTPConnection] = field(factory=dict)
+    sent: int = 0
+
+    def run(self) -> None:
+        """Send requests; runs in a thread of its own."""
+        while not self.stop.wait(self.rng.expovariate(1 / PAUSE_SECONDS)):
+            self._send(self.rng.choice(self.site.gateways))
+        for one in self.connections.values():
+            one.close()
+
+    def _send(self, gateway: GatewayProcess) -> None:
+        self.sent += 1
+        route = self.rng.choices(list(SHARES), SHARES.values())[0]
+        if route == "new":
+            route = f"v{self.site.version}"
+        id_ = f"c{self.number}-{self.sent}"
+        boot, sent_at = gateway.boots, time.monotonic()
+        status, fields, body = None, {}, b""
+        try:
+            connection = self._connection(gateway)
+            safe = route == "read" or route.startswith("v")
+            method, payload = ("GET", None) if safe else ("POST", b"{}")
+            connection.request(method, f"/{route}/1", payload, self._headers(id_, route))
+            answer = connection.getresponse()
+            body = answer.read()
+            status, fields = answer.status, answer.headers
+        except (OSError, http.client.HTTPException):
+            self.connections.pop(gateway.name).close()
+        self.site.answered(
+            Answered(
+                id=id_,
+                route=route,
+                gateway=gateway.name,
+                boot=boot,
+                sent_at=sent_at,
+                ended_at=time.monotonic(),
+                status=status,
+                answer_id=fields.get("X-Request-Id"),
+                proof=fields.get("X-Answer-Stamp"),
+                body=body,
+            )
+        )
+
+    def _connection(self, gateway: GatewayProcess) -> http.client.HTTPConnection:
+        if gateway.name not in self.connections:
+            self.connections[gateway.name] = http.client.HTTPConnection(
+                gateway.ip, gateway.ports["front"], timeout=READ_SECONDS
+            )
+        return self.connections[gateway.name]
+
+    def _headers(self, id_: str, route: str) -> dict[str, str]:
+        headers = {"Host": HOST, "X-Request-Id": id_, "X-Deadline-Ms": "5000"}
+        if route in ("audit", "brief"):
+            tokens, prefix = self.rng.choice(PROMPTS)
+            headers |= {"X-Token-Count": tokens, "X-Prompt-Prefix": prefix}
+        return headers
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,177 @@
+"""Faults; each registers itself and lasts as long as its function runs.
+
+Several may run at the same time, each in a thread of its own. Whatever a fault breaks, it
+mends before it ends.
+"""
+
+import random
+import signal
+import time
+from collections.abc import Callable
+from itertools import count
+
+from chivewall.standins import runner as behaviours
+from soak.relay import Mode
+from soak.site import DRAIN_SECONDS, GRACE_SECONDS, GatewayProcess, Site, wait_ready
+
+Fault = Callable[[Site, random.Random], None]
+FAULTS: dict[str, Fault] = {}
+SPOILED = (
+    behaviours.vanish,
+    behaviours.cut_body,
+    behaviours.answer_twice,
+    behaviours.without_proof,
+    behaviours.refuse,
+    behaviours.fail,
+    behaviours.break_stream(3),
+)
+_names = count(1)
+
+
+def fault(function: Fault) -> Fault:
+    """Register a fault under its name."""
+    FAULTS[function.__name__] = function
+    return function
+
+
+def _pick(site: Site, rng: random.Random) -> GatewayProcess:
+    return rng.choice(site.gateways)
+
+
+def _restart(site: Site, gateway: GatewayProcess) -> None:
+    gateway.start()
+    if not wait_ready(gateway):
+        site.records.own_exits.append(f"{gateway.name} didn't start again")
+
+
+@fault
+def stop(site: Site, rng: random.Random) -> None:
+    """SIGTERM, and a start after the process is gone."""
+    gateway = _pick(site, rng)
+    if not gateway.claim():
+        return
+    try:
+        found = site.disturb("stop", gateway.name)
+        gateway.signal(signal.SIGTERM)
+        gateway.process.wait(GRACE_SECONDS + 4)
+        found.ended_at = time.monotonic()
+        site.records.stops.append(found)
+        _restart(site, gateway)
+    finally:
+        gateway.release()
+
+
+@fault
+def kill(site: Site, rng: random.Random) -> None:
+    """SIGKILL and a start."""
+    gateway = _pick(site, rng)
+    if not gateway.claim():
+        return
+    try:
+        found = site.disturb("kill", gateway.name)
+        gateway.kill()
+        _restart(site, gateway)
+        found.ended_at = time.monotonic()
+    finally:
+        gateway.release()
+
+
+@fault
+def pause(site: Site, rng: random.Random) -> None:
+    """SIGSTOP for some seconds; the process wakes with old knowledge."""
+    gateway = _pick(site, rng)
+    if not gateway.claim():
+        return
+    try:
+        found = site.disturb("pause", gateway.name)
+        gateway.signal(signal.SIGSTOP)
+        time.sleep(rng.uniform(0.5, 4))
+        gateway.signal(signal.SIGCONT)
+        found.ended_at = time.monotonic()
+    finally:
+        gateway.release()
+
+
+@fault
+def hangup(site: Site, rng: random.Random) -> None:
+    """SIGHUP: the settings are read again."""
+    _pick(site, rng).signal(signal.SIGHUP)
+
+
+@fault
+def store_down(site: Site, rng: random.Random) -> None:
+    """The store refuses every call."""
+    found = site.disturb("store down")
+    site.store.down = True
+    time.sleep(rng.uniform(0.5, 4))
+    site.store.down = False
+    found.ended_at = time.monotonic()
+
+
+@fault
+def store_slow(site: Site, rng: random.Random) -> None:
+    """The store answers late and forgets its history."""
+    found = site.disturb("store slow")
+    site.store.delay = rng.uniform(0.1, 1)
+    site.store.compact()
+    time.sleep(rng.uniform(0.5, 3))
+    site.store.delay = 0.0
+    found.ended_at = time.monotonic()
+
+
+@fault
+def store_cut(site: Site, rng: random.Random) -> None:
+    """One gateway's connections to the store go silent, or lose their answers."""
+    gateway = _pick(site, rng)
+    found = site.disturb("store cut", gateway.name)
+    gateway.store.mode = rng.choice((Mode.SILENT, Mode.ONE_WAY))
+    time.sleep(rng.uniform(0.5, 4))
+    gateway.store.mode = Mode.OPEN
+    gateway.store.reset()
+    found.ended_at = time.monotonic()
+
+
+@fault
+def link(site: Site, rng: random.Random) -> None:
+    """Connections to one back end are reset, delayed, silenced or cut one way."""
+    relay = site.relays[rng.choice(list(site.relays))]
+    found = site.disturb("link")
+    trouble = rng.choice(("reset", "delay", *Mode))
+    if trouble == "delay":
+        relay.delay = rng.uniform(0.05, 0.5)
+    elif isinstance(trouble, Mode):
+        relay.mode = trouble
+    time.sleep(rng.uniform(0.3, 3))
+    relay.delay, relay.mode = 0.0, Mode.OPEN
+    relay.reset()
+    found.ended_at = time.monotonic()
+
+
+@fault
+def spoil(site: Site, rng: random.Random) -> None:
+    """Some answers of back ends are lost, cut, doubled, refused or failed."""
+    for _ in range(rng.randint(3, 20)):
+        runner = site.runners[rng.choice(list(site.runners))]
+        runner.behaviours.append(rng.choice(SPOILED))
+        time.sleep(rng.uniform(0, 0.1))
+
+
+@fault
+def change(site: Site, rng: random.Random) -> None:
+    """The operator publishes some versions, one after the other."""
+    for _ in range(rng.randint(1, 4)):
+        site.publish()
+        time.sleep(rng.uniform(0.05, 1.5))
+
+
+@fault
+def replace(site: Site, rng: random.Random) -> None:
+    """A back end leaves, with its notice, after another one of its kind has come."""
+    name = rng.choice([one for one in site.runners if not site.runners[one].leaves])
+    runner = site.runners[name]
+    runner.leaves = True
+    site.add_runner(f"new-{next(_names)}", runner.service, runner.stage)
+    time.sleep(1)
+    site.leave(name)
+    time.sleep(DRAIN_SECONDS + 2)
+    site.store.delete("servers", name)
--- /dev/null
+++ b/soak/site.py
@@ -0,0 +1,247 @@
+"""The processes and stand-ins of one seed."""
+
+import contextlib
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+
+from attrs import define, field
+
+from chivewall.standins.platform_store import PlatformStore
+from chivewall.standins.runner import Runner, RunnerHandler
+from chivewall.standins.template import machine_fields, render
+from soak.records import Answered, Arrival, Change, Disturbance, Leaving, Records
+from soak.relay import Relay
+
+HOST = "desk.example"
+TIMEOUT_SECONDS = 3.0  # of every route
+DRAIN_SECONDS = 2.0  # drainMs
+GRACE_SECONDS = 8.0  # graceS
+START_SECONDS = 15.0  # for a process on a busy machine
+EVENT_COUNT = 8
+EVENTS = b"".join(b"id: %d\ndata: token %d\n\n" % (one, one) for one in range(1, EVENT_COUNT + 1))
+RUNNERS = (
+    ("desk-1", "desk", None),
+    ("desk-2", "desk", None),
+    ("read-1", "engines", "prefill"),
+    ("read-2", "engines", "prefill"),
+    ("gen-1", "engines", "decode"),
+    ("gen-2", "engines", "decode"),
+    ("gen-3", "engines", "decode"),
+)
+ROUTES = (
+    {"name": "read", "service": "desk", "kind": "safe", "attempts": 2},
+    {"name": "book", "service": "desk", "kind": "unsafe", "attempts": 1},
+    {"name": "brief", "service": "engines", "kind": "stream", "attempts": 1, "sticky": True},
+    {
+        "name": "audit",
+        "service": "engines",
+        "kind": "stream",
+        "attempts": 2,
+        "sticky": True,
+        "resumable": True,
+    },
+)
+
+
+@define(eq=False)
+class WatchedRunner(Runner):
+    """A runner that records each request that reaches it."""
+
+    records: Records = field(factory=Records)
+    leaves: bool = False
+
+    def take(self, handler: RunnerHandler) -> None:
+        """Record and handle one request."""
+        stage = handler.headers.get("X-Stage")
+        if handler.request_id and not handler.expects_other():
+            self.records.arrivals.append(
+                Arrival(handler.request_id, self.id, time.monotonic(), stage)
+            )
+        super().take(handler)
+
+
+@define(eq=False)
+class GatewayProcess:
+    """One gateway, started again under the same name and addresses."""
+
+    name: str
+    folder: Path
+    store: Relay
+    variant: str
+    ip: str
+    ports: dict[str, int]  # the same on all gateways, as on the users' machines
+    seeds: tuple[str, ...]
+    boots: int = 0
+    process: subprocess.Popen | None = None
+    _fault: threading.Lock = field(factory=threading.Lock, init=False)
+
+    def claim(self) -> bool:
+        """Take the process for a fault that ends or pauses it; ``False`` if another one has."""
+        return self._fault.acquire(blocking=False)
+
+    def release(self) -> None:
+        """End the fault."""
+        self._fault.release()
+
+    def start(self) -> None:
+        """Start a process and don't wait for it."""
+        settings = self.folder / f"{self.name}.jsonc"
+        fields = machine_fields(self.name, self.ports, self.store.address, self.ip, self.seeds)
+        settings.write_text(render(fields))
+        self.boots += 1
+        with (self.folder / f"{self.name}.log").open("a") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "soak.variants", self.variant, str(settings)],
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process that was started, if it lives."""
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once and wait for it."""
+        self.signal(signal.SIGKILL)
+        self.process.wait(10)
+
+    def peak(self) -> tuple[str, int, int] | None:
+        """Return its name, peak memory in KB and open descriptors; ``None`` if it is gone."""
+        folder = Path(f"/proc/{self.process.pid}")
+        try:
+            status = (folder / "status").read_text()
+            files = len(list((folder / "fd").iterdir()))
+        except OSError:
+            return None
+        memory = next((one for one in status.splitlines() if one.startswith("VmHWM")), "VmHWM 0")
+        return self.name, int(memory.split()[1]), files
+
+
+@define(eq=False)
+class Site:
+    """A store, runners behind relays and gateways; ``stack`` ends them all."""
+
+    folder: Path
+    variant: str
+    gateway_count: int
+    records: Records = field(factory=Records)
+    store: PlatformStore = field(factory=PlatformStore)
+    runners: dict[str, WatchedRunner] = field(factory=dict)
+    relays: dict[str, Relay] = field(factory=dict)
+    gateways: list[GatewayProcess] = field(factory=list)
+    stack: contextlib.ExitStack = field(factory=contextlib.ExitStack)
+    version: int = 0
+    _lock: threading.Lock = field(factory=threading.Lock, init=False)
+
+    def __enter__(self) -> "Site":
+        """Start everything and wait until the gateways are ready."""
+        self.publish()
+        for name, service, stage in RUNNERS:
+            self.add_runner(name, service, stage)
+        store = self.stack.enter_context(self.store.serve())
+        ports = dict(zip(("front", "ready", "peer", "metrics"), _free_ports(4), strict=True))
+        ips = [f"127.0.0.{number + 2}" for number in range(self.gateway_count)]
+        seeds = tuple(f"{ip}:{ports['ready']}" for ip in ips[:3])
+        for number, ip in enumerate(ips, start=1):
+            relay = Relay(store)
+            self.stack.callback(relay.stop)
+            gateway = GatewayProcess(
+                f"gateway-{number}", self.folder, relay, self.variant, ip, ports, seeds
+            )
+            self.stack.callback(gateway.kill)
+            gateway.start()
+            self.gateways.append(gateway)
+        for gateway in self.gateways:
+            wait_ready(gateway)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        """End what was started."""
+        for gateway in self.gateways:
+            gateway.signal(signal.SIGCONT)
+        self.stack.close()
+
+    def publish(self) -> None:
+        """Publish the next version, which adds a route named after it."""
+        with self._lock:
+            self.version += 1
+            added = [
+                {"name": f"v{one}", "service": "desk", "kind": "safe", "attempts": 2}
+                for one in range(1, self.version + 1)
+            ]
+            common = {
+                "host": HOST,
+                "timeoutMs": TIMEOUT_SECONDS * 1000,
+                "sloMs": 1000,
+                "priority": 1,
+            }
+            routes = [
+                {**common, **one, "pathPrefix": f"/{one['name']}/"} for one in (*ROUTES, *added)
+            ]
+            services = [{"name": "desk"}, {"name": "engines"}]
+            document = {
+                "version": self.version,
+                "routes": routes,
+                "services": services,
+                "limits": {},
+            }
+            self.store.put("config", "main", document)
+            self.records.changes.append(Change(self.version, time.monotonic()))
+
+    def leave(self, name: str) -> None:
+        """List a runner as leaving."""
+        runner = self.runners[name]
+        self.store.put("servers", name, runner.entry(self.relays[name].address, state="draining"))
+        self.records.leaving.append(Leaving(name, time.monotonic()))
+
+    def disturb(self, kind: str, gateway: str = "") -> Disturbance:
+        """Note that a disturbance begins now."""
+        found = Disturbance(kind, time.monotonic(), gateway=gateway)
+        self.records.disturbances.append(found)
+        return found
+
+    def answered(self, answer: Answered) -> None:
+        """Take the record of a caller."""
+        self.records.answers.append(answer)
+
+    def add_runner(self, name: str, service: str, stage: str | None) -> None:
+        """Serve a runner behind a relay and list it."""
+        runner = WatchedRunner(
+            name,
+            service,
+            stage=stage,
+            events=0 if stage is None else EVENT_COUNT,
+            gaps=0.02,
+            size=1,
+            records=self.records,
+        )
+        address = self.stack.enter_context(runner.serve())
+        relay = Relay(address)
+        self.stack.callback(relay.stop)
+        self.runners[name], self.relays[name] = runner, relay
+        self.store.put("servers", name, runner.entry(relay.address))
+
+
+def wait_ready(gateway: GatewayProcess) -> bool:
+    """Wait until a gateway takes connections; return whether it does."""
+    deadline = time.monotonic() + START_SECONDS
+    while time.monotonic() < deadline and gateway.process.poll() is None:
+        with contextlib.suppress(OSError):
+            socket.create_connection((gateway.ip, gateway.ports["front"]), timeout=1).close()
+            return True
+        time.sleep(0.05)
+    return False
+
+
+def _free_ports(count: int) -> list[int]:
+    held = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [one.getsockname()[1] for one in held]
+    for one in held:
+        one.close()
+    return ports
--- a/tests/utils/gateways.py
+++ b/tests/utils/gateways.py
@@ -1,7 +1,6 @@
 """A gateway as a process in front of stand-ins of the users' platform."""
 
 import json
-import re
 import socket
 import subprocess
 import sys
@@ -13,25 +12,11 @@
 
 from chivewall.standins.platform_store import PlatformStore
 from chivewall.standins.runner import Runner
+from chivewall.standins.template import machine_fields, render
 from tests.utils.sites import free_port, until
 
 ROOT = Path(__file__).parents[2]
-TEMPLATE = ROOT / "deploy" / "gateway.jsonc"
 HOST = "desk.example"
-PLACEHOLDER = re.compile(r"\{\{([\w.]+)\|json\}\}")
-
-
-def render(fields):
-    """Fill in the deploy template as the platform does."""
-
-    def value(match):
-        found = fields
-        for key in match.group(1).split("."):
-            found = found[int(key)] if key.isdigit() else found[key]
-        return json.dumps(found)
-
-    text = PLACEHOLDER.sub(value, TEMPLATE.read_text())
-    return text.replace("{{ip}}:9464", f"{fields['ip']}:{fields['metricsPort']}")
 
 
 def route(name, service, kind="safe", **fields):
@@ -91,28 +76,8 @@
         return self.folder / "gateway.log"
 
     def write_settings(self, **bounds):
-        fields = {
-            "node": "gateway-1",
-            "zone": "north",
-            "ip": "127.0.0.1",
-            "metricsPort": self.ports["metrics"],
-            "portRange": [self.ports["peer"], self.ports["peer"]],
-            "seeds": [],
-            "listen": {
-                "front": f"127.0.0.1:{self.ports['front']}",
-                "ready": f"127.0.0.1:{self.ports['ready']}",
-            },
-            "bounds": {
-                "graceS": 8,
-                "drainMs": 2000,
-                "retryRatio": 0.2,
-                "retryWindowS": 10,
-                "retryBurst": 240,
-                "leaseMs": 3000,
-                **bounds,
-            },
-            "provider": {"addr": f"127.0.0.1:{self.store_address[1]}"},
-        }
+        fields = machine_fields("gateway-1", self.ports, self.store_address)
+        fields["bounds"] |= bounds
         self.settings.write_text(render(fields))
 
     def start(self, *, ready=True):
