--- a/chivewall/standins/runner.py
+++ b/chivewall/standins/runner.py
@@ -9,6 +9,7 @@
 from chivewall.standins.platform_store import QuietHandler, Served
 
 PROOF = "stamp-1"
+HANG_SECONDS = 6.0  # the longest time-out that tests use is 3 s
 Behaviour = Callable[["RunnerHandler"], None]
 
 
@@ -83,6 +84,11 @@
         """Id of the request."""
         return self.headers.get("X-Request-Id", "")
 
+    def note_run(self) -> None:
+        """Count a run; reading a prompt only isn't one."""
+        if self.headers.get("X-Stage") != "prefill":
+            self.owner.ran.append(self.request_id)
+
     def expects_other(self) -> bool:
         """Return whether the request names another runner."""
         return self.headers.get("X-Expect-Instance") not in (None, self.owner.id)
@@ -122,7 +128,7 @@
     elif handler.headers.get("X-Stage") == "prefill":
         handler.plain(200, b'{"handle":"h1","tokens":10,"version":1}', proof=False)
     else:
-        runner.ran.append(handler.request_id)
+        handler.note_run()
         if runner.events:
             stream(handler, until=runner.events)
         else:
@@ -136,13 +142,20 @@
 
 def fail(handler: RunnerHandler) -> None:
     """Run the request and fail."""
-    handler.owner.ran.append(handler.request_id)
+    handler.note_run()
     handler.plain(500, b"failed")
 
 
 def vanish(handler: RunnerHandler) -> None:
     """Run the request and close without an answer."""
-    handler.owner.ran.append(handler.request_id)
+    handler.note_run()
+    handler.reset()
+
+
+def hang(handler: RunnerHandler) -> None:
+    """Run the request and say nothing for longer than a caller waits."""
+    handler.note_run()
+    time.sleep(HANG_SECONDS)
     handler.reset()
 
 
@@ -153,7 +166,7 @@
 
 def cut_body(handler: RunnerHandler) -> None:
     """Run the request and close in the middle of the body."""
-    handler.owner.ran.append(handler.request_id)
+    handler.note_run()
     handler.head(200, ("Content-Length", "100"))
     handler.wfile.write(b"part")
     handler.reset()
@@ -167,7 +180,7 @@
 
 def without_proof(handler: RunnerHandler) -> None:
     """Run the request and answer without the proof."""
-    handler.owner.ran.append(handler.request_id)
+    handler.note_run()
     handler.plain(200, b"forged", proof=False)
 
 
@@ -189,7 +202,7 @@
     """Return a behaviour that stops inside the event after the given number of events."""
 
     def behave(handler: RunnerHandler) -> None:
-        handler.owner.ran.append(handler.request_id)
+        handler.note_run()
         stream(handler, until=after, broken=True)
 
     return behave
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -3,7 +3,6 @@
 A check registers itself by its decorator. The bounds are those of the users' pages.
 """
 
-from collections import Counter
 from collections.abc import Callable
 
 from soak.records import Answered, Records
@@ -17,6 +16,8 @@
 DESCRIPTORS = 3_900
 PROMISES = frozenset({408, 421, 429, 503})  # statuses that say: not run
 ONCE = ("book", "brief")  # routes that may run at most once
+SENT_SECONDS = 0.03  # after which a request on loopback has been read
+OWN = frozenset({"stop", "kill", "pause"})  # what stops a process; links and back ends don't
 
 Check = Callable[[Records], list[str]]
 CHECKS: dict[str, Check] = {}
@@ -33,17 +34,13 @@
     return [f"{name}: {text}" for name, one in CHECKS.items() for text in one(records)]
 
 
-def _runs(records: Records) -> Counter[str]:
-    return Counter(one.id for one in records.arrivals if one.stage != "prefill")
-
-
 @check
 def at_most_once(records: Records) -> list[str]:
     """Nothing that may not be repeated runs twice."""
     routes = {one.id: one.route for one in records.answers}
     return [
         f"{routes[id_]} {id_} ran {count} times"
-        for id_, count in _runs(records).items()
+        for id_, count in records.runs.items()
         if count > 1 and routes.get(id_) in ONCE
     ]
 
@@ -51,11 +48,10 @@
 @check
 def true_refusals(records: Records) -> list[str]:
     """What is said not to have run has not run, and never does."""
-    runs = _runs(records)
     return [
         f"{one.route} {one.id} refused with {one.status} has run"
         for one in records.answers
-        if one.status in PROMISES and one.route in ONCE and runs[one.id]
+        if one.status in PROMISES and one.route in ONCE and records.runs[one.id]
     ]
 
 
@@ -128,7 +124,7 @@
         f"{one.route} {one.id} at {one.gateway} took {one.ended_at - one.sent_at:.2f} s"
         for one in records.answers
         if one.ended_at - one.sent_at > limit
-        and not records.disturbed(one.gateway, one.sent_at, one.ended_at)
+        and not records.disturbed(one.gateway, one.sent_at, one.ended_at, OWN)
     ]
 
 
@@ -140,7 +136,7 @@
         if stop.ended_at - stop.started_at > GRACE_SECONDS + SLACK_SECONDS:
             found.append(f"{stop.gateway} took {stop.ended_at - stop.started_at:.1f} s to stop")
         for one in records.answers:
-            taken = one.sent_at < stop.started_at - 0.1 and one.ended_at > stop.started_at
+            taken = one.sent_at < stop.started_at - SENT_SECONDS and one.ended_at > stop.started_at
             calm = not any(
                 other.kind != "stop"
                 and other.touches(stop.gateway, one.sent_at - STEADY_SECONDS, one.ended_at)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -24,6 +24,7 @@
     behaviours.refuse,
     behaviours.fail,
     behaviours.break_stream(3),
+    behaviours.hang,
 )
 _names = count(1)
 
--- a/soak/records.py
+++ b/soak/records.py
@@ -1,5 +1,7 @@
 """What callers and back ends saw, and when the harness disturbed what."""
 
+from collections import Counter
+
 from attrs import define, field, frozen
 
 
@@ -66,6 +68,7 @@
 
     answers: list[Answered] = field(factory=list)
     arrivals: list[Arrival] = field(factory=list)
+    runs: Counter[str] = field(factory=Counter)  # by request id
     disturbances: list[Disturbance] = field(factory=list)
     changes: list[Change] = field(factory=list)
     leaving: list[Leaving] = field(factory=list)
@@ -73,6 +76,12 @@
     own_exits: list[str] = field(factory=list)
     peaks: list[tuple[str, int, int]] = field(factory=list)  # gateway, memory KB, descriptors
 
-    def disturbed(self, gateway: str, begin: float, end: float) -> bool:
-        """Return whether a disturbance touches the gateway in a span."""
-        return any(one.touches(gateway, begin, end) for one in self.disturbances)
+    def disturbed(
+        self, gateway: str, begin: float, end: float, kinds: frozenset[str] | None = None
+    ) -> bool:
+        """Return whether a disturbance, of these kinds, touches the gateway in a span."""
+        return any(
+            one.touches(gateway, begin, end)
+            for one in self.disturbances
+            if kinds is None or one.kind in kinds
+        )
--- a/soak/seed.py
+++ b/soak/seed.py
@@ -56,6 +56,8 @@
             elif (peak := gateway.peak()) is not None:
                 site.records.peaks.append(peak)
         records = site.records
+        for runner in site.runners.values():
+            records.runs.update(runner.ran)
     served = sum(one.status == 200 for one in records.answers)
     broken = tuple(judge(records))
     return Verdict(seed, len(records.answers), served, tuple(n for _, n in plan), broken)
--- a/soak/site.py
+++ b/soak/site.py
@@ -217,7 +217,7 @@
             service,
             stage=stage,
             events=0 if stage is None else EVENT_COUNT,
-            gaps=0.02,
+            gaps=0.04,
             size=1,
             records=self.records,
         )
--- a/soak/variants.py
+++ b/soak/variants.py
@@ -8,6 +8,7 @@
 import sys
 import threading
 from collections.abc import Callable
+from itertools import count
 
 from chivewall import daemon
 from chivewall.decisions import forwarding, placement
@@ -80,14 +81,17 @@
 def changes_stay() -> None:
     """Go back to the first routes now and then."""
     accept = gateway.Gateway.accept
-    known: list = []
+    first: list = []
+    calls = count()
 
     def waver(self: gateway.Gateway, call: object, sink: object) -> object:
-        if self.table is not None:
-            known.append(self.table)
-            del known[200:]
-            self.table = known[0] if len(known) % 3 == 0 else self.table
-        return accept(self, call, sink)
+        newest = self.table
+        if newest is not None:
+            first[:] = first or [newest]
+            self.table = first[0] if next(calls) % 3 == 0 else newest
+        answer = accept(self, call, sink)
+        self.table = newest
+        return answer
 
     gateway.Gateway.accept = waver
 
