--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 PORT ?= 8080
 
-.PHONY: demo run test lint format proto docs bench bench-cost bench-capacity faults clean
+.PHONY: demo run test lint format proto docs bench bench-cost bench-capacity faults soak clean
 
 $(VENV)/.installed: requirements.txt
 	python3 -m venv $(VENV)
@@ -47,5 +47,9 @@
 faults: $(VENV)/.installed  ## steps by faults, pairs and a random walk on a virtual clock
 	$(BIN)/python -m bench.faults
 
+soak: $(VENV)/.installed  ## faults against real gateway processes; SEEDS=50 MINUTES=5 FIRST=1
+	@$(BIN)/python -m soak --seeds $(or $(SEEDS),50) --minutes $(or $(MINUTES),0) \
+	  $(if $(FIRST),--first $(FIRST))
+
 docs: $(VENV)/.installed  ## writes the reference tables in docs/
 	$(BIN)/python -m extras.reference
