Give each soak process its own loopback addresses; play every seed

Both broken seeds ran side by side and pass alone; ports were drawn on 127.0.0.1, so two seeds could draw a common one. Which port was common in the first run is not on record, its logs were gone; a broken seed keeps them now. Seed 1003 was taken from the list and dropped by zip's order.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -26,7 +26,7 @@
     with ProcessPoolExecutor(max_workers=jobs) as pool:
         numbers = iter(range(start, start + seeds))
         waiting = {
-            pool.submit(play, one, variant) for one, _ in zip(numbers, range(jobs), strict=False)
+            pool.submit(play, one, variant) for _, one in zip(range(jobs), numbers, strict=False)
         }
         while waiting:
             done = next(as_completed(waiting))
--- a/soak/seed.py
+++ b/soak/seed.py
@@ -1,6 +1,7 @@
 """Plays one seed and judges it."""
 
 import random
+import shutil
 import tempfile
 import threading
 import time
@@ -40,6 +41,11 @@
         return "\n  ".join((head, *self.broken))
 
 
+def log_folder(seed: int) -> Path:
+    """Return where the logs of a broken seed are kept."""
+    return Path(tempfile.gettempdir()) / f"chivewall-soak-{seed}"
+
+
 def play(seed: int, variant: str = "whole", gateways: int = GATEWAYS) -> Verdict:
     """Run one seed; the processes that it starts are ended before it returns."""
     rng = random.Random(seed)
@@ -58,8 +64,10 @@
         records = site.records
         for runner in site.runners.values():
             records.runs.update(runner.ran)
+        broken = tuple(judge(records))
+        if broken:
+            shutil.copytree(folder, log_folder(seed), dirs_exist_ok=True)
     served = sum(one.status == 200 for one in records.answers)
-    broken = tuple(judge(records))
     return Verdict(seed, len(records.answers), served, tuple(n for _, n in plan), broken)
 
 
--- a/soak/site.py
+++ b/soak/site.py
@@ -1,6 +1,7 @@
 """The processes and stand-ins of one seed."""
 
 import contextlib
+import os
 import signal
 import socket
 import subprocess
@@ -145,8 +146,10 @@
         for name, service, stage in RUNNERS:
             self.add_runner(name, service, stage)
         store = self.stack.enter_context(self.store.serve())
-        ports = dict(zip(("front", "ready", "peer", "metrics"), _free_ports(4), strict=True))
-        ips = [f"127.0.0.{number + 2}" for number in range(self.gateway_count)]
+        ips = gateway_ips(os.getpid(), self.gateway_count)
+        ports = dict(
+            zip(("front", "ready", "peer", "metrics"), _free_ports(ips[0], 4), strict=True)
+        )
         seeds = tuple(f"{ip}:{ports['ready']}" for ip in ips[:3])
         for number, ip in enumerate(ips, start=1):
             relay = Relay(store)
@@ -239,8 +242,16 @@
     return False
 
 
-def _free_ports(count: int) -> list[int]:
-    held = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+def gateway_ips(pid: int, count: int) -> list[str]:
+    """Return loopback addresses that no other soak process uses.
+
+    Two seeds that draw the same ports would take each other's addresses.
+    """
+    return [f"127.{1 + pid // 256 % 250}.{pid % 256}.{number + 2}" for number in range(count)]
+
+
+def _free_ports(ip: str, count: int) -> list[int]:
+    held = [socket.create_server((ip, 0)) for _ in range(count)]
     ports = [one.getsockname()[1] for one in held]
     for one in held:
         one.close()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,7 +6,7 @@
 from soak.checks import CHECKS, judge
 from soak.records import Answered, Arrival, Change, Disturbance, Leaving, Records
 from soak.seed import play
-from soak.site import EVENTS
+from soak.site import EVENTS, gateway_ips
 from soak.variants import VARIANTS
 
 BASE = Answered(
@@ -76,6 +76,16 @@
     assert judge(records(answers=[late], disturbances=[evolve(pause, gateway="gateway-2")]))
 
 
+def test_seeds_at_the_same_time_have_their_own_addresses():
+    """Guards seeds that take each other's ports.
+
+    Seeds 1046 and 1047 ran side by side and drew a common port: gateways of both ended at
+    their start with status 1, and both passed alone.
+    """
+    first, second = gateway_ips(4000, 3), gateway_ips(4001, 3)
+    assert len({*first, *second}) == 6
+
+
 def test_seed_keeps_all_promises():
     """Guards the whole path under restarts, spoiled answers, store cuts and changes."""
     verdict = play(176, gateways=2)
