Share what the last read found twice in the soak and the tests

Cause: stop, kill and pause of the soak each noted and released a disturbance by their own try block, two tests built the same engine, and the log reader listed ORDER_SENT among the beliefs although it is handled before.

--- a/chivewall/cli/logs.py
+++ b/chivewall/cli/logs.py
@@ -8,7 +8,7 @@
 from attrs import frozen
 
 # Of an endpoint: what the process believed of it when the request was sent there.
-BELIEFS = frozenset({"ENDPOINT_LISTED", "ENDPOINT_AVOIDED", "ORDER_SENT"})
+BELIEFS = frozenset({"ENDPOINT_LISTED", "ENDPOINT_AVOIDED"})
 KNOWLEDGE = frozenset({"CATALOGUE_IN_FORCE", "STORE_UNAVAILABLE", "STORE_REGAINED"})
 HIDDEN = frozenset({"event", "instance", "data_centre", "level", "name", "number", "timestamp"})
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,10 +7,12 @@
 import random
 import signal
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from itertools import count
 
 from chivewall.standins import runner as behaviours
+from soak.records import Disturbance
 from soak.relay import Mode
 from soak.site import DRAIN_SECONDS, GRACE_SECONDS, GatewayProcess, Site, wait_ready
 
@@ -39,6 +41,17 @@
     return rng.choice(site.gateways)
 
 
+@contextmanager
+def _disturbed(site: Site, gateway: GatewayProcess, kind: str) -> Iterator[Disturbance]:
+    """Note a disturbance of one process, which no other fault ends or pauses meanwhile."""
+    found = site.disturb(kind, gateway.name)
+    try:
+        yield found
+    finally:
+        found.ended_at = min(found.ended_at, time.monotonic())
+        gateway.release()
+
+
 def _restart(site: Site, gateway: GatewayProcess) -> None:
     gateway.start()
     if not wait_ready(gateway):
@@ -51,15 +64,12 @@
     gateway = _pick(site, rng)
     if not gateway.claim():
         return
-    try:
-        found = site.disturb("stop", gateway.name)
+    with _disturbed(site, gateway, "stop") as found:
         gateway.signal(signal.SIGTERM)
         gateway.process.wait(GRACE_SECONDS + 4)
         found.ended_at = time.monotonic()
         site.records.stops.append(found)
         _restart(site, gateway)
-    finally:
-        gateway.release()
 
 
 @fault
@@ -68,13 +78,9 @@
     gateway = _pick(site, rng)
     if not gateway.claim():
         return
-    try:
-        found = site.disturb("kill", gateway.name)
+    with _disturbed(site, gateway, "kill"):
         gateway.kill()
         _restart(site, gateway)
-        found.ended_at = time.monotonic()
-    finally:
-        gateway.release()
 
 
 @fault
@@ -83,14 +89,10 @@
     gateway = _pick(site, rng)
     if not gateway.claim():
         return
-    try:
-        found = site.disturb("pause", gateway.name)
+    with _disturbed(site, gateway, "pause"):
         gateway.signal(signal.SIGSTOP)
         time.sleep(rng.uniform(0.5, 4))
         gateway.signal(signal.SIGCONT)
-        found.ended_at = time.monotonic()
-    finally:
-        gateway.release()
 
 
 @fault
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -10,7 +10,7 @@
 from chivewall.environment import Environment
 from chivewall.events import EventLog
 from chivewall.gateway.calls import CallFields
-from chivewall.gateway.catalogue import EndpointInfo, Stage
+from chivewall.gateway.catalogue import Stage
 from chivewall.gateway.collections import CollectionItem, CollectionSnapshot
 from chivewall.gateway.fleet import Fleet
 from chivewall.gateway.fleet_messages import (
@@ -28,6 +28,7 @@
 from chivewall.gateway.peer_codec import SharedWork, WorkProgress
 from chivewall.gateway.sources import Sources
 from chivewall.settings import CoreSettings, Role, Settings
+from tests.utils.gateways import engine
 
 
 class SilentSource:
@@ -53,19 +54,7 @@
     )
     fleet = Fleet(env, bounds, Sources(catalogue=SilentSource(), endpoints=SilentSource()))
     fleet.start()
-    engines = [
-        EndpointInfo(
-            id=name,
-            service="engines",
-            host="10.0.0.1",
-            port=80,
-            data_centre="north",
-            slots=4,
-            draining=False,
-            stage=stage,
-        )
-        for name, stage in stages.items()
-    ]
+    engines = [engine(name, stage) for name, stage in stages.items()]
     items = tuple(CollectionItem(one.id, one, 1) for one in engines)
     fleet.tell(CollectionSnapshot("servers", items, 1))
     return fleet
--- a/tests/test_stage_changer.py
+++ b/tests/test_stage_changer.py
@@ -12,7 +12,7 @@
 from chivewall.environment import Environment
 from chivewall.errors import EndpointError, OrderRefusedError, VersionConflictError
 from chivewall.events import EventLog
-from chivewall.gateway.catalogue import EndpointInfo, Stage
+from chivewall.gateway.catalogue import Stage
 from chivewall.gateway.engine_control import EngineReport
 from chivewall.gateway.fleet_messages import EngineRests, ServiceLoad
 from chivewall.gateway.stage_changer import (
@@ -22,29 +22,17 @@
     StageChangerSettings,
 )
 from chivewall.settings import CoreSettings, Role, Settings
+from tests.utils.gateways import engine
 
 pytestmark = pytest.mark.usefixtures("changer")
 
 OTHER = Turn(4, "gateway-2", "d1", Stage.PREFILL, taken_at=1000.0)
 
 
-def info(name, stage):
-    return EndpointInfo(
-        id=name,
-        service="engines",
-        host="10.0.0.1",
-        port=80,
-        data_centre="north",
-        slots=4,
-        draining=False,
-        stage=stage,
-    )
-
-
 def busy_load():
     stages = {"p1": Stage.PREFILL, "d1": Stage.DECODE, "d2": Stage.DECODE, "d3": Stage.DECODE}
     engines = tuple(EngineView(name, stage, 1, usable=True) for name, stage in stages.items())
-    endpoints = {name: info(name, stage) for name, stage in stages.items()}
+    endpoints = {name: engine(name, stage) for name, stage in stages.items()}
     return ServiceLoad("engines", StageLoad(engines, read_share=3.0), endpoints)
 
 
--- a/tests/utils/gateways.py
+++ b/tests/utils/gateways.py
@@ -10,6 +10,7 @@
 import httpx
 from attrs import define, field
 
+from chivewall.gateway.catalogue import EndpointInfo
 from chivewall.standins.platform_store import PlatformStore
 from chivewall.standins.runner import Runner
 from chivewall.standins.template import machine_fields, render
@@ -35,6 +36,20 @@
     }
 
 
+def engine(name, stage):
+    """Return an engine as a gateway knows it from the list."""
+    return EndpointInfo(
+        id=name,
+        service="engines",
+        host="10.0.0.1",
+        port=80,
+        data_centre="north",
+        slots=4,
+        draining=False,
+        stage=stage,
+    )
+
+
 def manifest(version, *routes):
     """Return a manifest with these routes."""
     services = [{"name": one} for one in sorted({one["service"] for one in routes})]
