Parse integers of other processes in one place

Cause: str.isdigit accepts superscripts, which int and float refuse, and int refuses more than 4,300 digits. X-Deadline-Ms, X-Token-Count, X-Prompt-Prefix, Keep-Alive and event ids could raise ValueError out of dataReceived, and the caller got no 400.

Ruled out: Content-Length and chunk sizes; h11 bounds their digits to 20. The port of an address was already checked for ASCII, but not for its length.

Before: the 8 new cases in test_platform_formats and test_gateway_decisions fail with ValueError.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,9 @@
 BIN := $(VENV)/bin
 PORT ?= 8080
 
-.PHONY: demo run test lint format proto docs bench bench-cost bench-capacity faults soak clean
+FUZZ_SEED := $(or $(FUZZ_SEED),$(shell od -An -N4 -tu4 /dev/urandom | tr -d ' '))
+
+.PHONY: demo run test fuzz lint format proto docs bench bench-cost bench-capacity faults soak clean
 
 $(VENV)/.installed: requirements.txt
 	python3 -m venv $(VENV)
@@ -20,6 +22,11 @@
 test: lint  ## formatter, linter and all tests
 	$(BIN)/python -m pytest -n 8
 
+fuzz: $(VENV)/.installed  ## property tests with fresh examples; FUZZ_SEED=N repeats a run
+	@echo "FUZZ_SEED=$(FUZZ_SEED)"
+	$(BIN)/python -m pytest -n 8 --hypothesis-profile=fuzz --hypothesis-seed=$(FUZZ_SEED) \
+	  $$(grep -l '^from hypothesis' tests/test_*.py)
+
 lint: $(VENV)/.installed
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/chivewall/addresses.py
+++ b/chivewall/addresses.py
@@ -1,5 +1,7 @@
 """Parsing and formatting of ``IP:PORT`` addresses."""
 
+from chivewall.integers import parse_digits
+
 Address = tuple[str, int]
 
 PORTS = range(1, 65_536)
@@ -11,9 +13,10 @@
     Example: ``parse_address("10.1.0.38:8141") == ("10.1.0.38", 8141)``.
     """
     host, _, port = value.rpartition(":")
-    if not host or not (port.isascii() and port.isdigit()) or int(port) not in PORTS:
+    number = parse_digits(port)
+    if not host or number not in PORTS:
         raise ValueError(f"{value!r} is not of the form IP:PORT")
-    return host, int(port)
+    return host, number
 
 
 def describe_address(address: Address) -> str:
--- a/chivewall/decisions/event_stream.py
+++ b/chivewall/decisions/event_stream.py
@@ -4,6 +4,8 @@
 
 from attrs import define, field
 
+from chivewall.integers import parse_digits
+
 EVENT_SEPARATOR = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 MAX_EVENT_BYTES = 1_048_576
 
@@ -65,6 +67,7 @@
 def _after(new: str, last: str | None) -> bool:
     if last is None:
         return True
-    if new.isdigit() and last.isdigit():
-        return int(new) > int(last)
-    return new != last
+    new_number, last_number = parse_digits(new), parse_digits(last)
+    if new_number is None or last_number is None:
+        return new != last
+    return new_number > last_number
--- a/chivewall/gateway/outgoing_connection.py
+++ b/chivewall/gateway/outgoing_connection.py
@@ -22,6 +22,7 @@
 )
 from chivewall.gateway.http_dialect import Headers, ResponseFields, ResponseHead
 from chivewall.gateway.sockets import set_tcp_options
+from chivewall.integers import parse_digits
 
 MAX_HEAD_BYTES = 65_536
 # Keep-alive time, in seconds, if the endpoint names none; such endpoints close later than this.
@@ -208,6 +209,7 @@
             continue
         for one in value.split(b","):
             key, _, number = one.strip().partition(b"=")
-            if key.lower() == b"timeout" and number.isdigit():
-                return max(0.0, int(number) - IDLE_MARGIN_SECONDS)
+            seconds = parse_digits(number.decode("latin-1"))
+            if key.lower() == b"timeout" and seconds is not None:
+                return max(0.0, seconds - IDLE_MARGIN_SECONDS)
     return DEFAULT_IDLE_SECONDS
--- a/chivewall/platform/headers.py
+++ b/chivewall/platform/headers.py
@@ -10,6 +10,7 @@
     RequestFields,
     ResponseFields,
 )
+from chivewall.integers import parse_digits
 from chivewall.platform.fields import integer, json_object, parse_json, string
 from chivewall.results import ResultCode
 
@@ -151,9 +152,10 @@
 def _milliseconds(value: str | None) -> float | None:
     if value is None:
         return None
-    if not value.isdigit():
+    found = parse_digits(value)
+    if found is None:
         raise RequestError(ResultCode.BAD_HEADER, "X-Deadline-Ms must be an integer")
-    return float(value[:12])
+    return float(found)
 
 
 def _seconds(value: str | None) -> float | None:
@@ -167,17 +169,18 @@
     """Parse ``PROMPT,OUTPUT``; a malformed value counts as 0 tokens and is forwarded as it is."""
     if value is None:
         return 0, 0
-    numbers = value.split(",")
-    if len(numbers) != 2 or not all(one.strip().isdigit() for one in numbers):
+    numbers = [parse_digits(one.strip()) for one in value.split(",")]
+    if len(numbers) != 2 or None in numbers:
         return 0, 0
-    return int(numbers[0]), int(numbers[1])
+    return numbers[0], numbers[1]
 
 
 def _prompt_parts(value: str | None) -> tuple[PromptPart, ...]:
     parts = []
     for entry in (value or "").split(","):
-        name, _, tokens = entry.strip().rpartition(":")
-        if not name or not tokens.isdigit():
+        name, _, digits = entry.strip().rpartition(":")
+        tokens = parse_digits(digits)
+        if not name or tokens is None:
             break  # only leading parts can be shared, so none after a malformed one
-        parts.append(PromptPart(id=name, tokens=int(tokens)))
+        parts.append(PromptPart(id=name, tokens=tokens))
     return tuple(parts)
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -161,6 +161,13 @@
         """Guards against events and comments that are dropped because they have no id."""
         assert EventStream().feed(b"data: a\r\n\r\n: note\n\n") == b"data: a\r\n\r\n: note\n\n"
 
+    @pytest.mark.parametrize("last", ["\xb2", "1" * 5000, "a"])
+    def test_ids_that_are_no_numbers_are_compared_as_text(self, last):
+        """Guards against an exception at an event id that ``int`` refuses."""
+        event = f"id: {last}\ndata: x\n\n".encode("latin-1")
+        assert EventStream(last_id="1").feed(event) == event
+        assert EventStream(last_id=last).feed(event) == b""
+
     def test_stream_begins_after_the_callers_last_event(self):
         """Guards against events that a caller gets again after it has resumed."""
         stream = EventStream(last_id="3")
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -2,7 +2,7 @@
 
 import random
 
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 from testtools import TestCase
 from testtools.matchers import Equals
@@ -55,6 +55,7 @@
         st.integers(0, 2**32),
         st.lists(st.floats(-120, 120), min_size=2, max_size=4),
     )
+    @example(seed=27140, skews=[0.0, 0.0, 114.38849394761738])
     def test_never_two_processes_may_act(self, seed, skews):
         """Guards against two holders at a time, over any clock errors, pauses and steps."""
         rng = random.Random(seed)
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -121,6 +121,27 @@
 )
 
 
+# ``str.isdigit`` accepts superscripts, and ``int`` refuses more than 4,300 digits.
+MALFORMED_NUMBERS = (b"\xb9", b"1\xb2", b"1" * 5000)
+
+
+@pytest.mark.parametrize("number", MALFORMED_NUMBERS)
+def test_malformed_deadline_is_rejected(number):
+    """Guards against a header value that ends a caller's connection without a 400."""
+    with pytest.raises(RequestError):
+        PlatformDialect().decode_request(((b"X-Deadline-Ms", number),))
+
+
+@pytest.mark.parametrize("number", MALFORMED_NUMBERS)
+def test_malformed_token_numbers_are_ignored(number):
+    """Guards against a header value that ends a caller's connection without a response."""
+    fields = PlatformDialect().decode_request(
+        ((b"X-Token-Count", number + b",3"), (b"X-Prompt-Prefix", b"5c:800,91:" + number))
+    )
+    assert (fields.prompt_tokens, fields.max_output_tokens) == (0, 0)
+    assert [one.tokens for one in fields.prompt_parts] == [800]
+
+
 @given(HEADERS)
 def test_any_headers_are_decoded_or_rejected(headers):
     """Guards against other exceptions than RequestError at odd header values."""
