Learn the speeds of engines and services from measured times

Cause: the decisions took every engine to read 61.4 prompt tokens a ms.

Change: decisions/speeds.py fits a line for prefill, first events and fetched events, and the duration of calls, by medians; speed_samples.py admits only times of work that did not wait, and the throughput of engines that were never idle. Work is shared in reference seconds, so that each gateway applies its own speed; learned speeds go with the hello datagrams. The priors are settings. The placement looks at each engine once, not at each decode engine for each prefill engine, and the record of an endpoint is a module of its own.

Ruled out: waiting times as samples (a queue would be taken for slowness), and completions of other gateways one by one (their datagrams are 30 ms apart, longer than a prompt of 20 ms).

--- /dev/null
+++ b/chivewall/decisions/endpoint_record.py
@@ -0,0 +1,168 @@
+"""What one gateway knows about one endpoint: its work, cached prefixes, failures and speed."""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from hashlib import blake2b
+
+from attrs import define, field
+
+from chivewall.backoff import exponential_delay
+from chivewall.decisions.sent_work import (
+    EngineSpeed,
+    PrefillBudget,
+    SentWork,
+    Throughput,
+    WorkItem,
+    WorkKey,
+)
+from chivewall.decisions.speeds import FactorEstimator, ServiceSpeeds
+from chivewall.gateway.http_dialect import RequestFields
+from chivewall.gateway.routing_configuration import EndpointInfo, Stage
+
+DECODE_PREFILL_FACTOR = 2.0  # a decode engine prefills at half the speed
+FAILURE_WEIGHT = 0.25  # weight of the latest outcome in the failure share
+FAILURE_HALF_LIFE_SECONDS = 4.0  # seconds in which a failure share decays by half
+# Cooldown after a refusal, doubled with each further one. An engine that changes its stage
+# refuses requests until its running work has ended and the change is done.
+REFUSAL_COOLDOWN_SECONDS = 0.5
+MAX_REFUSAL_COOLDOWN_SECONDS = 4.0
+AVOID_SECONDS = 1.0  # avoidance after a failed connection, doubled with each further one
+MAX_AVOID_SECONDS = 8.0
+PREFIX_LIFETIME_SECONDS = 9.0  # a prefix is assumed to be evicted if unused for this long
+PREFIX_KEY_BYTES = 5  # size of a prefix key; a collision causes just one wrong estimate
+MAX_PREFIXES = 4096  # prefixes recorded for one endpoint
+
+PrefixChain = list[tuple[str, int]]  # key of each prefix, and the tokens that its last part adds
+
+
+def prefix_chain(fields: RequestFields) -> PrefixChain:
+    """Return the key of each prefix of the prompt, with the tokens that its last part adds."""
+    chain, key = [], ""
+    for part in fields.prompt_parts:
+        key = blake2b(f"{key}/{part.id}".encode(), digest_size=PREFIX_KEY_BYTES).hexdigest()
+        chain.append((key, part.tokens))
+    return chain
+
+
+@define
+class EndpointRecord:
+    """State of one endpoint as this gateway knows it; lags behind what other gateways send."""
+
+    info: EndpointInfo
+    service_speeds: ServiceSpeeds = field(factory=ServiceSpeeds)  # shared by the service's records
+    slowness: FactorEstimator = field(factory=FactorEstimator)  # against its service
+    work: SentWork = field(factory=SentWork)  # work of all gateways that share their records
+    prefill_budget: PrefillBudget = field(factory=PrefillBudget)  # used for a decode engine
+    failure_share: float = 0.0  # smoothed, as of ``last_outcome_at``
+    last_outcome_at: float = 0.0  # time of the latest outcome, good or bad
+    avoid_until: float = 0.0  # time until which it is avoided after failed connections
+    cooldown_until: float = 0.0  # no new work until then, after a refusal or for a stage change
+    consecutive_refusals: int = 0
+    failed_connections: int = 0  # consecutive ones
+    unlisted_at: float | None = None  # when it left the list; it is then only a last resort
+    # Prefix key to the time of its last use.
+    _prefixes: OrderedDict = field(factory=OrderedDict, init=False)
+
+    @property
+    def prefills_first(self) -> bool:
+        """Return whether it is a prefill engine."""
+        return self.info.stage is Stage.PREFILL
+
+    def speed(self, now: float) -> EngineSpeed:
+        """Return how fast it prefills."""
+        service = self.service_speeds.current
+        factor = self.slowness.factor(now)
+        return EngineSpeed(service.prefill_scale * factor, service.response_seconds * factor)
+
+    def reference_prefill_seconds(self, prompt: int, cached: int) -> float:
+        """Return the time of a prefill at the reference speed, for this engine's stage."""
+        seconds = self.service_speeds.priors.prefill_seconds(prompt, cached)
+        return seconds if self.prefills_first else seconds * DECODE_PREFILL_FACTOR
+
+    def first_event_seconds(self, now: float, *, fetched: bool) -> float:
+        """Return the time to the first event of a request that is sent to this decode engine.
+
+        ``fetched``: it fetches its KV cache; else the time begins at the end of its prefill.
+        """
+        service = self.service_speeds.current
+        line = service.fetched_event if fetched else service.first_event
+        return line.seconds(self.work.running) * self.slowness.factor(now)
+
+    def add_work(self, key: WorkKey, item: WorkItem, now: float) -> None:
+        """Record work that a gateway sent to the endpoint."""
+        self.work.add(key, item, now)
+        if self.info.stage is Stage.DECODE:
+            self.prefill_budget.add(item.reference_seconds * self.speed(now).scale, now)
+
+    def record_prefilled(self, key: WorkKey, now: float) -> Throughput | None:
+        """Record the end of a prefill; return the throughput if a measurement of it ends."""
+        return self.work.record_prefilled(key, now, self.speed(now))
+
+    def prefill_wait(self, now: float, rank: int) -> float:
+        """Return the seconds until the prefill of a prompt that is sent now with this rank."""
+        wait = self.work.prefill_wait(now, rank, self.speed(now))
+        return (
+            max(self.prefill_budget.pending_seconds(now), wait)
+            if self.info.stage is Stage.DECODE
+            else wait
+        )
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests of all gateways, as of the last ``work.expire``."""
+        return self.work.running
+
+    def cached_tokens(self, chain: PrefixChain, now: float) -> int:
+        """Return the number of leading prompt tokens that are probably in its prefix cache."""
+        covered = 0
+        for key, tokens in chain:
+            seen = self._prefixes.get(key)
+            if seen is None or now - seen > PREFIX_LIFETIME_SECONDS:
+                break
+            covered += tokens
+        return covered
+
+    def record_prefixes(self, keys: Iterable[str], now: float) -> None:
+        """Record prefixes that the endpoint prefills and then caches."""
+        for key in keys:
+            self._prefixes[key] = now
+            self._prefixes.move_to_end(key)
+        while len(self._prefixes) > MAX_PREFIXES:
+            self._prefixes.popitem(last=False)
+
+    def record_success(self, now: float) -> None:
+        """Record a complete response."""
+        self.failed_connections = self.consecutive_refusals = 0
+        self.avoid_until = 0.0
+        self._update_failure_share(0.0, now)
+
+    def record_failure(self, now: float) -> None:
+        """Record a failed response or a broken connection."""
+        self._update_failure_share(1.0, now)
+
+    def record_refusal(self) -> float:
+        """Record a refusal; return the seconds of the cooldown that should follow."""
+        seconds = exponential_delay(
+            REFUSAL_COOLDOWN_SECONDS, MAX_REFUSAL_COOLDOWN_SECONDS, self.consecutive_refusals
+        )
+        self.consecutive_refusals += 1
+        return seconds
+
+    def record_failed_connection(self, now: float) -> None:
+        """Record a failed connection."""
+        self.avoid_until = now + exponential_delay(
+            AVOID_SECONDS, MAX_AVOID_SECONDS, self.failed_connections
+        )
+        self.failed_connections += 1
+
+    def current_failure_share(self, now: float) -> float:
+        """Return the failure share, decayed since the latest outcome."""
+        return self.failure_share * 0.5 ** (
+            (now - self.last_outcome_at) / FAILURE_HALF_LIFE_SECONDS
+        )
+
+    def _update_failure_share(self, outcome: float, now: float) -> None:
+        self.failure_share = (
+            self.current_failure_share(now) * (1 - FAILURE_WEIGHT) + FAILURE_WEIGHT * outcome
+        )
+        self.last_outcome_at = now
--- a/chivewall/decisions/placement.py
+++ b/chivewall/decisions/placement.py
@@ -1,16 +1,17 @@
-"""Chooses the endpoints of a forwarded request from what one gateway knows about them."""
+"""Chooses the endpoints of a forwarded request from what one gateway knows about them.
+
+A choice looks at each endpoint once: the waits of the decode engines are worked out first, and
+each prefill engine is combined with the best of them only.
+"""
 
 import math
 import random
-from collections import OrderedDict
-from collections.abc import Iterable
 from enum import Enum
 from hashlib import blake2b
 
-from attrs import define, evolve, field, frozen
+from attrs import define, evolve, frozen
 
-from chivewall.backoff import exponential_delay
-from chivewall.decisions.sent_work import PrefillBudget, SentWork, WorkItem, WorkKey
+from chivewall.decisions.endpoint_record import EndpointRecord, PrefixChain, prefix_chain
 from chivewall.gateway.http_dialect import RequestFields
 from chivewall.gateway.routing_configuration import EndpointInfo, Stage
 
@@ -19,128 +20,20 @@
 # Cost of moving one token of a KV cache between data centres: the transfer takes twice as
 # long as inside one, and traffic between data centres is more expensive.
 REMOTE_KV_TOKEN_SECONDS = 1e-6
-CALL_SECONDS = 0.045  # default duration of a plain service's request
-PREFILL_TOKEN_SECONDS = 1 / 61_400  # time of a prefill engine for one prompt token
-PREFILL_PAIR_SECONDS = 0.525e-9  # extra for each pair of a token and an earlier one, for attention
-DECODE_PREFILL_FACTOR = 2.0  # a decode engine prefills at half the speed
-FIRST_EVENT_SECONDS = 0.1  # from the end of prefill to the arrival of the first event
-HANDOVER_SECONDS = 0.04  # extra if the KV cache has to be fetched first
-RUNNING_REQUEST_SECONDS = 0.002  # delay that each running request adds to a first event
 FAILURE_SECONDS = 0.5  # cost added for a failure share of 1
-FAILURE_WEIGHT = 0.25  # weight of the latest outcome in the failure share
-FAILURE_HALF_LIFE_SECONDS = 4.0  # seconds in which a failure share decays by half
-# Cooldown after a refusal, doubled with each further one. An engine that changes its stage
-# refuses requests until its running work has ended and the change is done.
-REFUSAL_COOLDOWN_SECONDS = 0.5
-MAX_REFUSAL_COOLDOWN_SECONDS = 4.0
-AVOID_SECONDS = 1.0  # avoidance after a failed connection, doubled with each further one
-MAX_AVOID_SECONDS = 8.0
-PREFIX_LIFETIME_SECONDS = 9.0  # a prefix is assumed to be evicted if unused for this long
-PREFIX_KEY_BYTES = 5  # size of a prefix key; a collision causes just one wrong estimate
-MAX_PREFIXES = 4096  # prefixes recorded for one endpoint
-# A decode engine prefills in chunks between the decode steps of its streams. A longer prefill
-# backlog than this delays the streams for longer than the largest pause allowed.
-MAX_DECODE_BACKLOG_SECONDS = 0.2
+# Share of a first event's time by which each request above the slots of an engine delays it.
+EXCESS_REQUEST_SHARE = 0.45
+# A decode engine prefills in chunks between the decode steps of its streams. A prefill backlog
+# longer than this share of the largest pause allowed delays the streams for longer than that.
+DECODE_BACKLOG_SHARE = 2 / 3
 BACKLOG_EXCESS_WEIGHT = 4.0  # cost of each second above that limit; favours a busier prefill engine
 STALL_WEIGHT = 0.05  # cost of each second by which a prefill delays a running stream
 EARLY_WEIGHT = 0.25  # cost of a second of delay while the objective can still be met
 SLACK_SHARE = 0.8  # usable share of the time to the objective; estimates are off by some tenths
 MAX_RANK = 9  # the least urgent rank
 LATE_RANK_INCREASE = 3  # added to the rank of a request that misses its objective anyway
-HASH_PREFERENCE_SECONDS = 0.15  # extra cost accepted at the endpoint that the prefix hashes to
-
-
-@define
-class EndpointRecord:
-    """State of one endpoint as this gateway knows it; lags behind what other gateways send."""
-
-    info: EndpointInfo
-    work: SentWork = field(factory=SentWork)  # work of all gateways that share their records
-    prefill_budget: PrefillBudget = field(factory=PrefillBudget)  # used for a decode engine
-    failure_share: float = 0.0  # smoothed, as of ``last_outcome_at``
-    last_outcome_at: float = 0.0  # time of the latest outcome, good or bad
-    avoid_until: float = 0.0  # time until which it is avoided after failed connections
-    cooldown_until: float = 0.0  # no new work until then, after a refusal or for a stage change
-    consecutive_refusals: int = 0
-    failed_connections: int = 0  # consecutive ones
-    unlisted_at: float | None = None  # when it left the list; it is then only a last resort
-    # Prefix key to the time of its last use.
-    _prefixes: OrderedDict = field(factory=OrderedDict, init=False)
-
-    def add_work(self, key: WorkKey, item: WorkItem, now: float) -> None:
-        """Record work that a gateway sent to the endpoint."""
-        self.work.add(key, item, now)
-        if self.info.stage is Stage.DECODE:
-            self.prefill_budget.add(item.prefill_seconds, now)
-
-    def prefill_wait(self, now: float, rank: int) -> float:
-        """Return the seconds until the prefill of a prompt that is sent now with this rank."""
-        wait = self.work.prefill_wait(now, rank)
-        return (
-            max(self.prefill_budget.pending_seconds(now), wait)
-            if self.info.stage is Stage.DECODE
-            else wait
-        )
-
-    @property
-    def in_flight(self) -> int:
-        """Return the number of requests of all gateways, as of the last ``work.expire``."""
-        return self.work.running
-
-    def cached_tokens(self, chain: list[tuple[str, int]], now: float) -> int:
-        """Return the number of leading prompt tokens that are probably in its prefix cache."""
-        covered = 0
-        for key, tokens in chain:
-            seen = self._prefixes.get(key)
-            if seen is None or now - seen > PREFIX_LIFETIME_SECONDS:
-                break
-            covered += tokens
-        return covered
-
-    def record_prefixes(self, keys: Iterable[str], now: float) -> None:
-        """Record prefixes that the endpoint prefills and then caches."""
-        for key in keys:
-            self._prefixes[key] = now
-            self._prefixes.move_to_end(key)
-        while len(self._prefixes) > MAX_PREFIXES:
-            self._prefixes.popitem(last=False)
-
-    def record_success(self, now: float) -> None:
-        """Record a complete response."""
-        self.failed_connections = self.consecutive_refusals = 0
-        self.avoid_until = 0.0
-        self._update_failure_share(0.0, now)
-
-    def record_failure(self, now: float) -> None:
-        """Record a failed response or a broken connection."""
-        self._update_failure_share(1.0, now)
-
-    def record_refusal(self) -> float:
-        """Record a refusal; return the seconds of the cooldown that should follow."""
-        seconds = exponential_delay(
-            REFUSAL_COOLDOWN_SECONDS, MAX_REFUSAL_COOLDOWN_SECONDS, self.consecutive_refusals
-        )
-        self.consecutive_refusals += 1
-        return seconds
-
-    def record_failed_connection(self, now: float) -> None:
-        """Record a failed connection."""
-        self.avoid_until = now + exponential_delay(
-            AVOID_SECONDS, MAX_AVOID_SECONDS, self.failed_connections
-        )
-        self.failed_connections += 1
-
-    def current_failure_share(self, now: float) -> float:
-        """Return the failure share, decayed since the latest outcome."""
-        return self.failure_share * 0.5 ** (
-            (now - self.last_outcome_at) / FAILURE_HALF_LIFE_SECONDS
-        )
-
-    def _update_failure_share(self, outcome: float, now: float) -> None:
-        self.failure_share = (
-            self.current_failure_share(now) * (1 - FAILURE_WEIGHT) + FAILURE_WEIGHT * outcome
-        )
-        self.last_outcome_at = now
+# Extra cost accepted at the endpoint that the prefix hashes to, in seconds at the reference speed.
+HASH_PREFERENCE_SECONDS = 0.15
 
 
 @frozen
@@ -152,7 +45,7 @@
     estimate: float  # seconds to the first event or the response
     uncached_tokens: int  # prompt tokens to prefill
     reason: str
-    prefill_seconds: float = 0.0  # prefill time of these tokens
+    reference_seconds: float = 0.0  # prefill time of these tokens at the reference speed
     decode_backlog_seconds: float = 0.0  # seconds of prefill that then wait at a decode engine
     rank: int = 0  # rank to send it with
 
@@ -167,6 +60,7 @@
     excluded: frozenset[str] = frozenset()  # ids of endpoints that must not get the request
     rank: int = 0  # of the request's route; 0 is the most urgent
     slack_seconds: float = math.inf  # seconds left to the route's objective
+    pause_seconds: float = 0.3  # longest pause between events that the route's objective allows
     kv_data_centre: str | None = None  # data centre of the engine that keeps the KV cache
 
 
@@ -204,20 +98,17 @@
     context: PlacementContext,
     prompt: PromptState,
 ) -> Placement | None:
+    decoders = [one for one in usable if not one.prefills_first]
+    if not decoders:
+        return None
     if prompt is PromptState.PREFILLED:
-        return _choose_decoder(fields, usable, context)
-    if prompt is PromptState.PREFILL_AT_DECODER:
-        usable = [one for one in usable if one.info.stage is not Stage.PREFILL]
-    return _choose_engine(fields, usable, context)
-
-
-def prefix_chain(fields: RequestFields) -> list[tuple[str, int]]:
-    """Return the key of each prefix of the prompt, with the tokens that its last part adds."""
-    chain, key = [], ""
-    for part in fields.prompt_parts:
-        key = blake2b(f"{key}/{part.id}".encode(), digest_size=PREFIX_KEY_BYTES).hexdigest()
-        chain.append((key, part.tokens))
-    return chain
+        return _choose_decoder(fields, decoders, context)
+    prefill_engines = (
+        []
+        if prompt is PromptState.PREFILL_AT_DECODER
+        else [one for one in usable if one.prefills_first]
+    )
+    return _choose_engine(fields, decoders, prefill_engines, context)
 
 
 def _usable(states: list[EndpointRecord], context: PlacementContext) -> list[EndpointRecord]:
@@ -232,9 +123,12 @@
 def _choose_service_endpoint(states: list[EndpointRecord], context: PlacementContext) -> Placement:
     def cost(state: EndpointRecord) -> float:
         waiting = max(0, state.in_flight + 1 - state.info.slots) / state.info.slots
+        call_seconds = state.service_speeds.current.call_seconds * state.slowness.factor(
+            context.now
+        )
         return (
             _round_trip_seconds(state, context)
-            + CALL_SECONDS * (1 + waiting + 0.5 * state.in_flight / state.info.slots)
+            + call_seconds * (1 + waiting + 0.5 * state.in_flight / state.info.slots)
             + FAILURE_SECONDS * state.current_failure_share(context.now)
             + state.info.warmup_left_ms * 1e-6
         )
@@ -244,93 +138,90 @@
 
 
 def _choose_decoder(
-    fields: RequestFields, states: list[EndpointRecord], context: PlacementContext
-) -> Placement | None:
-    decoders = [one for one in states if one.info.stage is not Stage.PREFILL]
-    if not decoders:
-        return None
-    waits = [
-        _decode_wait(one, context) + _kv_fetch_seconds(fields, context.kv_data_centre, one)
-        for one in decoders
-    ]
-    wait, _, best = min(zip(waits, (context.rng.random() for _ in waits), decoders, strict=True))
+    fields: RequestFields, decoders: list[EndpointRecord], context: PlacementContext
+) -> Placement:
+    waits = DecodeWaits(fields, decoders, context)
+    wait, best = waits.best(context.kv_data_centre)
     return Placement(best.info, None, wait, 0, "shortest wait to decode", rank=context.rank)
 
 
 def _choose_engine(
-    fields: RequestFields, states: list[EndpointRecord], context: PlacementContext
-) -> Placement | None:
+    fields: RequestFields,
+    decoders: list[EndpointRecord],
+    prefill_engines: list[EndpointRecord],
+    context: PlacementContext,
+) -> Placement:
     chain = prefix_chain(fields)
-    decoders = [one for one in states if one.info.stage is not Stage.PREFILL]
-    prefill_engines = [one for one in states if one.info.stage is Stage.PREFILL]
-    if not decoders:
-        return None
-    preferred = _hash_preferred(chain, decoders)
-    at_decoders = [_prefill_at_decoder(fields, chain, one, context) for one in decoders]
+    shared = chain[-2][0] if len(chain) > 1 else (chain[0][0] if chain else "")
+    at_decoder = _cheapest(
+        [_prefill_at_decoder(fields, chain, one, context) for one in decoders],
+        _hash_preferred(shared, decoders),
+    )
     if not prefill_engines:
-        return _cheapest(at_decoders, preferred).placement
-    with_handover = [
-        _prefill_and_hand_over(fields, chain, one, decoders, context) for one in prefill_engines
-    ]
-    options = (
-        _cheapest(with_handover, _hash_preferred(chain, prefill_engines)),
-        _cheapest(at_decoders, preferred),
+        return at_decoder.placement(context)
+    waits = DecodeWaits(fields, decoders, context)
+    handed_over = _cheapest(
+        [_prefill_and_hand_over(fields, chain, one, waits, context) for one in prefill_engines],
+        _hash_preferred(shared, prefill_engines),
     )
-    return min(options, key=lambda one: one.cost).placement
+    return min((handed_over, at_decoder), key=lambda one: one.cost).placement(context)
 
 
-@frozen
+@define
 class PlacementOption:
-    """A possible placement with its cost; ``prefill_engine`` prefills the prompt."""
+    """A possible placement with its cost."""
 
     cost: float  # seconds; of the time to the first event and the delay of other requests
-    prefill_engine: EndpointRecord
-    placement: Placement
+    engine: EndpointRecord  # prefills the prompt
+    decoder: EndpointRecord
+    estimate: float  # seconds to the first event
+    uncached_tokens: int
+    reference_seconds: float  # prefill time at the reference speed
+    decode_backlog_seconds: float = 0.0
+
+    def placement(self, context: PlacementContext) -> Placement:
+        """Return the placement."""
+        handed_over = self.engine is not self.decoder
+        return Placement(
+            endpoint=self.decoder.info,
+            prefill_engine=self.engine.info if handed_over else None,
+            estimate=self.estimate,
+            uncached_tokens=self.uncached_tokens,
+            reason="KV cache handed over from a prefill engine"
+            if handed_over
+            else "prefill at the decode engine",
+            reference_seconds=self.reference_seconds,
+            decode_backlog_seconds=self.decode_backlog_seconds,
+            rank=context.rank,
+        )
 
 
 def _cheapest(options: list[PlacementOption], preferred: EndpointRecord) -> PlacementOption:
     """Return the cheapest option; the endpoint that the prefix hashes to gets a bonus."""
-
-    def cost(option: PlacementOption) -> float:
-        return option.cost - (
-            HASH_PREFERENCE_SECONDS if option.prefill_engine is preferred else 0.0
-        )
-
-    return min(options, key=cost)
-
-
-def prefill_seconds(prompt: int, cached: int, stage: Stage) -> float:
-    """Return the seconds that an engine takes to prefill the uncached part of a prompt."""
-    uncached = max(1, prompt - cached)
-    pairs = uncached * (cached + uncached / 2)
-    seconds = uncached * PREFILL_TOKEN_SECONDS + pairs * PREFILL_PAIR_SECONDS
-    return seconds if stage is Stage.PREFILL else seconds * DECODE_PREFILL_FACTOR
+    bonus = HASH_PREFERENCE_SECONDS * preferred.service_speeds.current.prefill_scale
+    return min(options, key=lambda one: one.cost - (bonus if one.engine is preferred else 0.0))
 
 
 def _prefill_at_decoder(
-    fields: RequestFields,
-    chain: list[tuple[str, int]],
-    state: EndpointRecord,
-    context: PlacementContext,
+    fields: RequestFields, chain: PrefixChain, state: EndpointRecord, context: PlacementContext
 ) -> PlacementOption:
     cached = state.cached_tokens(chain, context.now)
-    prefill_time = prefill_seconds(fields.prompt_tokens, cached, Stage.DECODE)
-    seconds = _decode_wait(state, context) + prefill_time
-    placement = Placement(
-        endpoint=state.info,
-        prefill_engine=None,
+    reference = state.reference_prefill_seconds(fields.prompt_tokens, cached)
+    prefill_time = reference * state.speed(context.now).scale
+    wait = state.prefill_wait(context.now, context.rank)
+    seconds = _decode_wait(state, context, wait, fetched=False) + prefill_time
+    stall = STALL_WEIGHT * state.in_flight * prefill_time
+    backlog = prefill_time + wait
+    excess = max(0.0, backlog - DECODE_BACKLOG_SHARE * context.pause_seconds)
+    return PlacementOption(
+        cost=_time_cost(seconds, context) + stall + BACKLOG_EXCESS_WEIGHT * excess,
+        engine=state,
+        decoder=state,
         estimate=seconds,
         uncached_tokens=fields.prompt_tokens - cached,
-        reason="prefill at the decode engine",
-        prefill_seconds=prefill_time,
-        decode_backlog_seconds=prefill_time + state.prefill_wait(context.now, context.rank),
-        rank=context.rank,
-    )
-    stall = STALL_WEIGHT * state.in_flight * prefill_time
-    excess = BACKLOG_EXCESS_WEIGHT * max(
-        0.0, placement.decode_backlog_seconds - MAX_DECODE_BACKLOG_SECONDS
+        reference_seconds=reference,
+        decode_backlog_seconds=backlog,
     )
-    return PlacementOption(_time_cost(seconds, context) + stall + excess, state, placement)
 
 
 def _time_cost(seconds: float, context: PlacementContext) -> float:
@@ -341,62 +232,73 @@
 
 def _prefill_and_hand_over(
     fields: RequestFields,
-    chain: list[tuple[str, int]],
-    prefill_engine: EndpointRecord,
-    decoders: list[EndpointRecord],
+    chain: PrefixChain,
+    state: EndpointRecord,
+    waits: "DecodeWaits",
     context: PlacementContext,
 ) -> PlacementOption:
-    cached = prefill_engine.cached_tokens(chain, context.now)
-    prefill_time = prefill_seconds(fields.prompt_tokens, cached, Stage.PREFILL)
-    kv_data_centre = prefill_engine.info.data_centre
-    decode_wait, target = min(
-        (
-            (_decode_wait(one, context) + _kv_fetch_seconds(fields, kv_data_centre, one), one)
-            for one in decoders
-        ),
-        key=lambda pair: pair[0],
-    )
+    cached = state.cached_tokens(chain, context.now)
+    reference = state.reference_prefill_seconds(fields.prompt_tokens, cached)
+    decode_wait, target = waits.best(state.info.data_centre)
     seconds = (
-        prefill_engine.prefill_wait(context.now, context.rank)
-        + prefill_time
-        + _round_trip_seconds(prefill_engine, context)
-        + FAILURE_SECONDS * prefill_engine.current_failure_share(context.now)
+        state.prefill_wait(context.now, context.rank)
+        + reference * state.speed(context.now).scale
+        + _round_trip_seconds(state, context)
+        + FAILURE_SECONDS * state.current_failure_share(context.now)
         + decode_wait
-        + HANDOVER_SECONDS
     )
-    placement = Placement(
-        endpoint=target.info,
-        prefill_engine=prefill_engine.info,
+    return PlacementOption(
+        cost=_time_cost(seconds, context),
+        engine=state,
+        decoder=target,
         estimate=seconds,
         uncached_tokens=fields.prompt_tokens - cached,
-        reason="KV cache handed over from a prefill engine",
-        prefill_seconds=prefill_time,
-        rank=context.rank,
+        reference_seconds=reference,
     )
-    return PlacementOption(_time_cost(seconds, context), prefill_engine, placement)
 
 
-def _decode_wait(state: EndpointRecord, context: PlacementContext) -> float:
+class DecodeWaits:
+    """The best decode engine in each data centre for a request that fetches its KV cache."""
+
+    def __init__(
+        self, fields: RequestFields, decoders: list[EndpointRecord], context: PlacementContext
+    ) -> None:
+        self._fetch_seconds = fields.prompt_tokens * REMOTE_KV_TOKEN_SECONDS
+        self._best: dict[str, tuple[float, float, EndpointRecord]] = {}
+        for one in decoders:
+            wait = _decode_wait(
+                one, context, one.prefill_wait(context.now, context.rank), fetched=True
+            )
+            found = (wait, context.rng.random(), one)
+            place = one.info.data_centre
+            if place not in self._best or found[:2] < self._best[place][:2]:
+                self._best[place] = found
+
+    def best(self, kv_data_centre: str | None) -> tuple[float, EndpointRecord]:
+        """Return the shortest wait for a KV cache that is kept in a data centre, and the engine."""
+        wait, _, state = min(
+            (wait + self._fetch_cost(kv_data_centre, place), chance, one)
+            for place, (wait, chance, one) in self._best.items()
+        )
+        return wait, state
+
+    def _fetch_cost(self, kv_data_centre: str | None, place: str) -> float:
+        return 0.0 if kv_data_centre in (None, place) else self._fetch_seconds
+
+
+def _decode_wait(
+    state: EndpointRecord, context: PlacementContext, prefill_wait: float, *, fetched: bool
+) -> float:
     excess_requests = max(0, state.in_flight + 1 - state.info.slots)
+    first_event = state.first_event_seconds(context.now, fetched=fetched)
     return (
         _round_trip_seconds(state, context)
-        + state.prefill_wait(context.now, context.rank)
-        + RUNNING_REQUEST_SECONDS * state.in_flight
-        + excess_requests * CALL_SECONDS
+        + prefill_wait
+        + first_event * (1 + EXCESS_REQUEST_SHARE * excess_requests)
         + FAILURE_SECONDS * state.current_failure_share(context.now)
-        + FIRST_EVENT_SECONDS
     )
 
 
-def _kv_fetch_seconds(
-    fields: RequestFields, kv_data_centre: str | None, decoder: EndpointRecord
-) -> float:
-    """Return the cost of fetching a KV cache from another data centre, in seconds."""
-    if kv_data_centre is None or kv_data_centre == decoder.info.data_centre:
-        return 0.0
-    return fields.prompt_tokens * REMOTE_KV_TOKEN_SECONDS
-
-
 def _round_trip_seconds(state: EndpointRecord, context: PlacementContext) -> float:
     return (
         LOCAL_ROUND_TRIP_SECONDS
@@ -405,9 +307,8 @@
     )
 
 
-def _hash_preferred(chain: list[tuple[str, int]], states: list[EndpointRecord]) -> EndpointRecord:
+def _hash_preferred(shared: str, states: list[EndpointRecord]) -> EndpointRecord:
     """Return the endpoint that the shared part of a prompt maps to by rendezvous hashing."""
-    shared = chain[-2][0] if len(chain) > 1 else (chain[0][0] if chain else "")
     return max(states, key=lambda one: _rendezvous_weight(shared, one.info.id))
 
 
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -3,16 +3,16 @@
 from collections import OrderedDict
 from functools import singledispatchmethod
 
-from chivewall.decisions.placement import (
+from chivewall.decisions.endpoint_record import (
     DECODE_PREFILL_FACTOR,
-    MAX_RANK,
     EndpointRecord,
-    PlacementContext,
-    choose,
     prefix_chain,
 )
+from chivewall.decisions.placement import MAX_RANK, PlacementContext, choose
 from chivewall.decisions.repeat_budget import RepeatBudget
 from chivewall.decisions.sent_work import WorkItem, WorkKey
+from chivewall.decisions.speed_samples import SpeedSamples
+from chivewall.decisions.speeds import SETTLED_SAMPLES, ServiceSpeed, ServiceSpeeds
 from chivewall.decisions.stages import EngineView, PrefillLoad
 from chivewall.environment import Environment
 from chivewall.events import Event
@@ -20,12 +20,14 @@
     EngineCooldown,
     EngineLoads,
     FindPlacement,
+    FirstBytesReceived,
     KvCacheLost,
+    LearnedSpeeds,
     LiveGateways,
     PeerEngineCooldown,
     PeerProgress,
+    PeerSpeeds,
     PeerWork,
-    PromptPrefilled,
     RequestReceived,
     ServiceLoad,
     SpendRepeat,
@@ -50,6 +52,7 @@
 from chivewall.task import Inbox, Task
 
 MS_PER_SECOND = 1000.0
+SPEED_CHANGE = 1.5  # a learned speed that changed by this factor is logged
 MAX_PEER_WORK = 20_000  # attempts of other gateways that are tracked until they end
 # An endpoint that left the list is dropped this many seconds before it may get no more work.
 GONE_MARGIN_SECONDS = 0.3
@@ -68,6 +71,9 @@
         self.repeat_budgets: dict[str, RepeatBudget] = {}  # by service
         self.live_gateways = 1  # including this one
         self.repeat_policy = repeat_budget_policy(cfg, self.live_gateways)
+        self.speeds: dict[str, ServiceSpeeds] = {}  # by service
+        self.speed_samples = SpeedSamples()
+        self.logged_speeds: dict[str, ServiceSpeed] = {}  # by service
         self.prefill_loads: dict[str, PrefillLoad] = {}  # by service
         self.peer_work: OrderedDict[WorkKey, str] = OrderedDict()  # endpoint id of each attempt
         self.work_subscriber: Inbox | None = None  # receives the attempts of this gateway
@@ -136,6 +142,7 @@
             excluded=message.excluded,
             rank=message.rank,
             slack_seconds=message.slack_seconds,
+            pause_seconds=message.pause_seconds,
             kv_data_centre=message.kv_data_centre,
         )
         message.reply(choose(message.fields, states, context, message.prompt))
@@ -154,13 +161,17 @@
         if state is None:
             return
         keys = tuple(key for key, _ in prefix_chain(message.fields))
-        item = WorkItem(message.prefill_seconds, message.rank, self.env.now + message.seconds_left)
+        expires_at = self.env.now + message.seconds_left
+        item = WorkItem(message.reference_seconds, message.rank, expires_at)
+        self.speed_samples.record_sent(
+            message.exchange, state, message.reference_seconds, self.env.now
+        )
         self._add_work(state, ("", message.exchange), item, keys)
         self._share(
             SharedWork(
                 number=message.exchange,
                 endpoint=message.endpoint,
-                prefill_seconds=message.prefill_seconds,
+                reference_seconds=message.reference_seconds,
                 counted_seconds=message.counted_seconds,
                 rank=message.rank,
                 prefixes=keys,
@@ -168,11 +179,16 @@
         )
 
     @receive.register
-    async def _(self, message: PromptPrefilled) -> None:
+    async def _(self, message: FirstBytesReceived) -> None:
         state = self.states.get(message.endpoint)
-        if state is not None:
-            state.work.record_prefilled(("", message.exchange), self.env.now)
+        if state is None:
+            return
+        if message.succeeded:
+            self.speed_samples.record_first_bytes(message.exchange, message.seconds, self.env.now)
+        if message.prefilled:
+            self._record_prefilled(state, ("", message.exchange))
             self._share(WorkProgress(message.exchange, ended=False))
+        self._log_speed(state.info.service)
 
     @receive.register
     async def _(self, message: SubscribeToWork) -> None:
@@ -191,7 +207,9 @@
         if state is None:
             return
         key = (message.gateway_ip, work.number)
-        item = WorkItem(work.prefill_seconds, work.rank, self.env.now + work.counted_seconds)
+        item = WorkItem(work.reference_seconds, work.rank, self.env.now + work.counted_seconds)
+        if work.reference_seconds > 0:
+            self.speed_samples.record_peer_work(state, self.env.now)
         self._add_work(state, key, item, work.prefixes)
         self.peer_work[key] = work.endpoint
         if len(self.peer_work) > MAX_PEER_WORK:
@@ -202,14 +220,31 @@
         for number in message.prefilled:
             state = self.states.get(self.peer_work.get((message.gateway_ip, number)))
             if state is not None:
-                state.work.record_prefilled((message.gateway_ip, number), self.env.now)
+                self._record_prefilled(state, (message.gateway_ip, number))
         for number in message.ended:
             state = self.states.get(self.peer_work.pop((message.gateway_ip, number), None))
             if state is not None:
                 state.work.record_ended((message.gateway_ip, number), self.env.now)
 
+    @receive.register
+    async def _(self, message: LearnedSpeeds) -> None:
+        message.reply(
+            tuple(
+                (service, one.current)
+                for service, one in sorted(self.speeds.items())
+                if one.sample_count >= SETTLED_SAMPLES
+            )
+        )
+
+    @receive.register
+    async def _(self, message: PeerSpeeds) -> None:
+        for service, speed in message.speeds:
+            if service in self.speeds:
+                self.speeds[service].adopt(speed)
+
     @receive.register
     async def _(self, message: WorkEnded) -> None:
+        self.speed_samples.record_ended(message.exchange)
         state = self.states.get(message.endpoint)
         if state is None:
             return
@@ -274,7 +309,7 @@
             for one in states
         )
         waits = [
-            one.work.prefill_wait(now, MAX_RANK)
+            one.work.prefill_wait(now, MAX_RANK, one.speed(now))
             for one, view in zip(states, engines, strict=True)
             if view.usable and view.stage is Stage.PREFILL
         ]
@@ -297,7 +332,30 @@
             return
         prefill_load = self.prefill_loads.setdefault(state.info.service, PrefillLoad())
         slowdown = 1.0 if state.info.stage is Stage.PREFILL else DECODE_PREFILL_FACTOR
-        prefill_load.add(item.prefill_seconds / slowdown, now)
+        prefill_load.add(item.reference_seconds * state.speed(now).scale / slowdown, now)
+
+    def _record_prefilled(self, state: EndpointRecord, key: WorkKey) -> None:
+        throughput = state.record_prefilled(key, self.env.now)
+        if throughput is not None:
+            self.speed_samples.record_throughput(state, throughput, self.env.now)
+
+    def _log_speed(self, service: str) -> None:
+        """Log the learned speeds of a service if one of them has changed by much."""
+        current = self.speeds[service].current
+        logged = self.logged_speeds.get(service)
+        if logged is not None and not current.differs(logged, SPEED_CHANGE):
+            return
+        self.logged_speeds[service] = current
+        self.env.log.emit(
+            Event.SPEED_LEARNED,
+            service=service,
+            prefill_scale=round(current.prefill_scale, 4),
+            response_seconds=round(current.response_seconds, 4),
+            first_event_seconds=round(current.first_event.fixed, 4),
+            fetched_event_seconds=round(current.fetched_event.fixed, 4),
+            call_seconds=round(current.call_seconds, 4),
+            samples=self.speeds[service].sample_count,
+        )
 
     def _share(self, message: SharedWork | WorkProgress | EngineCooldown) -> None:
         if self.work_subscriber is not None:
@@ -313,7 +371,8 @@
             return
         state = self.states.get(item.name)
         if state is None or state.info.started_ms != info.started_ms:
-            self.states[item.name] = EndpointRecord(info)
+            speeds = self.speeds.setdefault(info.service, ServiceSpeeds(self.cfg.speeds))
+            self.states[item.name] = EndpointRecord(info, speeds)
         else:
             if state.info.stage is not info.stage:
                 state.cooldown_until = 0.0
--- a/chivewall/gateway/fleet_messages.py
+++ b/chivewall/gateway/fleet_messages.py
@@ -5,6 +5,7 @@
 from attrs import define, frozen
 
 from chivewall.decisions.placement import PromptState
+from chivewall.decisions.speeds import ServiceSpeed
 from chivewall.decisions.stages import StageLoad
 from chivewall.gateway.http_dialect import RequestFields
 from chivewall.gateway.peer_codec import SharedWork
@@ -23,6 +24,7 @@
     prompt: PromptState = PromptState.NOT_PREFILLED
     rank: int = 0  # rank of the route; 0 is served first
     slack_seconds: float = math.inf  # seconds until the objective is missed
+    pause_seconds: float = 0.3  # longest pause between events that the objective allows
     kv_data_centre: str | None = None  # data centre of the engine that keeps the KV cache
 
 
@@ -45,7 +47,8 @@
     """An attempt was sent to an endpoint."""
 
     endpoint: str
-    prefill_seconds: float  # estimated time of the prefill; 0 if the KV cache is fetched
+    # Time of the prefill at the reference speed; 0 if the KV cache is fetched.
+    reference_seconds: float
     fields: RequestFields
     counted_seconds: float  # time for which other gateways count it if its end isn't reported
     seconds_left: float  # seconds until the deadline of the request
@@ -54,11 +57,26 @@
 
 
 @frozen
-class PromptPrefilled:
-    """An endpoint has prefilled the prompt of an attempt."""
+class FirstBytesReceived:
+    """The first bytes of a response's body were received, or the response of a prefill."""
 
     endpoint: str
     exchange: int
+    seconds: float  # since the request was written
+    succeeded: bool  # the response is not an error
+    prefilled: bool  # they show that the endpoint has prefilled the prompt
+
+
+@define(eq=False)
+class LearnedSpeeds(Query):
+    """Ask for the learned speeds; the reply is a tuple of pairs of service and speed."""
+
+
+@frozen
+class PeerSpeeds:
+    """Speeds that another gateway has learned, by service."""
+
+    speeds: tuple[tuple[str, ServiceSpeed], ...]
 
 
 @frozen
--- a/chivewall/gateway/fleet_settings.py
+++ b/chivewall/gateway/fleet_settings.py
@@ -3,6 +3,7 @@
 from attrs import field, frozen, validators
 
 from chivewall.decisions.repeat_budget import RepeatBudgetPolicy
+from chivewall.decisions.speeds import SpeedPriors
 
 # The burst of the repeat budget is divided by twice the number of known gateways, and at least
 # by this number: a restarted gateway spends its part again, and some gateways may be unknown.
@@ -29,6 +30,10 @@
         validator=validators.ge(0),
         metadata={"help": "Repeats allowed beyond the ratio, by all gateways together."},
     )
+    speeds: SpeedPriors = field(
+        factory=SpeedPriors,
+        metadata={"help": "Speeds of engines and services until they are learned."},
+    )
 
 
 def repeat_budget_policy(cfg: FleetSettings, gateways: int) -> RepeatBudgetPolicy:
--- a/chivewall/gateway/forwarded_request.py
+++ b/chivewall/gateway/forwarded_request.py
@@ -36,8 +36,8 @@
 )
 from chivewall.gateway.fleet_messages import (
     FindPlacement,
+    FirstBytesReceived,
     KvCacheLost,
-    PromptPrefilled,
     RequestReceived,
     SpendRepeat,
     WorkEnded,
@@ -93,8 +93,9 @@
         self.placement: Placement | None = None
         self.response_head: ResponseHead | None = None
         self.response_body = bytearray()
-        self.prefilled = False  # the endpoint of the exchange has prefilled the prompt
+        self.first_bytes_reported = False  # of the exchange
         self.last_data_at = request.received_at  # time of the last byte, or of sending the request
+        self.written_at = request.received_at  # when the exchange's request was written
         self.ended = False
         self.failed_endpoints: set[str] = set()  # ids of endpoints that failed to serve it
         # Exchanges that reached an endpoint, except a first prefill.
@@ -138,7 +139,7 @@
         # The first prefill doesn't count as an attempt, a second one does.
         if not self.exchange.prefill or self.prefill.reached > 1:
             self.history.record_sent(self.exchange.endpoint.id)
-        self.last_data_at = self.env.now
+        self.last_data_at = self.written_at = self.env.now
         if self.exchange.prefill or self.route.idempotent:
             self._schedule(SILENCE_SECONDS, Tick(f"silence {message.exchange}"))
 
@@ -153,9 +154,8 @@
         if not self._is_current(message.exchange):
             return
         self.last_data_at = self.env.now
-        if not (self.exchange.prefill or self.exchange.fetches_kv_cache or self.prefilled):
-            self.prefilled = True
-            self.context.fleet.send(PromptPrefilled(self.exchange.endpoint.id, message.exchange))
+        if not (self.exchange.prefill or self.first_bytes_reported):
+            self._report_first_bytes(prefilled=not self.exchange.fetches_kv_cache)
         if self._is_streaming():
             self.response.send_events(self.response_head, message.data)
         else:
@@ -217,6 +217,7 @@
                 prompt=prompt,
                 rank=self.route.priority,
                 slack_seconds=self._slack_seconds(),
+                pause_seconds=self.route.pause_ms / MS_PER_SECOND,
                 kv_data_centre=self.prefill.kv_data_centre,
             )
         )
@@ -274,12 +275,12 @@
             number, endpoint, prefill=prefill, fetches_kv_cache=fetches_kv_cache
         )
         self.response_head = None
-        self.prefilled = False
+        self.first_bytes_reported = False
         self.log.log_attempt(self.exchange, self.placement, sent)
         self.context.fleet.send(
             WorkSent(
                 endpoint=endpoint.id,
-                prefill_seconds=0.0 if fetches_kv_cache else self.placement.prefill_seconds,
+                reference_seconds=0.0 if fetches_kv_cache else self.placement.reference_seconds,
                 fields=self.request.fields,
                 counted_seconds=shared_work_seconds(self.route, self.deadline - self.env.now),
                 seconds_left=self.deadline - self.env.now,
@@ -322,6 +323,18 @@
             self.response.send_response(self.response_head, bytes(self.response_body))
         self._finish("answered", status=self.response_head.status)
 
+    def _report_first_bytes(self, *, prefilled: bool) -> None:
+        self.first_bytes_reported = True
+        self.context.fleet.send(
+            FirstBytesReceived(
+                endpoint=self.exchange.endpoint.id,
+                exchange=self.exchange.number,
+                seconds=self.env.now - self.written_at,
+                succeeded=self.response_head.status in SUCCESS_STATUSES,
+                prefilled=prefilled,
+            )
+        )
+
     def _is_streaming(self) -> bool:
         return (
             self.route.kind is RouteKind.STREAM
@@ -345,7 +358,7 @@
             return
         source = self.exchange.endpoint
         self.prefill.record_prefilled(source, kept.handle, self.env.now)
-        self.context.fleet.send(PromptPrefilled(source.id, self.exchange.number))
+        self._report_first_bytes(prefilled=True)
         self._end_exchange("answered")
         # The prefill may have waited for seconds; the chosen decode engine may be leaving by now.
         placement = await self._find_placement(PromptState.PREFILLED)
--- a/chivewall/gateway/peer_codec.py
+++ b/chivewall/gateway/peer_codec.py
@@ -5,11 +5,13 @@
 
 from attrs import frozen
 
+from chivewall.decisions.speeds import Line, ServiceSpeed
 from chivewall.errors import DecodeError
 
-VERSION = 3
+VERSION = 4
 MAX_DATAGRAM_BYTES = 1_200  # a larger datagram could be fragmented on the way
-EMPTY_DATAGRAM_BYTES = 20  # size of a datagram without items
+MAX_SPEED_SECONDS = 1000.0  # a larger time is an error of the sender
+EMPTY_DATAGRAM_BYTES = 23  # size of a datagram without items
 
 
 @frozen
@@ -18,7 +20,7 @@
 
     number: int  # assigned by the sender, and repeated in its later progress messages
     endpoint: str
-    prefill_seconds: float  # estimated time of the prefill
+    reference_seconds: float  # time of the prefill at the reference speed
     counted_seconds: float  # time for which it is counted if its end isn't reported
     rank: int  # rank with which it was sent; 0 is served first
     prefixes: tuple[str, ...]  # keys of the prompt's leading parts
@@ -41,6 +43,7 @@
     cooldowns: tuple[tuple[str, float], ...] = ()  # engine ids and their cooldown in seconds
     prefilled: tuple[int, ...] = ()  # numbers of work whose prompts were prefilled
     ended: tuple[int, ...] = ()  # numbers of work that ended
+    speeds: tuple[tuple[str, ServiceSpeed], ...] = ()  # learned speeds by service
 
 
 def encode(message: PeerMessage) -> bytes:
@@ -52,6 +55,7 @@
         [[endpoint, round(seconds, 2)] for endpoint, seconds in message.cooldowns],
         list(message.prefilled),
         list(message.ended),
+        [_encode_speed(service, speed) for service, speed in message.speeds],
     ]
     return json.dumps(document, separators=(",", ":")).encode()
 
@@ -62,13 +66,14 @@
         version, *rest = json.loads(datagram)
         if version != VERSION:
             raise DecodeError(f"datagram version {version!r} is unknown")
-        gateway_ips, work, cooldowns, prefilled, ended = rest
+        gateway_ips, work, cooldowns, prefilled, ended, speeds = rest
         return PeerMessage(
             gateway_ips=tuple(str(one) for one in gateway_ips),
             work=tuple(_decode_work(*one) for one in work),
             cooldowns=tuple((str(one), max(0.0, float(seconds))) for one, seconds in cooldowns),
             prefilled=tuple(int(one) for one in prefilled),
             ended=tuple(int(one) for one in ended),
+            speeds=tuple(_decode_speed(*one) for one in speeds),
         )
     except (ValueError, TypeError, OverflowError, RecursionError) as exc:
         raise DecodeError(f"malformed datagram: {exc}") from exc
@@ -77,7 +82,7 @@
 def _decode_work(
     number: int,
     endpoint: str,
-    prefill_seconds: float,
+    reference_seconds: float,
     counted_seconds: float,
     rank: int,
     prefixes: list[str],
@@ -85,13 +90,28 @@
     return SharedWork(
         number=int(number),
         endpoint=str(endpoint),
-        prefill_seconds=max(0.0, float(prefill_seconds)),
+        reference_seconds=max(0.0, float(reference_seconds)),
         counted_seconds=max(0.0, float(counted_seconds)),
         rank=int(rank),
         prefixes=tuple(str(one) for one in prefixes),
     )
 
 
+def _encode_speed(service: str, speed: ServiceSpeed) -> list[object]:
+    lines = (speed.prefill, speed.first_event, speed.fetched_event)
+    numbers = [number for line in lines for number in (line.fixed, line.slope)]
+    return [service, *(float(f"{one:.3g}") for one in (*numbers, speed.call_seconds))]
+
+
+def _decode_speed(service: str, *numbers: float) -> tuple[str, ServiceSpeed]:
+    checked = [float(one) for one in numbers]
+    if not all(0 <= one <= MAX_SPEED_SECONDS for one in checked):
+        raise ValueError("a speed is out of range")
+    lines = [Line(*checked[place : place + 2]) for place in (0, 2, 4)]
+    (call_seconds,) = checked[6:]
+    return str(service), ServiceSpeed(*lines, call_seconds)
+
+
 def batches(items: Iterable[SharedWork | WorkProgress]) -> Iterator[PeerMessage]:
     """Pack items in order into messages that each fit into one datagram."""
     work: list[SharedWork] = []
@@ -118,7 +138,7 @@
     return [
         item.number,
         item.endpoint,
-        round(item.prefill_seconds, 4),
+        round(item.reference_seconds, 4),
         round(item.counted_seconds, 2),
         item.rank,
         list(item.prefixes),
--- a/chivewall/gateway/peers.py
+++ b/chivewall/gateway/peers.py
@@ -17,9 +17,11 @@
 from chivewall.gateway.fleet import Fleet
 from chivewall.gateway.fleet_messages import (
     EngineCooldown,
+    LearnedSpeeds,
     LiveGateways,
     PeerEngineCooldown,
     PeerProgress,
+    PeerSpeeds,
     PeerWork,
     SubscribeToWork,
 )
@@ -108,7 +110,10 @@
             self._send_batches()
             return
         self.fleet.send(LiveGateways(1 + self.table.live_count(self.env.now)))
-        hello = PeerMessage(gateway_ips=self.table.sample_addresses(self.env.random, self.env.now))
+        hello = PeerMessage(
+            gateway_ips=self.table.sample_addresses(self.env.random, self.env.now),
+            speeds=await self.fleet.query(LearnedSpeeds()),
+        )
         self._send(hello, self.table.hello_targets(self.env.now))
         self.env.clock.callLater(HELLO_INTERVAL_SECONDS, self.send, Tick("hello"))
 
@@ -140,6 +145,8 @@
             self.fleet.send(PeerWork(message.gateway_ip, work))
         if found.prefilled or found.ended:
             self.fleet.send(PeerProgress(message.gateway_ip, found.prefilled, found.ended))
+        if found.speeds:
+            self.fleet.send(PeerSpeeds(found.speeds))
         for endpoint, seconds in found.cooldowns:
             self.fleet.send(PeerEngineCooldown(endpoint, seconds))
 
--- a/chivewall/gateway/routing_configuration.py
+++ b/chivewall/gateway/routing_configuration.py
@@ -44,6 +44,7 @@
     timeout_ms: float  # maximum time until the response is complete
     objective_ms: float  # target time to the first event of a stream, or to the response
     priority: int  # 0 is the most urgent
+    pause_ms: float = 300.0  # target for the longest pause between two events of a stream
     resumable: bool = False  # a broken stream may be continued by another endpoint
     prefix_affinity: bool = False  # requests name the parts of their prompts in a header
 
--- a/chivewall/platform/routing_configuration.py
+++ b/chivewall/platform/routing_configuration.py
@@ -12,6 +12,7 @@
 )
 from chivewall.platform.fields import boolean, integer, json_object, list_items, number, string
 
+DEFAULT_PAUSE_MS = 300.0  # of routes that declare none
 KIND = "config"
 NAME = "main"
 
@@ -37,6 +38,7 @@
         timeout_ms=number(document, "timeoutMs"),
         objective_ms=number(document, "sloMs", number(document, "timeoutMs")),
         priority=integer(document, "priority", 0),
+        pause_ms=number(document, "gapSloMs", DEFAULT_PAUSE_MS),
         resumable=boolean(document, "resumable"),
         # Despite its name, this field marks routes whose requests name the parts of their
         # prompts.
