Take a decode engine's prefill share out of its estimated wait

The response time of a prefill engine was missing in a handover.

Change: the excess is a cost of the choice, not a part of the estimate; the response time is part of it. Waiting prompts are summed by rank.

--- a/chivewall/decisions/endpoint_record.py
+++ b/chivewall/decisions/endpoint_record.py
@@ -100,12 +100,11 @@
 
     def prefill_wait(self, now: float, rank: int) -> float:
         """Return the seconds until the prefill of a prompt that is sent now with this rank."""
-        wait = self.work.prefill_wait(now, rank, self.speed(now))
-        return (
-            max(self.prefill_budget.pending_seconds(now), wait)
-            if self.info.stage is Stage.DECODE
-            else wait
-        )
+        return self.work.prefill_wait(now, rank, self.speed(now))
+
+    def prefill_debt(self, now: float) -> float:
+        """Return the prefill time by which a decode engine exceeds its share for prefill."""
+        return self.prefill_budget.pending_seconds(now)
 
     @property
     def in_flight(self) -> int:
--- a/chivewall/decisions/placement.py
+++ b/chivewall/decisions/placement.py
@@ -211,10 +211,11 @@
     wait = state.prefill_wait(context.now, context.rank)
     seconds = _decode_wait(state, context, wait, fetched=False) + prefill_time
     stall = STALL_WEIGHT * state.in_flight * prefill_time
-    backlog = prefill_time + wait
+    debt = max(0.0, state.prefill_debt(context.now) - wait)
+    backlog = prefill_time + wait + debt
     excess = max(0.0, backlog - DECODE_BACKLOG_SHARE * context.pause_seconds)
     return PlacementOption(
-        cost=_time_cost(seconds, context) + stall + BACKLOG_EXCESS_WEIGHT * excess,
+        cost=_time_cost(seconds + debt, context) + stall + BACKLOG_EXCESS_WEIGHT * excess,
         engine=state,
         decoder=state,
         estimate=seconds,
@@ -240,9 +241,11 @@
     cached = state.cached_tokens(chain, context.now)
     reference = state.reference_prefill_seconds(fields.prompt_tokens, cached)
     decode_wait, target = waits.best(state.info.data_centre)
+    speed = state.speed(context.now)
     seconds = (
         state.prefill_wait(context.now, context.rank)
-        + reference * state.speed(context.now).scale
+        + reference * speed.scale
+        + speed.response_seconds
         + _round_trip_seconds(state, context)
         + FAILURE_SECONDS * state.current_failure_share(context.now)
         + decode_wait
--- a/chivewall/decisions/sent_work.py
+++ b/chivewall/decisions/sent_work.py
@@ -43,6 +43,14 @@
     seconds: float
 
 
+@define
+class PromptQueue:
+    """Prompts of one rank that are not known to be prefilled."""
+
+    prompts: dict[WorkKey, float] = field(factory=dict)  # reference seconds, in order of sending
+    reference_seconds: float = 0.0  # sum of the prompts
+
+
 @define
 class SentWork:
     """Counts running requests and estimates the wait for prefill.
@@ -53,8 +61,7 @@
     """
 
     _items: dict[WorkKey, WorkItem] = field(factory=dict, init=False)
-    _not_prefilled: dict[WorkKey, WorkItem] = field(factory=dict, init=False)  # in order of sending
-    _waiting_by_rank: dict[int, float] = field(factory=dict, init=False)  # reference seconds
+    _queues: dict[int, PromptQueue] = field(factory=dict, init=False)  # by rank
     _expiry_heap: list[tuple[float, WorkKey]] = field(factory=list, init=False)  # by expiry time
     _current: WorkKey | None = field(default=None, init=False)  # prompt in prefill
     _current_since: float = field(default=0.0, init=False)
@@ -70,17 +77,17 @@
     @property
     def waiting_prompts(self) -> int:
         """Return the number of prompts that are not known to be prefilled."""
-        return len(self._not_prefilled)
+        return sum(len(one.prompts) for one in self._queues.values())
 
     def add(self, key: WorkKey, item: WorkItem, now: float) -> None:
         """Record work that was sent."""
+        self._remove_waiting(key)
         self._items[key] = item
         heapq.heappush(self._expiry_heap, (item.expires_at, key))
         if item.reference_seconds > 0:
-            self._remove_waiting(key)
-            self._not_prefilled[key] = item
-            waiting = self._waiting_by_rank.get(item.rank, 0.0)
-            self._waiting_by_rank[item.rank] = waiting + item.reference_seconds
+            queue = self._queues.setdefault(item.rank, PromptQueue())
+            queue.prompts[key] = item.reference_seconds
+            queue.reference_seconds += item.reference_seconds
             if self._current is None:
                 self._current, self._current_since = key, now
 
@@ -89,19 +96,19 @@
 
         Returns the engine's throughput if a measurement of it ends.
         """
-        item = self._remove_waiting(key)
-        if item is None:
+        work = self._remove_waiting(key)
+        if work is None:
             return None
         self._start_next_prefill(now - speed.response_seconds)
-        return self._measure_throughput(item, now, speed)
+        return self._measure_throughput(work, now, speed)
 
     def record_ended(self, key: WorkKey, now: float) -> None:
         """Remove work that ended."""
-        self._items.pop(key, None)
         if self._remove_waiting(key) is not None:
             self._busy_since = None
             if key == self._current:
                 self._start_next_prefill(now)
+        self._items.pop(key, None)
 
     def expire(self, now: float) -> None:
         """Remove work whose end should have been reported by now."""
@@ -117,38 +124,37 @@
         The time by which the current prefill is overdue is added, since the engine
         is then slow or stuck.
         """
-        if not self._not_prefilled:
+        if self._current is None:
             return 0.0
-        item = self._not_prefilled[self._current]
+        item = self._items[self._current]
         current = item.reference_seconds * speed.scale
         spent = now - self._current_since
         overdue = max(0.0, spent - current - speed.response_seconds)
         current_left = current - min(spent, current + speed.response_seconds)
-        ahead = sum(work for one, work in self._waiting_by_rank.items() if one <= rank)
+        ahead = sum(one.reference_seconds for at, one in self._queues.items() if at <= rank)
         if item.rank <= rank:
             ahead -= item.reference_seconds
         return max(0.0, current_left + ahead * speed.scale) + overdue
 
     def _start_next_prefill(self, now: float) -> None:
-        self._current = min(
-            self._not_prefilled, key=lambda one: self._not_prefilled[one].rank, default=None
-        )
+        first = self._queues[min(self._queues)] if self._queues else None
+        self._current = None if first is None else next(iter(first.prompts))
         self._current_since = now
 
-    def _remove_waiting(self, key: WorkKey) -> WorkItem | None:
-        item = self._not_prefilled.pop(key, None)
-        if item is not None:
-            left = self._waiting_by_rank[item.rank] - item.reference_seconds
-            if left > 1e-9 and self._not_prefilled:
-                self._waiting_by_rank[item.rank] = left
-            else:
-                del self._waiting_by_rank[item.rank]
-        return item
-
-    def _measure_throughput(
-        self, item: WorkItem, now: float, speed: EngineSpeed
-    ) -> Throughput | None:
-        queued = sum(self._waiting_by_rank.values()) * speed.scale
+    def _remove_waiting(self, key: WorkKey) -> float | None:
+        """Remove a prompt from its queue; return its reference seconds."""
+        item = self._items.get(key)
+        queue = None if item is None else self._queues.get(item.rank)
+        found = None if queue is None else queue.prompts.pop(key, None)
+        if found is None:
+            return None
+        queue.reference_seconds -= found
+        if not queue.prompts:
+            del self._queues[item.rank]
+        return found
+
+    def _measure_throughput(self, work: float, now: float, speed: EngineSpeed) -> Throughput | None:
+        queued = sum(one.reference_seconds for one in self._queues.values()) * speed.scale
         if queued <= BUSY_RESPONSES * speed.response_seconds:
             self._busy_since = None
             return None
@@ -156,7 +162,7 @@
             self._busy_since, self._busy_prompts, self._busy_work = now, 0, 0.0
             return None
         self._busy_prompts += 1
-        self._busy_work += item.reference_seconds
+        self._busy_work += work
         seconds = now - self._busy_since
         if seconds < THROUGHPUT_SECONDS or self._busy_prompts < THROUGHPUT_PROMPTS:
             return None
--- a/chivewall/decisions/speeds.py
+++ b/chivewall/decisions/speeds.py
@@ -47,8 +47,8 @@
     running_request_seconds: float = _positive(
         0.002, "Delay that each running request adds to a first event."
     )
-    handover_seconds: float = _positive(
-        0.04, "Extra time to the first event if the KV cache is fetched from another engine."
+    fetched_event_seconds: float = _positive(
+        0.04, "Time to the first event of a request that fetches its KV cache from another engine."
     )
     call_seconds: float = _positive(0.045, "Duration of a plain service's call.")
 
@@ -232,8 +232,7 @@
         per_request = priors.running_request_seconds
         self.prefill = LineEstimator(Line(priors.response_seconds, 1.0))
         self.first_event = LineEstimator(Line(priors.first_event_seconds, per_request))
-        fetched = priors.first_event_seconds + priors.handover_seconds
-        self.fetched_event = LineEstimator(Line(fetched, per_request))
+        self.fetched_event = LineEstimator(Line(priors.fetched_event_seconds, per_request))
         self.call = LineEstimator(Line(priors.call_seconds, 0.0))
         self._refresh()
 
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -341,6 +341,8 @@
 
     def _log_speed(self, service: str) -> None:
         """Log the learned speeds of a service if one of them has changed by much."""
+        if self.speeds[service].sample_count < SETTLED_SAMPLES:
+            return
         current = self.speeds[service].current
         logged = self.logged_speeds.get(service)
         if logged is not None and not current.differs(logged, SPEED_CHANGE):
