Refuse at once what would be answered too late, and queue below the objective

A request yields to others from 0.7 of its slack on. A prompt without parts has no preferred engine; in the played burst all such prompts queued at one engine.

--- a/chivewall/decisions/endpoint_record.py
+++ b/chivewall/decisions/endpoint_record.py
@@ -102,6 +102,11 @@
         """Return the seconds until the prefill of a prompt that is sent now with this rank."""
         return self.work.prefill_wait(now, rank, self.speed(now))
 
+    def overtaken_seconds(self, now: float, rank: int) -> float:
+        """Return the wait for more urgent prompts that arrive while a prompt waits its turn."""
+        share_left = self.work.share_left(now, rank, self.speed(now))
+        return self.prefill_wait(now, rank) * (1 / share_left - 1)
+
     def prefill_debt(self, now: float) -> float:
         """Return the prefill time by which a decode engine exceeds its share for prefill."""
         return self.prefill_budget.pending_seconds(now)
--- a/chivewall/decisions/placement.py
+++ b/chivewall/decisions/placement.py
@@ -12,6 +12,7 @@
 from attrs import define, evolve, frozen
 
 from chivewall.decisions.endpoint_record import EndpointRecord, PrefixChain, prefix_chain
+from chivewall.decisions.overload import Overloaded, admit
 from chivewall.gateway.http_dialect import RequestFields
 from chivewall.gateway.routing_configuration import EndpointInfo, Stage
 
@@ -30,6 +31,9 @@
 STALL_WEIGHT = 0.05  # cost of each second by which a prefill delays a running stream
 EARLY_WEIGHT = 0.25  # cost of a second of delay while the objective can still be met
 SLACK_SHARE = 0.8  # usable share of the time to the objective; estimates are off by some tenths
+# A request whose estimate takes more than this share of the slack yields to others: with queues
+# at the full slack, half of the requests would miss their objective by a little.
+ON_TIME_SHARE = 0.7
 MAX_RANK = 9  # the least urgent rank
 LATE_RANK_INCREASE = 3  # added to the rank of a request that misses its objective anyway
 # Extra cost accepted at the endpoint that the prefix hashes to, in seconds at the reference speed.
@@ -60,6 +64,7 @@
     excluded: frozenset[str] = frozenset()  # ids of endpoints that must not get the request
     rank: int = 0  # of the request's route; 0 is the most urgent
     slack_seconds: float = math.inf  # seconds left to the route's objective
+    time_left_seconds: float = math.inf  # seconds left to the request's deadline
     pause_seconds: float = 0.3  # longest pause between events that the route's objective allows
     kv_data_centre: str | None = None  # data centre of the engine that keeps the KV cache
 
@@ -77,19 +82,51 @@
     states: list[EndpointRecord],
     context: PlacementContext,
     prompt: PromptState = PromptState.NOT_PREFILLED,
-) -> Placement | None:
-    """Return the placement of the next attempt, or ``None`` if no endpoint can take it."""
+) -> Placement | Overloaded | None:
+    """Return the placement of the next attempt.
+
+    ``None``: no endpoint can take it. ``Overloaded``: it would be answered too late.
+    """
     usable = _usable(states, context)
     if not usable:
         return None
     if all(one.info.stage is Stage.NONE for one in usable):
-        return _choose_service_endpoint(usable, context)
+        placement = _choose_service_endpoint(usable, context)
+        return _admitted(placement, context)
     placement = _choose_at_rank(fields, usable, context, prompt)
-    if placement is not None and placement.estimate > context.slack_seconds:
+    if placement is None or prompt is PromptState.PREFILLED:
+        return placement  # once its prompt is prefilled, a request is finished soon
+    if placement.estimate > ON_TIME_SHARE * context.slack_seconds:
         # It misses its objective anyway, so it yields to requests that can meet theirs.
-        late = evolve(context, rank=min(MAX_RANK, context.rank + LATE_RANK_INCREASE))
+        late_rank = min(MAX_RANK, context.rank + LATE_RANK_INCREASE)
+        late = evolve(context, rank=late_rank)
         placement = _choose_at_rank(fields, usable, late, prompt)
-    return placement
+        return _admitted(placement, late, _overtaken_seconds(placement, usable, late))
+    return _admitted(placement, context)
+
+
+def _admitted(
+    placement: Placement, context: PlacementContext, overtaken_seconds: float = 0.0
+) -> Placement | Overloaded:
+    refused = admit(
+        placement.estimate + overtaken_seconds,
+        context.slack_seconds,
+        context.time_left_seconds,
+        context.rng,
+    )
+    return placement if refused is None else refused
+
+
+def _overtaken_seconds(
+    placement: Placement, usable: list[EndpointRecord], context: PlacementContext
+) -> float:
+    """Return the extra wait of a late prompt for more urgent ones that are yet to come.
+
+    Without it a late request would be admitted, overtaken by all others and not served.
+    """
+    engine = placement.prefill_engine or placement.endpoint
+    state = next(one for one in usable if one.info.id == engine.id)
+    return state.overtaken_seconds(context.now, context.rank)
 
 
 def _choose_at_rank(
@@ -152,7 +189,7 @@
     context: PlacementContext,
 ) -> Placement:
     chain = prefix_chain(fields)
-    shared = chain[-2][0] if len(chain) > 1 else (chain[0][0] if chain else "")
+    shared = chain[max(0, len(chain) - 2)][0] if chain else None
     at_decoder = _cheapest(
         [_prefill_at_decoder(fields, chain, one, context) for one in decoders],
         _hash_preferred(shared, decoders),
@@ -196,10 +233,16 @@
         )
 
 
-def _cheapest(options: list[PlacementOption], preferred: EndpointRecord) -> PlacementOption:
+def _cheapest(options: list[PlacementOption], preferred: EndpointRecord | None) -> PlacementOption:
     """Return the cheapest option; the endpoint that the prefix hashes to gets a bonus."""
-    bonus = HASH_PREFERENCE_SECONDS * preferred.service_speeds.current.prefill_scale
-    return min(options, key=lambda one: one.cost - (bonus if one.engine is preferred else 0.0))
+
+    def cost(option: PlacementOption) -> float:
+        if option.engine is not preferred:
+            return option.cost
+        scale = preferred.service_speeds.current.prefill_scale
+        return option.cost - HASH_PREFERENCE_SECONDS * scale
+
+    return min(options, key=cost)
 
 
 def _prefill_at_decoder(
@@ -269,9 +312,8 @@
         self._fetch_seconds = fields.prompt_tokens * REMOTE_KV_TOKEN_SECONDS
         self._best: dict[str, tuple[float, float, EndpointRecord]] = {}
         for one in decoders:
-            wait = _decode_wait(
-                one, context, one.prefill_wait(context.now, context.rank), fetched=True
-            )
+            prefill_wait = one.prefill_wait(context.now, context.rank)
+            wait = _decode_wait(one, context, prefill_wait, fetched=True)
             found = (wait, context.rng.random(), one)
             place = one.info.data_centre
             if place not in self._best or found[:2] < self._best[place][:2]:
@@ -310,8 +352,10 @@
     )
 
 
-def _hash_preferred(shared: str, states: list[EndpointRecord]) -> EndpointRecord:
+def _hash_preferred(shared: str | None, states: list[EndpointRecord]) -> EndpointRecord | None:
     """Return the endpoint that the shared part of a prompt maps to by rendezvous hashing."""
+    if shared is None:
+        return None
     return max(states, key=lambda one: _rendezvous_weight(shared, one.info.id))
 
 
--- a/chivewall/decisions/sent_work.py
+++ b/chivewall/decisions/sent_work.py
@@ -1,11 +1,16 @@
 """Tracks the work in flight that gateways sent to one endpoint."""
 
 import heapq
+import math
 
 from attrs import define, field, frozen
 
 # Share of a decode engine's time that prefill may use; its streams need the rest.
 DECODE_PREFILL_SHARE = 0.35
+# Time over which the work that arrives at an engine is averaged, in seconds.
+ARRIVAL_SECONDS = 0.5
+# The least share of an engine's time that is assumed to be left for less urgent prompts.
+MIN_SHARE_LEFT = 0.1
 # A measurement of an engine's throughput covers at least this many seconds and prompts.
 THROUGHPUT_SECONDS = 0.3
 THROUGHPUT_PROMPTS = 4
@@ -51,6 +56,23 @@
     reference_seconds: float = 0.0  # sum of the prompts
 
 
+@define
+class ArrivalRate:
+    """Prefill work that arrives in a second, averaged with exponentially falling weights."""
+
+    _rate: float = 0.0  # reference seconds a second, as of ``_updated_at``
+    _updated_at: float = 0.0
+
+    def add(self, reference_seconds: float, now: float) -> None:
+        """Record a prompt that was sent."""
+        self._rate = self.current(now) + reference_seconds / ARRIVAL_SECONDS
+        self._updated_at = now
+
+    def current(self, now: float) -> float:
+        """Return the reference seconds that arrive in a second."""
+        return self._rate * math.exp((self._updated_at - now) / ARRIVAL_SECONDS)
+
+
 @define
 class SentWork:
     """Counts running requests and estimates the wait for prefill.
@@ -62,6 +84,7 @@
 
     _items: dict[WorkKey, WorkItem] = field(factory=dict, init=False)
     _queues: dict[int, PromptQueue] = field(factory=dict, init=False)  # by rank
+    _arrivals: dict[int, ArrivalRate] = field(factory=dict, init=False)  # by rank
     _expiry_heap: list[tuple[float, WorkKey]] = field(factory=list, init=False)  # by expiry time
     _current: WorkKey | None = field(default=None, init=False)  # prompt in prefill
     _current_since: float = field(default=0.0, init=False)
@@ -88,6 +111,8 @@
             queue = self._queues.setdefault(item.rank, PromptQueue())
             queue.prompts[key] = item.reference_seconds
             queue.reference_seconds += item.reference_seconds
+            arrivals = self._arrivals.setdefault(item.rank, ArrivalRate())
+            arrivals.add(item.reference_seconds, now)
             if self._current is None:
                 self._current, self._current_since = key, now
 
@@ -136,6 +161,14 @@
             ahead -= item.reference_seconds
         return max(0.0, current_left + ahead * speed.scale) + overdue
 
+    def share_left(self, now: float, rank: int, speed: EngineSpeed) -> float:
+        """Return the share of the engine's time that more urgent prompts leave to a rank.
+
+        They are expected to arrive as they did in the last second.
+        """
+        urgent = sum(one.current(now) for at, one in self._arrivals.items() if at < rank)
+        return max(MIN_SHARE_LEFT, 1 - urgent * speed.scale)
+
     def _start_next_prefill(self, now: float) -> None:
         first = self._queues[min(self._queues)] if self._queues else None
         self._current = None if first is None else next(iter(first.prompts))
--- a/chivewall/gateway/caller_response.py
+++ b/chivewall/gateway/caller_response.py
@@ -52,10 +52,15 @@
         headers = self.dialect.response_headers(head.headers)
         self.connection.put(SendResponse(self.request_number, head.status, headers, body))
 
-    def refuse(self, code: ResultCode, reason: str) -> None:
-        """Send an error response of the gateway itself."""
+    def refuse(self, code: ResultCode, reason: str, retry_after: float | None = None) -> None:
+        """Send an error response of the gateway itself.
+
+        ``retry_after``: seconds after which the caller may come back; unset for the default.
+        """
         self.connection.put(
-            error_response(self.dialect, self.request_number, code, reason, self.request_id)
+            error_response(
+                self.dialect, self.request_number, code, reason, self.request_id, retry_after
+            )
         )
 
     def abort(self) -> None:
@@ -82,12 +87,19 @@
 
 
 def error_response(
-    dialect: HttpDialect, request_number: int, code: ResultCode, reason: str, request_id: str | None
+    dialect: HttpDialect,
+    request_number: int,
+    code: ResultCode,
+    reason: str,
+    request_id: str | None,
+    retry_after: float | None = None,
 ) -> SendResponse:
     """Return an error response of the gateway itself."""
     error = {"code": code.number, "name": code.name, "message": reason, "run": code.run.value}
-    retry_after = RETRY_AFTER_SECONDS if code.http_status in NOT_RUN_STATUSES else None
-    headers = dialect.gateway_response_headers(request_id, retry_after)
+    if retry_after is None:
+        retry_after = RETRY_AFTER_SECONDS
+    wait = retry_after if code.http_status in NOT_RUN_STATUSES else None
+    headers = dialect.gateway_response_headers(request_id, wait)
     return SendResponse(
         request_number, code.http_status, headers, json.dumps({"error": error}).encode()
     )
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -142,6 +142,7 @@
             excluded=message.excluded,
             rank=message.rank,
             slack_seconds=message.slack_seconds,
+            time_left_seconds=message.time_left_seconds,
             pause_seconds=message.pause_seconds,
             kv_data_centre=message.kv_data_centre,
         )
--- a/chivewall/gateway/fleet_messages.py
+++ b/chivewall/gateway/fleet_messages.py
@@ -15,7 +15,7 @@
 
 @define(eq=False)
 class FindPlacement(Query):
-    """Ask for a placement; the reply is a ``Placement`` or ``None``."""
+    """Ask for a placement; the reply is a ``Placement``, ``Overloaded`` or ``None``."""
 
     service: str
     fields: RequestFields
@@ -24,6 +24,7 @@
     prompt: PromptState = PromptState.NOT_PREFILLED
     rank: int = 0  # rank of the route; 0 is served first
     slack_seconds: float = math.inf  # seconds until the objective is missed
+    time_left_seconds: float = math.inf  # seconds until the deadline
     pause_seconds: float = 0.3  # longest pause between events that the objective allows
     kv_data_centre: str | None = None  # data centre of the engine that keeps the KV cache
 
--- a/chivewall/gateway/forwarded_request.py
+++ b/chivewall/gateway/forwarded_request.py
@@ -11,6 +11,7 @@
     decide,
     final_step,
 )
+from chivewall.decisions.overload import Overloaded
 from chivewall.decisions.placement import Placement, PromptState
 from chivewall.errors import DecodeError
 from chivewall.gateway.caller_messages import CallerDisconnected
@@ -200,7 +201,7 @@
             self._end_exchange("left")
             self._finish("caller gone")
 
-    async def _find_placement(self, prompt: PromptState) -> Placement | None:
+    async def _find_placement(self, prompt: PromptState) -> Placement | Overloaded | None:
         allowed = None
         if len(self.history.tried_endpoints) >= self.route.attempts:
             allowed = frozenset(self.history.tried_endpoints)
@@ -217,6 +218,7 @@
                 prompt=prompt,
                 rank=self.route.priority,
                 slack_seconds=self._slack_seconds(),
+                time_left_seconds=self.response_deadline - self.env.now,
                 pause_seconds=self.route.pause_ms / MS_PER_SECOND,
                 kv_data_centre=self.prefill.kv_data_centre,
             )
@@ -227,10 +229,19 @@
         attempts_left = self.route.attempts - len(self.history.tried_endpoints)
         placement = await self._find_placement(self.prefill.next_prompt(attempts_left))
         prefill_again = (
-            prefilled_before and placement is not None and placement.prefill_engine is not None
+            prefilled_before
+            and isinstance(placement, Placement)
+            and placement.prefill_engine is not None
         )
         if prefill_again and not await self.context.fleet.query(SpendRepeat(self.service)):
             placement = await self._find_placement(PromptState.PREFILL_AT_DECODER)
+        if isinstance(placement, Overloaded):
+            await self._give_up(
+                AttemptOutcome.NOT_RUN,
+                f"its first event is expected after {placement.estimate:.2f} s",
+                retry_after=placement.retry_after,
+            )
+            return
         if placement is None:
             await self._attempt_failed(
                 AttemptOutcome.NO_ENDPOINT, "no endpoint can take the request"
@@ -421,14 +432,16 @@
             self.history.tried_endpoints - self.failed_endpoints
         )
 
-    async def _give_up(self, outcome: AttemptOutcome, reason: str) -> None:
+    async def _give_up(
+        self, outcome: AttemptOutcome, reason: str, retry_after: float | None = None
+    ) -> None:
         next_step = final_step(self._situation(outcome), self.history)
         if next_step is NextStep.CLOSE_CONNECTION:
             self.response.abort()
         elif next_step is NextStep.FORWARD:
             self.response.send_response(self.response_head, bytes(self.response_body))
         elif next_step is NextStep.REFUSE:
-            self.response.refuse(ResultCode.NO_ENDPOINT, reason)
+            self.response.refuse(ResultCode.NO_ENDPOINT, reason, retry_after)
         else:
             self.response.refuse(ResultCode.ENDPOINT_FAILED, reason)
         self._finish(next_step.value, reason=reason)
--- a/tests/test_sent_work.py
+++ b/tests/test_sent_work.py
@@ -49,6 +49,16 @@
     assert work.prefill_wait(100.0, rank=5, speed=SPEED) == pytest.approx(1.2)
 
 
+def test_urgent_prompts_leave_a_share_of_the_engine():
+    """Guards against late requests that are admitted, overtaken by all others and never served."""
+    work = SentWork()
+    for number in range(40):
+        work.add(("", number), WorkItem(0.04, 0, NEVER_EXPIRES), 100.0 + number / 20)
+    assert work.share_left(102.0, rank=5, speed=SPEED) == pytest.approx(0.2, abs=0.1)
+    assert work.share_left(102.0, rank=0, speed=SPEED) == 1
+    assert work.share_left(110.0, rank=5, speed=SPEED) == pytest.approx(1.0, abs=0.1)
+
+
 def test_most_urgent_prompt_is_prefilled_next():
     """Guards against a wait that expects prompts to be prefilled in order of arrival."""
     work = make_work((0.5, 5), (0.4, 5), (0.3, 0))
