Pause between watches of the endpoint list

Change: after changes the watch of the endpoints is armed again after 0.3 of the time in which a leaving endpoint may still get requests. The routing configuration is followed without a pause.

Test: test_changes_of_a_pause_cost_one_call.

--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -53,6 +53,9 @@
 
 MS_PER_SECOND = 1000.0
 SPEED_CHANGE = 1.5  # a learned speed that changed by this factor is logged
+# Pause between watches of the endpoint list, as a share of the time in which a leaving endpoint may
+# still get requests: the news of its leaving may be this old.
+WATCH_PAUSE_SHARE = 0.3
 MAX_PEER_WORK = 20_000  # attempts of other gateways that are tracked until they end
 # An endpoint that left the list is dropped this many seconds before it may get no more work.
 GONE_MARGIN_SECONDS = 0.3
@@ -65,7 +68,12 @@
         super().__init__()
         self.env = env
         self.cfg = cfg
-        self.watcher = CollectionWatcher(env, sources.endpoints, self.inbox)
+        self.watcher = CollectionWatcher(
+            env,
+            sources.endpoints,
+            self.inbox,
+            pause_seconds=WATCH_PAUSE_SHARE * cfg.drain_ms / MS_PER_SECOND,
+        )
         self.list_read = False  # the list of endpoints was read at least once
         self.states: dict[str, EndpointRecord] = {}  # by endpoint id
         self.repeat_budgets: dict[str, RepeatBudget] = {}  # by service
--- a/chivewall/gateway/store_collections.py
+++ b/chivewall/gateway/store_collections.py
@@ -80,10 +80,21 @@
 
 
 class CollectionWatcher(Task):
-    """Lists and watches one collection, and sends what it reads to an inbox."""
-
-    def __init__(self, env: Environment, source: CollectionSource, subscriber: Inbox) -> None:
+    """Lists and watches one collection, and sends what it reads to an inbox.
+
+    After changes it pauses before the next watch. The store counts each call, and each change of
+    an endpoint would cost one call of each gateway; the changes of a pause come in one response.
+    """
+
+    def __init__(
+        self,
+        env: Environment,
+        source: CollectionSource,
+        subscriber: Inbox,
+        pause_seconds: float = 0.0,
+    ) -> None:
         super().__init__()
+        self.pause_seconds = pause_seconds
         self.env = env
         self.source = source
         self.subscriber = subscriber
@@ -138,7 +149,10 @@
         self.failed_at = None
         self.revision = message.revision
         self.subscriber.put(message)
-        self.send(Tick())
+        if self.pause_seconds and message.items and isinstance(message, CollectionChanges):
+            self.env.clock.callLater(self.pause_seconds, self.send, Tick())
+        else:
+            self.send(Tick())
 
     async def _read(self) -> None:
         try:
--- a/tests/test_collection_follower.py
+++ b/tests/test_collection_follower.py
@@ -14,6 +14,7 @@
 from chivewall.gateway.store_collections import (
     MAX_RETRY_SECONDS,
     CollectionChanges,
+    CollectionItem,
     CollectionSnapshot,
     CollectionUnavailable,
     CollectionWatcher,
@@ -105,3 +106,16 @@
         source.list_calls[number].errback(StoreUnavailableError("down"))
         clock.advance(MAX_RETRY_SECONDS)
         assert len(source.list_calls) == number + 2
+
+
+def test_changes_of_a_pause_cost_one_call(follower, clock, source):
+    """Guards against one call of each gateway for each change of an endpoint (pwani-rota-large)."""
+    follower.pause_seconds = 1.0
+    source.list_calls[0].callback(CollectionSnapshot("servers", (), 7))
+    changed = CollectionItem("i-1", None, 8)
+    source.watch_calls[0][1].callback(CollectionChanges("servers", (changed,), 8))
+    assert len(source.watch_calls) == 1
+    clock.advance(1.0)
+    assert [revision for revision, _ in source.watch_calls] == [7, 8]
+    source.watch_calls[1][1].callback(CollectionChanges("servers", (), 8))
+    assert len(source.watch_calls) == 3
