Continue a stream that makes no progress at another endpoint

Cause: only silence was noticed, and an endpoint that sends a comment or a byte now and then is never silent: the caller's stream ended at its deadline.

Change: a stream must bring an event with data or an id within four of the largest pauses that its route's objective allows, and at least within 1 s; else a route that may be resumed continues at another endpoint.

Ruled out: the first event, which may wait for a prefill; the deadline bounds it.

Test: test_stalled_stream_resumes_at_another_engine fails on (the connection is closed without an end) and passes; test_slow_stream_is_kept, with 0.5 s between events, passes on both.

--- a/chivewall/decisions/forwarding.py
+++ b/chivewall/decisions/forwarding.py
@@ -7,6 +7,10 @@
 from chivewall.gateway.routing_configuration import Route, RouteKind
 
 MIN_TIME_LEFT_SHARE = 0.1  # share of the objective; with less time left an attempt can't succeed
+# A stream without an event for this many of the largest pauses that the route's objective allows,
+# and at least for this long, is continued by another endpoint. Callers wait for eight pauses.
+STALL_PAUSES = 4.0
+MIN_STALL_SECONDS = 1.0
 MAX_FAILED_ATTEMPTS = 4  # bounds failed connections too, which the repeat budget doesn't count
 
 
@@ -86,6 +90,11 @@
     return history.failed_attempts < MAX_FAILED_ATTEMPTS
 
 
+def stall_seconds(route: Route) -> float:
+    """Return the seconds without an event after which a stream counts as stalled."""
+    return max(MIN_STALL_SECONDS, STALL_PAUSES * route.pause_ms / 1000)
+
+
 def final_step(failed: FailedAttempt, history: AttemptHistory) -> NextStep:
     """Return how a request ends that gets no further attempt."""
     if failed.response_started:
--- a/chivewall/gateway/forwarded_request.py
+++ b/chivewall/gateway/forwarded_request.py
@@ -10,6 +10,7 @@
     NextStep,
     decide,
     final_step,
+    stall_seconds,
 )
 from chivewall.decisions.overload import Overloaded
 from chivewall.decisions.placement import Placement, PromptState
@@ -96,6 +97,8 @@
         self.response_head: ResponseHead | None = None
         self.response_body = bytearray()
         self.first_bytes_reported = False  # of the exchange
+        self.stall_checked = False  # the progress of the exchange's stream is checked
+        self.next_event_by = 0.0  # time by which the stream must have made progress
         self.last_data_at = request.received_at  # time of the last byte, or of sending the request
         self.written_at = request.received_at  # when the exchange's request was written
         self.ended = False
@@ -133,6 +136,8 @@
             await self._handle_timeout()
         elif self.exchange is not None and message.purpose == f"silence {self.exchange.number}":
             self._check_silence()
+        elif self.exchange is not None and message.purpose == f"stall {self.exchange.number}":
+            await self._check_stall()
 
     @receive.register
     async def _(self, message: RequestWritten) -> None:
@@ -205,7 +210,10 @@
     def _take_data(self, data: bytes) -> None:
         """Forward the events of a stream, or keep the bytes of another response."""
         if self._is_streaming():
+            events = self.response.stream.data_events
             self.response.send_events(self.response_head, data)
+            if self.response.stream.data_events > events:
+                self._await_next_event()
             return
         if len(self.response_body) + len(data) > MAX_RESPONSE_BYTES:
             raise EndpointError(f"the response exceeds {MAX_RESPONSE_BYTES} bytes")
@@ -213,6 +221,23 @@
             raise EndpointError("too many responses are being received")
         self.response_body += data
 
+    def _await_next_event(self) -> None:
+        """Restart the time in which the stream must make progress.
+
+        Only events count, since a stalled endpoint may send a byte or a comment now and then.
+        """
+        self.next_event_by = self.env.now + stall_seconds(self.route)
+        if not self.stall_checked:
+            self.stall_checked = True
+            self._schedule(stall_seconds(self.route), Tick(f"stall {self.exchange.number}"))
+
+    async def _check_stall(self) -> None:
+        if self.env.now < self.next_event_by:
+            left = self.next_event_by - self.env.now
+            self._schedule(left, Tick(f"stall {self.exchange.number}"))
+        elif self.route.resumable and self._has_endpoint_left():
+            await self._attempt_failed(AttemptOutcome.BROKEN, "the stream makes no progress")
+
     def _drop_body(self) -> None:
         self.context.response_bytes.release(len(self.response_body))
         self.response_body.clear()
@@ -302,7 +327,7 @@
             number, endpoint, prefill=prefill, fetches_kv_cache=fetches_kv_cache
         )
         self.response_head = None
-        self.first_bytes_reported = False
+        self.first_bytes_reported = self.stall_checked = False
         self.log.log_attempt(self.exchange, self.placement, sent)
         self.context.fleet.send(
             WorkSent(
--- a/chivewall/standins/platform_endpoint.py
+++ b/chivewall/standins/platform_endpoint.py
@@ -3,12 +3,14 @@
 import threading
 import time
 from collections.abc import Callable
+from contextlib import suppress
 
 from attrs import define, field
 
 from chivewall.standins.platform_store import QuietHandler, ThreadedServer
 
 ANSWER_STAMP = "stamp-1"  # shows that the endpoint itself responded
+TRICKLE_SECONDS = 0.1  # between the bytes of a stream that makes no progress
 HANG_SECONDS = 6.0  # longer than the longest timeout in tests, 3 s
 Behaviour = Callable[["EndpointHandler"], None]
 
@@ -210,6 +212,27 @@
         handler.wfile.write(b"0\r\n\r\n")
 
 
+def stall_stream(after: int) -> Behaviour:
+    """Return a behaviour that sends only comments and single bytes after event ``after``."""
+
+    def behave(handler: EndpointHandler) -> None:
+        handler.record_run()
+        handler.send_head(
+            200, ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")
+        )
+        for number in range(1, after + 1):
+            handler.send_chunk(b"id: %d\ndata: token %d\n\n" % (number, number))
+        deadline = time.monotonic() + HANG_SECONDS
+        with suppress(OSError):
+            while time.monotonic() < deadline:
+                handler.send_chunk(b": wait\n\n")
+                handler.send_chunk(b":")
+                time.sleep(TRICKLE_SECONDS)
+        handler.abort()
+
+    return behave
+
+
 def break_stream(after: int) -> Behaviour:
     """Return a behaviour that breaks the stream within the event that follows event ``after``."""
 
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -111,6 +111,34 @@
     assert site.send("POST", "/audit/1", content=b"{}").content == EVENTS
 
 
+def test_stalled_stream_resumes_at_another_engine(site):
+    """Guards against a stream that sends a byte or a comment now and then and never ends."""
+    stall_once = [behaviours.stall_stream(2)]
+    for one in ("i-1", "i-2"):
+        site.add(
+            PlatformEndpoint(one, "engines", stage="decode", event_count=5, behaviours=stall_once)
+        )
+    site.start()
+    content = site.send("POST", "/audit/1", content=b"{}").content
+    events = [one + b"\n\n" for one in content.split(b"\n\n") if one]
+    assert b"".join(one for one in events if not one.startswith(b":")) == EVENTS
+
+
+def test_slow_stream_is_kept(site):
+    """Guards against a slow but sound stream that is cut or run twice."""
+    engines = [
+        site.add(
+            PlatformEndpoint(
+                one, "engines", stage="decode", event_count=5, event_interval_seconds=0.5
+            )
+        )
+        for one in ("i-1", "i-2")
+    ]
+    site.start()
+    assert site.send("POST", "/audit/1", content=b"{}").content == EVENTS
+    assert sum(len(one.run_ids) for one in engines) == 1
+
+
 def test_broken_stream_that_may_not_be_resumed_is_cut(site):
     """Guards against an incomplete response that looks complete."""
     site.add(PlatformEndpoint("i-1", "engines", stage="decode", event_count=5)).behaviours = [
