--- a/chivewall/gateway/forwarded_request.py
+++ b/chivewall/gateway/forwarded_request.py
@@ -15,7 +15,6 @@
 from chivewall.decisions.overload import Overloaded
 from chivewall.decisions.placement import Placement, PromptState
 from chivewall.errors import DecodeError, EndpointError
-from chivewall.gateway.byte_budget import MAX_RESPONSE_BYTES
 from chivewall.gateway.caller_messages import CallerDisconnected
 from chivewall.gateway.caller_response import CallerResponse
 from chivewall.gateway.exchange import (
@@ -46,8 +45,9 @@
     WorkEnded,
     WorkSent,
 )
-from chivewall.gateway.http_dialect import CallerRequest, ForwardedFields, ResponseHead
+from chivewall.gateway.http_dialect import CallerRequest, ForwardedFields
 from chivewall.gateway.prefill_progress import PrefillProgress
+from chivewall.gateway.received_response import ReceivedResponse
 from chivewall.gateway.request_log import RequestLog
 from chivewall.gateway.routing_configuration import EndpointInfo, Route, RouteKind, Stage
 from chivewall.messages import Tick
@@ -94,8 +94,7 @@
         )
         self.exchange: Exchange | None = None
         self.placement: Placement | None = None
-        self.response_head: ResponseHead | None = None
-        self.response_body = bytearray()
+        self.received = ReceivedResponse(context.response_bytes)
         self.first_bytes_reported = False  # of the exchange
         self.stall_checked = False  # the progress of the exchange's stream is checked
         self.next_event_by = 0.0  # time by which the stream must have made progress
@@ -153,8 +152,7 @@
     @receive.register
     async def _(self, message: ResponseStarted) -> None:
         if self._is_current(message.exchange):
-            self.response_head = message.head
-            self._drop_body()
+            self.received.start(message.head)
 
     @receive.register
     async def _(self, message: ResponseData) -> None:
@@ -183,7 +181,7 @@
             await self._attempt_failed(AttemptOutcome.NOT_SENT, message.reason)
         elif self._refused_to_run():
             await self._attempt_failed(
-                AttemptOutcome.NOT_RUN, f"status {self.response_head.status}"
+                AttemptOutcome.NOT_RUN, f"status {self.received.head.status}"
             )
         else:
             await self._attempt_failed(AttemptOutcome.BROKEN, message.reason)
@@ -211,15 +209,11 @@
         """Forward the events of a stream, or keep the bytes of another response."""
         if self._is_streaming():
             events = self.response.stream.data_events
-            self.response.send_events(self.response_head, data)
+            self.response.send_events(self.received.head, data)
             if self.response.stream.data_events > events:
                 self._await_next_event()
             return
-        if len(self.response_body) + len(data) > MAX_RESPONSE_BYTES:
-            raise EndpointError(f"the response exceeds {MAX_RESPONSE_BYTES} bytes")
-        if not self.context.response_bytes.reserve(len(data)):
-            raise EndpointError("too many responses are being received")
-        self.response_body += data
+        self.received.append(data)
 
     def _await_next_event(self) -> None:
         """Restart the time in which the stream must make progress.
@@ -238,10 +232,6 @@
         elif self.route.resumable and self._has_endpoint_left():
             await self._attempt_failed(AttemptOutcome.BROKEN, "the stream makes no progress")
 
-    def _drop_body(self) -> None:
-        self.context.response_bytes.release(len(self.response_body))
-        self.response_body.clear()
-
     async def _find_placement(self, prompt: PromptState) -> Placement | Overloaded | None:
         allowed = None
         if len(self.history.tried_endpoints) >= self.route.attempts:
@@ -326,7 +316,7 @@
         self.exchange = Exchange(
             number, endpoint, prefill=prefill, fetches_kv_cache=fetches_kv_cache
         )
-        self.response_head = None
+        self.received.start(None)
         self.first_bytes_reported = self.stall_checked = False
         self.log.log_attempt(self.exchange, self.placement, sent)
         self.context.fleet.send(
@@ -355,14 +345,14 @@
             await self._handle_prefill_response()
         elif self._refused_to_run():
             await self._attempt_failed(
-                AttemptOutcome.NOT_RUN, f"status {self.response_head.status}"
+                AttemptOutcome.NOT_RUN, f"status {self.received.head.status}"
             )
-        elif (problem := response_problem(self.response_head)) is not None:
+        elif (problem := response_problem(self.received.head)) is not None:
             await self._attempt_failed(AttemptOutcome.BROKEN, problem)
-        elif self.response_head.status in SERVER_ERROR_STATUSES or (
+        elif self.received.head.status in SERVER_ERROR_STATUSES or (
             self.response.started and not self._is_streaming()
         ):
-            await self._attempt_failed(AttemptOutcome.FAILED, f"status {self.response_head.status}")
+            await self._attempt_failed(AttemptOutcome.FAILED, f"status {self.received.head.status}")
         else:
             self._complete_response()
 
@@ -370,10 +360,10 @@
         streaming = self._is_streaming()
         self._end_exchange("answered")
         if streaming:
-            self.response.finish_stream(self.response_head)
+            self.response.finish_stream(self.received.head)
         else:
-            self.response.send_response(self.response_head, bytes(self.response_body))
-        self._finish("answered", status=self.response_head.status)
+            self.response.send_response(self.received.head, self.received.body)
+        self._finish("answered", status=self.received.head.status)
 
     def _report_first_bytes(self, *, prefilled: bool) -> None:
         self.first_bytes_reported = True
@@ -382,7 +372,7 @@
                 endpoint=self.exchange.endpoint.id,
                 exchange=self.exchange.number,
                 seconds=self.env.now - self.written_at,
-                succeeded=self.response_head.status in SUCCESS_STATUSES,
+                succeeded=self.received.head.status in SUCCESS_STATUSES,
                 prefilled=prefilled,
             )
         )
@@ -390,21 +380,21 @@
     def _is_streaming(self) -> bool:
         return (
             self.route.kind is RouteKind.STREAM
-            and self.response_head is not None
-            and self.response_head.status in SUCCESS_STATUSES
+            and self.received.head is not None
+            and self.received.head.status in SUCCESS_STATUSES
             and not self.exchange.prefill
-            and response_problem(self.response_head) is None
+            and response_problem(self.received.head) is None
         )
 
     def _refused_to_run(self) -> bool:
-        return self.response_head is not None and self.response_head.fields.not_run
+        return self.received.head is not None and self.received.head.fields.not_run
 
     async def _handle_prefill_response(self) -> None:
-        if self.response_head.status not in SUCCESS_STATUSES:
-            await self._prefill_failed(f"status {self.response_head.status}")
+        if self.received.head.status not in SUCCESS_STATUSES:
+            await self._prefill_failed(f"status {self.received.head.status}")
             return
         try:
-            kept = self.context.dialect.decode_kv_handle(bytes(self.response_body))
+            kept = self.context.dialect.decode_kv_handle(self.received.body)
         except DecodeError as exc:
             await self._prefill_failed(str(exc))
             return
@@ -480,7 +470,7 @@
         if next_step is NextStep.CLOSE_CONNECTION:
             self.response.abort()
         elif next_step is NextStep.FORWARD:
-            self.response.send_response(self.response_head, bytes(self.response_body))
+            self.response.send_response(self.received.head, self.received.body)
         elif next_step is NextStep.REFUSE:
             self.response.refuse(ResultCode.NO_ENDPOINT, reason, retry_after)
         else:
@@ -518,7 +508,7 @@
 
     def _finish(self, outcome: str, **fields: object) -> None:
         self.ended = True
-        self._drop_body()
+        self.received.start(None)
         if (kept := self.prefill.release()) is not None:
             self.context.fleet.spawn(release_kv_cache(self.context, *kept))
         self.log.log_ended(
