Show the end of a gateway's log when it doesn't become ready

Twice a test failed with "within 20.0 s not seen: gateway is ready" and no log; one of these runs was beside edits of the sources that its processes read, so it shows nothing. A gateway that has ended fails the test at once, with the end of its log. 27 tests of test_gateway_process pass.

--- a/tests/utils/gateways.py
+++ b/tests/utils/gateways.py
@@ -14,7 +14,7 @@
 from chivewall.standins.platform_endpoint import PlatformEndpoint
 from chivewall.standins.platform_store import PlatformStore
 from chivewall.standins.template import instance_fields, render_settings
-from tests.utils.sites import free_port, wait_until
+from tests.utils.sites import SHOWN_LOG_LINES, free_port, wait_until
 
 ROOT = Path(__file__).parents[2]
 CALLER_HOST = "desk.example"
@@ -105,10 +105,19 @@
                 cwd=ROOT,
             )
         if wait_ready:
-            wait_until(self.is_ready, "gateway is ready")
+            try:
+                wait_until(self.is_ready, "gateway is ready")
+            except AssertionError as exc:
+                raise AssertionError(f"{exc}; its log ends with:\n{self.last_log_lines()}") from exc
         return self
 
+    def last_log_lines(self):
+        """Return the end of the log, which says why a gateway isn't ready."""
+        return "\n".join(self.log.read_text().splitlines()[-SHOWN_LOG_LINES:])
+
     def is_ready(self):
+        if self.process.poll() is not None:
+            raise AssertionError("the gateway has ended")
         answer = httpx.get(f"http://127.0.0.1:{self.ports['ready']}/readyz", timeout=2)
         return answer.status_code == 200
 
