Weight records of other gateways, and prefer a hashed engine by what it saves

Cause: of 68 gateways each gets the records of 40 others, so engines' loads were taken to be 0.6 of what they are.

Change: a record of another gateway stands for (gateways - 1) / 40 requests, at least one. The preference is at most the prefill time of the shared part.

--- a/chivewall/decisions/endpoint_record.py
+++ b/chivewall/decisions/endpoint_record.py
@@ -92,7 +92,8 @@
         """Record work that a gateway sent to the endpoint."""
         self.work.add(key, item, now)
         if self.info.stage is Stage.DECODE:
-            self.prefill_budget.add(item.reference_seconds * self.speed(now).scale, now)
+            work = item.reference_seconds * item.weight
+            self.prefill_budget.add(work * self.speed(now).scale, now)
 
     def record_prefilled(self, key: WorkKey, now: float) -> Throughput | None:
         """Record the end of a prefill; return the throughput if a measurement of it ends."""
--- a/chivewall/decisions/peers.py
+++ b/chivewall/decisions/peers.py
@@ -22,11 +22,19 @@
 PEER_TIMEOUT_SECONDS = 6.0
 GOSSIP_TIMEOUT_SECONDS = 12.0
 ADDRESSES_IN_HELLO = 40  # other gateways named in a hello, with the age of the news of them
-# A gateway sends its records to at most this many others; in a larger system, each gateway
-# knows only part of an endpoint's load.
+# A gateway sends its records to at most this many others. In a larger system, each gateway
+# estimates an endpoint's load from a part of it.
 MAX_PEERS = 40
 
 
+def record_weight(gateways: int) -> float:
+    """Return for how many requests a record of another gateway stands.
+
+    Of many gateways each gets the records of ``MAX_PEERS`` others, which stand for all others.
+    """
+    return max(1.0, (gateways - 1) / MAX_PEERS)
+
+
 @define
 class PeerTable:
     """Other gateways by address, with the latest time at which each was known to be live."""
--- a/chivewall/decisions/placement.py
+++ b/chivewall/decisions/placement.py
@@ -36,7 +36,9 @@
 ON_TIME_SHARE = 0.7
 MAX_RANK = 9  # the least urgent rank
 LATE_RANK_INCREASE = 3  # added to the rank of a request that misses its objective anyway
-# Extra cost accepted at the endpoint that the prefix hashes to, in seconds at the reference speed.
+# Largest extra cost accepted at the endpoint that the prefix hashes to, in seconds at the reference
+# speed. It is at most the time to prefill the shared part: gateways that send short shared parts
+# to one decode engine at the same moment hold up its streams.
 HASH_PREFERENCE_SECONDS = 0.15
 
 
@@ -177,8 +179,7 @@
 def _choose_decoder(
     fields: RequestFields, decoders: list[EndpointRecord], context: PlacementContext
 ) -> Placement:
-    waits = DecodeWaits(fields, decoders, context)
-    wait, best = waits.best(context.kv_data_centre)
+    wait, best = DecodeWaits(fields, decoders, context).best(context.kv_data_centre)
     return Placement(best.info, None, wait, 0, "shortest wait to decode", rank=context.rank)
 
 
@@ -190,9 +191,14 @@
 ) -> Placement:
     chain = prefix_chain(fields)
     shared = chain[max(0, len(chain) - 2)][0] if chain else None
+    saved_seconds = decoders[0].service_speeds.priors.prefill_seconds(
+        sum(tokens for _, tokens in chain[:-1]), cached=0
+    )
+    preference = min(HASH_PREFERENCE_SECONDS, saved_seconds)
     at_decoder = _cheapest(
         [_prefill_at_decoder(fields, chain, one, context) for one in decoders],
         _hash_preferred(shared, decoders),
+        preference,
     )
     if not prefill_engines:
         return at_decoder.placement(context)
@@ -200,6 +206,7 @@
     handed_over = _cheapest(
         [_prefill_and_hand_over(fields, chain, one, waits, context) for one in prefill_engines],
         _hash_preferred(shared, prefill_engines),
+        preference,
     )
     return min((handed_over, at_decoder), key=lambda one: one.cost).placement(context)
 
@@ -233,14 +240,19 @@
         )
 
 
-def _cheapest(options: list[PlacementOption], preferred: EndpointRecord | None) -> PlacementOption:
-    """Return the cheapest option; the endpoint that the prefix hashes to gets a bonus."""
+def _cheapest(
+    options: list[PlacementOption], preferred: EndpointRecord | None, preference: float
+) -> PlacementOption:
+    """Return the cheapest option; the endpoint that the prefix hashes to gets a bonus.
+
+    ``preference``: the bonus, in seconds at the reference speed.
+    """
 
     def cost(option: PlacementOption) -> float:
         if option.engine is not preferred:
             return option.cost
         scale = preferred.service_speeds.current.prefill_scale
-        return option.cost - HASH_PREFERENCE_SECONDS * scale
+        return option.cost - preference * scale
 
     return min(options, key=cost)
 
@@ -283,7 +295,7 @@
 ) -> PlacementOption:
     cached = state.cached_tokens(chain, context.now)
     reference = state.reference_prefill_seconds(fields.prompt_tokens, cached)
-    decode_wait, target = waits.best(state.info.data_centre)
+    decode_wait, decoder = waits.best(state.info.data_centre)
     speed = state.speed(context.now)
     seconds = (
         state.prefill_wait(context.now, context.rank)
@@ -296,7 +308,7 @@
     return PlacementOption(
         cost=_time_cost(seconds, context),
         engine=state,
-        decoder=target,
+        decoder=decoder,
         estimate=seconds,
         uncached_tokens=fields.prompt_tokens - cached,
         reference_seconds=reference,
@@ -310,6 +322,7 @@
         self, fields: RequestFields, decoders: list[EndpointRecord], context: PlacementContext
     ) -> None:
         self._fetch_seconds = fields.prompt_tokens * REMOTE_KV_TOKEN_SECONDS
+        # Wait, a random number that decides between equal engines, and the engine.
         self._best: dict[str, tuple[float, float, EndpointRecord]] = {}
         for one in decoders:
             prefill_wait = one.prefill_wait(context.now, context.rank)
--- a/chivewall/decisions/sent_work.py
+++ b/chivewall/decisions/sent_work.py
@@ -29,6 +29,8 @@
     reference_seconds: float
     rank: int  # rank it was sent with; 0 is the most urgent
     expires_at: float  # time when it is removed in case its end is never reported
+    # Requests that it stands for: more than one if only some gateways share their records.
+    weight: float = 1.0
 
 
 @frozen
@@ -83,6 +85,7 @@
     """
 
     _items: dict[WorkKey, WorkItem] = field(factory=dict, init=False)
+    _running: float = field(default=0.0, init=False)  # sum of the items' weights
     _queues: dict[int, PromptQueue] = field(factory=dict, init=False)  # by rank
     _arrivals: dict[int, ArrivalRate] = field(factory=dict, init=False)  # by rank
     _expiry_heap: list[tuple[float, WorkKey]] = field(factory=list, init=False)  # by expiry time
@@ -95,7 +98,7 @@
     @property
     def running(self) -> int:
         """Return the number of requests in flight, as of the last ``expire``."""
-        return len(self._items)
+        return round(self._running)
 
     @property
     def waiting_prompts(self) -> int:
@@ -104,15 +107,16 @@
 
     def add(self, key: WorkKey, item: WorkItem, now: float) -> None:
         """Record work that was sent."""
-        self._remove_waiting(key)
+        self._remove(key)
         self._items[key] = item
+        self._running += item.weight
         heapq.heappush(self._expiry_heap, (item.expires_at, key))
         if item.reference_seconds > 0:
+            work = item.reference_seconds * item.weight
             queue = self._queues.setdefault(item.rank, PromptQueue())
-            queue.prompts[key] = item.reference_seconds
-            queue.reference_seconds += item.reference_seconds
-            arrivals = self._arrivals.setdefault(item.rank, ArrivalRate())
-            arrivals.add(item.reference_seconds, now)
+            queue.prompts[key] = work
+            queue.reference_seconds += work
+            self._arrivals.setdefault(item.rank, ArrivalRate()).add(work, now)
             if self._current is None:
                 self._current, self._current_since = key, now
 
@@ -133,7 +137,7 @@
             self._busy_since = None
             if key == self._current:
                 self._start_next_prefill(now)
-        self._items.pop(key, None)
+        self._remove(key)
 
     def expire(self, now: float) -> None:
         """Remove work whose end should have been reported by now."""
@@ -174,6 +178,12 @@
         self._current = None if first is None else next(iter(first.prompts))
         self._current_since = now
 
+    def _remove(self, key: WorkKey) -> None:
+        self._remove_waiting(key)
+        item = self._items.pop(key, None)
+        if item is not None:
+            self._running = self._running - item.weight if self._items else 0.0
+
     def _remove_waiting(self, key: WorkKey) -> float | None:
         """Remove a prompt from its queue; return its reference seconds."""
         item = self._items.get(key)
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -8,6 +8,7 @@
     EndpointRecord,
     prefix_chain,
 )
+from chivewall.decisions.peers import record_weight
 from chivewall.decisions.placement import MAX_RANK, PlacementContext, choose
 from chivewall.decisions.repeat_budget import RepeatBudget
 from chivewall.decisions.sent_work import WorkItem, WorkKey
@@ -216,7 +217,12 @@
         if state is None:
             return
         key = (message.gateway_ip, work.number)
-        item = WorkItem(work.reference_seconds, work.rank, self.env.now + work.counted_seconds)
+        item = WorkItem(
+            reference_seconds=work.reference_seconds,
+            rank=work.rank,
+            expires_at=self.env.now + work.counted_seconds,
+            weight=record_weight(self.live_gateways),
+        )
         if work.reference_seconds > 0:
             self.speed_samples.record_peer_work(state, self.env.now)
         self._add_work(state, key, item, work.prefixes)
@@ -341,7 +347,8 @@
             return
         prefill_load = self.prefill_loads.setdefault(state.info.service, PrefillLoad())
         slowdown = 1.0 if state.info.stage is Stage.PREFILL else DECODE_PREFILL_FACTOR
-        prefill_load.add(item.reference_seconds * state.speed(now).scale / slowdown, now)
+        work = item.reference_seconds * item.weight
+        prefill_load.add(work * state.speed(now).scale / slowdown, now)
 
     def _record_prefilled(self, state: EndpointRecord, key: WorkKey) -> None:
         throughput = state.record_prefilled(key, self.env.now)
