--- a/bench/cost.py
+++ b/bench/cost.py
@@ -20,6 +20,7 @@
 from twisted.internet.task import deferLater
 
 from bench.memory import build_member, measure_memory
+from bench.placement_cost import placement_seconds
 from chivewall.daemon import Daemon, install_reactor
 from chivewall.decisions.membership import Fleet
 from chivewall.decisions.routing import choose
@@ -163,6 +164,8 @@
 def main() -> int:
     """Run all measurements, print them and write ``build/cost.json``."""
     routing = routing_seconds()
+    for engines, seconds in placement_seconds().items():
+        print(f"gateway's choice, {engines:3} engines: {seconds * 1e3:8.3f} ms")
     memory = measure_memory()
     reactor = install_reactor()
     from chivewall.plugins.builtin import embedded  # noqa: PLC0415 - needs the reactor
