--- a/bench/placement_cost.py
+++ b/bench/placement_cost.py
@@ -39,7 +39,7 @@
     started = time.process_time()
     for _ in range(CHOICES_PER_ROUND):
         if not isinstance(choose(PROMPT, engines, context), Placement):
-            raise RuntimeError("no engine was chosen, so the time can't be measured")
+            raise TypeError("no engine was chosen, so the time can't be measured")
     return (time.process_time() - started) / CHOICES_PER_ROUND
 
 
