Never refuse for overload what may have run or whose stream has begun

Cause, found by reading the change: the admission was asked for later attempts too, so in a burst a broken stream that could be resumed elsewhere was cut, and an endpoint's own error was replaced by a 502. An endless event after complete ones in the same read dropped these, which a resumed stream would have skipped. An endpoint that changes its service under the same id would have had no speeds.

Change: such requests are placed without an admission; events that were found are returned before the error is raised; a changed service is a new record.

Tests: test_request_that_may_have_run_is_not_refused_for_overload and test_events_before_an_endless_one_are_kept.

--- a/chivewall/decisions/event_stream.py
+++ b/chivewall/decisions/event_stream.py
@@ -40,7 +40,8 @@
             del self._buffer[: match.end()]
             if self._accept(event):
                 out.append(event)
-        if len(self._buffer) > MAX_EVENT_BYTES:
+        # Events that were found must not get lost; without any, the next call raises.
+        if len(self._buffer) > MAX_EVENT_BYTES and not out:
             raise EventTooLargeError(f"an event of the stream exceeds {MAX_EVENT_BYTES} bytes")
         return b"".join(out)
 
--- a/chivewall/decisions/placement.py
+++ b/chivewall/decisions/placement.py
@@ -67,6 +67,7 @@
     rank: int = 0  # of the request's route; 0 is the most urgent
     slack_seconds: float = math.inf  # seconds left to the route's objective
     time_left_seconds: float = math.inf  # seconds left to the request's deadline
+    committed: bool = False  # it may have run, or a part of its response was sent
     pause_seconds: float = 0.3  # longest pause between events that the route's objective allows
     kv_data_centre: str | None = None  # data centre of the engine that keeps the KV cache
 
@@ -110,6 +111,8 @@
 def _admitted(
     placement: Placement, context: PlacementContext, overtaken_seconds: float = 0.0
 ) -> Placement | Overloaded:
+    if context.committed:
+        return placement  # a refusal would not be true, or would cut its stream
     refused = admit(
         placement.estimate + overtaken_seconds,
         context.slack_seconds,
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -152,6 +152,7 @@
             rank=message.rank,
             slack_seconds=message.slack_seconds,
             time_left_seconds=message.time_left_seconds,
+            committed=message.committed,
             pause_seconds=message.pause_seconds,
             kv_data_centre=message.kv_data_centre,
         )
@@ -388,7 +389,11 @@
             self._remove_endpoint(item.name)
             return
         state = self.states.get(item.name)
-        if state is None or state.info.started_ms != info.started_ms:
+        if (
+            state is None
+            or state.info.started_ms != info.started_ms
+            or state.info.service != info.service
+        ):
             speeds = self.speeds.setdefault(info.service, ServiceSpeeds(self.cfg.speeds))
             self.states[item.name] = EndpointRecord(info, speeds)
         else:
--- a/chivewall/gateway/fleet_messages.py
+++ b/chivewall/gateway/fleet_messages.py
@@ -25,6 +25,7 @@
     rank: int = 0  # rank of the route; 0 is served first
     slack_seconds: float = math.inf  # seconds until the objective is missed
     time_left_seconds: float = math.inf  # seconds until the deadline
+    committed: bool = False  # it may have run, or a part of its response was sent
     pause_seconds: float = 0.3  # longest pause between events that the objective allows
     kv_data_centre: str | None = None  # data centre of the engine that keeps the KV cache
 
--- a/chivewall/gateway/forwarded_request.py
+++ b/chivewall/gateway/forwarded_request.py
@@ -250,6 +250,7 @@
                 rank=self.route.priority,
                 slack_seconds=self._slack_seconds(),
                 time_left_seconds=self.response_deadline - self.env.now,
+                committed=self.response.started or self.history.may_have_run,
                 pause_seconds=self.route.pause_ms / MS_PER_SECOND,
                 kv_data_centre=self.prefill.kv_data_centre,
             )
--- a/chivewall/gateway/gateway.py
+++ b/chivewall/gateway/gateway.py
@@ -143,9 +143,12 @@
         Beyond the limit, the connection that was blocked longest is cut.
         """
         self.unread_bytes += size
-        while self.unread_bytes > MAX_TOTAL_UNREAD_BYTES:
-            blocked = [one for one in self.connections if one.blocked_since is not None]
-            slowest = min(blocked, key=lambda one: one.blocked_since)
+        if self.unread_bytes <= MAX_TOTAL_UNREAD_BYTES:
+            return
+        blocked = (one for one in self.connections if one.blocked_since is not None)
+        for slowest in sorted(blocked, key=lambda one: one.blocked_since):
+            if self.unread_bytes <= MAX_TOTAL_UNREAD_BYTES:
+                return
             self.env.log.emit(
                 Event.SLOW_READER_CUT,
                 blocked_seconds=round(self.env.now - slowest.blocked_since, 3),
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from chivewall.decisions.event_stream import EventStream
+from chivewall.decisions.event_stream import MAX_EVENT_BYTES, EventStream
 from chivewall.decisions.forwarding import (
     AttemptHistory,
     AttemptOutcome,
@@ -18,6 +18,7 @@
 from chivewall.decisions.peers import PEER_TIMEOUT_SECONDS, PeerTable
 from chivewall.decisions.repeat_budget import RepeatBudget, RepeatBudgetPolicy
 from chivewall.decisions.route_table import RouteTable, choose_service
+from chivewall.errors import EventTooLargeError
 from chivewall.gateway.routing_configuration import (
     IngressLimits,
     Route,
@@ -168,6 +169,14 @@
         assert EventStream(last_id="1").feed(event) == event
         assert EventStream(last_id=last).feed(event) == b""
 
+    def test_events_before_an_endless_one_are_kept(self):
+        """Guards against events that are skipped when the stream is resumed elsewhere."""
+        stream = EventStream()
+        endless = b"x" * (MAX_EVENT_BYTES + 1)
+        assert stream.feed(encode_events(1, 2) + endless) == encode_events(1, 2)
+        with pytest.raises(EventTooLargeError):
+            stream.feed(b"x")
+
     def test_stream_begins_after_the_callers_last_event(self):
         """Guards against events that a caller gets again after it has resumed."""
         stream = EventStream(last_id="3")
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -9,7 +9,7 @@
 import random
 
 import pytest
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from chivewall.decisions.endpoint_record import EndpointRecord
 from chivewall.decisions.overload import LATE_SHARE, Overloaded, admit
@@ -207,6 +207,19 @@
         assert play.prefilled_in_vain <= 0.01 * len(play.outcomes)
 
 
+def test_request_that_may_have_run_is_not_refused_for_overload():
+    """Guards against a resumed stream that is cut, or a refusal that isn't true, in a burst."""
+    play = BurstPlay(slots=12, load=1.0)
+    for name, record in play.records.items():
+        record.add_work(("", name), WorkItem(5.0, rank=0, expires_at=9.0), 0.0)
+    context = PlacementContext(
+        data_centre="north", now=0.0, rng=play.rng, slack_seconds=0.4, time_left_seconds=2.0
+    )
+    fields, records = RequestFields(prompt_tokens=TOKENS), list(play.records.values())
+    assert isinstance(choose(fields, records, context), Overloaded)
+    assert isinstance(choose(fields, records, evolve(context, committed=True)), Placement)
+
+
 def test_late_request_is_admitted_if_its_turn_comes_well_before_its_deadline():
     """Guards against patient callers who are refused although they could be served."""
     rng = random.Random(1)
