Keep estimates sound when work numbers are used again and endpoints fail

Cause, found by reading the change: a gateway that restarts numbers its work from 1, so that its record could replace one whose prompt was in prefill; the next estimate then raised KeyError, and no request of the service was placed. The cost of a failing endpoint counted as waiting time, so that requests were refused for overload while the endpoints were idle.

Change: a record that is replaced ends first; the admission leaves the cost of failures out; seconds in a datagram are at most 1,000.

--- a/chivewall/decisions/placement.py
+++ b/chivewall/decisions/placement.py
@@ -95,7 +95,7 @@
         return None
     if all(one.info.stage is Stage.NONE for one in usable):
         placement = _choose_service_endpoint(usable, context)
-        return _admitted(placement, context)
+        return _admitted(placement, usable, context)
     placement = _choose_at_rank(fields, usable, context, prompt)
     if placement is None or prompt is PromptState.PREFILLED:
         return placement  # once its prompt is prefilled, a request is finished soon
@@ -104,17 +104,25 @@
         late_rank = min(MAX_RANK, context.rank + LATE_RANK_INCREASE)
         late = evolve(context, rank=late_rank)
         placement = _choose_at_rank(fields, usable, late, prompt)
-        return _admitted(placement, late, _overtaken_seconds(placement, usable, late))
-    return _admitted(placement, context)
+        return _admitted(placement, usable, late, _overtaken_seconds(placement, usable, late))
+    return _admitted(placement, usable, context)
 
 
 def _admitted(
-    placement: Placement, context: PlacementContext, overtaken_seconds: float = 0.0
+    placement: Placement,
+    usable: list[EndpointRecord],
+    context: PlacementContext,
+    overtaken_seconds: float = 0.0,
 ) -> Placement | Overloaded:
     if context.committed:
         return placement  # a refusal would not be true, or would cut its stream
+    chosen = (placement.endpoint, placement.prefill_engine)
+    # Failures make an endpoint less attractive, but callers don't wait for them.
+    failure_seconds = FAILURE_SECONDS * sum(
+        one.current_failure_share(context.now) for one in usable if one.info in chosen
+    )
     refused = admit(
-        placement.estimate + overtaken_seconds,
+        placement.estimate - failure_seconds + overtaken_seconds,
         context.slack_seconds,
         context.time_left_seconds,
         context.rng,
--- a/chivewall/decisions/sent_work.py
+++ b/chivewall/decisions/sent_work.py
@@ -106,8 +106,8 @@
         return sum(len(one.prompts) for one in self._queues.values())
 
     def add(self, key: WorkKey, item: WorkItem, now: float) -> None:
-        """Record work that was sent."""
-        self._remove(key)
+        """Record work that was sent; a gateway that restarts uses its numbers again."""
+        self.record_ended(key, now)
         self._items[key] = item
         self._running += item.weight
         heapq.heappush(self._expiry_heap, (item.expires_at, key))
--- a/chivewall/gateway/peer_codec.py
+++ b/chivewall/gateway/peer_codec.py
@@ -10,7 +10,7 @@
 
 VERSION = 4
 MAX_DATAGRAM_BYTES = 1_200  # a larger datagram could be fragmented on the way
-MAX_SPEED_SECONDS = 1000.0  # a larger time is an error of the sender
+MAX_SECONDS = 1000.0  # a larger time is an error of the sender
 EMPTY_DATAGRAM_BYTES = 23  # size of a datagram without items
 
 
@@ -91,8 +91,8 @@
     return SharedWork(
         number=int(number),
         endpoint=str(endpoint),
-        reference_seconds=max(0.0, float(reference_seconds)),
-        counted_seconds=max(0.0, float(counted_seconds)),
+        reference_seconds=_bounded_seconds(reference_seconds),
+        counted_seconds=_bounded_seconds(counted_seconds),
         rank=int(rank),
         prefixes=tuple(str(one) for one in prefixes),
     )
@@ -106,13 +106,17 @@
 
 def _decode_speed(service: str, *numbers: float) -> tuple[str, ServiceSpeed]:
     checked = [float(one) for one in numbers]
-    if not all(0 <= one <= MAX_SPEED_SECONDS for one in checked):
+    if not all(0 <= one <= MAX_SECONDS for one in checked):
         raise ValueError("a speed is out of range")
     lines = [Line(*checked[place : place + 2]) for place in (0, 2, 4)]
     (call_seconds,) = checked[6:]
     return str(service), ServiceSpeed(*lines, call_seconds)
 
 
+def _bounded_seconds(value: float) -> float:
+    return min(MAX_SECONDS, max(0.0, float(value)))
+
+
 def batches(items: Iterable[SharedWork | WorkProgress]) -> Iterator[PeerMessage]:
     """Pack items in order into messages that each fit into one datagram."""
     work: list[SharedWork] = []
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -68,6 +68,14 @@
         assert choose(RequestFields(), states, make_context(100.5)).endpoint.id == "b"
         assert choose(RequestFields(), states, make_context(102.0)).endpoint.id == "a"
 
+    def test_failing_endpoint_is_not_taken_for_a_busy_one(self):
+        """Guards against refusals for overload while the endpoints are idle, but fail."""
+        states = [make_state("a")]
+        for _ in range(20):
+            states[0].record_failure(100.0)
+        context = make_context(slack_seconds=0.2, time_left_seconds=0.8)
+        assert choose(RequestFields(), states, context).endpoint.id == "a"
+
     def test_failing_endpoint_gets_less_work(self):
         """Guards against a failing endpoint that gets as much work as a healthy one."""
         states = [make_state("a"), make_state("b", data_centre="south")]
--- a/tests/test_sent_work.py
+++ b/tests/test_sent_work.py
@@ -77,6 +77,19 @@
     assert work.running == 0
 
 
+def test_number_that_is_used_again_replaces_the_prompt():
+    """Guards against an estimate that fails, or counts an overdue prefill for ever.
+
+    A gateway that restarts numbers its work from the beginning.
+    """
+    work = make_work((0.5, 0))
+    work.add(("", 0), WorkItem(0.0, rank=0, expires_at=NEVER_EXPIRES), 100.1)
+    assert work.prefill_wait(103.0, rank=0, speed=SPEED) == 0
+    work.record_ended(("", 0), 103.0)
+    assert work.prefill_wait(103.0, rank=0, speed=SPEED) == 0
+    assert work.running == 0
+
+
 def test_work_without_a_reported_end_expires():
     """Guards against work that counts for ever because the message of its end was lost."""
     work = SentWork()
