Log prompt parts, begun response and events of a failed attempt

CALL_ATTEMPT_FAILED now has prompt_parts (at most 8 ids), begun and events. Decisions are unchanged.

--- a/chivewall/gateway/exchange.py
+++ b/chivewall/gateway/exchange.py
@@ -41,6 +41,7 @@
     endpoint: EndpointInfo
     prefill: bool  # asks the engine only to compute and keep the KV cache of the prompt
     fetches_kv_cache: bool  # asks the engine to fetch the KV cache from a prefill engine
+    events_before: int = 0  # events that the caller had received when the exchange began
 
 
 @frozen
--- a/chivewall/gateway/forwarded_request.py
+++ b/chivewall/gateway/forwarded_request.py
@@ -315,7 +315,11 @@
         number = self.context.connections.next_exchange()
         fetches_kv_cache = sent.kv_source is not None
         self.exchange = Exchange(
-            number, endpoint, prefill=prefill, fetches_kv_cache=fetches_kv_cache
+            number,
+            endpoint,
+            prefill=prefill,
+            fetches_kv_cache=fetches_kv_cache,
+            events_before=self.response.stream.data_events,
         )
         self.received.start(None)
         self.first_bytes_reported = self.stall_checked = False
@@ -414,8 +418,8 @@
 
     async def _prefill_failed(self, reason: str, *, missed: bool = False) -> None:
         failed = self.exchange.endpoint
-        self.log.log_attempt_failed(
-            self.exchange, AttemptOutcome.NOT_SENT if missed else AttemptOutcome.NOT_RUN, reason
+        self._log_attempt_failed(
+            AttemptOutcome.NOT_SENT if missed else AttemptOutcome.NOT_RUN, reason
         )
         refused = not missed and self._refused_to_run()
         self._end_exchange("missed" if missed else "refused" if refused else "failed")
@@ -430,7 +434,7 @@
         self, outcome: AttemptOutcome, reason: str, work_outcome: str | None = None
     ) -> None:
         self.history.record_failure(outcome)
-        self.log.log_attempt_failed(self.exchange, outcome, reason)
+        self._log_attempt_failed(outcome, reason)
         fetches_kv_cache = self.exchange is not None and self.exchange.fetches_kv_cache
         if self.exchange is not None:
             if outcome is AttemptOutcome.NOT_RUN and fetches_kv_cache:
@@ -448,6 +452,21 @@
         else:
             await self._give_up(outcome, reason)
 
+    def _log_attempt_failed(self, outcome: AttemptOutcome, reason: str) -> None:
+        self.log.log_attempt_failed(
+            self.exchange,
+            outcome,
+            reason,
+            begun=self.received.head is not None,
+            events=self._exchange_events(),
+        )
+
+    def _exchange_events(self) -> int:
+        """Return how many events the current exchange has brought."""
+        if self.exchange is None:
+            return 0
+        return self.response.stream.data_events - self.exchange.events_before
+
     def _check_silence(self) -> None:
         """Test the endpoint's reachability if it has sent no bytes for a while."""
         if self.env.now - self.last_data_at >= SILENCE_SECONDS:
--- a/chivewall/gateway/request_log.py
+++ b/chivewall/gateway/request_log.py
@@ -11,6 +11,8 @@
 from chivewall.gateway.http_dialect import CallerRequest, ForwardedFields
 from chivewall.gateway.routing_configuration import Route
 
+MAX_LOGGED_PARTS = 8  # prompt parts named in one line
+
 
 @frozen
 class RequestLog:
@@ -36,15 +38,27 @@
         )
 
     def log_attempt_failed(
-        self, exchange: Exchange | None, outcome: AttemptOutcome, reason: str
+        self,
+        exchange: Exchange | None,
+        outcome: AttemptOutcome,
+        reason: str,
+        *,
+        begun: bool,
+        events: int,
     ) -> None:
-        """Log why an attempt failed."""
+        """Log why an attempt failed.
+
+        ``begun``: the head of its response was received; ``events``: events that it brought.
+        """
         self.env.log.emit(
             Event.CALL_ATTEMPT_FAILED,
             request=self.request.fields.request_id,
             endpoint=None if exchange is None else exchange.endpoint.id,
             outcome=outcome.value,
             reason=reason,
+            begun=begun,
+            events=events,
+            prompt_parts=[one.id for one in self.request.fields.prompt_parts[:MAX_LOGGED_PARTS]],
         )
 
     def log_ended(
