Show that a deadly prompt part crashes engine after engine

The stand-in engine now crashes as the users describe it: it begins the response, closes all connections, refuses new ones and is back after a time.

--- a/chivewall/standins/platform_endpoint.py
+++ b/chivewall/standins/platform_endpoint.py
@@ -35,6 +35,10 @@
     received_headers: list[dict[str, str]] = field(factory=list)  # one for each request
     received_bodies: list[bytes] = field(factory=list)  # one for each request
     event_interval_seconds: float = 0.0  # pause after each event
+    deadly_parts: frozenset[str] = frozenset()  # prompt parts whose requests crash the endpoint
+    down_seconds: float = 1.5  # time from a crash to the restart
+    crash_count: int = 0
+    _server: ThreadedServer | None = field(default=None, init=False)
     _lock: threading.Lock = field(factory=threading.Lock, init=False)
 
     def store_document(self, address: tuple[str, int], state: str = "ready") -> dict:
@@ -61,7 +65,8 @@
         class Handler(EndpointHandler):
             endpoint = platform_endpoint
 
-        return ThreadedServer(Handler)
+        self._server = ThreadedServer(Handler)
+        return self._server
 
     def serve_request(self, handler: "EndpointHandler") -> None:
         """Record a request and apply the next behaviour to it."""
@@ -70,8 +75,16 @@
                 {name.lower(): value for name, value in handler.headers.items()}
             )
             behaviour = self.behaviours.pop(0) if self.behaviours else answer
+        if handler.prompt_part_ids() & self.deadly_parts and not handler.prefill_only():
+            behaviour = crash
         behaviour(handler)
 
+    def crash(self) -> None:
+        """End as a crashed process does, and start again after ``down_seconds``."""
+        with self._lock:
+            self.crash_count += 1
+        self._server.crash(self.down_seconds)
+
 
 class EndpointHandler(QuietHandler):
     """Handles the requests of one connection to a simulated endpoint."""
@@ -91,9 +104,18 @@
         """Return the request's id, or an empty string."""
         return self.headers.get("X-Request-Id", "")
 
+    def prefill_only(self) -> bool:
+        """Return whether the prompt is to be prefilled only."""
+        return self.headers.get("X-Stage") == "prefill"
+
+    def prompt_part_ids(self) -> set[str]:
+        """Return the ids of the prompt's parts."""
+        parts = self.headers.get("X-Prompt-Prefix", "")
+        return {one.partition(":")[0] for one in parts.split(",") if one}
+
     def record_run(self) -> None:
         """Record a run; prefill alone doesn't count as one."""
-        if self.headers.get("X-Stage") != "prefill":
+        if not self.prefill_only():
             self.endpoint.run_ids.append(self.request_id)
 
     def expects_another_endpoint(self) -> bool:
@@ -132,7 +154,7 @@
     endpoint = handler.endpoint
     if handler.expects_another_endpoint():
         refuse(handler, status=421)
-    elif handler.headers.get("X-Stage") == "prefill":
+    elif handler.prefill_only():
         handler.send_plain(200, b'{"handle":"h1","tokens":10,"version":1}', stamped=False)
     else:
         handler.record_run()
@@ -163,6 +185,14 @@
     handler.abort()
 
 
+def crash(handler: EndpointHandler) -> None:
+    """Begin the response of a stream, and crash before its first event."""
+    handler.record_run()
+    handler.send_head(200, ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked"))
+    handler.endpoint.crash()
+    handler.abort()
+
+
 def hang(handler: EndpointHandler) -> None:
     """Run the request and send nothing for longer than any caller waits."""
     handler.record_run()
--- a/chivewall/standins/platform_store.py
+++ b/chivewall/standins/platform_store.py
@@ -1,8 +1,10 @@
 """Simulated store of the users' platform: objects by kind over HTTP, served in a thread."""
 
 import json
+import socket
 import threading
 import time
+from contextlib import suppress
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
@@ -107,6 +109,29 @@
 class QuietServer(ThreadingHTTPServer):
     """HTTP server that logs nothing when a peer resets its connection."""
 
+    daemon_threads = True
+
+    def __init__(self, address: tuple[str, int], handler: type[BaseHTTPRequestHandler]) -> None:
+        super().__init__(address, handler)
+        self._connections: set[socket.socket] = set()
+
+    def get_request(self) -> tuple[socket.socket, Any]:
+        """Accept a connection and remember it."""
+        connection, address = super().get_request()
+        self._connections.add(connection)
+        return connection, address
+
+    def close_request(self, request: socket.socket) -> None:
+        """Close a connection."""
+        self._connections.discard(request)
+        super().close_request(request)
+
+    def close_connections(self) -> None:
+        """Shut all open connections down, as the end of the process would."""
+        for connection in list(self._connections):
+            with suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+
     def handle_error(self, request: object, client_address: object) -> None:
         """Ignore the error."""
 
@@ -116,18 +141,33 @@
     """Context manager that runs an HTTP server in a thread and returns its address."""
 
     handler: type[BaseHTTPRequestHandler]
-    server: ThreadingHTTPServer | None = None
+    server: QuietServer | None = None
+    _restart: threading.Timer | None = field(default=None, init=False)
 
     def __enter__(self) -> tuple[str, int]:
-        self.server = QuietServer(("127.0.0.1", 0), self.handler)
-        self.server.daemon_threads = True
-        threading.Thread(target=self.server.serve_forever, args=(0.02,), daemon=True).start()
+        self._serve(("127.0.0.1", 0))
         return self.server.server_address
 
     def __exit__(self, *_: object) -> None:
+        if self._restart is not None:
+            self._restart.cancel()
+            self._restart.join()
         self.server.shutdown()
         self.server.server_close()
 
+    def crash(self, down_seconds: float) -> None:
+        """Refuse and close all connections, and serve again after ``down_seconds``."""
+        address = self.server.server_address
+        self.server.shutdown()
+        self.server.server_close()
+        self.server.close_connections()
+        self._restart = threading.Timer(down_seconds, self._serve, (address,))
+        self._restart.start()
+
+    def _serve(self, address: tuple[str, int]) -> None:
+        self.server = QuietServer(address, self.handler)
+        threading.Thread(target=self.server.serve_forever, args=(0.02,), daemon=True).start()
+
 
 class QuietHandler(BaseHTTPRequestHandler):
     """HTTP/1.1 request handler without a log."""
