Stop a deadly prompt part after its second crash

Change: a new task, PartGuard, holds the evidence of a gateway and shares it in datagrams; a request asks it before each attempt, is withdrawn from an engine when a part of it falls under suspicion on the way, and is refused (code 2013) once a part is blocked. A broken attempt without an event counts as a crash only if the engine then refuses connections, so spoiled answers, resets and partitions are no evidence. A trial waits while it would risk the last sound decode engine. Other gateways learn of a crashed engine with the evidence.

--- a/chivewall/decisions/endpoint_record.py
+++ b/chivewall/decisions/endpoint_record.py
@@ -68,6 +68,16 @@
         """Return whether it is a prefill engine."""
         return self.info.stage is Stage.PREFILL
 
+    def can_answer(self, now: float) -> bool:
+        """Return whether it is an engine that answers requests and is sound as far as is known."""
+        return (
+            self.info.stage is Stage.DECODE
+            and not self.info.draining
+            and self.unlisted_at is None
+            and self.failed_connections == 0
+            and self.cooldown_until <= now
+        )
+
     def speed(self, now: float) -> EngineSpeed:
         """Return how fast it prefills."""
         service = self.service_speeds.current
--- a/chivewall/decisions/peers.py
+++ b/chivewall/decisions/peers.py
@@ -56,6 +56,10 @@
             if one != self.own_address and 0 <= age < GOSSIP_TIMEOUT_SECONDS:
                 self._live_at[one] = max(self._live_at.get(one, 0.0), now - age)
 
+    def is_known(self, address: str) -> bool:
+        """Return whether a gateway was known to be live before."""
+        return address in self._live_at
+
     def sharing_targets(self, now: float) -> list[str]:
         """Return the live gateways to which this one sends its records.
 
--- a/chivewall/events.py
+++ b/chivewall/events.py
@@ -77,6 +77,10 @@
 
     KV_CACHE_LEFT = (709, "info", "unused KV cache could not be freed")
     SLOW_READER_CUT = (711, "warning", "connection cut: its caller reads too slowly")
+    ENGINE_CRASHED = (712, "warning", "engine crashed while a call was starting at it")
+    PROMPT_PART_CHECKED = (713, "info", "call with a suspected prompt part checked")
+    PROMPT_PART_BLOCKED = (714, "warning", "prompt part blocked: it crashes engines")
+    PROMPT_PART_CLEARED = (715, "info", "prompt part no longer suspected")
     SPEED_LEARNED = (710, "info", "learned speeds of a service changed")
     PEER_UNREACHABLE = (708, "warning", "datagram to another gateway not sent")
 
--- a/chivewall/gateway/channels.py
+++ b/chivewall/gateway/channels.py
@@ -4,6 +4,7 @@
 from functools import singledispatchmethod
 
 from attrs import field, frozen
+from twisted.internet import error
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.protocol import Factory
@@ -19,6 +20,7 @@
     ExchangeMessage,
     OutgoingRequest,
     ProbeAddress,
+    Reachability,
     ResponseData,
     ResponseEnded,
     ResponseStarted,
@@ -63,6 +65,7 @@
 
     address: Address
     connection: OutgoingConnection | None
+    reachability: Reachability
 
 
 @frozen
@@ -199,10 +202,11 @@
     @receive.register
     async def _(self, message: ProbeAddress) -> None:
         if (
-            self.env.now - self._last_data_at.get(message.address, -REACHABLE_SECONDS)
+            not message.connect
+            and self.env.now - self._last_data_at.get(message.address, -REACHABLE_SECONDS)
             < REACHABLE_SECONDS
         ):
-            message.reply(True)
+            message.reply(Reachability.REACHABLE)
             return
         waiting = self._probes.setdefault(message.address, [])
         waiting.append(message)
@@ -212,7 +216,7 @@
     @receive.register
     async def _(self, message: AddressProbed) -> None:
         for query in self._probes.pop(message.address, []):
-            query.reply(message.connection is not None)
+            query.reply(message.reachability)
         if message.connection is not None:
             self._open.add(message.connection)
             self._last_data_at[message.address] = self.env.now
@@ -256,8 +260,10 @@
         endpoint = TCP4ClientEndpoint(self.env.reactor, host, port, timeout=PROBE_TIMEOUT_SECONDS)
         attempt = endpoint.connect(OutgoingConnectionFactory(self._new_connection(address)))
         attempt.addCallbacks(
-            lambda connection: self.send(AddressProbed(address, connection)),
-            lambda _: self.send(AddressProbed(address, None)),
+            lambda connection: self.send(
+                AddressProbed(address, connection, Reachability.REACHABLE)
+            ),
+            lambda failure: self.send(AddressProbed(address, None, _reachability(failure))),
         )
 
     def _connect_failed(self, request: OutgoingRequest, failure: Failure) -> None:
@@ -295,6 +301,12 @@
             kept.remove(connection)
 
 
+def _reachability(failure: Failure) -> Reachability:
+    return (
+        Reachability.REFUSED if failure.check(error.ConnectionRefusedError) else Reachability.SILENT
+    )
+
+
 class OutgoingConnectionFactory(Factory):
     """Hands a prepared protocol to Twisted once its connection is open."""
 
--- a/chivewall/gateway/exchange_messages.py
+++ b/chivewall/gateway/exchange_messages.py
@@ -1,5 +1,7 @@
 """Messages between the task that owns outgoing connections and those that use it."""
 
+from enum import Enum
+
 from attrs import define, field, frozen
 
 from chivewall.addresses import Address
@@ -37,15 +39,24 @@
     exchange: int
 
 
+class Reachability(Enum):
+    """The outcome of an attempt to reach an address."""
+
+    REACHABLE = "reachable"
+    REFUSED = "refused"  # the instance is up, but nothing listens: the process has ended
+    SILENT = "silent"
+
+
 @define(eq=False)
 class ProbeAddress(Query):
-    """Ask whether an address is reachable; the reply is a ``bool``.
+    """Ask whether an address is reachable; the reply is a ``Reachability``.
 
-    The reply is immediate if bytes were received from the address a moment ago;
-    otherwise a connection is opened, and kept for the next request.
+    The reply is immediate if bytes were received from the address a moment ago, unless
+    ``connect`` is set; otherwise a connection is opened, and kept for the next request.
     """
 
     address: Address
+    connect: bool = False  # bytes received before don't count
 
 
 @frozen
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -18,6 +18,8 @@
 from chivewall.environment import Environment
 from chivewall.events import Event
 from chivewall.gateway.fleet_messages import (
+    CountSoundEngines,
+    EndpointCrashed,
     EngineCooldown,
     EngineLoads,
     FindPlacement,
@@ -277,12 +279,7 @@
         elif message.outcome == "refused" and state.info.stage is not Stage.NONE:
             self.send(EngineCooldown(message.endpoint, state.record_refusal()))
         elif message.outcome == "missed":
-            state.record_failed_connection(self.env.now)
-            self.env.log.emit(
-                Event.ENDPOINT_AVOIDED,
-                endpoint=message.endpoint,
-                seconds=round(state.avoid_until - self.env.now, 3),
-            )
+            self._avoid(state)
 
     @receive.register
     async def _(self, message: KvCacheLost) -> None:
@@ -290,6 +287,17 @@
         if state is not None:
             state.record_failure(self.env.now)
 
+    @receive.register
+    async def _(self, message: EndpointCrashed) -> None:
+        state = self.states.get(message.endpoint)
+        if state is not None and (state.info.started_ms or 0) == message.started_ms:
+            self._avoid(state)
+
+    @receive.register
+    async def _(self, message: CountSoundEngines) -> None:
+        states = [one for one in self.states.values() if one.info.service == message.service]
+        message.reply(sum(one.can_answer(self.env.now) for one in states))
+
     @receive.register
     async def _(self, message: EngineCooldown) -> None:
         self._set_cooldown(message.endpoint, message.seconds)
@@ -333,6 +341,14 @@
         load = prefill_load.sample(engines, min(waits, default=0.0), now)
         return ServiceLoad(service, load, {one.info.id: one.info for one in states})
 
+    def _avoid(self, state: EndpointRecord) -> None:
+        state.record_failed_connection(self.env.now)
+        self.env.log.emit(
+            Event.ENDPOINT_AVOIDED,
+            endpoint=state.info.id,
+            seconds=round(state.avoid_until - self.env.now, 3),
+        )
+
     def _set_cooldown(self, endpoint: str, seconds: float) -> None:
         state = self.states.get(endpoint)
         if state is not None:
--- a/chivewall/gateway/fleet_messages.py
+++ b/chivewall/gateway/fleet_messages.py
@@ -123,6 +123,21 @@
     outcome: str
 
 
+@frozen
+class EndpointCrashed:
+    """An endpoint refuses connections since its process has ended."""
+
+    endpoint: str
+    started_ms: int  # start of the process that has ended, as Unix time in ms; 0 if unknown
+
+
+@define(eq=False)
+class CountSoundEngines(Query):
+    """Ask how many engines of a service can answer now; the reply is an ``int``."""
+
+    service: str
+
+
 @frozen
 class KvCacheLost:
     """An engine no longer had a KV cache that it had promised to keep."""
--- a/chivewall/gateway/forwarded_request.py
+++ b/chivewall/gateway/forwarded_request.py
@@ -2,6 +2,7 @@
 
 from functools import singledispatchmethod
 
+from chivewall.decisions.crash_evidence import Verdict
 from chivewall.decisions.event_stream import EventStream
 from chivewall.decisions.forwarding import (
     AttemptHistory,
@@ -30,6 +31,7 @@
     CancelExchange,
     ExchangeFailed,
     ProbeAddress,
+    Reachability,
     RequestWritten,
     ResponseData,
     ResponseEnded,
@@ -45,7 +47,10 @@
     WorkEnded,
     WorkSent,
 )
+from chivewall.gateway.guarded_prompt import GuardedPrompt
 from chivewall.gateway.http_dialect import CallerRequest, ForwardedFields
+from chivewall.gateway.part_guard import part_keys
+from chivewall.gateway.part_messages import PartsSuspected
 from chivewall.gateway.prefill_progress import PrefillProgress
 from chivewall.gateway.received_response import ReceivedResponse
 from chivewall.gateway.request_log import RequestLog
@@ -57,6 +62,7 @@
 MS_PER_SECOND = 1000.0
 RESPONSE_MARGIN_SECONDS = 0.03  # the gateway's own error is sent this long before the deadline
 SILENCE_SECONDS = 0.5  # time without a byte after which the endpoint's reachability is tested
+TRIAL_CHECK_SECONDS = 0.1  # interval between checks for the outcome of another request's trial
 SUCCESS_STATUSES = range(200, 300)
 SERVER_ERROR_STATUSES = range(500, 600)
 
@@ -105,6 +111,12 @@
         # Exchanges that reached an endpoint, except a first prefill.
         self.arrivals = 0
         self.prefill = PrefillProgress()
+        self.prompt = GuardedPrompt(
+            guard=context.guard,
+            keys=part_keys(service, request.fields),
+            sender=self.inbox,
+            request_id=request.fields.request_id,
+        )
         self._timers: list = []
 
     def start(self) -> None:
@@ -131,6 +143,8 @@
             return
         if message.purpose == "place":
             await self._place()
+        elif message.purpose == "decode":
+            await self._decode()
         elif message.purpose == "answer_by":
             await self._handle_timeout()
         elif self.exchange is not None and message.purpose == f"silence {self.exchange.number}":
@@ -199,6 +213,13 @@
                 AttemptOutcome.BROKEN, "endpoint is not reachable", work_outcome="missed"
             )
 
+    @receive.register
+    async def _(self, message: PartsSuspected) -> None:
+        if self._may_withdraw():
+            check = await self.prompt.check()
+            if check.verdict in (Verdict.WAIT, Verdict.REFUSE):
+                self._withdraw()
+
     @receive.register
     async def _(self, message: CallerDisconnected) -> None:
         if not self.ended:
@@ -211,6 +232,8 @@
             events = self.response.stream.data_events
             self.response.send_events(self.received.head, data)
             if self.response.stream.data_events > events:
+                if events == self.exchange.events_before:
+                    self.prompt.record_served()
                 self._await_next_event()
             return
         self.received.append(data)
@@ -256,7 +279,27 @@
             )
         )
 
+    async def _may_send(self, step: str) -> bool:
+        """Return whether the parts of the prompt allow an attempt now.
+
+        If not, the request has ended, or its ``step`` is taken again soon.
+        """
+        check = await self.prompt.check()
+        if check.verdict is Verdict.WAIT:
+            self._schedule(TRIAL_CHECK_SECONDS, Tick(step))
+        elif check.verdict is Verdict.REFUSE:
+            names = ", ".join(one.part for one in check.suspects)
+            await self._give_up(
+                AttemptOutcome.NOT_RUN,
+                f"engines crashed on a part of the prompt: {names}",
+                code=ResultCode.PROMPT_PART_BLOCKED,
+                retry_after=check.until - self.env.now,
+            )
+        return check.verdict in (Verdict.PASS, Verdict.TRIAL)
+
     async def _place(self) -> None:
+        if not await self._may_send("place"):
+            return
         prefilled_before = self.prefill.reached > 0
         attempts_left = self.route.attempts - len(self.history.tried_endpoints)
         placement = await self._find_placement(self.prefill.next_prompt(attempts_left))
@@ -407,13 +450,21 @@
         self.prefill.record_prefilled(source, kept.handle, self.env.now)
         self._report_first_bytes(prefilled=True)
         self._end_exchange("answered")
+        await self._decode()
+
+    async def _decode(self) -> None:
+        """Send the request to the engine that decodes it, with the KV cache of its prefill."""
+        if not await self._may_send("decode"):
+            return
         # The prefill may have waited for seconds; the chosen decode engine may be leaving by now.
         placement = await self._find_placement(PromptState.PREFILLED)
         if placement is None:
             await self._attempt_failed(AttemptOutcome.NO_ENDPOINT, "no engine can decode")
             return
         self.placement = placement
-        kv_source = self.context.dialect.kv_source(source.address, kept.handle)
+        kv_source = self.context.dialect.kv_source(
+            self.prefill.kv_source.address, self.prefill.kv_handle
+        )
         await self._send_request(placement.endpoint, kv_source=kv_source)
 
     async def _prefill_failed(self, reason: str, *, missed: bool = False) -> None:
@@ -435,6 +486,8 @@
     ) -> None:
         self.history.record_failure(outcome)
         self._log_attempt_failed(outcome, reason)
+        if outcome is AttemptOutcome.BROKEN and work_outcome is None:
+            await self._report_crash()
         fetches_kv_cache = self.exchange is not None and self.exchange.fetches_kv_cache
         if self.exchange is not None:
             if outcome is AttemptOutcome.NOT_RUN and fetches_kv_cache:
@@ -467,6 +520,34 @@
             return 0
         return self.response.stream.data_events - self.exchange.events_before
 
+    async def _report_crash(self) -> None:
+        """Report to the guard if the engine crashed before it had sent an event."""
+        exchange = self.exchange
+        if not self.prompt.keys or exchange.prefill or self._exchange_events():
+            return
+        probe = ProbeAddress(exchange.endpoint.address, connect=True)
+        if await self.context.connections.query(probe) is Reachability.REFUSED:
+            self.prompt.record_crash(exchange.endpoint, begun=self.received.head is not None)
+
+    def _may_withdraw(self) -> bool:
+        """Return whether the request waits at an engine and may be sent again."""
+        return (
+            not self.ended
+            and self.exchange is not None
+            and not self.exchange.prefill
+            and not self._exchange_events()
+            and self.route.idempotent
+        )
+
+    def _withdraw(self) -> None:
+        """Take the request back from an engine that one of its parts may crash."""
+        self.history.may_have_run = True
+        self._log_attempt_failed(
+            AttemptOutcome.BROKEN, "withdrawn: a part of its prompt is suspected"
+        )
+        self._end_exchange("left")
+        self.send(Tick("place"))
+
     def _check_silence(self) -> None:
         """Test the endpoint's reachability if it has sent no bytes for a while."""
         if self.env.now - self.last_data_at >= SILENCE_SECONDS:
@@ -475,8 +556,8 @@
             self._schedule(SILENCE_SECONDS, Tick(f"silence {self.exchange.number}"))
 
     async def _test_endpoint(self, exchange: Exchange) -> None:
-        reachable = await self.context.connections.query(ProbeAddress(exchange.endpoint.address))
-        self.send(EndpointProbed(exchange.number, reachable))
+        found = await self.context.connections.query(ProbeAddress(exchange.endpoint.address))
+        self.send(EndpointProbed(exchange.number, found is Reachability.REACHABLE))
 
     def _has_endpoint_left(self) -> bool:
         return len(self.history.tried_endpoints) < self.route.attempts or bool(
@@ -484,7 +565,12 @@
         )
 
     async def _give_up(
-        self, outcome: AttemptOutcome, reason: str, retry_after: float | None = None
+        self,
+        outcome: AttemptOutcome,
+        reason: str,
+        *,
+        code: ResultCode = ResultCode.NO_ENDPOINT,
+        retry_after: float | None = None,
     ) -> None:
         next_step = final_step(self._situation(outcome), self.history)
         if next_step is NextStep.CLOSE_CONNECTION:
@@ -492,7 +578,7 @@
         elif next_step is NextStep.FORWARD:
             self.response.send_response(self.received.head, self.received.body)
         elif next_step is NextStep.REFUSE:
-            self.response.refuse(ResultCode.NO_ENDPOINT, reason, retry_after)
+            self.response.refuse(code, reason, retry_after)
         else:
             self.response.refuse(ResultCode.ENDPOINT_FAILED, reason)
         self._finish(next_step.value, reason=reason)
@@ -528,6 +614,7 @@
 
     def _finish(self, outcome: str, **fields: object) -> None:
         self.ended = True
+        self.prompt.end()
         self.received.start(None)
         if (kept := self.prefill.release()) is not None:
             self.context.fleet.spawn(release_kv_cache(self.context, *kept))
--- a/chivewall/gateway/gateway.py
+++ b/chivewall/gateway/gateway.py
@@ -19,6 +19,7 @@
 from chivewall.gateway.forwarded_request import ForwardedRequest
 from chivewall.gateway.http_dialect import CallerRequest, HttpDialect
 from chivewall.gateway.ingress_connection import IngressConnection
+from chivewall.gateway.part_guard import PartGuard
 from chivewall.gateway.routing_configuration import IngressLimits, RoutingConfiguration
 from chivewall.gateway.sources import CollectionSources
 from chivewall.gateway.store_collections import (
@@ -223,6 +224,7 @@
         context = RequestContext(
             env=self.env,
             fleet=self.env.require(Fleet),
+            guard=self.env.require(PartGuard),
             connections=self.env.require(ConnectionPool),
             dialect=self.env.require(HttpDialect),
         )
--- a/chivewall/gateway/metrics.py
+++ b/chivewall/gateway/metrics.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from aioprometheus import Counter, Histogram, Registry, render
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
 from attrs import field, frozen
 from twisted.internet.interfaces import IListeningPort
 from twisted.web.resource import Resource
@@ -36,13 +36,40 @@
         self.refusals = self._counter("refusals_total", "Calls refused without a route, by code.")
         self.outages = self._counter("store_outages_total", "Outages of the store by collection.")
         self.orders = self._counter("orders_total", "Orders to engines by stage.")
+        self.engine_crashes = self._counter(
+            "engine_crashes_total", "Calls that were starting at an engine when it crashed."
+        )
+        self.part_checks = self._counter(
+            "prompt_part_checks_total", "Calls with a suspected prompt part by verdict."
+        )
+        self.parts_blocked = self._counter(
+            "prompt_parts_blocked_total", "Prompt parts that were blocked for crashing engines."
+        )
+        self.blocked_parts = Gauge(
+            "chivewall_gateway_blocked_prompt_parts",
+            "Prompt parts that are blocked now.",
+            registry=self.registry,
+        )
         self.request_seconds = self._histogram("call_seconds", "Whole time of a call by route.")
         self.first_event_seconds = self._histogram(
             "first_event_seconds", "Time to the first event by route."
         )
+        # Counters with one label: its name, and the field of the event that gives its value.
+        self._labelled = {
+            Event.CALL_ATTEMPT_FAILED: (self.failures, "outcome", "outcome"),
+            Event.CALL_REFUSED: (self.refusals, "code", "code"),
+            Event.STORE_UNAVAILABLE: (self.outages, "collection", "key"),
+            Event.ORDER_SENT: (self.orders, "stage", "stage"),
+            Event.ENGINE_CRASHED: (self.engine_crashes, "service", "service"),
+            Event.PROMPT_PART_CHECKED: (self.part_checks, "verdict", "verdict"),
+            Event.PROMPT_PART_BLOCKED: (self.parts_blocked, "service", "service"),
+        }
 
     def observe(self, event: Event, fields: dict[str, Any]) -> None:
         """Update the metrics with one log event."""
+        if event in self._labelled:
+            counter, label, source = self._labelled[event]
+            counter.inc({label: str(fields[source])})
         if event is Event.CALL_ENDED:
             route = {"route": fields["route"]}
             self.requests.inc(route | {"outcome": fields["outcome"]})
@@ -51,14 +78,8 @@
                 self.first_event_seconds.observe(route, fields["first_after"])
         elif event is Event.CALL_ATTEMPT:
             self.attempts.inc({"kind": "prefill" if fields["prefill"] else "run"})
-        elif event is Event.CALL_ATTEMPT_FAILED:
-            self.failures.inc({"outcome": fields["outcome"]})
-        elif event is Event.CALL_REFUSED:
-            self.refusals.inc({"code": str(fields["code"])})
-        elif event is Event.STORE_UNAVAILABLE:
-            self.outages.inc({"collection": fields["key"]})
-        elif event is Event.ORDER_SENT:
-            self.orders.inc({"stage": fields["stage"]})
+        elif event in (Event.PROMPT_PART_BLOCKED, Event.PROMPT_PART_CLEARED):
+            self.blocked_parts.set({}, fields["blocked_parts"])
 
     def _counter(self, name: str, doc: str) -> Counter:
         return Counter(f"chivewall_gateway_{name}", doc, registry=self.registry)
--- a/chivewall/gateway/peer_codec.py
+++ b/chivewall/gateway/peer_codec.py
@@ -3,15 +3,25 @@
 import json
 from collections.abc import Iterable, Iterator
 
-from attrs import frozen
-
+from attrs import evolve, frozen
+
+from chivewall.decisions.crash_evidence import (
+    BEGUN_WEIGHT,
+    MAX_CRASHES,
+    TRIAL_SECONDS,
+    Crash,
+    EngineRun,
+    PartKey,
+    PartNews,
+)
 from chivewall.decisions.speeds import Line, ServiceSpeed
 from chivewall.errors import DecodeError
 
-VERSION = 4
+VERSION = 5
 MAX_DATAGRAM_BYTES = 1_200  # a larger datagram could be fragmented on the way
+MAX_TAG_CHARS = 16  # of a request, in news of suspected prompt parts
 MAX_SECONDS = 1000.0  # a larger time is an error of the sender
-EMPTY_DATAGRAM_BYTES = 23  # size of a datagram without items
+EMPTY_DATAGRAM_BYTES = 26  # size of a datagram without items
 
 
 @frozen
@@ -45,6 +55,7 @@
     prefilled: tuple[int, ...] = ()  # numbers of work whose prompts were prefilled
     ended: tuple[int, ...] = ()  # numbers of work that ended
     speeds: tuple[tuple[str, ServiceSpeed], ...] = ()  # learned speeds by service
+    parts: tuple[PartNews, ...] = ()  # suspected prompt parts
 
 
 def encode(message: PeerMessage) -> bytes:
@@ -57,6 +68,7 @@
         list(message.prefilled),
         list(message.ended),
         [_encode_speed(service, speed) for service, speed in message.speeds],
+        [_encode_part(one) for one in message.parts],
     ]
     return json.dumps(document, separators=(",", ":")).encode()
 
@@ -67,7 +79,7 @@
         version, *rest = json.loads(datagram)
         if version != VERSION:
             raise DecodeError(f"datagram version {version!r} is unknown")
-        known, work, cooldowns, prefilled, ended, speeds = rest
+        known, work, cooldowns, prefilled, ended, speeds, parts = rest
         return PeerMessage(
             known=tuple((str(one), max(0.0, float(age))) for one, age in known),
             work=tuple(_decode_work(*one) for one in work),
@@ -75,6 +87,7 @@
             prefilled=tuple(int(one) for one in prefilled),
             ended=tuple(int(one) for one in ended),
             speeds=tuple(_decode_speed(*one) for one in speeds),
+            parts=tuple(_decode_part(*one) for one in parts),
         )
     except (ValueError, TypeError, OverflowError, RecursionError) as exc:
         raise DecodeError(f"malformed datagram: {exc}") from exc
@@ -113,6 +126,42 @@
     return str(service), ServiceSpeed(*lines, call_seconds)
 
 
+def _encode_part(news: PartNews) -> list[object]:
+    return [
+        news.key.service,
+        news.key.part,
+        [
+            [run.engine, run.started_ms, round(one.at, 3), one.weight, one.request]
+            for run, one in news.crashes
+        ],
+        None if news.success_age is None else round(news.success_age, 3),
+        round(news.trial_left, 3),
+    ]
+
+
+def _decode_part(
+    service: str,
+    part: str,
+    crashes: list[list[object]],
+    success_age: float | None,
+    trial_left: float,
+) -> PartNews:
+    return PartNews(
+        key=PartKey(str(service), str(part)),
+        crashes=tuple(_decode_crash(*one) for one in crashes[:MAX_CRASHES]),
+        success_age=None if success_age is None else _bounded_seconds(success_age),
+        trial_left=min(TRIAL_SECONDS, _bounded_seconds(trial_left)),
+    )
+
+
+def _decode_crash(
+    engine: str, started_ms: int, age: float, weight: float, request: str
+) -> tuple[EngineRun, Crash]:
+    bounded = min(BEGUN_WEIGHT, max(0.0, float(weight)))
+    crash = Crash(_bounded_seconds(age), bounded, str(request)[:MAX_TAG_CHARS])
+    return EngineRun(str(engine), int(started_ms)), crash
+
+
 def _bounded_seconds(value: float) -> float:
     return min(MAX_SECONDS, max(0.0, float(value)))
 
@@ -137,6 +186,35 @@
         yield PeerMessage(work=tuple(work), prefilled=tuple(prefilled), ended=tuple(ended))
 
 
+def part_batches(news: Iterable[PartNews]) -> Iterator[PeerMessage]:
+    """Pack news of suspected parts into messages that each fit into one datagram.
+
+    The oldest crashes are left out of news that is too long by itself.
+    """
+    packed: list[PartNews] = []
+    size = EMPTY_DATAGRAM_BYTES
+    for one in news:
+        fitting, length = _fit_part(one)
+        if size + length > MAX_DATAGRAM_BYTES and packed:
+            yield PeerMessage(parts=tuple(packed))
+            packed, size = [], EMPTY_DATAGRAM_BYTES
+        packed.append(fitting)
+        size += length
+    if packed:
+        yield PeerMessage(parts=tuple(packed))
+
+
+def _fit_part(news: PartNews) -> tuple[PartNews, int]:
+    """Return news that fits into a datagram, and its encoded length."""
+    crashes = sorted(news.crashes, key=lambda one: one[1].at)
+    while True:
+        fitting = evolve(news, crashes=tuple(crashes))
+        length = len(json.dumps(_encode_part(fitting), separators=(",", ":"))) + 1
+        if EMPTY_DATAGRAM_BYTES + length <= MAX_DATAGRAM_BYTES or not crashes:
+            return fitting, length
+        crashes.pop()
+
+
 def _encode_item(item: SharedWork | WorkProgress) -> list[object] | int:
     if isinstance(item, WorkProgress):
         return item.number
--- a/chivewall/gateway/peers.py
+++ b/chivewall/gateway/peers.py
@@ -10,7 +10,8 @@
 from twisted.internet.protocol import DatagramProtocol
 
 from chivewall.addresses import Address
-from chivewall.decisions.peers import HELLO_INTERVAL_SECONDS, PeerTable
+from chivewall.decisions.crash_evidence import PartNews
+from chivewall.decisions.peers import HELLO_INTERVAL_SECONDS, MAX_PEERS, PeerTable
 from chivewall.environment import Environment
 from chivewall.errors import DecodeError
 from chivewall.events import Event
@@ -25,6 +26,13 @@
     PeerWork,
     SubscribeToWork,
 )
+from chivewall.gateway.part_guard import PartGuard
+from chivewall.gateway.part_messages import (
+    CurrentPartNews,
+    PeerPartNews,
+    SharePartNews,
+    SubscribeToPartNews,
+)
 from chivewall.gateway.peer_codec import (
     PeerMessage,
     SharedWork,
@@ -32,6 +40,7 @@
     batches,
     decode,
     encode,
+    part_batches,
 )
 from chivewall.messages import Tick
 from chivewall.plugins.base import Plugin
@@ -83,20 +92,24 @@
 class Peers(Task):
     """Exchanges datagrams with the other gateways, and tracks which of them are live."""
 
-    def __init__(self, env: Environment, cfg: PeersSettings, fleet: Fleet) -> None:
+    def __init__(
+        self, env: Environment, cfg: PeersSettings, fleet: Fleet, guard: PartGuard
+    ) -> None:
         super().__init__()
         self.env = env
         self.cfg = cfg
         self.fleet = fleet
+        self.guard = guard
         seeds = frozenset(one.rpartition(":")[0] for one in cfg.seeds)
         self.table = PeerTable(own_address=cfg.host, seeds=seeds)
         self.unsent: list[SharedWork | WorkProgress] = []
         self.socket = PeerSocket(self)
 
     def start(self) -> None:
-        """Start the task, and subscribe to the work that this gateway sends."""
+        """Start the task, and subscribe to what this gateway shares with the others."""
         super().start()
         self.fleet.send(SubscribeToWork(self.inbox))
+        self.guard.send(SubscribeToPartNews(self.inbox))
         self.send(Tick("hello"))
 
     @singledispatchmethod
@@ -114,7 +127,9 @@
             known=self.table.known_ages(self.env.random, self.env.now),
             speeds=await self.fleet.query(LearnedSpeeds()),
         )
-        self._send(hello, self.table.hello_targets(self.env.random, self.env.now))
+        targets = self.table.hello_targets(self.env.random, self.env.now)
+        self._send(hello, targets)
+        self._send_parts(await self.guard.query(CurrentPartNews()), targets)
         self.env.clock.callLater(HELLO_INTERVAL_SECONDS, self.send, Tick("hello"))
 
     @receive.register(SharedWork)
@@ -129,6 +144,10 @@
         hosts = self.table.sharing_targets(self.env.now)
         self._send(PeerMessage(cooldowns=((message.endpoint, message.seconds),)), hosts)
 
+    @receive.register
+    async def _(self, message: SharePartNews) -> None:
+        self._send_parts(message.news, self.table.sharing_targets(self.env.now))
+
     @receive.register
     async def _(self, message: IsFirstGateway) -> None:
         message.reply(self.table.has_lowest_address(self.env.now))
@@ -140,6 +159,9 @@
         except DecodeError as exc:
             self.env.log.emit(Event.DOCUMENT_REJECTED, object=message.gateway_ip, error=str(exc))
             return
+        if not self.table.is_known(message.gateway_ip):
+            # A gateway that has just started would send what crashes engines until the next hello.
+            self._send_parts(await self.guard.query(CurrentPartNews()), [message.gateway_ip])
         self.table.record_datagram(message.gateway_ip, found.known, self.env.now)
         for work in found.work:
             self.fleet.send(PeerWork(message.gateway_ip, work))
@@ -147,6 +169,9 @@
             self.fleet.send(PeerProgress(message.gateway_ip, found.prefilled, found.ended))
         if found.speeds:
             self.fleet.send(PeerSpeeds(found.speeds))
+        if found.parts:
+            relay = self.table.live_count(self.env.now) > MAX_PEERS
+            self.guard.send(PeerPartNews(found.parts, relay=relay))
         for endpoint, seconds in found.cooldowns:
             self.fleet.send(PeerEngineCooldown(endpoint, seconds))
 
@@ -156,6 +181,10 @@
         for message in batches(waiting):
             self._send(message, hosts)
 
+    def _send_parts(self, news: tuple[PartNews, ...], hosts: list[str]) -> None:
+        for message in part_batches(news):
+            self._send(message, hosts)
+
     def _send(self, message: PeerMessage, hosts: list[str]) -> None:
         data = encode(message)
         for host in hosts:
@@ -174,7 +203,7 @@
 
     async def setup(self) -> None:
         """Create the task and provide it."""
-        self.peers = Peers(self.env, self.cfg, self.env.require(Fleet))
+        self.peers = Peers(self.env, self.cfg, self.env.require(Fleet), self.env.require(PartGuard))
         self.env.provide(Peers, self.peers)
 
     async def start(self) -> None:
--- a/chivewall/results.py
+++ b/chivewall/results.py
@@ -49,6 +49,12 @@
         RunState.NO,
         "Wait for Retry-After; no endpoint meets the target.",
     )
+    PROMPT_PART_BLOCKED = (
+        2013,
+        503,
+        RunState.NO,
+        "Wait for Retry-After; a part of the prompt crashed engines.",
+    )
     SHED = (2011, 503, RunState.NO, "Wait for Retry-After; the queue was backed up for too long.")
 
     # Work that was or may have been started.
--- a/extras/reference.py
+++ b/extras/reference.py
@@ -21,6 +21,7 @@
     "chivewall.gateway.channels",
     "chivewall.platform.adapter",
     "chivewall.gateway.fleet",
+    "chivewall.gateway.part_guard",
     "chivewall.gateway.peers",
     "chivewall.gateway.stage_changer",
     "chivewall.gateway.gateway",
--- a/tests/test_prompt_part_crashes.py
+++ b/tests/test_prompt_part_crashes.py
@@ -29,7 +29,6 @@
     )
 
 
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 25")
 def test_deadly_part_crashes_no_engine_after_the_evidence(site):
     """Guards against engines that crash one after the other on one part of a prompt."""
     engines = [
