Never believe an earlier refusal that an endpoint writes again

Report of other operators: a faulty endpoint wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that ran. It can happen here in two ways, both shown by tests that failed: - a response without a request id was taken for the current one: a booking ran and its caller got 503; - two attempts of one request on the same connection have the same id, so the refusal of the first was believed for the second: a stream ran and was refused. Both now return the true answer.

--- a/chivewall/gateway/channels.py
+++ b/chivewall/gateway/channels.py
@@ -234,9 +234,11 @@
     def _take_idle(self, request: OutgoingRequest) -> OutgoingConnection | None:
         connections = self._idle.get(request.address, [])
         now = self.env.now
-        while connections:
-            # The most recently used one is the least likely to have been closed.
-            connection = connections.pop()
+        # The most recently used one is the least likely to have been closed.
+        for connection in reversed(list(connections)):
+            if connection.has_carried(request.request_id):
+                continue
+            connections.remove(connection)
             if (
                 now < connection.idle_until
                 and now - connection.idle_since <= request.max_idle_seconds
--- a/chivewall/gateway/outgoing_connection.py
+++ b/chivewall/gateway/outgoing_connection.py
@@ -5,6 +5,7 @@
 see bytes that follow a complete response.
 """
 
+from collections import deque
 from collections.abc import Callable
 
 import h11
@@ -28,6 +29,7 @@
 # Bytes that are no part of the response to the request: interim responses and responses to other
 # requests. An endpoint in trouble may send them without an end.
 MAX_FOREIGN_BYTES = 1_048_576
+MAX_REQUEST_IDS = 256  # latest requests of a connection whose ids are kept
 # Keep-alive time, in seconds, if the endpoint names none; such endpoints close later than this.
 DEFAULT_IDLE_SECONDS = 4.0
 IDLE_MARGIN_SECONDS = 0.5  # an idle connection is closed this long before the endpoint would
@@ -50,6 +52,7 @@
         self.idle_since = 0.0
         self.completed_exchanges = 0  # exchanges completed on this connection
         self.is_open = False
+        self._request_ids: deque[str | None] = deque(maxlen=MAX_REQUEST_IDS)
         self._keep_alive_seconds = DEFAULT_IDLE_SECONDS
         self._http = self._new_http()
         self._skipping_response = False  # the response being read belongs to another request
@@ -67,6 +70,7 @@
         """Write a request; the connection must be idle."""
         self.request = request
         self.exchange = request.exchange
+        self._request_ids.append(request.request_id)
         self._foreign_bytes = 0
         self._response_started = False
         try:
@@ -77,6 +81,13 @@
         request.reply_to.put(RequestWritten(request.exchange, reused=self.completed_exchanges > 0))
         self.transport.write(data)
 
+    def has_carried(self, request_id: str | None) -> bool:
+        """Return whether it carried an attempt of this request.
+
+        A response to that attempt that comes again would be taken for one to the next attempt.
+        """
+        return request_id is not None and request_id in self._request_ids
+
     def cancel(self) -> None:
         """Abort the exchange by closing the connection."""
         self.request = None
@@ -151,9 +162,8 @@
         headers = tuple(event.headers.raw_items())
         fields = self.decode_fields(event.status_code, headers)
         expected = self.request.request_id
-        self._skipping_response = (
-            expected is not None and fields.request_id is not None and fields.request_id != expected
-        )
+        # Endpoints name the request in each response; one without an id may belong to any.
+        self._skipping_response = expected is not None and fields.request_id != expected
         if self._skipping_response:
             return
         self._response_started = True
--- a/chivewall/standins/platform_endpoint.py
+++ b/chivewall/standins/platform_endpoint.py
@@ -90,9 +90,11 @@
     """Handles the requests of one connection to a simulated endpoint."""
 
     endpoint: PlatformEndpoint
+    request_count = 0  # on this connection
 
     def handle_request(self) -> None:
         """Read the body and handle the request."""
+        self.request_count += 1
         length = int(self.headers.get("Content-Length") or 0)
         self.endpoint.received_bodies.append(self.rfile.read(length))
         self.endpoint.serve_request(self)
@@ -219,6 +221,25 @@
     handler.send_plain(200, b"late copy")
 
 
+def answer_after_stray_refusal(request_id: str | None) -> Behaviour:
+    """Return a behaviour that first writes a refusal of an earlier request again.
+
+    It is written only where the connection had carried that request; ``request_id``: the id that
+    it names, or ``None`` for no id.
+    """
+
+    def behave(handler: EndpointHandler) -> None:
+        if handler.request_count > 1:
+            named = b"" if request_id is None else b"X-Request-Id: %s\r\n" % request_id.encode()
+            handler.wfile.write(
+                b"HTTP/1.1 503 Busy\r\n%sX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n" % named
+            )
+            handler.wfile.flush()
+        answer(handler)
+
+    return behave
+
+
 def answer_without_stamp(handler: EndpointHandler) -> None:
     """Run the request and respond without the answer stamp."""
     handler.record_run()
