Check that a run continues its stream and that its end is one

Reports of other operators: the error of the next engine inside a stream that had begun, and streams that broke off and ended as complete. Cause here: the gateway took the bytes of any 2xx response on a stream route for part of the stream, and any orderly end of its body for the end of the stream.

Now only text/event-stream is taken for a stream; a resumed run has to begin with an event that has an id (comments are passed on); a run that ends inside an event, or without any, broke off; where only the end of the connection shows the end, the engine must still accept connections.

--- a/chivewall/decisions/event_stream.py
+++ b/chivewall/decisions/event_stream.py
@@ -4,7 +4,7 @@
 
 from attrs import define, field
 
-from chivewall.errors import EventTooLargeError
+from chivewall.errors import EventTooLargeError, UnexpectedEventError
 from chivewall.integers import parse_digits
 
 EVENT_SEPARATOR = re.compile(rb"\r\n\r\n|\n\n|\r\r")
@@ -19,18 +19,26 @@
 
     A run may break off inside an event, so bytes are buffered until their event is
     complete. A later run that resumes after ``last_id`` may repeat events; those
-    with an id that was already forwarded are dropped.
+    with an id that was already forwarded are dropped. It has to begin with an event
+    that has an id: anything else is the text of an error.
     """
 
     last_id: str | None = None  # id of the last forwarded event that had one
     forwarded_events: int = 0
     data_events: int = 0  # forwarded events that are more than a comment
     _buffer: bytearray = field(factory=bytearray, init=False)
+    _resuming: bool = field(default=False, init=False)  # no event with an id came in this run yet
+
+    def begin_run(self) -> None:
+        """Begin with the events of another run."""
+        self._buffer.clear()
+        self._resuming = self.last_id is not None
 
     def feed(self, data: bytes) -> bytes:
         """Buffer received bytes and return the new complete events.
 
-        Raises ``EventTooLargeError`` if an event doesn't end within ``MAX_EVENT_BYTES``.
+        Raises ``EventTooLargeError`` if an event doesn't end within ``MAX_EVENT_BYTES``, and
+        ``UnexpectedEventError`` if a run doesn't continue the stream that was begun.
         """
         searched = max(0, len(self._buffer) - SEPARATOR_BYTES)
         self._buffer += data
@@ -51,13 +59,20 @@
         self._buffer.clear()
         return rest
 
-    def discard_incomplete(self) -> None:
-        """Discard the incomplete event of a run that broke off."""
-        self._buffer.clear()
+    def problem_at_end(self) -> str | None:
+        """Return why the end of a run can't be the end of the stream, or ``None``."""
+        if self._buffer.strip():
+            return "the stream ended inside an event"
+        if self.last_id is None and not self.data_events:
+            return "the stream ended without an event"
+        return None
 
     def _accept(self, event: bytes) -> bool:
         found = event_id(event)
+        if found is None and self._resuming and not _is_comment(event):
+            raise UnexpectedEventError("the resumed stream began with an event without an id")
         if found is not None:
+            self._resuming = False
             if not _after(found, self.last_id):
                 return False
             self.last_id = found
@@ -66,6 +81,10 @@
         return True
 
 
+def _is_comment(event: bytes) -> bool:
+    return all(line.startswith(b":") for line in event.splitlines() if line)
+
+
 def _has_data(event: bytes) -> bool:
     return any(line.startswith(b"data") for line in event.splitlines())
 
--- a/chivewall/errors.py
+++ b/chivewall/errors.py
@@ -94,6 +94,10 @@
     """An event of an endpoint's stream is larger than the limit."""
 
 
+class UnexpectedEventError(EndpointError):
+    """An endpoint's stream doesn't continue the one that another run has begun."""
+
+
 class EndpointUnreachableError(EndpointError):
     """No connection to the endpoint could be opened, so it can't have run the work."""
 
--- a/chivewall/gateway/exchange.py
+++ b/chivewall/gateway/exchange.py
@@ -22,6 +22,8 @@
 RELEASE_TIMEOUT_SECONDS = 0.6  # timeout of the request that frees a KV cache
 SERVICE_REQUEST_SECONDS = 0.05  # duration of a plain service's request in other gateways' estimates
 
+EVENT_STREAM = b"text/event-stream"
+
 
 @define
 class RequestContext:
@@ -89,6 +91,14 @@
     return None
 
 
+def is_event_stream(head: ResponseHead) -> bool:
+    """Return whether the response's body is an event stream, by its content type."""
+    return any(
+        name.lower() == b"content-type" and value.lower().startswith(EVENT_STREAM)
+        for name, value in head.headers
+    )
+
+
 def shared_work_seconds(route: Route, seconds_left: float) -> float:
     """Return for how long other gateways count an attempt whose end isn't reported."""
     return (
--- a/chivewall/gateway/exchange_messages.py
+++ b/chivewall/gateway/exchange_messages.py
@@ -88,6 +88,7 @@
     """The response is complete."""
 
     exchange: int
+    until_closed: bool = False  # only the end of the connection showed its end
 
 
 @frozen
--- a/chivewall/gateway/forwarded_request.py
+++ b/chivewall/gateway/forwarded_request.py
@@ -22,6 +22,7 @@
     EndpointProbed,
     Exchange,
     RequestContext,
+    is_event_stream,
     outgoing_request,
     release_kv_cache,
     response_problem,
@@ -183,7 +184,7 @@
     @receive.register
     async def _(self, message: ResponseEnded) -> None:
         if self._is_current(message.exchange):
-            await self._handle_response()
+            await self._handle_response(until_closed=message.until_closed)
 
     @receive.register
     async def _(self, message: ExchangeFailed) -> None:
@@ -365,6 +366,7 @@
             events_before=self.response.stream.data_events,
         )
         self.received.start(None)
+        self.response.stream.begin_run()
         self.first_bytes_reported = self.stall_checked = False
         self.log.log_attempt(self.exchange, self.placement, sent)
         self.context.fleet.send(
@@ -388,14 +390,14 @@
         )
         self.context.connections.send(SendRequest(outgoing))
 
-    async def _handle_response(self) -> None:
+    async def _handle_response(self, *, until_closed: bool) -> None:
         if self.exchange.prefill:
             await self._handle_prefill_response()
         elif self._refused_to_run():
             await self._attempt_failed(
                 AttemptOutcome.NOT_RUN, f"status {self.received.head.status}"
             )
-        elif (problem := response_problem(self.received.head)) is not None:
+        elif (problem := await self._problem(until_closed=until_closed)) is not None:
             await self._attempt_failed(AttemptOutcome.BROKEN, problem)
         elif self.received.head.status in SERVER_ERROR_STATUSES or (
             self.response.started and not self._is_streaming()
@@ -404,6 +406,18 @@
         else:
             self._complete_response()
 
+    async def _problem(self, *, until_closed: bool) -> str | None:
+        """Return why what was received can't be the endpoint's complete response, or ``None``."""
+        if not self._is_streaming():
+            return response_problem(self.received.head)
+        problem = self.response.stream.problem_at_end()
+        if problem is None and until_closed:
+            # A crash ends the connection too, where the stream has neither a length nor chunks.
+            probe = ProbeAddress(self.exchange.endpoint.address, connect=True)
+            if await self.context.connections.query(probe) is Reachability.REFUSED:
+                return "the engine ended before the end of the stream was known"
+        return problem
+
     def _complete_response(self) -> None:
         streaming = self._is_streaming()
         self._end_exchange("answered")
@@ -432,6 +446,7 @@
             and self.received.head.status in SUCCESS_STATUSES
             and not self.exchange.prefill
             and response_problem(self.received.head) is None
+            and is_event_stream(self.received.head)
         )
 
     def _refused_to_run(self) -> bool:
@@ -498,7 +513,6 @@
             self._end_exchange(work_outcome or _work_outcome(outcome))
         if outcome is AttemptOutcome.NOT_SENT:
             self.arrivals -= 1
-        self.response.stream.discard_incomplete()
         at = self._situation(outcome)
         if decide(at, self.history) is NextStep.RETRY and self._has_endpoint_left():
             await self._place()
--- a/chivewall/gateway/outgoing_connection.py
+++ b/chivewall/gateway/outgoing_connection.py
@@ -58,6 +58,7 @@
         self._skipping_response = False  # the response being read belongs to another request
         self._foreign_bytes = 0  # of the current exchange
         self._response_started = False  # the head of the response was received
+        self._until_closed = False  # the response has neither a length nor chunks
         self._request_written = True  # the transport has written all bytes of the request
 
     def connectionMade(self) -> None:  # noqa: N802 - Twisted's name
@@ -167,6 +168,8 @@
         if self._skipping_response:
             return
         self._response_started = True
+        names = {name.lower() for name, _ in headers}
+        self._until_closed = names.isdisjoint((b"content-length", b"transfer-encoding"))
         self._keep_alive_seconds = _keep_alive_timeout(headers)
         head = ResponseHead(
             status=event.status_code, reason=bytes(event.reason), headers=headers, fields=fields
@@ -185,7 +188,7 @@
             self.on_idle(self)
         else:
             self._close()
-        request.reply_to.put(ResponseEnded(request.exchange))
+        request.reply_to.put(ResponseEnded(request.exchange, until_closed=self._until_closed))
 
     def _expect_next_response(self) -> None:
         """Reset the parser for the next response after a response to another request."""
--- a/chivewall/standins/platform_endpoint.py
+++ b/chivewall/standins/platform_endpoint.py
@@ -246,6 +246,65 @@
     handler.send_plain(200, b"forged", stamped=False)
 
 
+def answer_with_text(status: int, body: bytes) -> Behaviour:
+    """Return a behaviour that runs the request and sends this text in place of a stream."""
+
+    def behave(handler: EndpointHandler) -> None:
+        handler.record_run()
+        handler.send_plain(status, body, ("Content-Type", "text/plain"))
+
+    return behave
+
+
+def stream_text(body: bytes) -> Behaviour:
+    """Return a behaviour that runs the request and sends this text as the body of its stream."""
+
+    def behave(handler: EndpointHandler) -> None:
+        handler.record_run()
+        handler.send_plain(200, body, ("Content-Type", "text/event-stream"))
+
+    return behave
+
+
+def cut_head(lines: int) -> Behaviour:
+    """Return a behaviour that closes the connection after so many lines of its response's head."""
+
+    def behave(handler: EndpointHandler) -> None:
+        handler.record_run()
+        head = (
+            "HTTP/1.1 200 OK",
+            f"X-Request-Id: {handler.request_id}",
+            f"X-Answer-Stamp: {ANSWER_STAMP}",
+            "Content-Length: 0",
+        )
+        handler.wfile.write("".join(f"{one}\r\n" for one in head[:lines]).encode())
+        handler.abort()
+
+    return behave
+
+
+def stream_until_close(after: int, rest: bytes = b"", *, crash: bool = False) -> Behaviour:
+    """Return a behaviour that streams without a length or chunks, up to event ``after``.
+
+    The end of the connection ends the stream; before it comes ``rest``. With ``crash``, the
+    endpoint crashes there.
+    """
+
+    def behave(handler: EndpointHandler) -> None:
+        handler.record_run()
+        handler.send_head(200, ("Content-Type", "text/event-stream"))
+        first = int(handler.headers.get("Last-Event-Id") or 0) + 1
+        for number in range(first, after + 1):
+            handler.wfile.write(b"id: %d\ndata: token %d\n\n" % (number, number))
+        handler.wfile.write(rest)
+        handler.wfile.flush()
+        if crash:
+            handler.endpoint.crash()
+        handler.abort()
+
+    return behave
+
+
 def send_stream(handler: EndpointHandler, until: int, *, broken: bool = False) -> None:
     """Send the events after ``Last-Event-Id`` up to ``until``.
 
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -154,7 +154,7 @@
             forwarded += stream.feed(
                 attempt_events[: data.draw(st.integers(0, len(attempt_events)))]
             )
-            stream.discard_incomplete()
+            stream.begin_run()
         forwarded += stream.feed(encode_events(int(stream.last_id or 0) + 1, count))
         assert forwarded == encode_events(1, count)
 
--- a/tests/utils/gateways.py
+++ b/tests/utils/gateways.py
@@ -132,10 +132,18 @@
         return f"http://127.0.0.1:{self.ports['front']}{path}"
 
     def send(self, method, path, request_id="r1", **options):
-        headers = {"Host": CALLER_HOST, "X-Request-Id": request_id, "X-Deadline-Ms": "5000"}
-        headers |= options.pop("headers", {})
+        headers = self._headers(request_id) | options.pop("headers", {})
         return httpx.request(method, self.url(path), headers=headers, timeout=8, **options)
 
+    def stream(self, method, path, request_id="r1"):
+        """Return a context manager of a response that is read bit by bit."""
+        headers = self._headers(request_id)
+        return httpx.stream(method, self.url(path), headers=headers, timeout=8, content=b"{}")
+
+    @staticmethod
+    def _headers(request_id):
+        return {"Host": CALLER_HOST, "X-Request-Id": request_id, "X-Deadline-Ms": "5000"}
+
     def connect(self):
         """Return a TCP connection to the port that serves callers."""
         return socket.create_connection(("127.0.0.1", self.ports["front"]), timeout=8)
