--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,15 +1,8 @@
 """Tests of a gateway's view of the endpoints and of the work sent to them."""
 
-import random
-from io import StringIO
-
-from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
 from chivewall.decisions.stages import NO_DECODER_SAMPLES, propose
-from chivewall.environment import Environment
-from chivewall.events import EventLog
-from chivewall.gateway.fleet import Fleet
 from chivewall.gateway.fleet_messages import (
     EngineCooldown,
     EngineLoads,
@@ -21,47 +14,10 @@
     WorkEnded,
     WorkSent,
 )
-from chivewall.gateway.fleet_settings import FleetSettings
 from chivewall.gateway.http_dialect import RequestFields
 from chivewall.gateway.peer_codec import SharedWork, WorkProgress
 from chivewall.gateway.routing_configuration import Stage
-from chivewall.gateway.sources import CollectionSources
-from chivewall.gateway.store_collections import CollectionItem, CollectionSnapshot
-from chivewall.settings import CoreSettings, Role, Settings
-from tests.utils.gateways import engine_info
-
-
-class SilentSource:
-    """Collection whose list is never returned."""
-
-    name = "servers"
-
-    def read_all(self):
-        return Deferred()
-
-
-def make_fleet(clock, **stages):
-    """Return a started fleet that knows one engine for each name and stage."""
-    core = CoreSettings(role=Role.GATEWAY, instance="g", data_centre="north", plugins=("x",))
-    env = Environment(
-        settings=Settings(core=core),
-        clock=clock,
-        random=random.Random(1),
-        log=EventLog(StringIO()),
-    )
-    bounds = FleetSettings(
-        drain_ms=2000, repeat_ratio=0.2, repeat_window_seconds=10, repeat_burst=58
-    )
-    fleet = Fleet(
-        env,
-        bounds,
-        CollectionSources(routing_configuration=SilentSource(), endpoints=SilentSource()),
-    )
-    fleet.start()
-    engines = [engine_info(name, stage) for name, stage in stages.items()]
-    items = tuple(CollectionItem(one.id, one, 1) for one in engines)
-    fleet.send(CollectionSnapshot("servers", items, 1))
-    return fleet
+from tests.utils.fleets import RecordingSink, make_fleet
 
 
 def query_placement(fleet, **fields):
@@ -81,16 +37,6 @@
     )
 
 
-class RecordingSink:
-    """Records the messages that would be shared with other gateways."""
-
-    def __init__(self):
-        self.messages = []
-
-    def put(self, message):
-        self.messages.append(message)
-
-
 def test_engines_without_any_work_change_stage_too():
     """Guards against a service that stays without a decode engine.
 
