Keep watches short after a failed read of the store

Its watch of the configuration had failed, and the next one met a store that took the call and answered nothing; a watch lasts 28 s, so it noticed only then. After a failure a watch now lasts 0.5 s until one succeeds.

--- a/chivewall/gateway/store_collections.py
+++ b/chivewall/gateway/store_collections.py
@@ -16,6 +16,9 @@
 # Duration of one watch; the store allows at most 30 s, and each request is billed, so a watch
 # lasts long.
 WATCH_SECONDS = 28.0
+# Longest watch after a failed read. The store may answer nothing although it is reached, which
+# only the end of a watch shows, and a change has to be in force within seconds.
+RECHECK_SECONDS = 0.5
 FIRST_RETRY_SECONDS = 0.1  # first delay before a retry, in seconds
 # Longest delay before a retry, in seconds; a change must be in force 2 s after it was
 # acknowledged.
@@ -159,8 +162,8 @@
             if self.revision is None:
                 read = await self.source.read_all()
             else:
-                deadline = self.env.now + WATCH_SECONDS
-                read = await self.source.watch(self.revision, deadline)
+                seconds = RECHECK_SECONDS if self.failures else WATCH_SECONDS
+                read = await self.source.watch(self.revision, self.env.now + seconds)
         except StoreError as exc:
             self.send(ReadFailed(exc))
         else:
--- a/tests/test_collection_follower.py
+++ b/tests/test_collection_follower.py
@@ -13,6 +13,8 @@
 from chivewall.events import EventLog
 from chivewall.gateway.store_collections import (
     MAX_RETRY_SECONDS,
+    RECHECK_SECONDS,
+    WATCH_SECONDS,
     CollectionChanges,
     CollectionItem,
     CollectionSnapshot,
@@ -30,6 +32,7 @@
     name: str = "servers"
     list_calls: list = field(factory=list)
     watch_calls: list = field(factory=list)  # (revision, Deferred)
+    watch_deadlines: list = field(factory=list)
 
     def read_all(self):
         self.list_calls.append(Deferred())
@@ -37,6 +40,7 @@
 
     def watch(self, revision, deadline):
         self.watch_calls.append((revision, Deferred()))
+        self.watch_deadlines.append(deadline)
         return self.watch_calls[-1][1]
 
 
@@ -100,6 +104,16 @@
     assert CollectionUnavailable("servers") in received(sink)
 
 
+def test_watch_after_a_failure_is_short(source, clock):
+    """Guards against half a minute with old routes: the store was silent to a second watch too."""
+    source.list_calls[0].callback(CollectionSnapshot("servers", (), 7))
+    source.watch_calls[0][1].errback(StoreUnavailableError("silent"))
+    clock.advance(MAX_RETRY_SECONDS)
+    assert source.watch_deadlines[-1] - clock.seconds() <= RECHECK_SECONDS
+    source.watch_calls[1][1].callback(CollectionChanges("servers", (), 7))
+    assert source.watch_deadlines[-1] - clock.seconds() == WATCH_SECONDS
+
+
 def test_outage_is_tried_often_enough_for_the_bound_of_a_change(source, clock):
     """Guards against a backoff longer than the 2 s in which a change must be in force."""
     for number in range(30):
