Drop a removed endpoint in time although its removal was read late

The gateway read the removal 0.54 s late, since it pauses up to 0.6 s between watches, and used the endpoint as a last resort for 1.7 s from then. The time is now shorter by the longest pause.

The new test of tests/test_fleet.py failed before.

--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -60,7 +60,8 @@
 # still get requests: the news of its leaving may be this old.
 WATCH_PAUSE_SHARE = 0.3
 MAX_PEER_WORK = 20_000  # attempts of other gateways that are tracked until they end
-# An endpoint that left the list is dropped this many seconds before it may get no more work.
+# An endpoint that left the list is dropped this many seconds before it may get no more work, and
+# earlier by the longest pause between watches, in which the news of its leaving may have waited.
 GONE_MARGIN_SECONDS = 0.3
 
 
@@ -439,7 +440,8 @@
         state.unlisted_at = self.env.now
 
     def _drop_gone_endpoints(self) -> None:
-        limit = self.env.now - self.cfg.drain_ms / MS_PER_SECOND + GONE_MARGIN_SECONDS
+        allowed = (1 - WATCH_PAUSE_SHARE) * self.cfg.drain_ms / MS_PER_SECOND
+        limit = self.env.now - allowed + GONE_MARGIN_SECONDS
         for name, state in list(self.states.items()):
             if state.unlisted_at is not None and state.unlisted_at <= limit:
                 del self.states[name]
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -17,6 +17,7 @@
 from chivewall.gateway.http_dialect import RequestFields
 from chivewall.gateway.peer_codec import SharedWork, WorkProgress
 from chivewall.gateway.routing_configuration import Stage
+from chivewall.gateway.store_collections import CollectionSnapshot
 from tests.utils.fleets import RecordingSink, make_fleet
 
 
@@ -111,3 +112,14 @@
     shared, ended = sink.messages
     assert (shared.number, shared.endpoint, shared.rank) == (4, "p1", 2)
     assert ended == WorkProgress(4, ended=True)
+
+
+def test_removed_endpoint_is_dropped_in_time_when_its_removal_was_read_late():
+    """Guards against a request to an endpoint that left longer ago than is allowed."""
+    clock = Clock()
+    fleet = make_fleet(clock, d1=Stage.DECODE)
+    fleet.send(CollectionSnapshot("servers", (), 2))
+    assert query_placement(fleet) is not None
+    # The removal was up to a pause between watches old when it was read.
+    clock.advance(fleet.cfg.drain_ms / 1000 - fleet.watcher.pause_seconds)
+    assert query_placement(fleet) is None
