Bound the news of prompt parts in a hello

A hello carried all suspected parts, up to 256 of about 250 bytes, to 16 gateways every 2 s: 512 KB/s where control may take 10. It now names the 6 parts with the most evidence against them, and none that were cleared; each crash is still told at once when it happens. Found by working out the cost at the size to design for.

--- a/chivewall/decisions/crash_evidence.py
+++ b/chivewall/decisions/crash_evidence.py
@@ -35,6 +35,7 @@
 FORGET_SECONDS = 60.0  # evidence is kept for this long after its part's block has ended
 MAX_SUSPECTS = 256
 MAX_CRASHES = 16  # crashes kept for one part
+MAX_MAIN_NEWS = 6  # parts named in a hello, which many gateways get every few seconds
 MAX_SUCCESSES = 4096  # parts whose latest success is kept
 
 
@@ -200,9 +201,11 @@
             trial_left=max(0.0, suspect.trial_until - now),
         )
 
-    def all_news(self, now: float) -> tuple[PartNews, ...]:
-        """Return what is known about all suspected parts."""
-        return tuple(self.news(key, now) for key in self._suspects)
+    def main_news(self, now: float) -> tuple[PartNews, ...]:
+        """Return what is known about the parts with the most evidence against them."""
+        suspected = [key for key in self._suspects if self._counted(key)]
+        suspected.sort(key=lambda one: (-self._weight(one), -self._suspects[one].last_crash_at))
+        return tuple(self.news(key, now) for key in suspected[:MAX_MAIN_NEWS])
 
     def crashed_since(self, service: str, since: float) -> frozenset[EngineRun]:
         """Return the engines of a service that crashed after a time, as far as it is known."""
--- a/chivewall/gateway/part_guard.py
+++ b/chivewall/gateway/part_guard.py
@@ -144,7 +144,7 @@
 
     @receive.register
     async def _(self, message: CurrentPartNews) -> None:
-        message.reply(self.evidence.all_news(self.env.now))
+        message.reply(self.evidence.main_news(self.env.now))
 
     @receive.register
     async def _(self, message: PeerPartNews) -> None:
--- a/chivewall/gateway/part_messages.py
+++ b/chivewall/gateway/part_messages.py
@@ -68,7 +68,7 @@
 
 @define(eq=False)
 class CurrentPartNews(Query):
-    """Ask for what is known about suspected parts; the reply is a tuple of ``PartNews``."""
+    """Ask for the main news of suspected parts; the reply is a tuple of ``PartNews``."""
 
 
 @frozen
