Let accepted work wait for an endpoint, and replace a live one only by a sound one

Cause: a request's task decided in each state by itself to give up. "No endpoint" was final at once, although a request that has begun can't be refused any more and engines return within seconds. Engines that had ended or had refused it counted as attempts. A stream without progress, a silent endpoint or a suspected prompt part ended an exchange that still lived before another endpoint was known, and an event that had arrived meanwhile was lost.

Now one rule holds for all of them (decisions/forwarding.py, may_wait): what has begun and may run again waits until the fleet knows a usable endpoint, at most to its deadline; what has not run is refused at once as before. Only a sound endpoint replaces one that still lives. An engine that has ended or that did not run the request doesn't count as an attempt of such a request. A stream that has brought an event is not checked for prompt parts any more, since its own event shows that they crash no engine. A withdrawal takes its place behind events that were received before. Event 716 and a counter show the waits.

Ruled out: waiting of requests that have not run, whose callers can come back elsewhere at once; polling, which costs a choice for each waiting request.

tests/test_forwarded_request.py: 8 of 13 tests failed before (each of the points above), the other 5 hold what had to stay.

--- a/chivewall/decisions/endpoint_record.py
+++ b/chivewall/decisions/endpoint_record.py
@@ -68,6 +68,15 @@
         """Return whether it is a prefill engine."""
         return self.info.stage is Stage.PREFILL
 
+    def is_usable(self, now: float) -> bool:
+        """Return whether it may get work now, and not just as a last resort."""
+        return (
+            not self.info.draining
+            and self.unlisted_at is None
+            and self.cooldown_until <= now
+            and self.avoid_until <= now
+        )
+
     def can_answer(self, now: float) -> bool:
         """Return whether it is an engine that answers requests and is sound as far as is known."""
         return (
--- a/chivewall/decisions/forwarding.py
+++ b/chivewall/decisions/forwarding.py
@@ -41,6 +41,7 @@
     tried_endpoints: set[str] = field(factory=set)  # ids of the endpoints that it was sent to
     may_have_run: bool = False
     failed_attempts: int = 0
+    failed_runs: int = 0  # failed attempts that may have run
 
     def record_sent(self, endpoint: str) -> None:
         """Record an endpoint that may have received the request."""
@@ -51,6 +52,11 @@
         self.failed_attempts += 1
         if outcome in (AttemptOutcome.FAILED, AttemptOutcome.BROKEN):
             self.may_have_run = True
+            self.failed_runs += 1
+
+    def forget_endpoint(self, endpoint: str) -> None:
+        """Don't count an endpoint as tried: it has ended, or it didn't run the request."""
+        self.tried_endpoints.discard(endpoint)
 
 
 @frozen
@@ -78,16 +84,32 @@
         and not failed.route.idempotent
     ):
         return False
+    if not _can_continue(failed) or failed.outcome is AttemptOutcome.NO_ENDPOINT:
+        return False
+    return history.failed_attempts < MAX_FAILED_ATTEMPTS
+
+
+def may_wait(failed: FailedAttempt, history: AttemptHistory) -> bool:
+    """Return whether the request may wait until an endpoint can take it.
+
+    A request that may have run, or whose response has begun, can no longer be refused. If it may
+    run again, it ends before its deadline only after its runs have failed too often. Others are
+    refused at once, so that their callers can come back elsewhere.
+    """
+    if not (failed.response_started or history.may_have_run) or not failed.route.idempotent:
+        return False
+    if final_step(failed, history) is NextStep.FORWARD:
+        return False  # the endpoint's own response is an answer
+    return _can_continue(failed) and history.failed_runs < MAX_FAILED_ATTEMPTS
+
+
+def _can_continue(failed: FailedAttempt) -> bool:
     if failed.response_started and not (
         failed.route.kind is RouteKind.STREAM and failed.route.resumable
     ):
         return False
     left = failed.response_deadline - failed.now
-    if left * 1000 < MIN_TIME_LEFT_SHARE * failed.route.objective_ms:
-        return False
-    if failed.outcome is AttemptOutcome.NO_ENDPOINT:
-        return False
-    return history.failed_attempts < MAX_FAILED_ATTEMPTS
+    return left * 1000 >= MIN_TIME_LEFT_SHARE * failed.route.objective_ms
 
 
 def stall_seconds(route: Route) -> float:
--- a/chivewall/decisions/placement.py
+++ b/chivewall/decisions/placement.py
@@ -70,6 +70,9 @@
     committed: bool = False  # it may have run, or a part of its response was sent
     pause_seconds: float = 0.3  # longest pause between events that the route's objective allows
     kv_data_centre: str | None = None  # data centre of the engine that keeps the KV cache
+    last_resort: bool = (
+        True  # an endpoint that had better get no work is chosen if no other is left
+    )
 
 
 class PromptState(Enum):
@@ -165,6 +168,8 @@
     listed = [
         one for one in states if not one.info.draining and one.info.id not in context.excluded
     ]
+    if not context.last_resort:
+        return [one for one in listed if one.is_usable(context.now)]
     present = [one for one in listed if one.unlisted_at is None] or listed
     steady = [one for one in present if one.cooldown_until <= context.now] or present
     return [one for one in steady if one.avoid_until <= context.now] or steady
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -17,7 +17,9 @@
 from chivewall.decisions.stages import EngineView, PrefillLoad
 from chivewall.environment import Environment
 from chivewall.events import Event
+from chivewall.gateway.endpoint_waits import EndpointWaits
 from chivewall.gateway.fleet_messages import (
+    AwaitEndpoint,
     CountSoundEngines,
     EndpointCrashed,
     EngineCooldown,
@@ -89,6 +91,7 @@
         self.prefill_loads: dict[str, PrefillLoad] = {}  # by service
         self.peer_work: OrderedDict[WorkKey, str] = OrderedDict()  # endpoint id of each attempt
         self.work_subscriber: Inbox | None = None  # receives the attempts of this gateway
+        self.waits = EndpointWaits()
 
     def reload(self, cfg: FleetSettings) -> None:
         """Apply changed settings; earlier requests and repeats stay counted."""
@@ -134,7 +137,12 @@
 
     @receive.register
     async def _(self, message: Tick) -> None:
-        self._drop_gone_endpoints()
+        self._end_waits()
+
+    @receive.register
+    async def _(self, message: AwaitEndpoint) -> None:
+        self.waits.add(message)
+        self._end_waits()
 
     @receive.register
     async def _(self, message: FindPlacement) -> None:
@@ -158,6 +166,7 @@
             committed=message.committed,
             pause_seconds=message.pause_seconds,
             kv_data_centre=message.kv_data_centre,
+            last_resort=message.last_resort,
         )
         message.reply(choose(message.fields, states, context, message.prompt))
 
@@ -275,6 +284,7 @@
         answered = message.outcome == "answered"
         if answered:
             state.record_success(self.env.now)
+            self._end_waits()
         elif message.outcome == "failed":
             state.record_failure(self.env.now)
         elif message.outcome == "refused" and state.info.stage is not Stage.NONE:
@@ -326,10 +336,7 @@
                 id=one.info.id,
                 stage=one.info.stage,
                 in_flight=one.in_flight,
-                usable=one.unlisted_at is None
-                and not one.info.draining
-                and one.cooldown_until <= now
-                and one.avoid_until <= now,
+                usable=one.is_usable(now),
             )
             for one in states
         )
@@ -342,6 +349,12 @@
         load = prefill_load.sample(engines, min(waits, default=0.0), now)
         return ServiceLoad(service, load, {one.info.id: one.info for one in states})
 
+    def _end_waits(self) -> None:
+        """Answer the requests for whose services an endpoint is usable."""
+        next_check = self.waits.end(self.states.values(), self.env.now)
+        if next_check is not None:
+            self.env.clock.callLater(next_check - self.env.now, self.send, Tick())
+
     def _avoid(self, state: EndpointRecord) -> None:
         state.record_failed_connection(self.env.now)
         self.env.log.emit(
@@ -426,6 +439,7 @@
             stage=info.stage.value,
             revision=item.revision,
         )
+        self._end_waits()
 
     def _remove_endpoint(self, name: str) -> None:
         state = self.states.get(name)
--- a/chivewall/gateway/forwarded_request.py
+++ b/chivewall/gateway/forwarded_request.py
@@ -2,6 +2,7 @@
 
 from functools import singledispatchmethod
 
+from chivewall.backoff import exponential_delay
 from chivewall.decisions.crash_evidence import Verdict
 from chivewall.decisions.event_stream import EventStream
 from chivewall.decisions.forwarding import (
@@ -11,6 +12,7 @@
     NextStep,
     decide,
     final_step,
+    may_wait,
     stall_seconds,
 )
 from chivewall.decisions.overload import Overloaded
@@ -40,6 +42,7 @@
     SendRequest,
 )
 from chivewall.gateway.fleet_messages import (
+    AwaitEndpoint,
     FindPlacement,
     FirstBytesReceived,
     KvCacheLost,
@@ -64,6 +67,10 @@
 RESPONSE_MARGIN_SECONDS = 0.03  # the gateway's own error is sent this long before the deadline
 SILENCE_SECONDS = 0.5  # time without a byte after which the endpoint's reachability is tested
 TRIAL_CHECK_SECONDS = 0.1  # interval between checks for the outcome of another request's trial
+# Shortest delay of a request that waits for an endpoint, doubled with each further wait. Endpoints
+# that are usable again get their waiting requests one after the other.
+WAIT_SECONDS = 0.05
+MAX_WAIT_SECONDS = 0.8
 SUCCESS_STATUSES = range(200, 300)
 SERVER_ERROR_STATUSES = range(500, 600)
 
@@ -111,6 +118,7 @@
         self.failed_endpoints: set[str] = set()  # ids of endpoints that failed to serve it
         # Exchanges that reached an endpoint, except a first prefill.
         self.arrivals = 0
+        self.waits = 0  # times that it had to wait for an endpoint
         self.prefill = PrefillProgress()
         self.prompt = GuardedPrompt(
             guard=context.guard,
@@ -142,16 +150,18 @@
     async def _(self, message: Tick) -> None:
         if self.ended:
             return
-        if message.purpose == "place":
+        if message.purpose == "answer_by":
+            await self._handle_timeout()
+        elif message.purpose == "place" and self.exchange is None:
             await self._place()
-        elif message.purpose == "decode":
+        elif message.purpose == "decode" and self.exchange is None:
             await self._decode()
-        elif message.purpose == "answer_by":
-            await self._handle_timeout()
         elif self.exchange is not None and message.purpose == f"silence {self.exchange.number}":
             self._check_silence()
         elif self.exchange is not None and message.purpose == f"stall {self.exchange.number}":
             await self._check_stall()
+        elif self.exchange is not None and message.purpose == f"withdraw {self.exchange.number}":
+            self._withdraw()
 
     @receive.register
     async def _(self, message: RequestWritten) -> None:
@@ -205,21 +215,22 @@
     async def _(self, message: EndpointProbed) -> None:
         if not self._is_current(message.exchange):
             return
-        if message.reachable:
-            self._schedule(SILENCE_SECONDS, Tick(f"silence {message.exchange}"))
-        elif self.exchange.prefill:
+        if self.exchange.prefill and not message.reachable:
             await self._prefill_failed("endpoint is not reachable", missed=True)
-        else:
+        elif not message.reachable and await self._has_replacement():
             await self._attempt_failed(
                 AttemptOutcome.BROKEN, "endpoint is not reachable", work_outcome="missed"
             )
+        else:
+            self._schedule(SILENCE_SECONDS, Tick(f"silence {message.exchange}"))
 
     @receive.register
     async def _(self, message: PartsSuspected) -> None:
         if self._may_withdraw():
             check = await self.prompt.check()
             if check.verdict in (Verdict.WAIT, Verdict.REFUSE):
-                self._withdraw()
+                # Events that were received during the check come first.
+                self.send(Tick(f"withdraw {self.exchange.number}"))
 
     @receive.register
     async def _(self, message: CallerDisconnected) -> None:
@@ -253,38 +264,72 @@
         if self.env.now < self.next_event_by:
             left = self.next_event_by - self.env.now
             self._schedule(left, Tick(f"stall {self.exchange.number}"))
-        elif self.route.resumable and self._has_endpoint_left():
-            await self._attempt_failed(AttemptOutcome.BROKEN, "the stream makes no progress")
+        elif self.route.resumable:
+            if await self._has_replacement():
+                await self._attempt_failed(AttemptOutcome.BROKEN, "the stream makes no progress")
+            else:
+                self._schedule(SILENCE_SECONDS, Tick(f"stall {self.exchange.number}"))
+
+    async def _has_replacement(self) -> bool:
+        """Return whether a sound endpoint can take over from that of the current exchange.
 
-    async def _find_placement(self, prompt: PromptState) -> Placement | Overloaded | None:
-        allowed = None
-        if len(self.history.tried_endpoints) >= self.route.attempts:
-            allowed = frozenset(self.history.tried_endpoints)
+        Without one the exchange goes on: an endpoint that has fallen silent may still answer.
+        """
+        found = await self._find_placement(
+            PromptState.PREFILL_AT_DECODER,
+            excluded=frozenset({*self.failed_endpoints, self.exchange.endpoint.id}),
+            last_resort=False,
+        )
+        return isinstance(found, Placement)
+
+    def _allowed_endpoints(self) -> frozenset[str] | None:
+        """Return the endpoints that may get the request, or ``None`` for every endpoint."""
+        tried = self.history.tried_endpoints
+        return frozenset(tried) if len(tried) >= self.route.attempts else None
+
+    async def _find_placement(
+        self,
+        prompt: PromptState,
+        *,
+        excluded: frozenset[str] | None = None,
+        last_resort: bool = True,
+    ) -> Placement | Overloaded | None:
+        allowed = self._allowed_endpoints()
+        if excluded is None:
+            excluded = frozenset(
+                self.failed_endpoints - self.history.tried_endpoints
+                if allowed
+                else self.failed_endpoints
+            )
         return await self.context.fleet.query(
             FindPlacement(
                 service=self.service,
                 fields=self.request.fields,
-                excluded=frozenset(
-                    self.failed_endpoints - self.history.tried_endpoints
-                    if allowed
-                    else self.failed_endpoints
-                ),
+                excluded=excluded,
                 allowed=allowed,
                 prompt=prompt,
                 rank=self.route.priority,
                 slack_seconds=self._slack_seconds(),
                 time_left_seconds=self.response_deadline - self.env.now,
-                committed=self.response.started or self.history.may_have_run,
+                committed=self._committed,
                 pause_seconds=self.route.pause_ms / MS_PER_SECOND,
                 kv_data_centre=self.prefill.kv_data_centre,
+                last_resort=last_resort,
             )
         )
 
+    @property
+    def _committed(self) -> bool:
+        """Return whether the request can no longer be refused truthfully."""
+        return self.response.started or self.history.may_have_run
+
     async def _may_send(self, step: str) -> bool:
         """Return whether the parts of the prompt allow an attempt now.
 
         If not, the request has ended, or its ``step`` is taken again soon.
         """
+        if self.response.stream.data_events:
+            return True  # an engine began to answer it and survived
         check = await self.prompt.check()
         if check.verdict is Verdict.WAIT:
             self._schedule(TRIAL_CHECK_SECONDS, Tick(step))
@@ -341,7 +386,11 @@
 
     async def _send_request(self, endpoint: EndpointInfo, kv_source: str | None) -> None:
         if self.arrivals and not await self.context.fleet.query(SpendRepeat(self.service)):
-            await self._give_up(AttemptOutcome.NOT_RUN, "the repeat budget is spent")
+            reason = "the repeat budget is spent"
+            if may_wait(self._situation(AttemptOutcome.NOT_RUN), self.history):
+                self._wait("decode" if kv_source else "place", reason)
+            else:
+                await self._give_up(AttemptOutcome.NOT_RUN, reason)
             return
         sent = ForwardedFields(
             time_left_ms=self._time_left_ms(),
@@ -474,7 +523,9 @@
         # The prefill may have waited for seconds; the chosen decode engine may be leaving by now.
         placement = await self._find_placement(PromptState.PREFILLED)
         if placement is None:
-            await self._attempt_failed(AttemptOutcome.NO_ENDPOINT, "no engine can decode")
+            await self._attempt_failed(
+                AttemptOutcome.NO_ENDPOINT, "no engine can decode", next_step="decode"
+            )
             return
         self.placement = placement
         kv_source = self.context.dialect.kv_source(
@@ -497,12 +548,19 @@
         await self._place()
 
     async def _attempt_failed(
-        self, outcome: AttemptOutcome, reason: str, work_outcome: str | None = None
+        self,
+        outcome: AttemptOutcome,
+        reason: str,
+        *,
+        work_outcome: str | None = None,
+        next_step: str = "place",
     ) -> None:
         self.history.record_failure(outcome)
         self._log_attempt_failed(outcome, reason)
         if outcome is AttemptOutcome.BROKEN and work_outcome is None:
-            await self._report_crash()
+            await self._check_crash()
+        elif outcome is AttemptOutcome.NOT_RUN and self._committed:
+            self.history.forget_endpoint(self.exchange.endpoint.id)
         fetches_kv_cache = self.exchange is not None and self.exchange.fetches_kv_cache
         if self.exchange is not None:
             if outcome is AttemptOutcome.NOT_RUN and fetches_kv_cache:
@@ -516,9 +574,23 @@
         at = self._situation(outcome)
         if decide(at, self.history) is NextStep.RETRY and self._has_endpoint_left():
             await self._place()
+        elif may_wait(at, self.history):
+            self._wait(next_step, reason)
         else:
             await self._give_up(outcome, reason)
 
+    def _wait(self, step: str, reason: str) -> None:
+        """Take a step again once an endpoint can answer the request."""
+        self.failed_endpoints.clear()
+        not_before = self.env.now + exponential_delay(WAIT_SECONDS, MAX_WAIT_SECONDS, self.waits)
+        self.waits += 1
+        self.log.log_waiting(reason, self.response_deadline - self.env.now)
+        self.spawn(self._take_step_with_endpoint(step, not_before))
+
+    async def _take_step_with_endpoint(self, step: str, not_before: float) -> None:
+        await self.context.fleet.query(AwaitEndpoint(self.service, self._allowed_endpoints()))
+        self._schedule(not_before - self.env.now, Tick(step))
+
     def _log_attempt_failed(self, outcome: AttemptOutcome, reason: str) -> None:
         self.log.log_attempt_failed(
             self.exchange,
@@ -534,13 +606,20 @@
             return 0
         return self.response.stream.data_events - self.exchange.events_before
 
-    async def _report_crash(self) -> None:
-        """Report to the guard if the engine crashed before it had sent an event."""
+    async def _check_crash(self) -> None:
+        """Find out whether the endpoint has crashed.
+
+        A process that has ended doesn't count as tried. If it had sent no event, the guard is told.
+        """
         exchange = self.exchange
-        if not self.prompt.keys or exchange.prefill or self._exchange_events():
+        is_evidence = bool(self.prompt.keys) and not self._exchange_events()
+        if exchange.prefill or not (is_evidence or self._allowed_endpoints()):
             return
         probe = ProbeAddress(exchange.endpoint.address, connect=True)
-        if await self.context.connections.query(probe) is Reachability.REFUSED:
+        if await self.context.connections.query(probe) is not Reachability.REFUSED:
+            return
+        self.history.forget_endpoint(exchange.endpoint.id)
+        if is_evidence:
             self.prompt.record_crash(exchange.endpoint, begun=self.received.head is not None)
 
     def _may_withdraw(self) -> bool:
@@ -549,12 +628,14 @@
             not self.ended
             and self.exchange is not None
             and not self.exchange.prefill
-            and not self._exchange_events()
+            and not self.response.stream.data_events
             and self.route.idempotent
         )
 
     def _withdraw(self) -> None:
         """Take the request back from an engine that one of its parts may crash."""
+        if not self._may_withdraw():
+            return
         self.history.may_have_run = True
         self._log_attempt_failed(
             AttemptOutcome.BROKEN, "withdrawn: a part of its prompt is suspected"
--- a/chivewall/gateway/metrics.py
+++ b/chivewall/gateway/metrics.py
@@ -33,6 +33,7 @@
         self.requests = self._counter("calls_total", "Ended calls by route and outcome.")
         self.attempts = self._counter("attempts_total", "Attempts by kind.")
         self.failures = self._counter("attempt_failures_total", "Failed attempts by outcome.")
+        self.waits = self._counter("call_waits_total", "Waits of calls for an endpoint by route.")
         self.refusals = self._counter("refusals_total", "Calls refused without a route, by code.")
         self.outages = self._counter("store_outages_total", "Outages of the store by collection.")
         self.orders = self._counter("orders_total", "Orders to engines by stage.")
@@ -58,6 +59,7 @@
         self._labelled = {
             Event.CALL_ATTEMPT_FAILED: (self.failures, "outcome", "outcome"),
             Event.CALL_REFUSED: (self.refusals, "code", "code"),
+            Event.CALL_WAITING: (self.waits, "route", "route"),
             Event.STORE_UNAVAILABLE: (self.outages, "collection", "key"),
             Event.ORDER_SENT: (self.orders, "stage", "stage"),
             Event.ENGINE_CRASHED: (self.engine_crashes, "service", "service"),
--- a/chivewall/gateway/request_log.py
+++ b/chivewall/gateway/request_log.py
@@ -61,6 +61,16 @@
             prompt_parts=[one.id for one in self.request.fields.prompt_parts[:MAX_LOGGED_PARTS]],
         )
 
+    def log_waiting(self, reason: str, seconds_left: float) -> None:
+        """Log that the request waits until an endpoint can take it, and its time left."""
+        self.env.log.emit(
+            Event.CALL_WAITING,
+            request=self.request.fields.request_id,
+            route=self.route.name,
+            reason=reason,
+            seconds_left=round(seconds_left, 3),
+        )
+
     def log_ended(
         self,
         outcome: str,
--- /dev/null
+++ b/tests/test_forwarded_request.py
@@ -0,0 +1,196 @@
+"""The task of one forwarded request, between its attempts."""
+
+import pytest
+from twisted.internet.task import Clock
+
+from chivewall.decisions.crash_evidence import PartCheck, PartKey, Verdict
+from chivewall.gateway.caller_messages import SendResponse
+from chivewall.gateway.exchange_messages import Reachability
+from chivewall.gateway.part_messages import EngineCrashed, PartsSuspected
+from chivewall.gateway.routing_configuration import RouteKind, Stage
+from chivewall.gateway.store_collections import CollectionChanges, CollectionItem
+from tests.utils.gateways import engine_info
+from tests.utils.requests import SERVICE, RequestBench, make_stream_route
+
+DECODERS = {"d1": Stage.DECODE, "d2": Stage.DECODE}
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+class PendingGuard:
+    """Guard of prompt parts whose verdicts the test gives."""
+
+    def __init__(self):
+        self.checks = []
+
+    def query(self, message):
+        self.checks.append(message)
+        return message.deferred
+
+    def send(self, message):
+        """Ignore the message."""
+
+
+def list_engine(bench, name):
+    item = CollectionItem(name, engine_info(name, Stage.DECODE), 2)
+    bench.fleet.send(CollectionChanges("servers", (item,), 2))
+
+
+def test_begun_stream_waits_for_an_engine_after_all_have_crashed(clock):
+    """Guards against a stream that is cut at once, seconds before its deadline."""
+    bench = RequestBench(clock, **DECODERS).begin(events=2)
+    bench.connections.reachability = Reachability.REFUSED
+    bench.break_off()
+    bench.fail_to_connect()
+    assert bench.outcomes() == []
+    list_engine(bench, "d3")
+    clock.advance(0.1)
+    assert bench.engine == "d3"
+    bench.begin(events=0)
+    bench.send_event(3)
+    bench.finish()
+    assert bench.outcomes() == ["FinishResponse"]
+
+
+def test_begun_stream_returns_to_an_engine_that_is_usable_again(clock):
+    """Guards against a stream that waits for a change of the list which never comes."""
+    bench = RequestBench(clock, d1=Stage.DECODE).begin(events=2)
+    bench.break_off()
+    clock.advance(0.1)
+    bench.fail_to_connect()
+    assert bench.outcomes() == []
+    assert len(bench.connections.sent) == 2
+    clock.advance(1.0)
+    assert len(bench.connections.sent) == 3
+
+
+def test_waiting_stream_ends_at_its_deadline(clock):
+    """Guards against a request that waits for an engine for ever."""
+    bench = RequestBench(clock, d1=Stage.DECODE).begin()
+    bench.break_off()
+    for _ in range(60):
+        bench.fail_to_connect()
+        clock.advance(0.1)
+    assert bench.outcomes() == ["AbortResponse"]
+
+
+def test_request_that_has_not_run_is_refused_at_once_without_an_endpoint(clock):
+    """Guards against callers that wait for a place although they could come back elsewhere."""
+    bench = RequestBench(clock, d1=Stage.DECODE)
+    bench.fail_to_connect()
+    assert bench.outcomes() == ["SendResponse"]
+    assert bench.caller.messages[-1].status == 503
+
+
+def test_crashed_engines_do_not_use_up_the_attempts_of_a_begun_stream(clock):
+    """Guards against a stream that is cut because two engines crashed under it."""
+    bench = RequestBench(clock, **DECODERS, d3=Stage.DECODE).begin(events=1)
+    bench.connections.reachability = Reachability.REFUSED
+    bench.break_off()
+    bench.begin(events=0)
+    bench.send_event(2)
+    bench.break_off()
+    bench.begin(events=0)
+    bench.send_event(3)
+    bench.finish()
+    assert bench.outcomes() == ["FinishResponse"]
+
+
+def test_refusal_does_not_use_up_the_attempts_of_a_begun_stream(clock):
+    """Guards against a stream that is cut because the next engine was full."""
+    bench = RequestBench(clock, **DECODERS).begin(events=1)
+    bench.break_off()
+    bench.refuse()
+    assert bench.outcomes() == []
+    clock.advance(0.6)
+    bench.begin(events=0)
+    bench.send_event(2)
+    bench.finish()
+    assert bench.outcomes() == ["FinishResponse"]
+
+
+def test_stalled_stream_is_kept_while_no_other_engine_is_left(clock):
+    """Guards against a sound stream that is cut because its engine was silent for a second."""
+    bench = RequestBench(clock, d1=Stage.DECODE).begin(events=1)
+    for _ in range(4):
+        clock.advance(0.5)
+    assert bench.connections.cancelled == []
+    bench.send_event(2)
+    bench.finish()
+    assert bench.outcomes() == ["FinishResponse"]
+
+
+def test_silent_engine_is_kept_while_no_other_engine_is_left(clock):
+    """Guards against an accepted request that fails because its only engine was silent."""
+    bench = RequestBench(clock, d1=Stage.DECODE)
+    bench.begin(events=0)
+    bench.connections.reachability = Reachability.SILENT
+    clock.advance(0.6)
+    assert bench.connections.probes == 1
+    assert bench.connections.cancelled == []
+    bench.send_event(1)
+    bench.finish()
+    assert bench.outcomes() == ["FinishResponse"]
+
+
+def test_silent_engine_is_replaced_by_a_sound_one(clock):
+    """Guards against a request that waits for an engine which is gone while another is idle."""
+    bench = RequestBench(clock, **DECODERS)
+    bench.begin(events=0)
+    first = bench.engine
+    bench.connections.reachability = Reachability.SILENT
+    clock.advance(0.6)
+    assert bench.engine != first
+
+
+def test_begun_stream_is_not_stopped_by_a_suspected_part(clock):
+    """Guards against a stream whose own events show that its parts crash no engine."""
+    bench = RequestBench(clock, **DECODERS, parts=("a1", "5c1e", "01")).begin(events=1)
+    clock.advance(0.1)
+    bench.break_off()
+    key = PartKey(SERVICE, "5c1e")
+    for name in ("e1", "e2", "e3", "e4"):
+        crashed = EngineCrashed(engine_info(name, Stage.DECODE), (key,), "r9", begun=True)
+        bench.guard.send(crashed)
+    bench.task.send(PartsSuspected())
+    bench.begin(events=0)
+    bench.send_event(2)
+    bench.finish()
+    assert bench.outcomes() == ["FinishResponse"]
+
+
+def test_event_that_came_before_a_suspicion_was_checked_is_forwarded(clock):
+    """Guards against a stream that is withdrawn although its first event had arrived."""
+    bench = RequestBench(clock, **DECODERS, parts=("a1", "5c1e", "01"))
+    bench.begin(events=0)
+    bench.task.prompt.guard = PendingGuard()
+    bench.task.send(PartsSuspected())
+    bench.send_event(1)
+    bench.task.prompt.guard.checks[0].reply(PartCheck(Verdict.REFUSE))
+    bench.finish()
+    assert bench.outcomes() == ["FinishResponse"]
+
+
+def test_request_at_an_engine_is_withdrawn_when_a_part_is_suspected(clock):
+    """Guards against the next crash by a request that is already on its way."""
+    bench = RequestBench(clock, **DECODERS, parts=("a1", "5c1e", "01"))
+    bench.begin(events=0)
+    key = PartKey(SERVICE, "5c1e")
+    for name in ("e1", "e2"):
+        crashed = EngineCrashed(engine_info(name, Stage.DECODE), (key,), "r9", begun=True)
+        bench.guard.send(crashed)
+    assert bench.connections.cancelled == [1]
+    assert len(bench.connections.sent) == 1
+
+
+def test_unsafe_request_that_may_have_run_ends_at_once(clock):
+    """Guards against a booking that waits for a second run, which it must never get."""
+    bench = RequestBench(clock, make_stream_route(kind=RouteKind.UNSAFE), d1=Stage.DECODE)
+    bench.begin(events=0)
+    bench.break_off()
+    response = bench.caller.messages[-1]
+    assert isinstance(response, SendResponse)
+    assert response.status not in (408, 421, 429, 503)
