Keep idle connections open for a raised idle limit

A connection took its idle time from the limits at the moment when it became idle. After a change that raises the limit, callers may reuse it for longer than the gateway kept it, and a request that crosses the close gets neither an answer nor a refusal.

A change of the limits now extends the time of connections that are idle. A lowered limit shortens none, as its caller may not know of it yet.

Ruled out: closing and reading at the same moment; the reactor reads sockets before it fires timers.

--- a/chivewall/gateway/gateway.py
+++ b/chivewall/gateway/gateway.py
@@ -192,6 +192,8 @@
             return
         self.table = RouteTable(configuration)
         self.limits = configuration.limits
+        for connection in self.connections:
+            connection.extend_idle_time()
         self.env.log.emit(
             Event.CATALOGUE_IN_FORCE,
             version=configuration.version,
--- a/chivewall/gateway/ingress_connection.py
+++ b/chivewall/gateway/ingress_connection.py
@@ -91,6 +91,7 @@
         self._body = bytearray()
         self._task: Inbox | None = None
         self._timer: Any = None
+        self._phase_began = 0.0
         self._pipelined_bytes = 0  # bytes received while a request is in progress
         self._written_bytes = 0  # since the transport could last write all of them
         self.blocked_since: float | None = None  # when the caller stopped reading
@@ -164,6 +165,13 @@
         self.resumeProducing()
         self.transport.abortConnection()
 
+    def extend_idle_time(self) -> None:
+        """Keep an idle connection for as long as the limits now in force promise its caller."""
+        if self.phase is Phase.IDLE and self._timer.active():
+            left = self._phase_began + self._phase_seconds() - self.env.now
+            if left > self._timer.getTime() - self.env.clock.seconds():
+                self._timer.reset(left)
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in progress."""
         if self.phase in (Phase.IDLE, Phase.CLOSING):
@@ -350,11 +358,14 @@
         """Enter a phase and start its timeout."""
         self._stop_timer()
         self.phase = phase
+        self._phase_began = self.env.now
+        self._timer = self.env.clock.callLater(self._phase_seconds(), self._timed_out)
+
+    def _phase_seconds(self) -> float:
         limits = self.handler.limits
-        seconds = limits.header_timeout_ms / MS_PER_SECOND
-        if phase is not Phase.HEAD:
-            seconds = limits.idle_timeout_ms / MS_PER_SECOND + IDLE_MARGIN_SECONDS
-        self._timer = self.env.clock.callLater(seconds, self._timed_out)
+        if self.phase is Phase.HEAD:
+            return limits.header_timeout_ms / MS_PER_SECOND
+        return limits.idle_timeout_ms / MS_PER_SECOND + IDLE_MARGIN_SECONDS
 
     def _timed_out(self) -> None:
         if self.phase is Phase.IDLE:
--- /dev/null
+++ b/tests/test_ingress_limits.py
@@ -0,0 +1,90 @@
+"""Callers' connections while the limits of the routing configuration change."""
+
+from unittest.mock import Mock
+
+import pytest
+from attrs import evolve
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+
+from chivewall.gateway.exchange import RequestContext
+from chivewall.gateway.gateway import Gateway, GatewaySettings
+from chivewall.gateway.ingress_connection import IDLE_MARGIN_SECONDS, IngressConnection
+from chivewall.gateway.part_guard import PartGuard
+from chivewall.gateway.routing_configuration import IngressLimits, RoutingConfiguration
+from chivewall.gateway.sources import CollectionSources
+from chivewall.gateway.store_collections import CollectionChanges, CollectionItem
+from chivewall.platform.headers import PlatformDialect
+from tests.utils.fleets import SilentSource, make_fleet
+from tests.utils.requests import FakeConnections
+
+SHORT = RoutingConfiguration(version=1, routes=(), limits=IngressLimits(idle_timeout_ms=2000))
+LONG = evolve(SHORT, version=2, limits=IngressLimits(idle_timeout_ms=8000))
+
+
+class SocketTransport(StringTransport):
+    """Transport without a socket to set options on."""
+
+    def setTcpNoDelay(self, enabled):  # noqa: N802 - Twisted's name
+        """Ignore the option."""
+
+    def setTcpKeepAlive(self, enabled):  # noqa: N802 - Twisted's name
+        """Ignore the option."""
+
+    def getHandle(self):  # noqa: N802 - Twisted's name
+        """Return a socket that accepts all options."""
+        return Mock()
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def gateway(clock):
+    fleet = make_fleet(clock)
+    context = RequestContext(
+        env=fleet.env,
+        fleet=fleet,
+        guard=PartGuard(fleet.env, fleet),
+        connections=FakeConnections(),
+        dialect=PlatformDialect(),
+    )
+    sources = CollectionSources(routing_configuration=SilentSource(), endpoints=SilentSource())
+    cfg = GatewaySettings(address="127.0.0.1:80", grace_seconds=8)
+    gateway = Gateway(fleet.env, cfg, context, sources)
+    gateway.start()
+    return gateway
+
+
+def apply(gateway, configuration):
+    item = CollectionItem("main", configuration, configuration.version)
+    gateway.send(CollectionChanges("config", (item,), configuration.version))
+
+
+def connect(gateway):
+    connection = IngressConnection(gateway.env, gateway, gateway.context.dialect)
+    connection.makeConnection(SocketTransport())
+    return connection
+
+
+def test_idle_connection_stays_open_for_a_raised_limit(clock, gateway):
+    """Guards against a request lost on a connection that its caller may still use."""
+    apply(gateway, SHORT)
+    connection = connect(gateway)
+    clock.advance(1.0)
+    apply(gateway, LONG)
+    clock.advance(6.9)
+    assert not connection.transport.disconnecting
+    clock.advance(0.1 + IDLE_MARGIN_SECONDS)
+    assert connection.transport.disconnecting
+
+
+def test_idle_connection_keeps_the_limit_that_its_caller_was_promised(clock, gateway):
+    """Guards against a connection that a lowered limit closes before its caller learns of it."""
+    apply(gateway, evolve(LONG, version=1))
+    connection = connect(gateway)
+    apply(gateway, evolve(SHORT, version=2))
+    clock.advance(7.9)
+    assert not connection.transport.disconnecting
