Answer every request truly at the end of a graceful shutdown

Operators of similar systems reported requests that came late in the grace of a planned stop, were passed on, and were cut at its end with no answer. The same happens here. The listener closes 2.6 s after SIGTERM, but connections on which a request is arriving stay open, and so do those whose response began before SIGTERM without "Connection: close". Whatever arrived on them was passed on with the route's whole time, up to 7.3 s after SIGTERM, when all connections were reset: late requests, requests in progress, streams and half-read bodies alike, among them unsafe requests.

A shutdown now has a schedule with two times, which the gateway and the tasks of the requests get as messages: - A request that arrives after the listener closes is passed on only if its own deadline is in time. Otherwise it is refused at once with 503 DRAINING, a Retry-After and "Connection: close"; its caller can use another gateway. - Every request has to end 1 s before SIGKILL. The deadline that an endpoint gets is no later. A request in progress then gets 504, or 503 if it can't have run; a stream ends without its last chunk; a request that has not arrived completely gets 503. - The last 0.3 s before connections are closed are for callers to read. A stop without draining answers in the same way. Idle connections are closed all the while, not only once, so one that becomes idle no longer keeps the process up to the end.

Ruled out: refusing every request after SIGTERM, as the load balancer sends new connections for 2 s more; an estimate of the duration in place of the deadline, which for a request that may not be repeated would be a guess.

--- a/chivewall/gateway/caller_messages.py
+++ b/chivewall/gateway/caller_messages.py
@@ -52,3 +52,10 @@
 @frozen
 class CallerDisconnected:
     """The caller closed its connection."""
+
+
+@frozen
+class EndBy:
+    """The request must have its final response by a time, because the gateway shuts down."""
+
+    deadline: float
--- a/chivewall/gateway/exchange.py
+++ b/chivewall/gateway/exchange.py
@@ -22,6 +22,7 @@
 RELEASE_TIMEOUT_SECONDS = 0.6  # timeout of the request that frees a KV cache
 SERVICE_REQUEST_SECONDS = 0.05  # duration of a plain service's request in other gateways' estimates
 
+MS_PER_SECOND = 1000.0
 EVENT_STREAM = b"text/event-stream"
 
 
@@ -56,6 +57,12 @@
     reachable: bool
 
 
+def request_deadline(request: CallerRequest, route: Route) -> float:
+    """Return the time until which the caller waits and the route allows."""
+    timeout_ms = min(route.timeout_ms, request.fields.timeout_ms or route.timeout_ms)
+    return request.received_at + timeout_ms / MS_PER_SECOND
+
+
 def outgoing_request(
     exchange: Exchange,
     request: CallerRequest,
--- a/chivewall/gateway/forwarded_request.py
+++ b/chivewall/gateway/forwarded_request.py
@@ -18,7 +18,7 @@
 from chivewall.decisions.overload import Overloaded
 from chivewall.decisions.placement import Placement, PromptState
 from chivewall.errors import DecodeError, EndpointError
-from chivewall.gateway.caller_messages import CallerDisconnected
+from chivewall.gateway.caller_messages import CallerDisconnected, EndBy
 from chivewall.gateway.caller_response import CallerResponse
 from chivewall.gateway.exchange import (
     EndpointProbed,
@@ -27,6 +27,7 @@
     is_event_stream,
     outgoing_request,
     release_kv_cache,
+    request_deadline,
     response_problem,
     shared_work_seconds,
 )
@@ -93,8 +94,7 @@
         self.request = request
         self.route = route
         self.service = service
-        timeout_ms = min(route.timeout_ms, request.fields.timeout_ms or route.timeout_ms)
-        self.deadline = request.received_at + timeout_ms / MS_PER_SECOND
+        self.deadline = request_deadline(request, route)
         self.response_deadline = max(self.deadline - RESPONSE_MARGIN_SECONDS, request.received_at)
         self.log = RequestLog(context.env, request, route)
         self.history = AttemptHistory()
@@ -163,6 +163,13 @@
         elif self.exchange is not None and message.purpose == f"withdraw {self.exchange.number}":
             self._withdraw()
 
+    @receive.register
+    async def _(self, message: EndBy) -> None:
+        if not self.ended and message.deadline < self.deadline:
+            self.deadline = message.deadline
+            self.response_deadline = self.deadline - RESPONSE_MARGIN_SECONDS
+            self._schedule(self.response_deadline - self.env.now, Tick("answer_by"))
+
     @receive.register
     async def _(self, message: RequestWritten) -> None:
         if not self._is_current(message.exchange):
--- a/chivewall/gateway/gateway.py
+++ b/chivewall/gateway/gateway.py
@@ -9,12 +9,14 @@
 
 from chivewall.addresses import check_address, parse_address
 from chivewall.decisions.route_table import RouteTable, choose_service
+from chivewall.decisions.shutdown import ShutdownSchedule, schedule_shutdown
 from chivewall.environment import Environment
 from chivewall.events import Event
 from chivewall.gateway.byte_budget import MAX_TOTAL_UNREAD_BYTES
+from chivewall.gateway.caller_messages import EndBy
 from chivewall.gateway.caller_response import error_response
 from chivewall.gateway.channels import ConnectionPool
-from chivewall.gateway.exchange import RequestContext
+from chivewall.gateway.exchange import RequestContext, request_deadline
 from chivewall.gateway.fleet import Fleet
 from chivewall.gateway.forwarded_request import ForwardedRequest
 from chivewall.gateway.http_dialect import CallerRequest, HttpDialect
@@ -39,6 +41,11 @@
 BALANCER_DELAY_SECONDS = 2.6
 # Draining ends this many seconds before the platform kills the process.
 CLOSE_MARGIN_SECONDS = 0.7
+# Requests have their final responses this many seconds before draining ends, so that callers read
+# them before their connections are closed.
+RESPONSE_MARGIN_SECONDS = 0.3
+# Time in which the last responses are written when a process stops without draining.
+LAST_RESPONSES_SECONDS = 0.1
 POLL_SECONDS = 0.1  # interval between checks for open connections while draining
 BACKLOG = 512  # connections that wait for accept()
 # Limit on the sum of all request bodies being received; a quarter of the smallest instance's
@@ -62,6 +69,23 @@
     )
 
 
+@frozen
+class BeginShutdown:
+    """Tell the gateway that it shuts down, and what it may still take."""
+
+    schedule: ShutdownSchedule
+
+
+@frozen
+class CloseIdleConnections:
+    """Tell the gateway to close the connections that wait for a request."""
+
+
+@frozen
+class EndRequests:
+    """Tell the gateway to give every request its final response now."""
+
+
 class Gateway(Task):
     """Holds the routing configuration in force and the callers' connections."""
 
@@ -80,6 +104,7 @@
         self.table: RouteTable | None = None
         self.limits = IngressLimits()
         self.closing = False
+        self.shutdown: ShutdownSchedule | None = None
         self.connections: set[IngressConnection] = set()
         self.unread_bytes = 0  # bytes of all responses that callers have not read
         self.pending_body_bytes = 0  # bytes of all request bodies being received
@@ -90,8 +115,11 @@
         self.watcher.start()
 
     async def on_stop(self) -> None:
-        """Stop watching the routing configuration and abort the remaining connections."""
+        """Stop watching the routing configuration, and end the remaining requests."""
         await self.watcher.stop()
+        if self.connections:
+            self._end_requests()
+            await pause(self.env, LAST_RESPONSES_SECONDS)
         for connection in list(self.connections):
             connection.transport.abortConnection()
 
@@ -112,6 +140,29 @@
     async def _(self, message: CollectionUnavailable) -> None:
         """Continue with the routes known so far."""
 
+    @receive.register
+    async def _(self, message: BeginShutdown) -> None:
+        self.closing = True
+        self.shutdown = message.schedule
+        for connection in list(self.connections):
+            connection.end_by(message.schedule.end_by)
+
+    @receive.register
+    async def _(self, message: CloseIdleConnections) -> None:
+        for connection in list(self.connections):
+            connection.close_if_idle()
+
+    @receive.register
+    async def _(self, message: EndRequests) -> None:
+        self._end_requests()
+
+    def _end_requests(self) -> None:
+        self.closing = True
+        self.shutdown = ShutdownSchedule(late_from=self.env.now, end_by=self.env.now)
+        for connection in list(self.connections):
+            connection.end_by(self.env.now)
+            connection.end()
+
     def accept(self, request: CallerRequest, connection: IngressConnection) -> Inbox:
         """Start the task of a request and return its inbox (``RequestHandler``)."""
         inbox = Inbox()
@@ -124,10 +175,19 @@
                 request, connection, ResultCode.NOT_FOUND, "no route matches host and path"
             )
             return inbox
+        if self.shutdown is not None and not self.shutdown.takes(
+            request.received_at, request_deadline(request, route)
+        ):
+            self._refuse(
+                request, connection, ResultCode.DRAINING, "the gateway may stop before its end"
+            )
+            return inbox
         service = choose_service(route, self.env.random)
         task = ForwardedRequest(
             self.context, request, route, service, connection, connection.request_number
         )
+        if self.shutdown is not None:
+            task.send(EndBy(self.shutdown.end_by))
         task.start()
         return task.inbox
 
@@ -246,15 +306,19 @@
     async def drain(self) -> None:
         """Serve until the load balancer sends no more and no request is in progress."""
         close_by = self.env.now + self.cfg.grace_seconds - CLOSE_MARGIN_SECONDS
-        self.gateway.closing = True
-        await self._pause(BALANCER_DELAY_SECONDS)
-        # A request accepted late could be aborted by the kill. A caller whose idle connection
-        # is closed sends its next request to another gateway.
+        schedule = schedule_shutdown(
+            self.env.now, BALANCER_DELAY_SECONDS, close_by - RESPONSE_MARGIN_SECONDS
+        )
+        self.gateway.send(BeginShutdown(schedule))
+        await pause(self.env, BALANCER_DELAY_SECONDS)
         await maybeDeferred(self.listener.stopListening)
-        for connection in list(self.gateway.connections):
-            connection.close_if_idle()
+        while self.gateway.connections and self.env.now < schedule.end_by:
+            # A caller whose idle connection is closed sends its next request to another gateway.
+            self.gateway.send(CloseIdleConnections())
+            await pause(self.env, POLL_SECONDS)
+        self.gateway.send(EndRequests())
         while self.gateway.connections and self.env.now < close_by:
-            await self._pause(POLL_SECONDS)
+            await pause(self.env, POLL_SECONDS)
 
     async def stop(self) -> None:
         """Stop listening and close the remaining connections."""
@@ -270,10 +334,12 @@
         """Return whether the routing configuration is known."""
         return self.gateway.table is not None
 
-    def _pause(self, seconds: float) -> Deferred:
-        fired: Deferred = Deferred()
-        self.env.clock.callLater(seconds, fired.callback, None)
-        return fired
+
+def pause(env: Environment, seconds: float) -> Deferred:
+    """Return a deferred that fires after a while."""
+    fired: Deferred = Deferred()
+    env.clock.callLater(seconds, fired.callback, None)
+    return fired
 
 
 def register(registry: Registry) -> None:
--- a/chivewall/gateway/ingress_connection.py
+++ b/chivewall/gateway/ingress_connection.py
@@ -20,11 +20,13 @@
 from chivewall.gateway.caller_messages import (
     AbortResponse,
     CallerDisconnected,
+    EndBy,
     FinishResponse,
     SendChunk,
     SendResponse,
     StartResponse,
 )
+from chivewall.gateway.caller_response import NOT_RUN_STATUSES, RETRY_AFTER_SECONDS
 from chivewall.gateway.http_dialect import CallerRequest, Headers, HttpDialect
 from chivewall.gateway.routing_configuration import IngressLimits
 from chivewall.gateway.sockets import set_tcp_options
@@ -173,10 +175,21 @@
                 self._timer.reset(left)
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request is in progress."""
-        if self.phase in (Phase.IDLE, Phase.CLOSING):
+        """Close the connection if it waits for a request."""
+        if self.phase is Phase.IDLE:
             self.transport.loseConnection()
 
+    def end_by(self, deadline: float) -> None:
+        """Tell the task of the request in progress when it must have ended."""
+        if self._task is not None:
+            self._task.put(EndBy(deadline))
+
+    def end(self) -> None:
+        """Give a final response to a request that has not arrived completely, and close."""
+        self.close_if_idle()
+        if self.phase in (Phase.HEAD, Phase.BODY):
+            self._reject(ResultCode.DRAINING, "the gateway stops before the request has arrived")
+
     @singledispatchmethod
     def _respond(self, message: object) -> None:
         raise TypeError(f"unexpected message {message!r}")
@@ -344,6 +357,8 @@
         if self._task is None and self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             body = reason.encode("utf-8", "replace")
             headers = ((b"Content-Type", b"text/plain"), (b"Connection", b"close"))
+            if code.http_status in NOT_RUN_STATUSES:
+                headers += ((b"Retry-After", str(RETRY_AFTER_SECONDS).encode()),)
             self._write_response(code.http_status, headers, body)
         self._linger()
 
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -18,6 +18,7 @@
 from chivewall.decisions.peers import PEER_TIMEOUT_SECONDS, PeerTable
 from chivewall.decisions.repeat_budget import RepeatBudget, RepeatBudgetPolicy
 from chivewall.decisions.route_table import RouteTable, choose_service
+from chivewall.decisions.shutdown import schedule_shutdown
 from chivewall.errors import EventTooLargeError
 from chivewall.gateway.routing_configuration import (
     IngressLimits,
@@ -283,3 +284,10 @@
         table.record_datagram("10.0.0.1", (), 0.0)
         assert not table.has_lowest_address(1.0)
         assert table.has_lowest_address(PEER_TIMEOUT_SECONDS + 1)
+
+
+def test_schedule_of_a_short_grace_takes_nothing_after_its_end():
+    """Guards against requests that are taken after the time at which the last ones end."""
+    schedule = schedule_shutdown(now=100.0, balancer_seconds=2.6, end_by=101.0)
+    assert schedule.takes(received_at=100.9, deadline=120.0)
+    assert not schedule.takes(received_at=101.0, deadline=101.5)
