Serve the connections that wait for accept() when a stop closes the listener

A connection that the kernel had taken but the process had not accepted was reset when the listener closed, and one that was accepted in the same turn of the reactor was closed as idle before its request was read. A process that stands still for a moment just then resets all callers that came meanwhile.

The waiting connections are now accepted before the listener closes, and the first pause comes before idle connections are closed, so that what has arrived is read.

The test pauses the process from 2.0 to 3.0 s after SIGTERM and connects five callers meanwhile.

--- a/chivewall/gateway/gateway.py
+++ b/chivewall/gateway/gateway.py
@@ -311,11 +311,14 @@
         )
         self.gateway.send(BeginShutdown(schedule))
         await pause(self.env, BALANCER_DELAY_SECONDS)
+        # Connections that wait for accept() would be reset.
+        self.listener.doRead()
         await maybeDeferred(self.listener.stopListening)
         while self.gateway.connections and self.env.now < schedule.end_by:
             # A caller whose idle connection is closed sends its next request to another gateway.
-            self.gateway.send(CloseIdleConnections())
+            # The pause comes first, so that a request that has arrived is read before.
             await pause(self.env, POLL_SECONDS)
+            self.gateway.send(CloseIdleConnections())
         self.gateway.send(EndRequests())
         while self.gateway.connections and self.env.now < close_by:
             await pause(self.env, POLL_SECONDS)
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -227,3 +227,23 @@
     assert not response.endswith(b"0\r\n\r\n")
     assert response.endswith(b"\n\n\r\n")
     assert_ends_in_time(site, stopped_at)
+
+
+@pytest.mark.usefixtures("desk")
+def test_request_in_the_accept_queue_is_answered(site):
+    """Guards against a reset of a connection that the process has not accepted yet.
+
+    The process is paused over the moment at which it closes its listener.
+    """
+    stopped_at = terminate(site)
+    wait_from(stopped_at, 2.0)
+    site.process.send_signal(signal.SIGSTOP)
+    try:
+        connections = [site.connect() for _ in range(5)]
+        for one in connections:
+            one.sendall(HEAD % (b"GET /read/1", b"r1") + b"\r\n")
+        wait_from(stopped_at, 3.0)
+    finally:
+        site.process.send_signal(signal.SIGCONT)
+    assert [receive_all(one)[:13] for one in connections] == [b"HTTP/1.1 200 "] * 5
+    assert_ends_in_time(site, stopped_at)
