Ignore a second SIGTERM during a graceful shutdown

Any second signal stopped the process at once, with every request in progress. Supervisors repeat SIGTERM, to all processes of a group or from two sources, so a planned stop could cut all requests of a machine, also those that may not be repeated.

SIGTERM during a shutdown now changes nothing; the platform ends the process with SIGKILL after the grace anyway. SIGINT during a shutdown still stops at once, with exit status 8 (FORCED), since a person asks for it.

test_second_signal_ends_at_once asked for the old behaviour with SIGTERM. It is now test_interrupt_during_a_shutdown_ends_at_once, with the same checks and SIGINT, and test_second_sigterm_cuts_no_stream asks for the opposite with SIGTERM. That one and test_second_sigterm_changes_nothing failed before with "peer closed connection without sending complete message body"; after, all three pass.

--- a/chivewall/daemon.py
+++ b/chivewall/daemon.py
@@ -29,7 +29,7 @@
 def main(settings: Path, *, check: bool) -> None:
     """Run one chivewall process with the settings in a JSON file with comments.
 
-    SIGTERM or Ctrl-C shuts it down gracefully; a second signal stops it at once.
+    SIGTERM or Ctrl-C shuts it down gracefully; Ctrl-C during a shutdown stops it at once.
     SIGHUP reloads the settings file.
     """
     reactor = install_reactor()
@@ -83,7 +83,7 @@
         started.addErrback(self._fail)
 
     def _on_signal(self, number: int, frame: object) -> None:
-        self.reactor.callFromThread(self.shut_down)
+        self.reactor.callFromThread(self.shut_down, at_once=number == signal.SIGINT)
 
     def _on_reload_signal(self, number: int, frame: object) -> None:
         self.reactor.callFromThread(self.reload)
@@ -108,9 +108,15 @@
                 self.reload()
         self.reactor.callLater(SETTINGS_CHECK_SECONDS, self._check_settings_file)
 
-    def shut_down(self) -> None:
-        """Shut down gracefully, or stop at once if a shutdown is already in progress."""
+    def shut_down(self, *, at_once: bool = False) -> None:
+        """Shut down gracefully; ``at_once`` cuts a shutdown short that is in progress.
+
+        SIGTERM comes from supervisors, which may repeat it; only a person who presses Ctrl-C
+        again asks for an end that breaks requests off.
+        """
         if self.app.draining:
+            if not at_once:
+                return
             self.status = ExitStatus.FORCED
             ending = ensureDeferred(self.app.stop())
         else:
--- a/chivewall/exits.py
+++ b/chivewall/exits.py
@@ -17,7 +17,7 @@
     CONFLICT = (5, "Another operator changed the configuration first.")
     NOT_IN_FORCE = (6, "The change is accepted, but not in force everywhere within --timeout.")
     UNAUTHENTICATED = (7, "The operator token is missing or wrong.")
-    FORCED = (8, "A second signal stopped the daemon before its graceful shutdown was complete.")
+    FORCED = (8, "SIGINT stopped the daemon before its graceful shutdown was complete.")
 
     meaning: str
 
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -3,6 +3,7 @@
 import signal
 import time
 
+import httpx
 import pytest
 
 from chivewall.standins.platform_endpoint import PlatformEndpoint
@@ -247,3 +248,16 @@
         site.process.send_signal(signal.SIGCONT)
     assert [receive_all(one)[:13] for one in connections] == [b"HTTP/1.1 200 "] * 5
     assert_ends_in_time(site, stopped_at)
+
+
+def test_second_sigterm_changes_nothing(site, engine):
+    """Guards against requests that are cut because SIGTERM was sent once more."""
+    engine.event_count = 10
+    with httpx.stream(
+        "POST", site.url("/brief/1"), headers={"Host": "desk.example"}, content=b"{}"
+    ) as response:
+        stopped_at = terminate(site)
+        time.sleep(0.5)
+        terminate(site)
+        assert b"data: token 10\n\n" in response.read()
+    assert_ends_in_time(site, stopped_at)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -174,17 +174,29 @@
         self.assertThat(received, GreaterThan(PADDING_BYTES))
         self.assertThat(site.entry.wait(), Equals(ExitStatus.OK))
 
-    def test_second_signal_ends_at_once(self):
+    def test_interrupt_during_a_shutdown_ends_at_once(self):
         """Guards against a shutdown that an operator can't cut short."""
         site = new_site(self)
         chunks = iter(complete_chat(site, 2000, stream=True))  # 40 s
         next(chunks)
         site.entry.send_signal(signal.SIGTERM)
         site.entry.wait_for_event("DRAINING")
-        site.entry.send_signal(signal.SIGTERM)
+        site.entry.send_signal(signal.SIGINT)
         self.assertThat(site.entry.wait(), Equals(ExitStatus.FORCED))
         self.assertThat(site.entry.events("TASK_FAILED"), Equals([]))
 
+    def test_second_sigterm_cuts_no_stream(self):
+        """Guards against a stream cut off because a supervisor sent SIGTERM once more."""
+        site = new_site(self)
+        chunks = iter(complete_chat(site, STREAM_TOKENS, stream=True))
+        seen = [next(chunks)]
+        site.entry.send_signal(signal.SIGTERM)
+        site.entry.wait_for_event("DRAINING")
+        site.entry.send_signal(signal.SIGTERM)
+        seen += list(chunks)
+        self.assertThat(texts(seen), HasLength(STREAM_TOKENS))
+        self.assertThat(site.entry.wait(), Equals(ExitStatus.OK))
+
     def test_open_idle_connection_delays_no_shutdown(self):
         """Guards against an entry that waits for callers to close their idle connections."""
         site = new_site(self)
