List the store again when it was restored from a copy

Cause: a follower goes on watching from a revision of before the restore. The store has given it out again, so there is no 410, and the changes up to it are never heard. Ruled out: an older version taken (none goes back in one process) and processes that started in the gap (those concerned ran all the time).

Each answer names its era, and a restore begins a new one. The platform folder decodes the era once, also of errors; a task owns the newest one and tells all followers. Changes of another era than the list they follow are not applied and the collection is listed at once, a waiting watch included; an answer of an earlier era is dropped; pages of two eras make no list. Logged: the era, and era and revision of a configuration that is taken.

--- a/chivewall/errors.py
+++ b/chivewall/errors.py
@@ -52,6 +52,7 @@
     """Base class of errors of the object API."""
 
     code = ResultCode.PLATFORM_UNAVAILABLE
+    era: int | None = None  # era of the store that the error response named
 
 
 class StoreUnavailableError(StoreError):
@@ -70,6 +71,10 @@
     """The object API no longer has the changes since a revision; list the objects again."""
 
 
+class StoreRestoredError(StoreUnavailableError):
+    """The object API was restored from a copy while several of its answers were read."""
+
+
 class ObjectMissingError(StoreError):
     """The object does not exist."""
 
--- a/chivewall/events.py
+++ b/chivewall/events.py
@@ -54,6 +54,8 @@
     STORE_HISTORY_LOST = (504, "info", "history of the object API is lost; listing again")
     STORE_REGAINED = (505, "info", "object API available again")
     DOCUMENT_REJECTED = (506, "warning", "document of the platform is invalid")
+    STORE_ERA_BEGAN = (509, "info", "era of the object API; a later one follows a restore")
+    STORE_READ_DROPPED = (510, "warning", "answer of the object API dropped; listing again")
     SETTINGS_REJECTED = (508, "warning", "changed settings are invalid; previous settings kept")
     SETTINGS_RELOADED = (507, "info", "settings reloaded")
 
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -78,6 +78,7 @@
             env,
             sources.endpoints,
             self.inbox,
+            sources.eras,
             pause_seconds=WATCH_PAUSE_SHARE * cfg.drain_ms / MS_PER_SECOND,
         )
         self.list_read = False  # the list of endpoints was read at least once
--- a/chivewall/gateway/gateway.py
+++ b/chivewall/gateway/gateway.py
@@ -100,7 +100,9 @@
         self.env = env
         self.cfg = cfg
         self.context = context
-        self.watcher = CollectionWatcher(env, sources.routing_configuration, self.inbox)
+        self.watcher = CollectionWatcher(
+            env, sources.routing_configuration, self.inbox, sources.eras
+        )
         self.table: RouteTable | None = None
         self.limits = IngressLimits()
         self.closing = False
@@ -130,11 +132,11 @@
 
     @receive.register
     async def _(self, message: CollectionSnapshot) -> None:
-        self._apply_items(message.items)
+        self._apply_items(message.items, message.era)
 
     @receive.register
     async def _(self, message: CollectionChanges) -> None:
-        self._apply_items(message.items)
+        self._apply_items(message.items, message.era)
 
     @receive.register
     async def _(self, message: CollectionUnavailable) -> None:
@@ -242,12 +244,12 @@
             )
         )
 
-    def _apply_items(self, items: tuple[CollectionItem, ...]) -> None:
+    def _apply_items(self, items: tuple[CollectionItem, ...], era: int | None) -> None:
         for item in items:
             if isinstance(item.value, RoutingConfiguration):
-                self._apply(item.value)
+                self._apply(item.value, item.revision, era)
 
-    def _apply(self, configuration: RoutingConfiguration) -> None:
+    def _apply(self, configuration: RoutingConfiguration, revision: int, era: int | None) -> None:
         if self.table is not None and configuration.version <= self.table.configuration.version:
             return
         self.table = RouteTable(configuration)
@@ -258,6 +260,8 @@
             Event.CATALOGUE_IN_FORCE,
             version=configuration.version,
             routes=len(configuration.routes),
+            revision=revision,
+            era=era,
         )
 
 
--- a/chivewall/gateway/metrics.py
+++ b/chivewall/gateway/metrics.py
@@ -46,6 +46,14 @@
         self.parts_blocked = self._counter(
             "prompt_parts_blocked_total", "Prompt parts that were blocked for crashing engines."
         )
+        self.restores = self._counter(
+            "store_restores_total", "Restores of the store from a copy that were seen."
+        )
+        self.store_era = Gauge(
+            "chivewall_gateway_store_era",
+            "Newest era of the store that was seen.",
+            registry=self.registry,
+        )
         self.blocked_parts = Gauge(
             "chivewall_gateway_blocked_prompt_parts",
             "Prompt parts that are blocked now.",
@@ -82,6 +90,10 @@
             self.attempts.inc({"kind": "prefill" if fields["prefill"] else "run"})
         elif event in (Event.PROMPT_PART_BLOCKED, Event.PROMPT_PART_CLEARED):
             self.blocked_parts.set({}, fields["blocked_parts"])
+        elif event is Event.STORE_ERA_BEGAN:
+            self.store_era.set({}, fields["era"])
+            if fields["previous"] is not None:
+                self.restores.inc({})
 
     def _counter(self, name: str, doc: str) -> Counter:
         return Counter(f"chivewall_gateway_{name}", doc, registry=self.registry)
--- a/chivewall/gateway/store_collections.py
+++ b/chivewall/gateway/store_collections.py
@@ -5,11 +5,14 @@
 
 from attrs import frozen
 from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IDelayedCall
 
 from chivewall.backoff import exponential_delay
+from chivewall.decisions.store_eras import ReadVerdict, judge_read
 from chivewall.environment import Environment
 from chivewall.errors import HistoryLostError, StoreError
 from chivewall.events import Event
+from chivewall.gateway.store_eras import EraBegan, EraSeen, SubscribeToEras
 from chivewall.messages import Tick
 from chivewall.task import Inbox, Task
 
@@ -41,6 +44,7 @@
     collection: str
     items: tuple[CollectionItem, ...]
     revision: int
+    era: int | None = None  # era of the store, which a restore from a copy raises
 
 
 @frozen
@@ -50,6 +54,7 @@
     collection: str
     items: tuple[CollectionItem, ...]
     revision: int
+    era: int | None = None  # era of the store, as for a snapshot
 
 
 @frozen
@@ -65,7 +70,11 @@
     name: str
 
     def read_all(self) -> Deferred:
-        """Return a deferred ``CollectionSnapshot``; it fails with ``StoreError``."""
+        """Return a deferred ``CollectionSnapshot``, all of one era.
+
+        It fails with ``StoreRestoredError`` if the store was restored meanwhile, or with
+        another ``StoreError``.
+        """
 
     def watch(self, revision: int, deadline: float) -> Deferred:
         """Return deferred ``CollectionChanges`` after ``revision``, empty at the deadline.
@@ -76,10 +85,11 @@
 
 
 @frozen
-class ReadFailed:
-    """A list or a watch failed."""
+class ReadEnded:
+    """A list or a watch ended, or failed."""
 
-    exc: StoreError
+    number: int
+    result: CollectionSnapshot | CollectionChanges | StoreError
 
 
 class CollectionWatcher(Task):
@@ -87,6 +97,9 @@
 
     After changes it pauses before the next watch. The store counts each call, and each change of
     an endpoint would cost one call of each gateway; the changes of a pause come in one response.
+
+    When the store has been restored, the collection is listed again at once: revisions of an
+    earlier era don't tell what changed.
     """
 
     def __init__(
@@ -94,6 +107,7 @@
         env: Environment,
         source: CollectionSource,
         subscriber: Inbox,
+        eras: Inbox,
         pause_seconds: float = 0.0,
     ) -> None:
         super().__init__()
@@ -101,15 +115,26 @@
         self.env = env
         self.source = source
         self.subscriber = subscriber
+        self.eras = eras  # of the ``StoreEras`` task
         self.revision: int | None = None  # None: the collection must be listed first
+        self.list_era: int | None = None  # era of the latest list
+        self.newest_era: int | None = None  # newest era that any reader has seen
         self.failures = 0  # failed reads since the last successful one
         self.failed_at: float | None = None  # time of the first of these failures
+        self._reading: Deferred | None = None  # the list or watch in progress
+        self._read_number = 0  # of the latest list or watch
+        self._timer: IDelayedCall | None = None  # starts the next list or watch
 
     def start(self) -> None:
         """Start the task and list the collection."""
         super().start()
+        self.eras.put(SubscribeToEras(self.inbox))
         self.send(Tick())
 
+    async def on_stop(self) -> None:
+        """Cancel the next read."""
+        self._cancel_timer()
+
     @singledispatchmethod
     async def receive(self, message: object) -> None:
         """Handle one message."""
@@ -117,54 +142,134 @@
 
     @receive.register
     async def _(self, message: Tick) -> None:
-        self.spawn(self._read())
-
-    @receive.register
-    async def _(self, message: CollectionSnapshot) -> None:
-        self._handle_read(message)
+        if self._reading is None:
+            self._begin_read()
 
     @receive.register
-    async def _(self, message: CollectionChanges) -> None:
-        self._handle_read(message)
+    async def _(self, message: EraBegan) -> None:
+        if self.newest_era is not None and message.era <= self.newest_era:
+            return
+        self.newest_era = message.era
+        if self.revision is not None:
+            self._list_again()
+        elif self._reading is None:
+            self._begin_read()
 
     @receive.register
-    async def _(self, message: ReadFailed) -> None:
-        if isinstance(message.exc, HistoryLostError):
-            self.revision = None
-            self.env.log.emit(Event.STORE_HISTORY_LOST, collection=self.source.name)
+    async def _(self, message: ReadEnded) -> None:
+        if message.number != self._read_number:
+            return
+        self._reading = None
+        result = message.result
+        restored = self._record_era(result.era)
+        if isinstance(result, StoreError):
+            self._handle_failure(result, restored)
+            return
+        list_era = None if isinstance(result, CollectionSnapshot) else self.list_era
+        verdict = judge_read(result.era, self.newest_era, list_era)
+        if verdict is ReadVerdict.USE:
+            self._handle_read(result)
+            return
+        self._log_dropped(result, verdict)
+        self.revision = None
+        if verdict is ReadVerdict.RESTORED:
+            self._begin_read()
+        else:
+            self._retry_later()
+
+    def _record_era(self, era: int | None) -> bool:
+        """Record the era of an answer; return whether the store was restored since the list."""
+        if era is None:
+            return False
+        if self.newest_era is None or era > self.newest_era:
+            self.newest_era = era
+            self.eras.put(EraSeen(era))
+        return self.list_era is not None and era > self.list_era
+
+    def _handle_failure(self, exc: StoreError, restored: bool) -> None:
+        if isinstance(exc, HistoryLostError):
+            self.env.log.emit(
+                Event.STORE_HISTORY_LOST,
+                collection=self.source.name,
+                revision=self.revision,
+                era=exc.era,
+            )
         elif self.failures == 0:
             self.failed_at = self.env.now
-            self.env.log.emit(Event.STORE_UNAVAILABLE, key=self.source.name, error=str(message.exc))
+            self.env.log.emit(Event.STORE_UNAVAILABLE, key=self.source.name, error=str(exc))
             self.subscriber.put(CollectionUnavailable(self.source.name))
-        delay = exponential_delay(FIRST_RETRY_SECONDS, MAX_RETRY_SECONDS, self.failures)
-        self.failures += 1
-        # Jitter keeps the instances from reconnecting all at once after an outage.
-        self.env.clock.callLater(delay * self.env.random.uniform(0.5, 1), self.send, Tick())
+        if restored or isinstance(exc, HistoryLostError):
+            self.revision = None
+        if restored and isinstance(exc, HistoryLostError):
+            self._begin_read()
+        else:
+            self._retry_later()
 
-    def _handle_read(self, message: CollectionSnapshot | CollectionChanges) -> None:
+    def _handle_read(self, read: CollectionSnapshot | CollectionChanges) -> None:
         if self.failed_at is not None:
             self.env.log.emit(
                 Event.STORE_REGAINED,
                 key=self.source.name,
                 after_seconds=round(self.env.now - self.failed_at, 3),
+                revision=read.revision,
+                era=read.era,
             )
         self.failures = 0
         self.failed_at = None
-        self.revision = message.revision
-        self.subscriber.put(message)
-        if self.pause_seconds and message.items and isinstance(message, CollectionChanges):
-            self.env.clock.callLater(self.pause_seconds, self.send, Tick())
+        self.revision = read.revision
+        if isinstance(read, CollectionSnapshot):
+            self.list_era = read.era
+        self.subscriber.put(read)
+        if self.pause_seconds and read.items and isinstance(read, CollectionChanges):
+            self._begin_read_after(self.pause_seconds)
         else:
-            self.send(Tick())
+            self._begin_read()
+
+    def _log_dropped(
+        self, read: CollectionSnapshot | CollectionChanges, verdict: ReadVerdict
+    ) -> None:
+        self.env.log.emit(
+            Event.STORE_READ_DROPPED,
+            collection=self.source.name,
+            reason=verdict.value,
+            revision=read.revision,
+            era=read.era,
+            list_era=self.list_era,
+            newest_era=self.newest_era,
+        )
+
+    def _list_again(self) -> None:
+        """List the collection now, instead of what is being read or waited for."""
+        self.revision = None
+        if self._reading is not None:
+            self._reading.cancel()
+        self._begin_read()
+
+    def _retry_later(self) -> None:
+        delay = exponential_delay(FIRST_RETRY_SECONDS, MAX_RETRY_SECONDS, self.failures)
+        self.failures += 1
+        # Jitter keeps the instances from reconnecting all at once after an outage.
+        self._begin_read_after(delay * self.env.random.uniform(0.5, 1))
+
+    def _begin_read_after(self, seconds: float) -> None:
+        self._timer = self.env.clock.callLater(seconds, self.send, Tick())
 
-    async def _read(self) -> None:
+    def _cancel_timer(self) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+
+    def _begin_read(self) -> None:
+        self._cancel_timer()
+        self._read_number += 1
+        self._reading = self.spawn(self._read(self._read_number))
+
+    async def _read(self, number: int) -> None:
         try:
             if self.revision is None:
-                read = await self.source.read_all()
+                result = await self.source.read_all()
             else:
                 seconds = RECHECK_SECONDS if self.failures else WATCH_SECONDS
-                read = await self.source.watch(self.revision, self.env.now + seconds)
+                result = await self.source.watch(self.revision, self.env.now + seconds)
         except StoreError as exc:
-            self.send(ReadFailed(exc))
-        else:
-            self.send(read)
+            result = exc
+        self.send(ReadEnded(number, result))
--- a/chivewall/platform/adapter.py
+++ b/chivewall/platform/adapter.py
@@ -7,6 +7,7 @@
 from chivewall.gateway.engine_control import EngineControl, OrderLockStore
 from chivewall.gateway.http_dialect import HttpDialect
 from chivewall.gateway.sources import CollectionSources
+from chivewall.gateway.store_eras import StoreEras
 from chivewall.platform import endpoint_entries, routing_configuration
 from chivewall.platform.engines import PlatformEngineControl, PlatformOrderLocks
 from chivewall.platform.headers import PlatformDialect
@@ -50,6 +51,7 @@
                 endpoints=ObjectCollection(
                     client, endpoint_entries.KIND, endpoint_entries.decode_endpoint
                 ),
+                eras=self.env.require(StoreEras).inbox,
             ),
         )
 
--- a/chivewall/platform/engines.py
+++ b/chivewall/platform/engines.py
@@ -110,8 +110,8 @@
 
     async def _read(self, service: str) -> tuple[OrderLock | None, int]:
         try:
-            spec, revision = await self.client.get(ORDER_LOCKS_KIND, service)
-            return _decode_lock(json_object(spec, "turn")), revision
+            found = await self.client.get(ORDER_LOCKS_KIND, service)
+            return _decode_lock(json_object(found.spec, "turn")), found.revision
         except ObjectMissingError:
             return None, 0
         except (DecodeError, ValueError) as exc:
--- a/chivewall/platform/objects.py
+++ b/chivewall/platform/objects.py
@@ -5,6 +5,7 @@
 from typing import Any
 from urllib.parse import quote
 
+from attrs import frozen
 from twisted.internet.defer import Deferred, ensureDeferred
 
 from chivewall.environment import Environment
@@ -12,6 +13,8 @@
     DecodeError,
     HistoryLostError,
     ObjectMissingError,
+    StoreError,
+    StoreRestoredError,
     StoreThrottledError,
     StoreUnavailableError,
     VersionConflictError,
@@ -23,16 +26,47 @@
     CollectionItem,
     CollectionSnapshot,
 )
+from chivewall.integers import parse_digits
 from chivewall.platform.fields import boolean, integer, json_object, list_items, parse_json, string
 
 # Timeout of a request; the store normally responds in milliseconds, and in 0.3 s when it is slow.
 CALL_TIMEOUT_SECONDS = 2.0
 MAX_WATCH_MS = 30_000  # maximum duration of a watch that the store accepts
 HTTP_OK = range(200, 300)
+ERA_HEADER = b"store-era"  # in each response; rises by one when the store comes back from a copy
+MAX_ERA = 2**31 - 1  # fencing numbers have room for no larger one
 
 Decoder = Callable[[str, object], Any]
 
 
+@frozen
+class ObjectPage:
+    """A page of a list."""
+
+    items: list[Any]
+    truncated: bool  # whether more pages follow
+    revision: int
+    era: int | None
+
+
+@frozen
+class ObjectEvents:
+    """Events of a watch, and the revision for the next watch."""
+
+    events: list[Any]
+    revision: int
+    era: int | None
+
+
+@frozen
+class StoredObject:
+    """The ``spec`` of an object, and the revision of its last change."""
+
+    spec: Any
+    revision: int
+    era: int | None
+
+
 class ObjectClient:
     """Sends requests to the object API of the platform's store."""
 
@@ -43,31 +77,34 @@
         self.connections = connections
         self.address = address
 
-    async def list_page(self, kind: str, after: str | None) -> tuple[list[Any], bool, int]:
-        """Return the objects of one page, whether more pages follow, and the revision."""
+    async def list_page(self, kind: str, after: str | None) -> ObjectPage:
+        """Return the objects of one page."""
         query = "" if after is None else f"?after={quote(after, safe='')}"
-        document = await self._read(f"/objects/{kind}{query}", self.env.now + CALL_TIMEOUT_SECONDS)
-        return (
-            list_items(document, "items"),
-            boolean(document, "truncated"),
-            integer(document, "asOf"),
+        document, era = await self._read(
+            f"/objects/{kind}{query}", self.env.now + CALL_TIMEOUT_SECONDS
+        )
+        return ObjectPage(
+            items=list_items(document, "items"),
+            truncated=boolean(document, "truncated"),
+            revision=integer(document, "asOf"),
+            era=era,
         )
 
-    async def watch(self, kind: str, revision: int, deadline: float) -> tuple[list[Any], int]:
+    async def watch(self, kind: str, revision: int, deadline: float) -> ObjectEvents:
         """Return the events after a revision, and the revision for the next watch."""
         wait_ms = max(1, min(MAX_WATCH_MS, int((deadline - self.env.now) * 1000)))
-        document = await self._read(
+        document, era = await self._read(
             f"/objects/{kind}?watch={revision}&waitMs={wait_ms}", deadline + CALL_TIMEOUT_SECONDS
         )
-        return list_items(document, "events"), integer(document, "asOf")
+        return ObjectEvents(list_items(document, "events"), integer(document, "asOf"), era)
 
-    async def get(self, kind: str, name: str) -> tuple[Any, int]:
-        """Return the ``spec`` and revision of one object; raises ``ObjectMissingError``."""
-        document = await self._read(_path(kind, name), self.env.now + CALL_TIMEOUT_SECONDS)
-        return document.get("spec"), _revision(document)
+    async def get(self, kind: str, name: str) -> StoredObject:
+        """Return one object; raises ``ObjectMissingError``."""
+        document, era = await self._read(_path(kind, name), self.env.now + CALL_TIMEOUT_SECONDS)
+        return StoredObject(document.get("spec"), _revision(document), era)
 
-    async def put(self, kind: str, name: str, spec: Any, revision: int) -> int:
-        """Replace an object at a revision, or create it if that is 0; return the new revision.
+    async def put(self, kind: str, name: str, spec: Any, revision: int) -> int | None:
+        """Replace an object at a revision, or create it if that is 0; return the store's era.
 
         Raises ``VersionConflictError`` if the object has another revision, and
         ``StoreUnavailableError`` if the write may have taken effect.
@@ -87,18 +124,15 @@
             body=body,
         )
         _raise_for_status(response)
-        try:
-            return _revision(json_object(parse_json(response.body), "answer"))
-        except DecodeError as exc:
-            raise StoreUnavailableError(f"malformed response: {exc}") from exc
+        return _era(response)
 
-    async def _read(self, target: str, deadline: float) -> dict[str, Any]:
+    async def _read(self, target: str, deadline: float) -> tuple[dict[str, Any], int | None]:
         response = await self.connections.fetch(self.address, b"GET", target.encode(), deadline)
         _raise_for_status(response)
         try:
-            return json_object(parse_json(response.body), "answer")
+            return json_object(parse_json(response.body), "answer"), _era(response)
         except DecodeError as exc:
-            raise StoreUnavailableError(f"malformed response: {exc}") from exc
+            raise _malformed(response, exc) from exc
 
 
 class ObjectCollection:
@@ -119,21 +153,25 @@
 
     async def _read_all(self) -> CollectionSnapshot:
         found: list[CollectionItem] = []
-        after, first_revision = None, None
-        while True:
-            page, truncated, revision = await self.client.list_page(self.name, after)
+        page = await self.client.list_page(self.name, None)
+        era, first_revision = page.era, page.revision
+        found += self._items((one, False) for one in page.items)
+        while page.truncated and page.items:
+            page = await self.client.list_page(self.name, found[-1].name)
+            if page.era != era:
+                exc = StoreRestoredError(f"pages of eras {era} and {page.era}")
+                exc.era = page.era
+                raise exc
             # Pages may be read at different revisions; the watch starts at the oldest of them.
-            first_revision = revision if first_revision is None else min(first_revision, revision)
-            found += self._items((one, False) for one in page)
-            if not truncated or not page:
-                break
-            after = found[-1].name
-        return CollectionSnapshot(self.name, tuple(found), first_revision)
+            first_revision = min(first_revision, page.revision)
+            found += self._items((one, False) for one in page.items)
+        return CollectionSnapshot(self.name, tuple(found), first_revision, era)
 
     async def _watch(self, revision: int, deadline: float) -> CollectionChanges:
-        events, reached = await self.client.watch(self.name, revision, deadline)
-        pairs = ((one.get("object"), one.get("tombstone") is True) for one in events)
-        return CollectionChanges(self.name, tuple(self._items(pairs)), reached)
+        answer = await self.client.watch(self.name, revision, deadline)
+        pairs = ((one.get("object"), one.get("tombstone") is True) for one in answer.events)
+        items = tuple(self._items(pairs))
+        return CollectionChanges(self.name, items, answer.revision, answer.era)
 
     def _items(self, pairs: Any) -> list[CollectionItem]:
         return [one for raw, gone in pairs if (one := self._item(raw, gone)) is not None]
@@ -177,4 +215,21 @@
         410: HistoryLostError,
         429: StoreThrottledError,
     }
-    raise errors.get(response.status, StoreUnavailableError)(f"status {response.status}")
+    exc = errors.get(response.status, StoreUnavailableError)(f"status {response.status}")
+    exc.era = _era(response)
+    raise exc
+
+
+def _malformed(response: HttpResponse, exc: DecodeError) -> StoreError:
+    found = StoreUnavailableError(f"malformed response: {exc}")
+    found.era = _era(response)
+    return found
+
+
+def _era(response: HttpResponse) -> int | None:
+    """Return the era that a response names, or ``None`` if it names none."""
+    for name, value in response.headers:
+        if name.lower() == ERA_HEADER:
+            era = parse_digits(value.decode("latin-1").strip())
+            return era if era is not None and era <= MAX_ERA else None
+    return None
--- a/chivewall/standins/platform_store.py
+++ b/chivewall/standins/platform_store.py
@@ -9,11 +9,21 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 PAGE_SIZE = 500  # maximum number of objects in one list response
 
 
+@frozen
+class StoreCopy:
+    """What a ``PlatformStore`` held at one time."""
+
+    revision: int
+    objects: dict[tuple[str, str], dict]
+    history: list[tuple[int, str, dict, bool]]
+    history_start: int
+
+
 @define(eq=False)
 class PlatformStore:
     """Holds objects under one revision counter; tests change objects and inject faults.
@@ -31,6 +41,9 @@
     delay_seconds: float = 0.0  # delay before each response
     request_count: int = 0
     revision: int = 1  # incremented by each write
+    era: int = 1  # incremented by each restore from a copy
+    # Whether a restore cuts the watches that wait; otherwise they wait until their deadline.
+    restore_cuts_watches: bool = True
     _objects: dict[tuple[str, str], dict] = field(factory=dict, init=False)
     # Revision, kind, document and whether it was deleted, for each write.
     _history: list[tuple[int, str, dict, bool]] = field(factory=list, init=False)
@@ -62,6 +75,32 @@
             self._history.clear()
             self._changed.notify_all()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of what is stored, for ``restore``."""
+        with self._changed:
+            return StoreCopy(
+                self.revision, dict(self._objects), list(self._history), self._history_start
+            )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Replace what is stored by a copy; what was written since the copy is lost.
+
+        The revisions since then are given out again, and a new era begins.
+
+        Example::
+
+            copy = store.copy()
+            store.put("servers", "i-1", entry)  # lost
+            store.restore(copy)
+        """
+        with self._changed:
+            self.revision = copy.revision
+            self._objects = dict(copy.objects)
+            self._history = list(copy.history)
+            self._history_start = copy.history_start
+            self.era += 1
+            self._changed.notify_all()
+
     def serve(self) -> "ThreadedServer":
         """Return a context manager that serves the store on a free loopback port."""
         return ThreadedServer(_handler_class(self))
@@ -92,15 +131,23 @@
     def _watch(self, kind: str, revision: int, seconds: float) -> tuple[int, dict]:
         deadline = time.monotonic() + seconds
         with self._changed:
+            era = self.era
             while True:
-                if revision < self._history_start:
-                    return 410, {}
+                left = deadline - time.monotonic()
+                if era != self.era and not self.restore_cuts_watches:
+                    if left <= 0:
+                        return 200, {"events": [], "asOf": self.revision}
+                    self._changed.wait(left)
+                    continue
+                if era != self.era:
+                    return 503, {}
+                if not self._history_start <= revision <= self.revision:
+                    return 410, {"asOf": self.revision}
                 events = [
                     {"object": document, "tombstone": gone}
                     for at, one, document, gone in self._history
                     if one == kind and at > revision
                 ]
-                left = deadline - time.monotonic()
                 if events or left <= 0 or self.down:
                     return 200, {"events": events, "asOf": self.revision}
                 self._changed.wait(left)
@@ -177,12 +224,16 @@
     def log_message(self, format: str, *args: object) -> None:  # noqa: A002 - inherited name
         """Log nothing."""
 
-    def send_document(self, status: int, document: dict) -> None:
+    def send_document(
+        self, status: int, document: dict, headers: dict[str, str] | None = None
+    ) -> None:
         """Send a JSON response."""
         body = json.dumps(document).encode()
         self.send_response(status)
         self.send_header("Content-Type", "application/json")
         self.send_header("Content-Length", str(len(body)))
+        for name, value in (headers or {}).items():
+            self.send_header(name, value)
         self.end_headers()
         self.wfile.write(body)
 
@@ -190,6 +241,7 @@
 def _handler_class(store: PlatformStore) -> type[BaseHTTPRequestHandler]:
     class StoreHandler(QuietHandler):
         def do_GET(self) -> None:
-            self.send_document(*store.respond(self.path))
+            status, document = store.respond(self.path)
+            self.send_document(status, document, {"Store-Era": str(store.era)})
 
     return StoreHandler
--- a/extras/reference.py
+++ b/extras/reference.py
@@ -19,6 +19,7 @@
 GATEWAY_PLUGINS = (
     "chivewall.gateway.metrics",
     "chivewall.gateway.channels",
+    "chivewall.gateway.store_eras",
     "chivewall.platform.adapter",
     "chivewall.gateway.fleet",
     "chivewall.gateway.part_guard",
--- a/tests/test_collection_follower.py
+++ b/tests/test_collection_follower.py
@@ -21,6 +21,7 @@
     CollectionUnavailable,
     CollectionWatcher,
 )
+from chivewall.gateway.store_eras import EraSeen, StoreEras
 from chivewall.settings import CoreSettings, Role, Settings
 from chivewall.task import Inbox
 
@@ -59,13 +60,24 @@
     return Inbox()
 
 
-@pytest.fixture(autouse=True)
-def follower(clock, source, sink):
+@pytest.fixture
+def env(clock):
     core = CoreSettings(role=Role.GATEWAY, instance="g", data_centre="north", plugins=("x",))
-    env = Environment(
+    return Environment(
         settings=Settings(core=core), clock=clock, random=random.Random(1), log=EventLog(StringIO())
     )
-    task = CollectionWatcher(env, source, sink)
+
+
+@pytest.fixture
+def eras(env):
+    task = StoreEras(env)
+    task.start()
+    return task
+
+
+@pytest.fixture(autouse=True)
+def follower(env, source, sink, eras):
+    task = CollectionWatcher(env, source, sink, eras.inbox)
     task.start()
     return task
 
@@ -133,3 +145,69 @@
     assert [revision for revision, _ in source.watch_calls] == [7, 8]
     source.watch_calls[1][1].callback(CollectionChanges("servers", (), 8))
     assert len(source.watch_calls) == 3
+
+
+def history_lost(era):
+    exc = HistoryLostError("410")
+    exc.era = era
+    return exc
+
+
+def test_restored_store_is_listed_at_once(source):
+    """Guards against a pause with old routes after the store came back from a copy."""
+    source.list_calls[0].callback(CollectionSnapshot("servers", (), 7, era=1))
+    source.watch_calls[0][1].errback(history_lost(2))
+    assert len(source.list_calls) == 2
+
+
+def test_changes_of_a_new_era_are_not_applied(source, sink):
+    """Guards against missed changes: a revision of before the restore was given out again."""
+    source.list_calls[0].callback(CollectionSnapshot("servers", (), 7, era=1))
+    received(sink)
+    changed = CollectionItem("i-1", None, 9)
+    source.watch_calls[0][1].callback(CollectionChanges("servers", (changed,), 9, era=2))
+    assert received(sink) == []
+    assert len(source.list_calls) == 2
+    source.list_calls[1].callback(CollectionSnapshot("servers", (changed,), 9, era=2))
+    assert [one.era for one in received(sink)] == [2]
+    assert [revision for revision, _ in source.watch_calls] == [7, 9]
+
+
+def test_list_of_an_earlier_era_is_dropped(source, sink, eras, clock):
+    """Guards against entries that a late answer brings back from before a restore."""
+    eras.send(EraSeen(3))
+    source.list_calls[0].callback(CollectionSnapshot("servers", (), 7, era=2))
+    assert received(sink) == []
+    assert source.watch_calls == []
+    clock.advance(MAX_RETRY_SECONDS)
+    assert len(source.list_calls) == 2
+
+
+def test_silent_watch_ends_when_another_reader_sees_a_restore(source, sink, eras):
+    """Guards against half a minute with old routes: the restore didn't end the watch."""
+    source.list_calls[0].callback(CollectionSnapshot("servers", (), 7, era=1))
+    received(sink)
+    eras.send(EraSeen(2))
+    assert len(source.list_calls) == 2
+    source.watch_calls[0][1].callback(CollectionChanges("servers", (), 8, era=1))
+    assert received(sink) == []
+
+
+def test_restore_during_a_pause_is_listed_at_once(follower, clock, source, eras):
+    """Guards against a second read beside the list when the pause ends."""
+    follower.pause_seconds = 1.0
+    source.list_calls[0].callback(CollectionSnapshot("servers", (), 7, era=1))
+    changed = CollectionItem("i-1", None, 8)
+    source.watch_calls[0][1].callback(CollectionChanges("servers", (changed,), 8, era=1))
+    eras.send(EraSeen(2))
+    assert len(source.list_calls) == 2
+    clock.advance(2.0)
+    assert len(source.list_calls) + len(source.watch_calls) == 3
+
+
+def test_store_without_eras_is_followed(source, sink):
+    """Guards against a store that names no era and is listed for ever."""
+    source.list_calls[0].callback(CollectionSnapshot("servers", (), 7))
+    source.watch_calls[0][1].callback(CollectionChanges("servers", (), 9))
+    assert len(received(sink)) == 2
+    assert len(source.list_calls) == 1
--- a/tests/utils/fleets.py
+++ b/tests/utils/fleets.py
@@ -12,6 +12,7 @@
 from chivewall.gateway.sources import CollectionSources
 from chivewall.gateway.store_collections import CollectionItem, CollectionSnapshot
 from chivewall.settings import CoreSettings, Role, Settings
+from chivewall.task import Inbox
 from tests.utils.gateways import engine_info
 
 
@@ -39,7 +40,9 @@
     fleet = Fleet(
         env,
         bounds,
-        CollectionSources(routing_configuration=SilentSource(), endpoints=SilentSource()),
+        CollectionSources(
+            routing_configuration=SilentSource(), endpoints=SilentSource(), eras=Inbox()
+        ),
     )
     fleet.start()
     engines = [engine_info(name, stage) for name, stage in stages.items()]
