Keep what is known of an endpoint when its older entry comes back

Cause: a gateway took each entry of the list as the latest word of its endpoint. The copy from which the store comes back may hold the entry of an endpoint that has left, that is draining, or that has changed its stage since; the gateway would send it requests again.

Within an era of the store the latest entry counts, as before. Over a restore an entry of the same run with fewer updates changes nothing, nor one of an earlier run; draining is final for a run; an endpoint that left is not brought back by the list, unless its entry is written again or is still listed after four heartbeats (the platform removes it after three). An endpoint that the copy lacks is used on until it would have to be dropped, as its entry is due within two seconds.

Of tests/test_restored_endpoints.py the tests for a draining endpoint, one that left and one that the copy lacks failed before (with only the new field added).

--- a/chivewall/decisions/endpoint_record.py
+++ b/chivewall/decisions/endpoint_record.py
@@ -59,6 +59,7 @@
     cooldown_until: float = 0.0  # no new work until then, after a refusal or for a stage change
     consecutive_refusals: int = 0
     failed_connections: int = 0  # consecutive ones
+    missing_since: float | None = None  # when a restored store was found not to have its entry
     unlisted_at: float | None = None  # when it left the list; it is then only a last resort
     # Prefix key to the time of its last use.
     _prefixes: OrderedDict = field(factory=OrderedDict, init=False)
--- /dev/null
+++ b/chivewall/gateway/endpoint_list.py
@@ -0,0 +1,170 @@
+"""The endpoints that the platform lists, as far as their entries are believed."""
+
+from collections.abc import Callable
+
+from attrs import frozen
+
+from chivewall.decisions.endpoint_record import EndpointRecord
+from chivewall.decisions.entry_history import EntryHistory, EntryVerdict
+from chivewall.environment import Environment
+from chivewall.events import Event
+from chivewall.gateway.fleet_settings import FleetSettings
+from chivewall.gateway.routing_configuration import EndpointInfo
+from chivewall.gateway.store_collections import (
+    CollectionChanges,
+    CollectionItem,
+    CollectionSnapshot,
+)
+
+MS_PER_SECOND = 1000.0
+# Pause between watches of the endpoint list, as a share of the time in which a leaving endpoint may
+# still get requests: the news of its leaving may be this old.
+WATCH_PAUSE_SHARE = 0.3
+# An endpoint that left the list is dropped this many seconds before it may get no more work, and
+# earlier by the longest pause between watches, in which the news of its leaving may have waited.
+GONE_MARGIN_SECONDS = 0.3
+# The platform removes an entry after three heartbeats without one; an entry that is still listed
+# after this many heartbeats is that of a live endpoint.
+CONFIRMING_HEARTBEATS = 4.0
+
+
+@frozen
+class WithheldEntry:
+    """An entry that is believed if the store still has it later."""
+
+    info: EndpointInfo
+    believed_at: float
+
+
+class EndpointList:
+    """Keeps a record of each endpoint in step with the platform's list."""
+
+    def __init__(
+        self,
+        env: Environment,
+        cfg: FleetSettings,
+        new_record: Callable[[EndpointInfo], EndpointRecord],
+    ) -> None:
+        self.env = env
+        self.cfg = cfg
+        self.new_record = new_record
+        self.records: dict[str, EndpointRecord] = {}  # by endpoint id
+        self.era: int | None = None  # era of the store in which the list was read
+        self.history = EntryHistory()
+        self.withheld: dict[str, WithheldEntry] = {}  # by endpoint id
+
+    def apply_snapshot(self, snapshot: CollectionSnapshot) -> None:
+        """Apply the whole list; endpoints that aren't in it have left."""
+        restored = None not in (self.era, snapshot.era) and snapshot.era != self.era
+        self.era = snapshot.era
+        listed = {one.name for one in snapshot.items}
+        for item in snapshot.items:
+            self._update(item, listed=True)
+        for name in self.withheld.keys() - listed:
+            del self.withheld[name]
+        for name in self.records.keys() - listed:
+            if restored:
+                self._record_missing(name)
+            elif self.records[name].missing_since is None:
+                self._remove(name)
+
+    def apply_changes(self, changes: CollectionChanges) -> None:
+        """Apply changed and removed entries."""
+        for item in changes.items:
+            self._update(item, listed=False)
+
+    def expire(self) -> None:
+        """Drop the endpoints that left long ago, and believe the entries that have stayed."""
+        now = self.env.now
+        allowed = (1 - WATCH_PAUSE_SHARE) * self.cfg.drain_ms / MS_PER_SECOND
+        limit = now - allowed + GONE_MARGIN_SECONDS
+        for name, record in list(self.records.items()):
+            since = record.missing_since if record.unlisted_at is None else record.unlisted_at
+            if since is not None and since <= limit:
+                self._drop(name)
+        for name, entry in list(self.withheld.items()):
+            if entry.believed_at <= now:
+                del self.withheld[name]
+                self._accept(entry.info, revision=None)
+
+    def _update(self, item: CollectionItem, *, listed: bool) -> None:
+        info: EndpointInfo | None = item.value
+        if info is None:
+            self.withheld.pop(item.name, None)
+            self._remove(item.name)
+            return
+        verdict = self.history.judge(info, self.era, listed=listed)
+        if verdict is EntryVerdict.NEWS:
+            self.withheld.pop(item.name, None)
+            self._accept(info, item.revision)
+            return
+        record = self.records.get(info.id)
+        if record is not None and record.unlisted_at is None:
+            record.missing_since = None
+        elif verdict is not EntryVerdict.LEFT:
+            seconds = CONFIRMING_HEARTBEATS * self.cfg.heartbeat_ms / MS_PER_SECOND
+            believed_at = self.env.now + seconds
+            self.withheld.setdefault(item.name, WithheldEntry(info, believed_at))
+        self.env.log.emit(
+            Event.ENDPOINT_ENTRY_IGNORED,
+            endpoint=info.id,
+            reason=verdict.value,
+            draining=info.draining,
+            started_ms=info.started_ms,
+            updates=info.updates,
+            revision=item.revision,
+            era=self.era,
+        )
+
+    def _accept(self, info: EndpointInfo, revision: int | None) -> None:
+        info = self.history.record(info, self.era)
+        record = self.records.get(info.id)
+        if (
+            record is None
+            or record.info.started_ms != info.started_ms
+            or record.info.service != info.service
+        ):
+            self.records[info.id] = self.new_record(info)
+        else:
+            if record.info.stage is not info.stage:
+                record.cooldown_until = 0.0
+            record.info = info
+            record.unlisted_at = record.missing_since = None
+        self.env.log.emit(
+            Event.ENDPOINT_LISTED,
+            endpoint=info.id,
+            service=info.service,
+            draining=info.draining,
+            stage=info.stage.value,
+            revision=revision,
+            era=self.era,
+        )
+
+    def _remove(self, name: str) -> None:
+        self.history.record_removed(name, self.era, self.env.now)
+        record = self.records.get(name)
+        if record is None or record.unlisted_at is not None:
+            return
+        self.env.log.emit(Event.ENDPOINT_LISTED, endpoint=name, gone=True, era=self.era)
+        if record.info.draining:
+            self._drop(name)
+            return
+        # Its entry may have expired while the store was unreachable, or the endpoint may be
+        # leaving without a notice. Until the drain time it is used if no listed one is left.
+        record.unlisted_at = self.env.now
+
+    def _record_missing(self, name: str) -> None:
+        """Record that the copy of a restored store has no entry of an endpoint.
+
+        It may have registered after the copy was made. Its entry is back within seconds, and until
+        it would have to be dropped, it is used like the others.
+        """
+        record = self.records[name]
+        if record.info.draining:
+            self._drop(name)
+        elif record.unlisted_at is None and record.missing_since is None:
+            record.missing_since = self.env.now
+
+    def _drop(self, name: str) -> None:
+        del self.records[name]
+        self.history.record_left(name, self.env.now)
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -17,6 +17,7 @@
 from chivewall.decisions.stages import EngineView, PrefillLoad
 from chivewall.environment import Environment
 from chivewall.events import Event
+from chivewall.gateway.endpoint_list import MS_PER_SECOND, WATCH_PAUSE_SHARE, EndpointList
 from chivewall.gateway.endpoint_waits import EndpointWaits
 from chivewall.gateway.fleet_messages import (
     AwaitEndpoint,
@@ -46,7 +47,6 @@
 from chivewall.gateway.sources import CollectionSources
 from chivewall.gateway.store_collections import (
     CollectionChanges,
-    CollectionItem,
     CollectionSnapshot,
     CollectionUnavailable,
     CollectionWatcher,
@@ -56,15 +56,8 @@
 from chivewall.plugins.registry import Registry
 from chivewall.task import Inbox, Task
 
-MS_PER_SECOND = 1000.0
 SPEED_CHANGE = 1.5  # a learned speed that changed by this factor is logged
-# Pause between watches of the endpoint list, as a share of the time in which a leaving endpoint may
-# still get requests: the news of its leaving may be this old.
-WATCH_PAUSE_SHARE = 0.3
 MAX_PEER_WORK = 20_000  # attempts of other gateways that are tracked until they end
-# An endpoint that left the list is dropped this many seconds before it may get no more work, and
-# earlier by the longest pause between watches, in which the news of its leaving may have waited.
-GONE_MARGIN_SECONDS = 0.3
 
 
 class Fleet(Task):
@@ -82,7 +75,8 @@
             pause_seconds=WATCH_PAUSE_SHARE * cfg.drain_ms / MS_PER_SECOND,
         )
         self.list_read = False  # the list of endpoints was read at least once
-        self.states: dict[str, EndpointRecord] = {}  # by endpoint id
+        self.endpoints = EndpointList(env, cfg, self._new_record)
+        self.states = self.endpoints.records  # by endpoint id
         self.repeat_budgets: dict[str, RepeatBudget] = {}  # by service
         self.live_gateways = 1  # including this one
         self.repeat_policy = repeat_budget_policy(cfg, self.live_gateways)
@@ -96,9 +90,13 @@
 
     def reload(self, cfg: FleetSettings) -> None:
         """Apply changed settings; earlier requests and repeats stay counted."""
-        self.cfg = cfg
+        self.cfg = self.endpoints.cfg = cfg
         self._update_repeat_budgets()
 
+    def _new_record(self, info: EndpointInfo) -> EndpointRecord:
+        speeds = self.speeds.setdefault(info.service, ServiceSpeeds(self.cfg.speeds))
+        return EndpointRecord(info, speeds)
+
     def _update_repeat_budgets(self) -> None:
         self.repeat_policy = repeat_budget_policy(self.cfg, self.live_gateways)
         for budget in self.repeat_budgets.values():
@@ -121,16 +119,13 @@
     @receive.register
     async def _(self, message: CollectionSnapshot) -> None:
         self.list_read = True
-        listed = {one.name for one in message.items}
-        for item in message.items:
-            self._update_endpoint(item)
-        for name in self.states.keys() - listed:
-            self._remove_endpoint(name)
+        self.endpoints.apply_snapshot(message)
+        self._end_waits()
 
     @receive.register
     async def _(self, message: CollectionChanges) -> None:
-        for item in message.items:
-            self._update_endpoint(item)
+        self.endpoints.apply_changes(message)
+        self._end_waits()
 
     @receive.register
     async def _(self, message: CollectionUnavailable) -> None:
@@ -138,6 +133,7 @@
 
     @receive.register
     async def _(self, message: Tick) -> None:
+        self.endpoints.expire()
         self._end_waits()
 
     @receive.register
@@ -147,7 +143,7 @@
 
     @receive.register
     async def _(self, message: FindPlacement) -> None:
-        self._drop_gone_endpoints()
+        self.endpoints.expire()
         for one in self.states.values():
             one.work.expire(self.env.now)
         states = [
@@ -414,53 +410,6 @@
     def _repeat_budget(self, service: str) -> RepeatBudget:
         return self.repeat_budgets.setdefault(service, RepeatBudget(self.repeat_policy))
 
-    def _update_endpoint(self, item: CollectionItem) -> None:
-        info: EndpointInfo | None = item.value
-        if info is None:
-            self._remove_endpoint(item.name)
-            return
-        state = self.states.get(item.name)
-        if (
-            state is None
-            or state.info.started_ms != info.started_ms
-            or state.info.service != info.service
-        ):
-            speeds = self.speeds.setdefault(info.service, ServiceSpeeds(self.cfg.speeds))
-            self.states[item.name] = EndpointRecord(info, speeds)
-        else:
-            if state.info.stage is not info.stage:
-                state.cooldown_until = 0.0
-            state.info = info
-            state.unlisted_at = None
-        self.env.log.emit(
-            Event.ENDPOINT_LISTED,
-            endpoint=info.id,
-            service=info.service,
-            draining=info.draining,
-            stage=info.stage.value,
-            revision=item.revision,
-        )
-        self._end_waits()
-
-    def _remove_endpoint(self, name: str) -> None:
-        state = self.states.get(name)
-        if state is None or state.unlisted_at is not None:
-            return
-        self.env.log.emit(Event.ENDPOINT_LISTED, endpoint=name, gone=True)
-        if state.info.draining:
-            del self.states[name]
-            return
-        # Its entry may have expired while the store was unreachable, or the endpoint may be
-        # leaving without a notice. Until the drain time it is used if no listed one is left.
-        state.unlisted_at = self.env.now
-
-    def _drop_gone_endpoints(self) -> None:
-        allowed = (1 - WATCH_PAUSE_SHARE) * self.cfg.drain_ms / MS_PER_SECOND
-        limit = self.env.now - allowed + GONE_MARGIN_SECONDS
-        for name, state in list(self.states.items()):
-            if state.unlisted_at is not None and state.unlisted_at <= limit:
-                del self.states[name]
-
 
 class FleetPlugin(Plugin):
     """Provides the ``Fleet``."""
--- a/chivewall/gateway/fleet_settings.py
+++ b/chivewall/gateway/fleet_settings.py
@@ -30,6 +30,11 @@
         validator=validators.ge(0),
         metadata={"help": "Repeats allowed beyond the ratio, by all gateways together."},
     )
+    heartbeat_ms: float = field(
+        default=1500.0,
+        validator=validators.gt(0),
+        metadata={"help": "Interval between an endpoint's writes of its entry, ms."},
+    )
     speeds: SpeedPriors = field(
         factory=SpeedPriors,
         metadata={"help": "Speeds of engines and services until they are learned."},
--- a/chivewall/gateway/metrics.py
+++ b/chivewall/gateway/metrics.py
@@ -54,6 +54,9 @@
             "Newest era of the store that was seen.",
             registry=self.registry,
         )
+        self.ignored_entries = self._counter(
+            "endpoint_entries_ignored_total", "Entries of a restored store that were not believed."
+        )
         self.blocked_parts = Gauge(
             "chivewall_gateway_blocked_prompt_parts",
             "Prompt parts that are blocked now.",
@@ -71,6 +74,7 @@
             Event.STORE_UNAVAILABLE: (self.outages, "collection", "key"),
             Event.ORDER_SENT: (self.orders, "stage", "stage"),
             Event.ENGINE_CRASHED: (self.engine_crashes, "service", "service"),
+            Event.ENDPOINT_ENTRY_IGNORED: (self.ignored_entries, "reason", "reason"),
             Event.PROMPT_PART_CHECKED: (self.part_checks, "verdict", "verdict"),
             Event.PROMPT_PART_BLOCKED: (self.parts_blocked, "service", "service"),
         }
--- a/chivewall/gateway/routing_configuration.py
+++ b/chivewall/gateway/routing_configuration.py
@@ -86,6 +86,7 @@
     draining: bool
     stage: Stage
     started_ms: int | None = None  # Unix time of its start, ms; differs after a restart
+    updates: int = 0  # updates of the entry since its start; an older entry has a smaller number
     warmup_left_ms: float = 0.0  # remaining time for which it is slow after its start, ms
 
     @property
--- a/chivewall/platform/endpoint_entries.py
+++ b/chivewall/platform/endpoint_entries.py
@@ -30,6 +30,7 @@
         draining=state == "draining",
         stage=_stage(document.get("stage")),
         started_ms=integer(document, "born") if "born" in document else None,
+        updates=integer(document, "seq", 0),
         warmup_left_ms=number(document, "coldLeftMs", 0),
     )
 
--- a/chivewall/standins/template.py
+++ b/chivewall/standins/template.py
@@ -44,6 +44,7 @@
             "front": f"{ip}:{ports['front']}",
             "ready": f"{ip}:{ports['ready']}",
         },
+        "heartbeatMs": 1200,
         "bounds": {
             "graceS": 8,
             "drainMs": 2000,
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,7 +6,6 @@
 from chivewall.gateway.fleet_messages import (
     EngineCooldown,
     EngineLoads,
-    FindPlacement,
     PeerEngineCooldown,
     PeerProgress,
     PeerWork,
@@ -18,18 +17,7 @@
 from chivewall.gateway.peer_codec import SharedWork, WorkProgress
 from chivewall.gateway.routing_configuration import Stage
 from chivewall.gateway.store_collections import CollectionSnapshot
-from tests.utils.fleets import RecordingSink, make_fleet
-
-
-def query_placement(fleet, **fields):
-    found = []
-    prompt = RequestFields(prompt_tokens=20_000)
-    fleet.query(
-        FindPlacement(
-            service="engines", fields=prompt, excluded=frozenset(), allowed=None, **fields
-        )
-    ).addCallback(found.append)
-    return found[0]
+from tests.utils.fleets import RecordingSink, make_fleet, query_placement
 
 
 def work_sent(endpoint, exchange, fields, rank=0):
--- /dev/null
+++ b/tests/test_restored_endpoints.py
@@ -0,0 +1,93 @@
+"""Tests of a gateway's endpoints when the store comes back from a copy."""
+
+import pytest
+from attrs import evolve
+from twisted.internet.task import Clock
+
+from chivewall.gateway.endpoint_list import CONFIRMING_HEARTBEATS
+from chivewall.gateway.routing_configuration import Stage
+from chivewall.gateway.store_collections import (
+    CollectionChanges,
+    CollectionItem,
+    CollectionSnapshot,
+)
+from tests.utils.fleets import make_fleet, query_placement
+from tests.utils.gateways import engine_info
+
+READY = evolve(engine_info("d1", Stage.DECODE), started_ms=5000, updates=1)
+DRAINING = evolve(READY, updates=20, draining=True)
+
+
+def snapshot(era, *infos):
+    return CollectionSnapshot(
+        "servers", tuple(CollectionItem(one.id, one, 2) for one in infos), 2, era
+    )
+
+
+def changes(era, *items):
+    return CollectionChanges("servers", items, 3, era)
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def fleet(clock):
+    one = make_fleet(clock)
+    one.send(snapshot(1, READY))
+    return one
+
+
+def confirm(clock, fleet):
+    clock.advance(CONFIRMING_HEARTBEATS * fleet.cfg.heartbeat_ms / 1000)
+
+
+def test_draining_endpoint_gets_nothing_after_a_restore(fleet):
+    """Guards against requests to a leaving endpoint that the copy shows as ready."""
+    fleet.send(changes(1, CollectionItem("d1", DRAINING, 3)))
+    fleet.send(snapshot(2, READY))
+    assert query_placement(fleet) is None
+
+
+def test_endpoint_that_left_gets_nothing_after_a_restore(fleet, clock):
+    """Guards against requests to an endpoint that ended, until its entry expires again."""
+    fleet.send(changes(1, CollectionItem("d1", None, 3)))
+    clock.advance(fleet.cfg.drain_ms / 1000)
+    fleet.send(snapshot(2, READY))
+    assert query_placement(fleet) is None
+    fleet.send(changes(2, CollectionItem("d1", None, 4)))
+    confirm(clock, fleet)
+    assert query_placement(fleet) is None
+
+
+def test_live_endpoint_whose_entry_had_expired_comes_back(fleet, clock):
+    """Guards against a live endpoint that is never used again: its entry doesn't change."""
+    fleet.send(changes(1, CollectionItem("d1", None, 3)))
+    clock.advance(fleet.cfg.drain_ms / 1000)
+    fleet.send(snapshot(2, READY))
+    confirm(clock, fleet)
+    assert query_placement(fleet).endpoint.id == "d1"
+
+
+def test_entry_that_is_written_again_is_used_at_once(fleet, clock):
+    """Guards against seconds without a live endpoint whose entry was written after a restore."""
+    fleet.send(changes(1, CollectionItem("d1", None, 3)))
+    clock.advance(fleet.cfg.drain_ms / 1000)
+    fleet.send(snapshot(2))
+    fleet.send(changes(2, CollectionItem("d1", READY, 3)))
+    assert query_placement(fleet).endpoint.id == "d1"
+
+
+def test_endpoint_that_registered_after_the_copy_is_used_on(fleet, clock):
+    """Guards against a last resort that is preferred less than overloaded endpoints."""
+    other = evolve(READY, id="d2")
+    fleet.send(changes(1, CollectionItem("d2", other, 3)))
+    fleet.send(snapshot(2, READY))
+    assert fleet.states["d2"].unlisted_at is None
+    clock.advance(fleet.cfg.drain_ms / 1000)
+    query_placement(fleet)
+    assert "d2" not in fleet.states
+    fleet.send(changes(2, CollectionItem("d2", other, 3)))
+    assert "d2" in fleet.states
--- a/tests/utils/fleets.py
+++ b/tests/utils/fleets.py
@@ -8,7 +8,9 @@
 from chivewall.environment import Environment
 from chivewall.events import EventLog
 from chivewall.gateway.fleet import Fleet
+from chivewall.gateway.fleet_messages import FindPlacement
 from chivewall.gateway.fleet_settings import FleetSettings
+from chivewall.gateway.http_dialect import RequestFields
 from chivewall.gateway.sources import CollectionSources
 from chivewall.gateway.store_collections import CollectionItem, CollectionSnapshot
 from chivewall.settings import CoreSettings, Role, Settings
@@ -59,3 +61,15 @@
 
     def put(self, message):
         self.messages.append(message)
+
+
+def query_placement(fleet, **fields):
+    """Return the placement of a long prompt, or ``None``."""
+    found = []
+    prompt = RequestFields(prompt_tokens=20_000)
+    fleet.query(
+        FindPlacement(
+            service="engines", fields=prompt, excluded=frozenset(), allowed=None, **fields
+        )
+    ).addCallback(found.append)
+    return found[0]
