Order engines safely when the store has lost order locks

Cause: the lock of a service is taken from what the store shows, and so is its fencing number. A store that comes back from a copy may show no lock, or an earlier one: its own, that of a holder who was quiet for long, or one with a number that engines have seen exceeded.

A gateway takes no lock until two lease times after it first saw the era of the store, whoever the stored holder is; an order isn't sent if the store was restored between reading and writing the lock; the era is in the upper bits of the fencing number, so it is greater than all of earlier eras, and below 2**53 for eras below 2**31. Each gateway also goes beyond the highest number that it has seen.

With these three decisions taken back in a scratch copy, the four new tests of the stage changer and that of the numbers fail.

--- a/chivewall/decisions/stages.py
+++ b/chivewall/decisions/stages.py
@@ -30,6 +30,9 @@
 # the platform, or be older by the wall clock than any clock error.
 OTHER_HOLDER_LEASES = 2.0
 OLD_LOCK_SECONDS = 60.0
+# Bits of a fencing number below the era of the store: a year of orders in each era, and numbers
+# that are exact in JSON (below 2**53) up to era 2**31.
+ORDERS_IN_ERA_BITS = 22
 
 
 @frozen
@@ -156,11 +159,14 @@
     lease_seconds: float
     lock: OrderLock | None = None
     seen_at: float = 0.0  # by a clock of the process that also runs during suspension
+    highest_number: int = 0  # of all order locks that were seen
 
     def update(self, lock: OrderLock | None, now: float) -> None:
         """Update the lock from the stored record."""
         if lock != self.lock:
             self.lock, self.seen_at = lock, now
+        if lock is not None:
+            self.highest_number = max(self.highest_number, lock.number)
 
     def may_take(self, own: str, now: float, unix_time: float) -> bool:
         """Return whether the next order lock can't overlap with that of another holder."""
@@ -170,7 +176,36 @@
             return True
         return unix_time - self.lock.taken_at > OLD_LOCK_SECONDS
 
-    def next_lock(self, own: str, change: StageChange, unix_time: float) -> OrderLock:
-        """Return the record to write to acquire the next order lock."""
-        number = 1 if self.lock is None else self.lock.number + 1
+    def next_lock(
+        self, own: str, change: StageChange, unix_time: float, era: int | None
+    ) -> OrderLock:
+        """Return the record to write to acquire the next order lock in an era of the store.
+
+        Its number is greater than all that were given out, also by locks that a restore of the
+        store has lost: the era is in its upper bits.
+        """
+        first = (era or 0) << ORDERS_IN_ERA_BITS
+        number = max(self.highest_number, first) + 1
         return OrderLock(number, own, change.engine, change.stage, unix_time)
+
+
+@define
+class LockEra:
+    """The era of the store that holds the order locks, and when this process first saw it.
+
+    A restore may lose the latest order lock. Its order may have been sent just before, so no
+    instance takes an order lock until that one would be old.
+    """
+
+    lease_seconds: float
+    era: int | None = None  # None: the store names no era
+    seen_at: float = 0.0  # by a clock of the process that also runs during suspension
+
+    def update(self, era: int | None, now: float) -> None:
+        """Record the era of an answer of the store."""
+        if era is not None and (self.era is None or era > self.era):
+            self.era, self.seen_at = era, now
+
+    def settled(self, now: float) -> bool:
+        """Return whether every order lock of an earlier era is old."""
+        return self.era is None or now - self.seen_at >= OTHER_HOLDER_LEASES * self.lease_seconds
--- a/chivewall/gateway/engine_control.py
+++ b/chivewall/gateway/engine_control.py
@@ -18,6 +18,15 @@
     accepted_orders: int  # number of orders accepted since its start
 
 
+@frozen
+class StoredOrderLock:
+    """The order lock of a service as it was read from the store."""
+
+    lock: OrderLock | None  # None: none was acquired, or a restore of the store has lost it
+    revision: int
+    era: int | None = None  # era of the store, which a restore from a copy raises
+
+
 class EngineControl(Protocol):
     """Reads the state of engines and gives them orders."""
 
@@ -38,7 +47,10 @@
     """Stores the latest order lock for each service's engines."""
 
     def read(self, service: str) -> Deferred:
-        """Return a deferred ``(OrderLock | None, revision)``; it fails with ``StoreError``."""
+        """Return a deferred ``StoredOrderLock``; it fails with ``StoreError``."""
 
     def acquire(self, service: str, lock: OrderLock, revision: int) -> Deferred:
-        """Write an order lock; fail with ``VersionConflictError`` if another was acquired since."""
+        """Write an order lock, and return the deferred era of the store that holds it.
+
+        It fails with ``VersionConflictError`` if another was acquired since.
+        """
--- a/chivewall/gateway/stage_changer.py
+++ b/chivewall/gateway/stage_changer.py
@@ -13,6 +13,7 @@
 from chivewall.decisions.stages import (
     ORDER_LOCK_SECONDS,
     SETTLE_SECONDS,
+    LockEra,
     OrderLockView,
     StageChange,
     propose,
@@ -24,10 +25,11 @@
 from chivewall.gateway.fleet import Fleet
 from chivewall.gateway.fleet_messages import EngineCooldown, EngineLoads, ServiceLoad
 from chivewall.gateway.peers import IsFirstGateway, Peers
+from chivewall.gateway.store_eras import EraBegan, EraSeen, StoreEras, SubscribeToEras
 from chivewall.messages import Tick
 from chivewall.plugins.base import Plugin
 from chivewall.plugins.registry import Registry
-from chivewall.task import Task
+from chivewall.task import Inbox, Task
 
 CHECK_SECONDS = 1.0  # interval between checks of the load
 ORDER_COOLDOWN_SECONDS = 2.0  # cooldown of the engine while its order is awaiting a response
@@ -62,6 +64,7 @@
         peers: Peers,
         control: EngineControl,
         locks: OrderLockStore,
+        eras: Inbox,
         clock: Clock = boot_time,
     ) -> None:
         super().__init__()
@@ -71,13 +74,16 @@
         self.peers = peers
         self.control = control
         self.locks = locks
+        self.eras = eras  # of the ``StoreEras`` task
         self.clock = clock
         self.lock_views: dict[str, OrderLockView] = {}
+        self.lock_era = LockEra(cfg.lease_ms / 1000)
         self.next_change_at = 0.0  # time before which no further change is considered
 
     def start(self) -> None:
         """Start the task and the checks of the load."""
         super().start()
+        self.eras.put(SubscribeToEras(self.inbox))
         self._schedule_check()
 
     @singledispatchmethod
@@ -92,22 +98,40 @@
                 await self._check_service(load)
         self._schedule_check()
 
+    @receive.register
+    async def _(self, message: EraBegan) -> None:
+        self.lock_era.update(message.era, self.clock())
+
     async def _check_service(self, load: ServiceLoad) -> None:
         change = propose(load.load)
         if change is None:
             return
         try:
             await self._order_change(load, change)
-        except VersionConflictError:
+        except VersionConflictError as exc:
+            self._record_era(exc.era)
             self._log_held(load, change, "another instance acquired the order lock")
-        except (StoreError, EndpointError) as exc:
+        except StoreError as exc:
+            self._record_era(exc.era)
+            self._log_held(load, change, str(exc))
+        except EndpointError as exc:
             self._log_held(load, change, str(exc))
 
+    def _record_era(self, era: int | None) -> None:
+        self.lock_era.update(era, self.clock())
+        if era is not None:
+            self.eras.put(EraSeen(era))
+
     async def _order_change(self, load: ServiceLoad, change: StageChange) -> None:
         own = self.env.settings.core.instance
         view = self.lock_views.setdefault(load.service, OrderLockView(self.cfg.lease_ms / 1000))
-        lock, revision = await self.locks.read(load.service)
+        stored = await self.locks.read(load.service)
+        self._record_era(stored.era)
+        lock = stored.lock
         view.update(lock, self.clock())
+        if not self.lock_era.settled(self.clock()):
+            self._log_held(load, change, f"era {self.lock_era.era} of the store is too recent")
+            return
         if not view.may_take(own, self.clock(), self.env.unix_time()):
             self._log_held(load, change, f"order lock {lock.number} of {lock.holder} is too recent")
             return
@@ -117,8 +141,12 @@
             self._log_held(load, change, "the engine is changing or has changed its stage")
             return
         started_at = self.clock()
-        new_lock = view.next_lock(own, change, self.env.unix_time())
-        await self.locks.acquire(load.service, new_lock, revision)
+        new_lock = view.next_lock(own, change, self.env.unix_time(), stored.era)
+        era = await self.locks.acquire(load.service, new_lock, stored.revision)
+        self._record_era(era)
+        if era != stored.era:
+            self._log_held(load, change, "the store was restored while the lock was acquired")
+            return
         view.update(new_lock, started_at)
         self.next_change_at = self.env.now + SETTLE_SECONDS
         if self.clock() - started_at > ORDER_LOCK_SECONDS:
@@ -174,6 +202,7 @@
             peers=self.env.require(Peers),
             control=self.env.require(EngineControl),
             locks=self.env.require(OrderLockStore),
+            eras=self.env.require(StoreEras).inbox,
         )
 
     async def start(self) -> None:
--- a/chivewall/platform/engines.py
+++ b/chivewall/platform/engines.py
@@ -15,7 +15,7 @@
     StoreUnavailableError,
 )
 from chivewall.gateway.channels import ConnectionPool, HttpResponse
-from chivewall.gateway.engine_control import EngineReport
+from chivewall.gateway.engine_control import EngineReport, StoredOrderLock
 from chivewall.gateway.routing_configuration import EndpointInfo, Stage
 from chivewall.platform.fields import boolean, integer, json_object, number, parse_json, string
 from chivewall.platform.objects import ObjectClient
@@ -108,12 +108,13 @@
             self.client.put(ORDER_LOCKS_KIND, service, _encode_lock(lock), revision)
         )
 
-    async def _read(self, service: str) -> tuple[OrderLock | None, int]:
+    async def _read(self, service: str) -> StoredOrderLock:
         try:
             found = await self.client.get(ORDER_LOCKS_KIND, service)
-            return _decode_lock(json_object(found.spec, "turn")), found.revision
-        except ObjectMissingError:
-            return None, 0
+            lock = _decode_lock(json_object(found.spec, "turn"))
+            return StoredOrderLock(lock, found.revision, found.era)
+        except ObjectMissingError as exc:
+            return StoredOrderLock(None, 0, exc.era)
         except (DecodeError, ValueError) as exc:
             raise StoreUnavailableError(f"malformed order lock: {exc}") from exc
 
--- a/tests/test_stage_changer.py
+++ b/tests/test_stage_changer.py
@@ -8,11 +8,11 @@
 from twisted.internet.defer import fail, succeed
 from twisted.internet.task import Clock
 
-from chivewall.decisions.stages import EngineView, OrderLock, StageLoad
+from chivewall.decisions.stages import ORDERS_IN_ERA_BITS, EngineView, OrderLock, StageLoad
 from chivewall.environment import Environment
 from chivewall.errors import EndpointError, OrderRefusedError, VersionConflictError
 from chivewall.events import EventLog
-from chivewall.gateway.engine_control import EngineReport
+from chivewall.gateway.engine_control import EngineReport, StoredOrderLock
 from chivewall.gateway.fleet_messages import EngineCooldown, ServiceLoad
 from chivewall.gateway.routing_configuration import Stage
 from chivewall.gateway.stage_changer import (
@@ -21,6 +21,7 @@
     StageChanger,
     StageChangerSettings,
 )
+from chivewall.gateway.store_eras import EraSeen, StoreEras
 from chivewall.settings import CoreSettings, Role, Settings
 from tests.utils.gateways import engine_info
 
@@ -45,6 +46,8 @@
     has_lowest_address: bool = True
     lock: OrderLock | None = None
     revision: int = 0
+    era: int | None = None  # of the store
+    restored_by_write: bool = False  # the store is restored as an order lock is written
     orders: list = field(factory=list)
     messages: list = field(factory=list)
     order_result: Exception | None = None
@@ -61,14 +64,16 @@
         self.messages.append(message)
 
     def read(self, service):
-        return succeed((self.lock, self.revision))
+        return succeed(StoredOrderLock(self.lock, self.revision, self.era))
 
     def acquire(self, service, lock, revision):
         if self.conflict or revision != self.revision:
             return fail(VersionConflictError("another lock"))
         self.now += self.write_seconds
+        if self.restored_by_write:
+            self.era += 1
         self.lock, self.revision = lock, self.revision + 1
-        return succeed(self.revision)
+        return succeed(self.era)
 
     def report(self, endpoint):
         return succeed(EngineReport(stage=endpoint.stage, changing=False, accepted_orders=2))
@@ -90,17 +95,28 @@
 
 
 @pytest.fixture
-def changer(fakes, clock):
+def env(clock):
     core = CoreSettings(
         role=Role.GATEWAY, instance="gateway-1", data_centre="north", plugins=("x",)
     )
-    env = Environment(
+    return Environment(
         settings=Settings(core=core),
         clock=clock,
         random=random.Random(1),
         log=EventLog(StringIO()),
         unix_time=lambda: 1001.0,
     )
+
+
+@pytest.fixture
+def eras(env):
+    task = StoreEras(env)
+    task.start()
+    return task
+
+
+@pytest.fixture
+def changer(env, fakes, eras):
     task = StageChanger(
         env,
         StageChangerSettings(lease_ms=3000),
@@ -108,6 +124,7 @@
         peers=fakes,
         control=fakes,
         locks=fakes,
+        eras=eras.inbox,
         clock=lambda: fakes.now,
     )
     task.start()
@@ -186,3 +203,57 @@
         EngineCooldown("d1", ORDER_COOLDOWN_SECONDS),
         EngineCooldown("d1", cooldown_seconds),
     ]
+
+
+def first_number(era):
+    return (era << ORDERS_IN_ERA_BITS) + 1
+
+
+def test_no_order_until_the_lost_lock_of_a_restored_store_is_old(fakes, clock, eras):
+    """Guards against two instances' orders in one lease: the copy has lost the later lock."""
+    fakes.era = 1
+    eras.send(EraSeen(1))
+    fakes.now += 100.0
+    fakes.era = 2
+    clock.advance(1.0)
+    fakes.now += 5.9
+    clock.advance(1.0)
+    assert fakes.orders == []
+    fakes.now += 0.2
+    clock.advance(1.0)
+    assert [number for _, _, number, _ in fakes.orders] == [first_number(2)]
+
+
+def test_own_lock_of_the_copy_permits_no_order(fakes, clock, eras):
+    """Guards against an order beside that of the holder whose later lock was lost."""
+    fakes.lock, fakes.revision = evolve(OTHER_LOCK, holder="gateway-1"), 9
+    fakes.era = 2
+    eras.send(EraSeen(2))
+    clock.pump([1.0] * 5)
+    assert fakes.orders == []
+
+
+def test_fencing_numbers_grow_over_a_restore(fakes, clock):
+    """Guards against a number that an engine has seen before, or a smaller one."""
+    fakes.era = 1
+    clock.advance(1.0)
+    fakes.now += 6.1
+    clock.advance(1.0)
+    fakes.lock, fakes.era = None, 2
+    fakes.now += 100.0
+    clock.pump([1.0] * 9)
+    fakes.now += 6.1
+    clock.advance(1.0)
+    numbers = [number for _, _, number, _ in fakes.orders]
+    assert numbers == [first_number(1), first_number(2)]
+    assert numbers[-1] < 2**53
+
+
+def test_restore_while_a_lock_is_acquired_gives_no_order(fakes, clock):
+    """Guards against an order whose lock was written over a lost one at the same revision."""
+    fakes.era, fakes.restored_by_write = 1, True
+    clock.advance(1.0)
+    fakes.now += 6.1
+    clock.advance(1.0)
+    assert fakes.lock is not None
+    assert fakes.orders == []
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -106,6 +106,17 @@
     def test_each_lock_has_its_own_fencing_number(self):
         """Guards against two orders with the same fencing number."""
         locks = OrderLockView(lease_seconds=3.0)
-        assert locks.next_lock("gateway-1", self.CHANGE, 0.0).number == 1
+        assert locks.next_lock("gateway-1", self.CHANGE, 0.0, era=None).number == 1
         locks.update(self.OTHER, 0.0)
-        assert locks.next_lock("gateway-1", self.CHANGE, 0.0).number == 8
+        assert locks.next_lock("gateway-1", self.CHANGE, 0.0, era=None).number == 8
+
+    def test_number_is_greater_than_all_of_earlier_eras(self):
+        """Guards against a fencing number that was given out before a restore."""
+        locks = OrderLockView(lease_seconds=3.0)
+        before = locks.next_lock("gateway-1", self.CHANGE, 0.0, era=1)
+        assert locks.next_lock("gateway-2", self.CHANGE, 0.0, era=2).number > before.number + 10**6
+        locks.update(evolve(self.OTHER, number=2**40), 0.0)
+        locks.update(None, 1.0)
+        assert locks.next_lock("gateway-1", self.CHANGE, 0.0, era=2).number == 2**40 + 1
+        largest = OrderLockView(lease_seconds=3.0).next_lock("g", self.CHANGE, 0.0, era=2**31 - 1)
+        assert largest.number < 2**53
