Log what a stop leaves unfinished, and who ended a caller's connection

The traces of lost requests had to infer two things: a connection that the gateway aborted itself was logged as "caller gone", and nothing said how long a drain lasted nor what was still in progress when the listener closed and at its end. CALL_ENDED now has the outcome "connection aborted" for the former, and event 718 gives the latter. No decision changes.

tests/test_forwarded_request.py and tests/test_gateway_stop.py check both; before, the outcome was "caller gone" and there was no event.

The tests of idle limits get the eras of the store that CollectionSources has since asked for; their checks are unchanged.

--- a/chivewall/events.py
+++ b/chivewall/events.py
@@ -84,6 +84,7 @@
     PROMPT_PART_BLOCKED = (714, "warning", "prompt part blocked: it crashes engines")
     PROMPT_PART_CLEARED = (715, "info", "prompt part no longer suspected")
     CALL_WAITING = (716, "info", "call that may have run waits for an endpoint")
+    GATEWAY_DRAINED = (718, "info", "gateway has ended its calls before it stops")
     ENDPOINT_ENTRY_IGNORED = (717, "info", "endpoint's entry is older than what is known")
     SPEED_LEARNED = (710, "info", "learned speeds of a service changed")
     PEER_UNREACHABLE = (708, "warning", "datagram to another gateway not sent")
--- a/chivewall/gateway/caller_messages.py
+++ b/chivewall/gateway/caller_messages.py
@@ -51,7 +51,9 @@
 
 @frozen
 class CallerDisconnected:
-    """The caller closed its connection."""
+    """The caller's connection has ended."""
+
+    by_gateway: bool = False  # the gateway itself aborted it
 
 
 @frozen
--- a/chivewall/gateway/forwarded_request.py
+++ b/chivewall/gateway/forwarded_request.py
@@ -243,7 +243,7 @@
     async def _(self, message: CallerDisconnected) -> None:
         if not self.ended:
             self._end_exchange("left")
-            self._finish("caller gone")
+            self._finish("connection aborted" if message.by_gateway else "caller gone")
 
     def _take_data(self, data: bytes) -> None:
         """Forward the events of a stream, or keep the bytes of another response."""
--- a/chivewall/gateway/gateway.py
+++ b/chivewall/gateway/gateway.py
@@ -123,7 +123,7 @@
             self._end_requests()
             await pause(self.env, LAST_RESPONSES_SECONDS)
         for connection in list(self.connections):
-            connection.transport.abortConnection()
+            connection.abort()
 
     @singledispatchmethod
     async def receive(self, message: object) -> None:
@@ -158,6 +158,10 @@
     async def _(self, message: EndRequests) -> None:
         self._end_requests()
 
+    def calls_in_progress(self) -> int:
+        """Return the number of calls that are arriving or being served."""
+        return sum(one.in_progress for one in self.connections)
+
     def _end_requests(self) -> None:
         self.closing = True
         self.shutdown = ShutdownSchedule(late_from=self.env.now, end_by=self.env.now)
@@ -309,7 +313,8 @@
 
     async def drain(self) -> None:
         """Serve until the load balancer sends no more and no request is in progress."""
-        close_by = self.env.now + self.cfg.grace_seconds - CLOSE_MARGIN_SECONDS
+        began = self.env.now
+        close_by = began + self.cfg.grace_seconds - CLOSE_MARGIN_SECONDS
         schedule = schedule_shutdown(
             self.env.now, BALANCER_DELAY_SECONDS, close_by - RESPONSE_MARGIN_SECONDS
         )
@@ -318,14 +323,23 @@
         # Connections that wait for accept() would be reset.
         self.listener.doRead()
         await maybeDeferred(self.listener.stopListening)
+        late_calls = self.gateway.calls_in_progress()
         while self.gateway.connections and self.env.now < schedule.end_by:
             # A caller whose idle connection is closed sends its next request to another gateway.
             # The pause comes first, so that a request that has arrived is read before.
             await pause(self.env, POLL_SECONDS)
             self.gateway.send(CloseIdleConnections())
+        unfinished_calls = self.gateway.calls_in_progress()
         self.gateway.send(EndRequests())
         while self.gateway.connections and self.env.now < close_by:
             await pause(self.env, POLL_SECONDS)
+        self.env.log.emit(
+            Event.GATEWAY_DRAINED,
+            seconds=round(self.env.now - began, 3),
+            late_calls=late_calls,
+            unfinished_calls=unfinished_calls,
+            open_connections=len(self.gateway.connections),
+        )
 
     async def stop(self) -> None:
         """Stop listening and close the remaining connections."""
--- a/chivewall/gateway/ingress_connection.py
+++ b/chivewall/gateway/ingress_connection.py
@@ -97,6 +97,7 @@
         self._pipelined_bytes = 0  # bytes received while a request is in progress
         self._written_bytes = 0  # since the transport could last write all of them
         self.blocked_since: float | None = None  # when the caller stopped reading
+        self._aborted = False  # by the gateway
 
     def connectionMade(self) -> None:  # noqa: N802 - Twisted's name
         """Set up the connection, or abort it if there are too many."""
@@ -132,7 +133,7 @@
         self.resumeProducing()
         task, self._task = self._task, None
         if task is not None:
-            task.put(CallerDisconnected())
+            task.put(CallerDisconnected(by_gateway=self._aborted))
         self.handler.remove_connection(self)
 
     def pauseProducing(self) -> None:  # noqa: N802 - Twisted's name
@@ -165,6 +166,11 @@
     def cut(self) -> None:
         """Abort the connection and release the bytes that its caller has not read."""
         self.resumeProducing()
+        self.abort()
+
+    def abort(self) -> None:
+        """Reset the connection, with whatever is in progress on it."""
+        self._aborted = True
         self.transport.abortConnection()
 
     def extend_idle_time(self) -> None:
@@ -174,6 +180,11 @@
             if left > self._timer.getTime() - self.env.clock.seconds():
                 self._timer.reset(left)
 
+    @property
+    def in_progress(self) -> bool:
+        """Return whether a request is arriving or waits for the end of its response."""
+        return self.phase in (Phase.HEAD, Phase.BODY, Phase.RESPONSE)
+
     def close_if_idle(self) -> None:
         """Close the connection if it waits for a request."""
         if self.phase is Phase.IDLE:
--- a/tests/test_forwarded_request.py
+++ b/tests/test_forwarded_request.py
@@ -4,7 +4,7 @@
 from twisted.internet.task import Clock
 
 from chivewall.decisions.crash_evidence import PartCheck, PartKey, Verdict
-from chivewall.gateway.caller_messages import SendResponse
+from chivewall.gateway.caller_messages import CallerDisconnected, SendResponse
 from chivewall.gateway.exchange_messages import Reachability
 from chivewall.gateway.part_messages import EngineCrashed, PartsSuspected
 from chivewall.gateway.routing_configuration import RouteKind, Stage
@@ -186,6 +186,14 @@
     assert len(bench.connections.sent) == 1
 
 
+def test_log_tells_who_ended_the_connection(clock):
+    """Guards against a stop that looks like a caller who left."""
+    for by_gateway, outcome in ((False, "caller gone"), (True, "connection aborted")):
+        bench = RequestBench(clock, **DECODERS).begin()
+        bench.task.send(CallerDisconnected(by_gateway=by_gateway))
+        assert bench.events[-1] == ("CALL_ENDED", bench.events[-1][1] | {"outcome": outcome})
+
+
 def test_unsafe_request_that_may_have_run_ends_at_once(clock):
     """Guards against a booking that waits for a second run, which it must never get."""
     bench = RequestBench(clock, make_stream_route(kind=RouteKind.UNSAFE), d1=Stage.DECODE)
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -199,6 +199,8 @@
         stopped_at = terminate(site)
         assert receive_all(connection).startswith(b"HTTP/1.1 504 ")
     assert_ends_in_time(site, stopped_at)
+    assert site.events("GATEWAY_DRAINED", late_calls=1, open_connections=0)
+    assert site.events("CALL_ENDED", outcome="out of time")
 
 
 def test_request_without_an_endpoint_at_the_end_is_refused(site):
--- a/tests/test_ingress_limits.py
+++ b/tests/test_ingress_limits.py
@@ -15,6 +15,7 @@
 from chivewall.gateway.sources import CollectionSources
 from chivewall.gateway.store_collections import CollectionChanges, CollectionItem
 from chivewall.platform.headers import PlatformDialect
+from chivewall.task import Inbox
 from tests.utils.fleets import SilentSource, make_fleet
 from tests.utils.requests import FakeConnections
 
@@ -51,7 +52,9 @@
         connections=FakeConnections(),
         dialect=PlatformDialect(),
     )
-    sources = CollectionSources(routing_configuration=SilentSource(), endpoints=SilentSource())
+    sources = CollectionSources(
+        routing_configuration=SilentSource(), endpoints=SilentSource(), eras=Inbox()
+    )
     cfg = GatewaySettings(address="127.0.0.1:80", grace_seconds=8)
     gateway = Gateway(fleet.env, cfg, context, sources)
     gateway.start()
