Read a page of the store although one entry can't be parsed

Operators of similar systems reported machines that stopped following the list of endpoints after another writer had left one odd entry. The same happens here: json.loads reads a page as a whole, so one entry nested 100,000 deep (RecursionError), one integer of 5,000 digits or one byte that is no UTF-8 (both ValueError) made the whole list unreadable for as long as the entry stayed. A gateway that started then never became ready, and a running one heard of no later endpoint and no removal.

A body that json.loads refuses is now parsed once more: values nested deeper than 32 become null by one pass over the brackets, integers of more than 19 digits become infinite, and undecodable bytes become lone surrogates. The checks of the fields reject the last two. A body that json.loads accepts costs nothing more.

Ruled out: catching the error and dropping the page, as the entries after it would be lost too; a higher recursion limit, which moves the bound. A syntax error within an entry still makes the page unreadable; the store takes only JSON.

The stand-in store can serve raw bytes as a value.

--- a/chivewall/platform/fields.py
+++ b/chivewall/platform/fields.py
@@ -1,19 +1,62 @@
 """Typed access to JSON fields; a wrong type raises a ``DecodeError`` that names the field."""
 
 import json
+import re
 from typing import Any
 
 from chivewall.errors import DecodeError
+from chivewall.integers import MAX_DIGITS
+
+MAX_DEPTH = 32  # of lists and objects in each other; the platform's documents use 8 at most
+# Strings, whose brackets don't count, and runs of opening or of closing brackets.
+JSON_BRACKETS = re.compile(r'"[^"\\]*+(?:\\.[^"\\]*+)*+"|[\[{]+|[\]}]+', re.DOTALL)
 
 
 def parse_json(body: bytes) -> Any:
-    """Parse a body as JSON."""
+    """Parse a body as JSON, in which single values may be unreadable.
+
+    A page of the store has the entries of many writers, and one of them must not hide the others.
+    Values nested too deeply become ``None``, integers of too many digits infinite, and bytes that
+    are no UTF-8 lone surrogates, which the fields' own checks reject.
+
+    Example: ``parse_json(b"[7, " + b"9" * 5000 + b"]") == [7, math.inf]``.
+    """
     try:
         return json.loads(body)
+    except (ValueError, RecursionError):
+        return _parse_damaged(body.decode("utf-8", "surrogateescape"))
+
+
+def _parse_damaged(text: str) -> Any:
+    try:
+        return json.loads(without_deep_values(text), parse_int=_parse_integer, strict=False)
     except (ValueError, RecursionError) as exc:
         raise DecodeError(f"invalid JSON: {exc}") from exc
 
 
+def _parse_integer(digits: str) -> int | float:
+    return int(digits) if len(digits) <= MAX_DIGITS else float(digits)
+
+
+def without_deep_values(text: str) -> str:
+    """Return JSON text with ``null`` in place of the values nested deeper than ``MAX_DEPTH``."""
+    kept, depth, start = [], 0, 0
+    for found in JSON_BRACKETS.finditer(text):
+        count = len(found[0])
+        if found[0][0] in "[{":
+            if depth <= MAX_DEPTH < depth + count:
+                kept.append(text[start : found.start() + MAX_DEPTH - depth])
+            depth += count
+        elif found[0][0] in "]}":
+            depth -= count
+            if depth <= MAX_DEPTH < depth + count:
+                start = found.end() + depth - MAX_DEPTH
+                kept.append("null")
+    if depth <= MAX_DEPTH:
+        kept.append(text[start:])
+    return "".join(kept)
+
+
 def json_object(value: object, name: str) -> dict[str, Any]:
     """Return a value that must be a JSON object; ``name`` is for the error message."""
     if not isinstance(value, dict):
--- a/chivewall/standins/platform_store.py
+++ b/chivewall/standins/platform_store.py
@@ -1,6 +1,7 @@
 """Simulated store of the users' platform: objects by kind over HTTP, served in a thread."""
 
 import json
+import re
 import socket
 import threading
 import time
@@ -11,6 +12,7 @@
 
 from attrs import define, field, frozen
 
+RAW_MARK = "raw value "  # marks the place of a ``RawJson`` while a response is encoded
 PAGE_SIZE = 500  # maximum number of objects in one list response
 
 
@@ -24,6 +26,13 @@
     history_start: int
 
 
+@frozen
+class RawJson:
+    """Bytes that the store serves in place of a value, also where ``json`` can't write them."""
+
+    data: bytes
+
+
 @define(eq=False)
 class PlatformStore:
     """Holds objects under one revision counter; tests change objects and inject faults.
@@ -52,7 +61,7 @@
     _changed: threading.Condition = field(factory=threading.Condition, init=False)
 
     def put(self, kind: str, name: str, spec: Any) -> None:
-        """Create or replace an object."""
+        """Create or replace an object; a ``RawJson`` is served as it is."""
         with self._changed:
             self.revision += 1
             document = {"metadata": {"name": name, "rev": self.revision}, "spec": spec}
@@ -228,7 +237,7 @@
         self, status: int, document: dict, headers: dict[str, str] | None = None
     ) -> None:
         """Send a JSON response."""
-        body = json.dumps(document).encode()
+        body = encode_document(document)
         self.send_response(status)
         self.send_header("Content-Type", "application/json")
         self.send_header("Content-Length", str(len(body)))
@@ -238,6 +247,22 @@
         self.wfile.write(body)
 
 
+def encode_document(document: Any) -> bytes:
+    """Return a document as JSON, with the bytes of each ``RawJson`` in its place."""
+    raw: list[bytes] = []
+
+    def replace(value: object) -> str:
+        if not isinstance(value, RawJson):
+            raise TypeError(f"{value!r} is no JSON value")
+        raw.append(value.data)
+        return f"{RAW_MARK}{len(raw) - 1}"
+
+    parts = re.split(
+        f'"{RAW_MARK}([0-9]+)"'.encode(), json.dumps(document, default=replace).encode()
+    )
+    return b"".join(raw[int(one)] if number % 2 else one for number, one in enumerate(parts))
+
+
 def _handler_class(store: PlatformStore) -> type[BaseHTTPRequestHandler]:
     class StoreHandler(QuietHandler):
         def do_GET(self) -> None:
