Keep watching the store after any response that can't be decoded

CollectionWatcher went on only after a StoreError. An item or event that is no object (AttributeError), a response without items, truncated or asOf (DecodeError), and a truncated page whose last item has no name (IndexError) ended the watch for good: no later endpoint, removal or version was heard of, and nothing but a restart helped.

A response that lacks its own fields is now StoreUnavailableError, which is read again. Odd items and events are rejected one by one, and a list goes on after the last item that has a name. The watcher takes any other error for a failed read and logs it with its traceback, so that an error that nobody foresaw can't end it either.

--- a/chivewall/gateway/store_collections.py
+++ b/chivewall/gateway/store_collections.py
@@ -4,18 +4,21 @@
 from typing import Any, Protocol
 
 from attrs import frozen
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.interfaces import IDelayedCall
+from twisted.logger import Logger
 
 from chivewall.backoff import exponential_delay
 from chivewall.decisions.store_eras import ReadVerdict, judge_read
 from chivewall.environment import Environment
-from chivewall.errors import HistoryLostError, StoreError
+from chivewall.errors import HistoryLostError, StoreError, StoreUnavailableError
 from chivewall.events import Event
 from chivewall.gateway.store_eras import EraBegan, EraSeen, SubscribeToEras
 from chivewall.messages import Tick
 from chivewall.task import Inbox, Task
 
+_log = Logger()  # Twisted's log; the daemon forwards it to the event log
+
 # Duration of one watch; the store allows at most 30 s, and each request is billed, so a watch
 # lasts long.
 WATCH_SECONDS = 28.0
@@ -272,4 +275,10 @@
                 result = await self.source.watch(self.revision, self.env.now + seconds)
         except StoreError as exc:
             result = exc
+        except CancelledError:
+            raise
+        except Exception as exc:
+            # Without a message the watch would end, and the gateway would hear of no change.
+            _log.failure("reading {name} failed", name=self.source.name)
+            result = StoreUnavailableError(f"unexpected error: {exc!r:.200}")
         self.send(ReadEnded(number, result))
--- a/chivewall/platform/objects.py
+++ b/chivewall/platform/objects.py
@@ -1,7 +1,8 @@
 """Client of the platform's store: lists, watches, reads and writes objects."""
 
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Any
 from urllib.parse import quote
 
@@ -13,7 +14,6 @@
     DecodeError,
     HistoryLostError,
     ObjectMissingError,
-    StoreError,
     StoreRestoredError,
     StoreThrottledError,
     StoreUnavailableError,
@@ -83,12 +83,13 @@
         document, era = await self._read(
             f"/objects/{kind}{query}", self.env.now + CALL_TIMEOUT_SECONDS
         )
-        return ObjectPage(
-            items=list_items(document, "items"),
-            truncated=boolean(document, "truncated"),
-            revision=integer(document, "asOf"),
-            era=era,
-        )
+        with _malformed_response(era):
+            return ObjectPage(
+                items=list_items(document, "items"),
+                truncated=boolean(document, "truncated"),
+                revision=integer(document, "asOf"),
+                era=era,
+            )
 
     async def watch(self, kind: str, revision: int, deadline: float) -> ObjectEvents:
         """Return the events after a revision, and the revision for the next watch."""
@@ -96,12 +97,14 @@
         document, era = await self._read(
             f"/objects/{kind}?watch={revision}&waitMs={wait_ms}", deadline + CALL_TIMEOUT_SECONDS
         )
-        return ObjectEvents(list_items(document, "events"), integer(document, "asOf"), era)
+        with _malformed_response(era):
+            return ObjectEvents(list_items(document, "events"), integer(document, "asOf"), era)
 
     async def get(self, kind: str, name: str) -> StoredObject:
         """Return one object; raises ``ObjectMissingError``."""
         document, era = await self._read(_path(kind, name), self.env.now + CALL_TIMEOUT_SECONDS)
-        return StoredObject(document.get("spec"), _revision(document), era)
+        with _malformed_response(era):
+            return StoredObject(document.get("spec"), _revision(document), era)
 
     async def put(self, kind: str, name: str, spec: Any, revision: int) -> int | None:
         """Replace an object at a revision, or create it if that is 0; return the store's era.
@@ -129,10 +132,9 @@
     async def _read(self, target: str, deadline: float) -> tuple[dict[str, Any], int | None]:
         response = await self.connections.fetch(self.address, b"GET", target.encode(), deadline)
         _raise_for_status(response)
-        try:
-            return json_object(parse_json(response.body), "answer"), _era(response)
-        except DecodeError as exc:
-            raise _malformed(response, exc) from exc
+        era = _era(response)
+        with _malformed_response(era):
+            return json_object(parse_json(response.body), "answer"), era
 
 
 class ObjectCollection:
@@ -156,8 +158,10 @@
         page = await self.client.list_page(self.name, None)
         era, first_revision = page.era, page.revision
         found += self._items((one, False) for one in page.items)
+        last = None
         while page.truncated and page.items:
-            page = await self.client.list_page(self.name, found[-1].name)
+            last = _name_to_go_on(found, last)
+            page = await self.client.list_page(self.name, last)
             if page.era != era:
                 exc = StoreRestoredError(f"pages of eras {era} and {page.era}")
                 exc.era = page.era
@@ -169,8 +173,7 @@
 
     async def _watch(self, revision: int, deadline: float) -> CollectionChanges:
         answer = await self.client.watch(self.name, revision, deadline)
-        pairs = ((one.get("object"), one.get("tombstone") is True) for one in answer.events)
-        items = tuple(self._items(pairs))
+        items = tuple(self._items(_event_fields(one) for one in answer.events))
         return CollectionChanges(self.name, items, answer.revision, answer.era)
 
     def _items(self, pairs: Any) -> list[CollectionItem]:
@@ -198,6 +201,35 @@
         )
 
 
+@contextmanager
+def _malformed_response(era: int | None) -> Iterator[None]:
+    """Raise ``StoreUnavailableError`` if a response of this era can't be decoded."""
+    try:
+        yield
+    except DecodeError as exc:
+        found = StoreUnavailableError(f"malformed response: {exc}")
+        found.era = era
+        raise found from exc
+
+
+def _event_fields(event: object) -> tuple[object, bool]:
+    """Return the object of an event, and whether it was deleted."""
+    if not isinstance(event, dict):
+        return None, False
+    return event.get("object"), event.get("tombstone") is True
+
+
+def _name_to_go_on(items: list[CollectionItem], last: str | None) -> str:
+    """Return the last name with which a list can go on; a URL can't hold lone surrogates.
+
+    Raises ``StoreUnavailableError`` if there is none after ``last``.
+    """
+    names = [one.name for one in items if one.name.isprintable()]
+    if not names or names[-1] == last:
+        raise StoreUnavailableError("malformed response: a page without a name to go on")
+    return names[-1]
+
+
 def _path(kind: str, name: str) -> str:
     return f"/objects/{quote(kind, safe='')}/{quote(name, safe='')}"
 
@@ -220,12 +252,6 @@
     raise exc
 
 
-def _malformed(response: HttpResponse, exc: DecodeError) -> StoreError:
-    found = StoreUnavailableError(f"malformed response: {exc}")
-    found.era = _era(response)
-    return found
-
-
 def _era(response: HttpResponse) -> int | None:
     """Return the era that a response names, or ``None`` if it names none."""
     for name, value in response.headers:
