Reject entries of endpoints with odd names, addresses and numbers

Every entry whose fields had the right JSON types named an endpoint. An id with a line break or a character outside Latin-1 can't stand in a header: the task of each request that chose it failed, and the caller waited until its deadline (504). An address with a host name started a DNS lookup for each attempt. A service, zone or version could hold lone surrogates and thousands of characters, and a negative number of slots counted as one.

Error messages no longer repeat the odd value.

--- a/chivewall/platform/fields.py
+++ b/chivewall/platform/fields.py
@@ -7,6 +7,7 @@
 from chivewall.errors import DecodeError
 from chivewall.integers import MAX_DIGITS
 
+MAX_LABEL_CHARS = 200  # of the name of an endpoint, a service or a data centre
 MAX_DEPTH = 32  # of lists and objects in each other; the platform's documents use 8 at most
 # Strings, whose brackets don't count, and runs of opening or of closing brackets.
 JSON_BRACKETS = re.compile(r'"[^"\\]*+(?:\\.[^"\\]*+)*+"|[\[{]+|[\]}]+', re.DOTALL)
@@ -82,6 +83,18 @@
     return value
 
 
+def label(document: dict[str, Any], name: str) -> str:
+    """Return a string field that names something: short, and of printable characters."""
+    return check_label(string(document, name), name)
+
+
+def check_label(value: str, name: str) -> str:
+    """Return a name from the platform, or raise ``DecodeError`` if it can't be one."""
+    if not 0 < len(value) <= MAX_LABEL_CHARS or not value.isprintable():
+        raise DecodeError(f"{name}: not 1 to {MAX_LABEL_CHARS} printable characters")
+    return value
+
+
 def number(document: dict[str, Any], name: str, default: float | None = None) -> float:
     """Return a number field, which must be finite."""
     value = document.get(name, default)
@@ -100,6 +113,13 @@
     return int(value)
 
 
+def bounded(value: float, limit: float, name: str) -> float:
+    """Return a number from 0 to a limit; raise ``DecodeError`` if it is another one."""
+    if not 0 <= value <= limit:
+        raise DecodeError(f"{name}: number out of range")
+    return value
+
+
 def boolean(document: dict[str, Any], name: str) -> bool:
     """Return a boolean field; ``False`` if it is missing."""
     value = document.get(name, False)
--- a/tests/test_odd_entries_process.py
+++ b/tests/test_odd_entries_process.py
@@ -49,3 +49,27 @@
     site.start()
     site.store.put("servers", "odd", spec)
     assert_follows_the_list(site)
+
+
+def test_odd_names_and_addresses_are_not_used(site):
+    """Guards against requests that fail at an id which no header holds, or look a host up."""
+    desk = site.add(PlatformEndpoint("i-desk", "desk"))
+    good = desk.store_document(site.addresses[desk.id])
+    odd = {"i-\r\nX-Stage: prefill": {}, "i-\ud800": {}, "i-name": {"addr": "desk.invalid:80"}}
+    for name, fields in (odd | {"i-port": {"addr": "127.0.0.1:99999"}}).items():
+        site.store.put("servers", name, good | fields)
+    site.start()
+    found = [site.send("GET", f"/read/{one}", request_id=f"r{one}") for one in range(12)]
+    assert {one.content for one in found} == {b"done by i-desk"}
+    assert not site.events("TASK_FAILED")
+    assert not site.events("CALL_ATTEMPT_FAILED")
+
+
+def test_copy_of_an_entry_under_another_id_costs_no_request(site):
+    """Guards against requests that are lost at an address which two entries name."""
+    desk = site.add(PlatformEndpoint("i-desk", "desk"))
+    site.store.put("servers", "copy", desk.store_document(site.addresses[desk.id]))
+    site.start()
+    found = [site.send("GET", f"/read/{one}", request_id=f"r{one}") for one in range(12)]
+    assert {one.content for one in found} == {b"done by i-desk"}
+    assert not site.events("TASK_FAILED")
