Log a rejected document once for each revision, and count it

A rejected entry was logged at every list, with its whole name and error text, and no metric showed it. An entry that stays for hours was logged after each lost history, and a name of a megabyte filled the log's buffer.

An entry is now logged when it is first rejected at a revision, with its name cut to 200 characters and the reason to 300, and counted by chivewall_gateway_rejected_documents_total{collection}. Rejected datagrams of other gateways are counted there too.

--- a/chivewall/gateway/metrics.py
+++ b/chivewall/gateway/metrics.py
@@ -36,6 +36,10 @@
         self.waits = self._counter("call_waits_total", "Waits of calls for an endpoint by route.")
         self.refusals = self._counter("refusals_total", "Calls refused without a route, by code.")
         self.outages = self._counter("store_outages_total", "Outages of the store by collection.")
+        self.rejected = self._counter(
+            "rejected_documents_total",
+            "Documents that can't be decoded, by collection; once for each of their revisions.",
+        )
         self.orders = self._counter("orders_total", "Orders to engines by stage.")
         self.engine_crashes = self._counter(
             "engine_crashes_total", "Calls that were starting at an engine when it crashed."
@@ -72,6 +76,7 @@
             Event.CALL_REFUSED: (self.refusals, "code", "code"),
             Event.CALL_WAITING: (self.waits, "route", "route"),
             Event.STORE_UNAVAILABLE: (self.outages, "collection", "key"),
+            Event.DOCUMENT_REJECTED: (self.rejected, "collection", "collection"),
             Event.ORDER_SENT: (self.orders, "stage", "stage"),
             Event.ENGINE_CRASHED: (self.engine_crashes, "service", "service"),
             Event.ENDPOINT_ENTRY_IGNORED: (self.ignored_entries, "reason", "reason"),
--- a/chivewall/gateway/peers.py
+++ b/chivewall/gateway/peers.py
@@ -47,6 +47,7 @@
 from chivewall.plugins.registry import Registry
 from chivewall.task import Query, Task
 
+MAX_ERROR_CHARS = 300  # of the reason why a datagram was rejected, in the log
 BATCH_SECONDS = 0.03  # time for which work is collected before it is sent in one batch
 
 
@@ -157,7 +158,12 @@
         try:
             found = decode(message.data)
         except DecodeError as exc:
-            self.env.log.emit(Event.DOCUMENT_REJECTED, object=message.gateway_ip, error=str(exc))
+            self.env.log.emit(
+                Event.DOCUMENT_REJECTED,
+                collection="datagrams",
+                object=message.gateway_ip,
+                error=str(exc)[:MAX_ERROR_CHARS],
+            )
             return
         if not self.table.is_known(message.gateway_ip):
             # A gateway that has just started would send what crashes engines until the next hello.
--- a/chivewall/platform/objects.py
+++ b/chivewall/platform/objects.py
@@ -1,7 +1,7 @@
 """Client of the platform's store: lists, watches, reads and writes objects."""
 
 import json
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
 from typing import Any
 from urllib.parse import quote
@@ -27,7 +27,15 @@
     CollectionSnapshot,
 )
 from chivewall.integers import parse_digits
-from chivewall.platform.fields import boolean, integer, json_object, list_items, parse_json, string
+from chivewall.platform.fields import (
+    MAX_LABEL_CHARS,
+    boolean,
+    integer,
+    json_object,
+    list_items,
+    parse_json,
+    string,
+)
 
 # Timeout of a request; the store normally responds in milliseconds, and in 0.3 s when it is slow.
 CALL_TIMEOUT_SECONDS = 2.0
@@ -35,6 +43,7 @@
 HTTP_OK = range(200, 300)
 ERA_HEADER = b"store-era"  # in each response; rises by one when the store comes back from a copy
 MAX_ERA = 2**31 - 1  # fencing numbers have room for no larger one
+MAX_ERROR_CHARS = 300  # of the reason why an object was rejected, in the log
 
 Decoder = Callable[[str, object], Any]
 
@@ -144,6 +153,8 @@
         self.client = client
         self.name = kind
         self.decode = decode
+        # Revisions of the objects whose rejection was logged, by name; every list has them again.
+        self._rejected: dict[str, int] = {}
 
     def read_all(self) -> Deferred:
         """List all objects (``CollectionSource.read_all``)."""
@@ -169,6 +180,8 @@
             # Pages may be read at different revisions; the watch starts at the oldest of them.
             first_revision = min(first_revision, page.revision)
             found += self._items((one, False) for one in page.items)
+        names = {"", *(one.name for one in found)}
+        self._rejected = {name: at for name, at in self._rejected.items() if name in names}
         return CollectionSnapshot(self.name, tuple(found), first_revision, era)
 
     async def _watch(self, revision: int, deadline: float) -> CollectionChanges:
@@ -176,7 +189,7 @@
         items = tuple(self._items(_event_fields(one) for one in answer.events))
         return CollectionChanges(self.name, items, answer.revision, answer.era)
 
-    def _items(self, pairs: Any) -> list[CollectionItem]:
+    def _items(self, pairs: Iterable[tuple[object, bool]]) -> list[CollectionItem]:
         return [one for raw, gone in pairs if (one := self._item(raw, gone)) is not None]
 
     def _item(self, raw: object, gone: bool) -> CollectionItem | None:
@@ -185,19 +198,30 @@
             metadata = json_object(document.get("metadata"), "metadata")
             name, revision = string(metadata, "name"), integer(metadata, "rev", 0)
         except DecodeError as exc:
-            self._reject("", exc)
+            self._reject("", 0, exc)
             return None
         if gone:
+            self._rejected.pop(name, None)
             return CollectionItem(name, None, revision)
         try:
-            return CollectionItem(name, self.decode(name, document.get("spec")), revision)
+            item = CollectionItem(name, self.decode(name, document.get("spec")), revision)
         except DecodeError as exc:
-            self._reject(name, exc)
+            self._reject(name, revision, exc)
             return CollectionItem(name, None, revision)
-
-    def _reject(self, name: str, exc: DecodeError) -> None:
+        self._rejected.pop(name, None)
+        return item
+
+    def _reject(self, name: str, revision: int, exc: DecodeError) -> None:
+        logged = self._rejected.get(name)
+        self._rejected[name] = revision
+        if logged == revision:
+            return
         self.client.env.log.emit(
-            Event.DOCUMENT_REJECTED, collection=self.name, object=name, error=str(exc)
+            Event.DOCUMENT_REJECTED,
+            collection=self.name,
+            object=name[:MAX_LABEL_CHARS],
+            revision=revision,
+            error=str(exc)[:MAX_ERROR_CHARS],
         )
 
 
--- a/tests/test_odd_entries_process.py
+++ b/tests/test_odd_entries_process.py
@@ -1,5 +1,6 @@
 """A gateway process goes on while another writer's odd entries are in the store's list."""
 
+import httpx
 import pytest
 
 from chivewall.standins.platform_endpoint import PlatformEndpoint
@@ -31,6 +32,9 @@
     assert site.send("GET", "/read/2").content == b"done by i-later"
     assert not site.events("TASK_FAILED")
     assert site.process.poll() is None
+    assert len(site.events("DOCUMENT_REJECTED", collection="servers", object="odd")) == 1
+    text = httpx.get(f"http://127.0.0.1:{site.ports['metrics']}/metrics", timeout=5).text
+    assert 'chivewall_gateway_rejected_documents_total{collection="servers"} 1' in text
 
 
 @pytest.mark.parametrize("spec", UNREADABLE.values(), ids=UNREADABLE)
--- a/tests/test_odd_pages.py
+++ b/tests/test_odd_pages.py
@@ -12,6 +12,7 @@
 from twisted.internet.task import Clock
 
 from chivewall.environment import Environment
+from chivewall.errors import HistoryLostError
 from chivewall.events import EventLog
 from chivewall.gateway.channels import HttpResponse
 from chivewall.gateway.store_collections import MAX_RETRY_SECONDS, CollectionWatcher
@@ -147,6 +148,38 @@
     assert ("i-1", True) in site.items()
 
 
+def rejections(site):
+    lines = [json.loads(one) for one in site.log.getvalue().splitlines()]
+    return [one for one in lines if one["name"] == "DOCUMENT_REJECTED"]
+
+
+def test_rejected_entry_is_logged_once_for_each_revision():
+    """Guards against a log that fills up with the same odd entry at every read of the list."""
+    odd = [stored("odd", None, 3), stored("o" * 5000, {"state": "x" * 5000}, 4), 7]
+    lost = HistoryLostError("410")
+    changes = {"events": [event(stored("odd", 7, 8))], "asOf": 8}
+    site = Site(ScriptedStore([page(*odd), lost, page(*odd), lost, page(*odd), changes])).run()
+    for _ in range(9):
+        site.clock.advance(MAX_RETRY_SECONDS)
+    found = rejections(site)
+    assert [(one["object"][:3], one["revision"]) for one in found] == [
+        ("odd", 3),
+        ("ooo", 4),
+        ("", 0),
+        ("odd", 8),
+    ]
+    assert max(map(len, site.log.getvalue().splitlines())) < 1000
+
+
+def test_entry_that_is_rejected_again_is_logged_again():
+    """Guards against a second odd entry under the same id that nothing shows."""
+    stages = [stored("i-1", 7, 3), stored("i-1", ENDPOINT, 4), stored("i-1", 7, 5)]
+    gone = {"object": stages[0], "tombstone": True}
+    events = [event(stages[0]), event(stages[1]), event(stages[2]), gone, event(stages[0])]
+    site = Site(ScriptedStore([page(), {"events": events, "asOf": 9}])).run()
+    assert [one["revision"] for one in rejections(site)] == [3, 5, 3]
+
+
 @given(JSON | st.sampled_from(list(UNREADABLE.values())).map(RawJson), st.booleans())
 def test_any_value_in_place_of_an_item_leaves_the_others(value, watched):
     """Guards against other endpoints that are lost with any value in place of an item."""
