Reject datagrams that name no address, and bound the cooldowns they tell

A datagram that named a gateway by anything but an IPv4 literal put the name into the table of peers; at the next hello the socket refused it (InvalidAddressError, a ValueError, not the OSError that is handled), the hello was not scheduled again, and the gateway took no more part in the exchange. A cooldown of 1e18 s kept an engine from new work for ever.

Such a datagram is now rejected as a whole and logged; cooldowns are bounded like the other times.

--- a/chivewall/gateway/peer_codec.py
+++ b/chivewall/gateway/peer_codec.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Iterable, Iterator
+from ipaddress import IPv4Address
 
 from attrs import evolve, frozen
 
@@ -81,9 +82,9 @@
             raise DecodeError(f"datagram version {version!r} is unknown")
         known, work, cooldowns, prefilled, ended, speeds, parts = rest
         return PeerMessage(
-            known=tuple((str(one), max(0.0, float(age))) for one, age in known),
+            known=tuple((_decode_ip(one), _bounded_seconds(age)) for one, age in known),
             work=tuple(_decode_work(*one) for one in work),
-            cooldowns=tuple((str(one), max(0.0, float(seconds))) for one, seconds in cooldowns),
+            cooldowns=tuple((str(one), _bounded_seconds(seconds)) for one, seconds in cooldowns),
             prefilled=tuple(int(one) for one in prefilled),
             ended=tuple(int(one) for one in ended),
             speeds=tuple(_decode_speed(*one) for one in speeds),
@@ -93,6 +94,11 @@
         raise DecodeError(f"malformed datagram: {exc}") from exc
 
 
+def _decode_ip(value: object) -> str:
+    """Return an IPv4 literal; the socket refuses to send to anything else."""
+    return str(IPv4Address(str(value)))
+
+
 def _decode_work(
     number: int,
     endpoint: str,
