Take the routing configuration from its own object only, with sane numbers

Any object of the kind "config" was taken for the routing configuration. One with another name and a high version replaced the operator's routes and kept every later version out, since a lower version is never taken. Numbers were bounded by 1e18 only: with a negative timeoutMs, or maxHeaderBytes below zero, each request failed until the next version.

Only the object "main" is taken. A version that is merely high can't be told from the operator's and is taken.

Before, the process tests of an endless time limit, a negative one, a negative limit and another object failed (no rejection within 20 s, 404). Those of unreadable documents and "no route" passed before too: versions that come later were taken already.

--- a/chivewall/platform/adapter.py
+++ b/chivewall/platform/adapter.py
@@ -44,9 +44,7 @@
             CollectionSources,
             CollectionSources(
                 routing_configuration=ObjectCollection(
-                    client,
-                    routing_configuration.KIND,
-                    lambda _, spec: routing_configuration.decode_routing_configuration(spec),
+                    client, routing_configuration.KIND, routing_configuration.decode_object
                 ),
                 endpoints=ObjectCollection(
                     client, endpoint_entries.KIND, endpoint_entries.decode_endpoint
--- a/chivewall/platform/routing_configuration.py
+++ b/chivewall/platform/routing_configuration.py
@@ -10,13 +10,30 @@
     RoutingConfiguration,
     WeightedService,
 )
-from chivewall.platform.fields import boolean, integer, json_object, list_items, number, string
+from chivewall.platform.fields import (
+    boolean,
+    bounded,
+    integer,
+    json_object,
+    list_items,
+    number,
+    string,
+)
 
 DEFAULT_PAUSE_MS = 300.0  # of routes that declare none
+MAX_MS = 86_400_000.0  # a day
+MAX_BYTES = 2**40
 KIND = "config"
 NAME = "main"
 
 
+def decode_object(name: str, spec: object) -> RoutingConfiguration:
+    """Decode an object of the kind; only one of them is the routing configuration."""
+    if name != NAME:
+        raise DecodeError(f"name: not {NAME!r}")
+    return decode_routing_configuration(spec)
+
+
 def decode_routing_configuration(spec: object) -> RoutingConfiguration:
     """Decode the document; raise a ``DecodeError`` that names the invalid field."""
     document = json_object(spec, "manifest")
@@ -35,10 +52,10 @@
         kind=_kind(document),
         services=_services(document),
         attempts=max(1, integer(document, "attempts", 1)),
-        timeout_ms=number(document, "timeoutMs"),
-        objective_ms=number(document, "sloMs", number(document, "timeoutMs")),
+        timeout_ms=_milliseconds(document, "timeoutMs"),
+        objective_ms=_milliseconds(document, "sloMs", number(document, "timeoutMs")),
         priority=integer(document, "priority", 0),
-        pause_ms=number(document, "gapSloMs", DEFAULT_PAUSE_MS),
+        pause_ms=_milliseconds(document, "gapSloMs", DEFAULT_PAUSE_MS),
         resumable=boolean(document, "resumable"),
         # Despite its name, this field marks routes whose requests name the parts of their
         # prompts.
@@ -46,12 +63,20 @@
     )
 
 
+def _milliseconds(document: dict[str, Any], name: str, default: float | None = None) -> float:
+    return bounded(number(document, name, default), MAX_MS, name)
+
+
+def _bytes(document: dict[str, Any], name: str, default: int) -> int:
+    return int(bounded(integer(document, name, default), MAX_BYTES, name))
+
+
 def _kind(document: dict[str, Any]) -> RouteKind:
     name = string(document, "kind")
     try:
         return RouteKind(name)
     except ValueError as exc:
-        raise DecodeError(f"kind: {name!r} is unknown") from exc
+        raise DecodeError("kind: unknown") from exc
 
 
 def _services(document: dict[str, Any]) -> tuple[WeightedService, ...]:
@@ -64,8 +89,8 @@
 def _limits(document: dict[str, Any]) -> IngressLimits:
     defaults = IngressLimits()
     return IngressLimits(
-        header_bytes=integer(document, "maxHeaderBytes", defaults.header_bytes),
-        body_bytes=integer(document, "maxBodyBytes", defaults.body_bytes),
-        header_timeout_ms=number(document, "headerTimeoutMs", defaults.header_timeout_ms),
-        idle_timeout_ms=number(document, "idleTimeoutMs", defaults.idle_timeout_ms),
+        header_bytes=_bytes(document, "maxHeaderBytes", defaults.header_bytes),
+        body_bytes=_bytes(document, "maxBodyBytes", defaults.body_bytes),
+        header_timeout_ms=_milliseconds(document, "headerTimeoutMs", defaults.header_timeout_ms),
+        idle_timeout_ms=_milliseconds(document, "idleTimeoutMs", defaults.idle_timeout_ms),
     )
--- a/tests/test_odd_entries_process.py
+++ b/tests/test_odd_entries_process.py
@@ -77,3 +77,43 @@
     found = [site.send("GET", f"/read/{one}", request_id=f"r{one}") for one in range(12)]
     assert {one.content for one in found} == {b"done by i-desk"}
     assert not site.events("TASK_FAILED")
+
+
+def odd_configurations():
+    """Return documents in place of the configuration, each with a version that is higher."""
+    good = manifest(5, route("book", "desk"))
+    odd_route = route("book", "desk")
+    return {
+        **UNREADABLE,
+        "no object": 7,
+        "endless time limit": good | {"routes": [odd_route | {"timeoutMs": 1e17}]},
+        "negative time limit": good | {"routes": [odd_route | {"timeoutMs": -1}]},
+        "no route": good | {"routes": [None]},
+        "negative limit": good | {"limits": {"maxHeaderBytes": -5000}},
+    }
+
+
+@pytest.mark.parametrize("spec", odd_configurations().values(), ids=odd_configurations())
+def test_odd_configuration_is_skipped_and_the_next_one_taken(site, spec):
+    """Guards against a gateway that takes an odd configuration, or none after it."""
+    site.add(PlatformEndpoint("i-desk", "desk"))
+    site.start()
+    site.store.put("config", "main", spec)
+    wait_until(lambda: site.events("DOCUMENT_REJECTED", collection="config"), "the rejection")
+    assert site.send("GET", "/read/1").status_code == 200
+    site.store.put("config", "main", manifest(6, route("book", "desk")))
+    wait_until(lambda: site.events("CATALOGUE_IN_FORCE", version=6), "the next version")
+    assert site.send("GET", "/book/1").status_code == 200
+    assert not site.events("TASK_FAILED")
+
+
+def test_other_object_beside_the_configuration_is_not_taken(site):
+    """Guards against routes of another object that keep the operator's versions out."""
+    site.add(PlatformEndpoint("i-desk", "desk"))
+    site.store.put("config", "other", manifest(900, route("book", "desk")))
+    site.start()
+    assert site.send("GET", "/read/1").status_code == 200
+    site.store.put("config", "other", manifest(901, route("book", "desk")))
+    site.store.put("config", "main", manifest(4, route("read", "desk")))
+    wait_until(lambda: site.events("CATALOGUE_IN_FORCE", version=4), "the next version")
+    assert site.send("GET", "/book/1").status_code == 404
