Time daemons by the time since the boot

Twisted's reactor uses the time of day for callLater and seconds(). When the time of a machine is set back by 3 s, each pending timer is late by 3 s.

The store acknowledged at 14.441 s that i-3102e9bcd8 is draining. Gateways in other data centres read that at 14.448 s, these two at 17.431 and 17.432 s, after a pause of 3.76 s. Both are in touch again from 16.805 s; requests reached the endpoint from them 2,409 and 2,500 ms after the ack (bound 2,000).

Ruled out: a request that was placed in time and sent late. A failed watch: none at these gateways between the step and the late read. A freeze and a cut hit other gateways; what the frozen one sent late came within 3 s of its resume, when it is not in touch.

Fix: chivewall/reactor.py has the asyncio reactor on CLOCK_BOOTTIME, which counts suspensions, as the stage changer's clock already did (its boot_time moves there). env.unix_time, which other processes compare, still is the time of day.

--- a/bench/capacity_child.py
+++ b/bench/capacity_child.py
@@ -11,10 +11,11 @@
 from attrs import define
 
 from chivewall.configuration import default_configuration
-from chivewall.daemon import Daemon, install_reactor
+from chivewall.daemon import Daemon
 from chivewall.environment import Environment
 from chivewall.interfaces import Instance, InstanceKind, ObjectStore
 from chivewall.kernel import Application
+from chivewall.reactor import install_reactor
 from chivewall.settings import parse
 from chivewall.standins.engine import EngineSpeed
 from chivewall.standins.objects import MemoryStore
--- a/bench/cost.py
+++ b/bench/cost.py
@@ -21,11 +21,12 @@
 
 from bench.memory import build_member, measure_memory
 from bench.placement_cost import placement_seconds
-from chivewall.daemon import Daemon, install_reactor
+from chivewall.daemon import Daemon
 from chivewall.decisions.membership import Fleet
 from chivewall.decisions.routing import choose
 from chivewall.environment import Environment
 from chivewall.kernel import Application
+from chivewall.reactor import install_reactor
 from chivewall.settings import parse
 from chivewall.standins.engine import EngineSpeed
 from chivewall.work import Completion, Message, Rank, Request
--- a/chivewall/daemon.py
+++ b/chivewall/daemon.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 import click
-from twisted.internet import asyncioreactor
 from twisted.internet.defer import ensureDeferred
 from twisted.logger import globalLogBeginner
 from twisted.python.failure import Failure
@@ -17,6 +16,7 @@
 from chivewall.events import Event
 from chivewall.exits import ExitStatus
 from chivewall.kernel import Application
+from chivewall.reactor import install_reactor
 from chivewall.settings import load
 
 SETTINGS_CHECK_SECONDS = 2.0  # interval between checks of the settings file for changes
@@ -47,14 +47,6 @@
     sys.exit(Daemon(app, reactor).run())
 
 
-def install_reactor() -> Any:
-    """Install Twisted's asyncio reactor, so that grpclib uses the same event loop."""
-    asyncioreactor.install()
-    from twisted.internet import reactor  # noqa: PLC0415 - available only after install
-
-    return reactor
-
-
 class Daemon:
     """Runs an application in the reactor and handles signals."""
 
--- a/chivewall/demo.py
+++ b/chivewall/demo.py
@@ -10,9 +10,10 @@
 from twisted.internet.task import deferLater
 from twisted.web.iweb import IResponse
 
-from chivewall.daemon import Daemon, install_reactor
+from chivewall.daemon import Daemon
 from chivewall.environment import Environment
 from chivewall.kernel import Application
+from chivewall.reactor import install_reactor
 from chivewall.settings import parse
 
 MAX_READY_CHECKS = 100
--- a/chivewall/gateway/stage_changer.py
+++ b/chivewall/gateway/stage_changer.py
@@ -4,7 +4,6 @@
 If two gateways both consider themselves that one, the order lock lets only one give an order.
 """
 
-import time
 from collections.abc import Callable
 from functools import singledispatchmethod
 
@@ -29,6 +28,7 @@
 from chivewall.messages import Tick
 from chivewall.plugins.base import Plugin
 from chivewall.plugins.registry import Registry
+from chivewall.reactor import boot_time
 from chivewall.task import Inbox, Task
 
 CHECK_SECONDS = 1.0  # interval between checks of the load
@@ -38,11 +38,6 @@
 Clock = Callable[[], float]
 
 
-def boot_time() -> float:
-    """Return seconds on a clock that also advances while the instance is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 @frozen
 class StageChangerSettings:
     """Lease time of the order locks."""
