Give the reactor's test the eras that a watcher asks for

CollectionWatcher takes the inbox of the store's eras since the store may be restored. The test of the reactor was written beside that change and failed to build its watcher; its checks are unchanged, and it passes.

--- a/tests/test_reactor.py
+++ b/tests/test_reactor.py
@@ -109,7 +109,7 @@
         log=EventLog(StringIO()),
     )
     source = WatchedCollection()
-    watcher = CollectionWatcher(env, source, Inbox(), PAUSE_SECONDS)
+    watcher = CollectionWatcher(env, source, Inbox(), eras=Inbox(), pause_seconds=PAUSE_SECONDS)
     watcher.revision = 7
     watcher.start()
     source.watches[0].callback(CollectionChanges("servers", (CollectionItem("i", None, 8),), 8))
