Hand a live exchange over only if another attempt may really follow

Cause: the decision to give an exchange up looked at one of its conditions, and a test of an endpoint blocked the task. One question, may_hand_over with a sound placement and a repeat taken from the budget, now comes before an exchange is ended. Tests of endpoints run beside the task and answer by message. A wait ends with "no endpoint is left" where none is allowed any more.

--- a/chivewall/decisions/forwarding.py
+++ b/chivewall/decisions/forwarding.py
@@ -103,6 +103,12 @@
     return _can_continue(failed) and history.failed_runs < MAX_FAILED_ATTEMPTS
 
 
+def may_hand_over(failed: FailedAttempt, history: AttemptHistory) -> bool:
+    """Return whether another attempt could follow if an exchange that still lives were ended."""
+    failed_runs = history.failed_runs + 1
+    return failed.route.idempotent and _can_continue(failed) and failed_runs < MAX_FAILED_ATTEMPTS
+
+
 def _can_continue(failed: FailedAttempt) -> bool:
     if failed.response_started and not (
         failed.route.kind is RouteKind.STREAM and failed.route.resumable
--- a/chivewall/gateway/endpoint_waits.py
+++ b/chivewall/gateway/endpoint_waits.py
@@ -29,9 +29,9 @@
         checks = []
         for query in list(self._waiting):
             times = [_usable_at(one) for one in records if _suits(one, query)]
-            if any(one <= now for one in times):
+            if any(one <= now for one in times) or (not times and query.allowed is not None):
                 self._waiting.remove(query)
-                query.reply(None)
+                query.reply(bool(times))
             else:
                 checks += times
         if self.next_check is not None and self.next_check <= now:
@@ -48,7 +48,6 @@
         info.service == query.service
         and not record.prefills_first
         and not info.draining
-        and record.unlisted_at is None
         and (query.allowed is None or info.id in query.allowed)
     )
 
--- a/chivewall/gateway/exchange.py
+++ b/chivewall/gateway/exchange.py
@@ -57,6 +57,41 @@
     reachable: bool
 
 
+@frozen
+class BrokenAttempt:
+    """An attempt that broke off, and whether that may be evidence against the prompt's parts."""
+
+    exchange: Exchange
+    reason: str
+    begun: bool  # the head of its response was received
+    is_evidence: bool
+
+
+@frozen
+class BrokenEndpointProbed:
+    """Result of the test whether the endpoint of a broken attempt has ended."""
+
+    attempt: BrokenAttempt
+    endpoint_ended: bool
+
+
+@frozen
+class StreamEndProbed:
+    """Result of the test whether an engine has ended, whose connection ended with its stream."""
+
+    exchange: int
+    engine_ended: bool
+
+
+@frozen
+class WaitEnded:
+    """The wait for an endpoint is over; the request takes a step again."""
+
+    step: str
+    not_before: float
+    endpoint_left: bool  # otherwise none will ever be allowed to run the request
+
+
 def request_deadline(request: CallerRequest, route: Route) -> float:
     """Return the time until which the caller waits and the route allows."""
     timeout_ms = min(route.timeout_ms, request.fields.timeout_ms or route.timeout_ms)
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -364,6 +364,7 @@
         state = self.states.get(endpoint)
         if state is not None:
             state.cooldown_until = self.env.now + seconds
+            self._end_waits()
 
     def _add_work(
         self, state: EndpointRecord, key: WorkKey, item: WorkItem, prefixes: tuple[str, ...]
--- a/chivewall/gateway/fleet_messages.py
+++ b/chivewall/gateway/fleet_messages.py
@@ -35,7 +35,10 @@
 
 @define(eq=False)
 class AwaitEndpoint(Query):
-    """Ask to be told when an endpoint of a service can answer requests; the reply is ``None``."""
+    """Ask to be told when an endpoint of a service can answer requests.
+
+    The reply is ``True`` then, and ``False`` once none of the allowed endpoints is left.
+    """
 
     service: str
     allowed: frozenset[str] | None  # endpoint ids; ``None`` allows every endpoint
--- a/chivewall/gateway/forwarded_request.py
+++ b/chivewall/gateway/forwarded_request.py
@@ -12,6 +12,7 @@
     NextStep,
     decide,
     final_step,
+    may_hand_over,
     may_wait,
     stall_seconds,
 )
@@ -21,9 +22,13 @@
 from chivewall.gateway.caller_messages import CallerDisconnected, EndBy
 from chivewall.gateway.caller_response import CallerResponse
 from chivewall.gateway.exchange import (
+    BrokenAttempt,
+    BrokenEndpointProbed,
     EndpointProbed,
     Exchange,
     RequestContext,
+    StreamEndProbed,
+    WaitEnded,
     is_event_stream,
     outgoing_request,
     release_kv_cache,
@@ -109,6 +114,8 @@
         self.exchange: Exchange | None = None
         self.placement: Placement | None = None
         self.received = ReceivedResponse(context.response_bytes)
+        self.first_sent_to = False  # the exchange is the first one with its endpoint
+        self.repeat_spent = False  # the repeat of the next attempt was taken from the budget
         self.first_bytes_reported = False  # of the exchange
         self.stall_checked = False  # the progress of the exchange's stream is checked
         self.next_event_by = 0.0  # time by which the stream must have made progress
@@ -176,7 +183,9 @@
             return
         # The first prefill doesn't count as an attempt, a second one does.
         if not self.exchange.prefill or self.prefill.reached > 1:
-            self.history.record_sent(self.exchange.endpoint.id)
+            endpoint = self.exchange.endpoint.id
+            self.first_sent_to = endpoint not in self.history.tried_endpoints
+            self.history.record_sent(endpoint)
         self.last_data_at = self.written_at = self.env.now
         if self.exchange.prefill or self.route.idempotent:
             self._schedule(SILENCE_SECONDS, Tick(f"silence {message.exchange}"))
@@ -222,15 +231,47 @@
     async def _(self, message: EndpointProbed) -> None:
         if not self._is_current(message.exchange):
             return
-        if self.exchange.prefill and not message.reachable:
+        silent = not message.reachable and self.env.now - self.last_data_at >= SILENCE_SECONDS
+        if silent and self.exchange.prefill:
             await self._prefill_failed("endpoint is not reachable", missed=True)
-        elif not message.reachable and await self._has_replacement():
+        elif silent and await self._begin_hand_over():
             await self._attempt_failed(
                 AttemptOutcome.BROKEN, "endpoint is not reachable", work_outcome="missed"
             )
         else:
             self._schedule(SILENCE_SECONDS, Tick(f"silence {message.exchange}"))
 
+    @receive.register
+    async def _(self, message: BrokenEndpointProbed) -> None:
+        if self.ended:
+            return
+        attempt = message.attempt
+        if message.endpoint_ended:
+            self.history.forget_endpoint(attempt.exchange.endpoint.id)
+            if attempt.is_evidence:
+                self.prompt.record_crash(attempt.exchange.endpoint, begun=attempt.begun)
+        await self._continue_after(AttemptOutcome.BROKEN, attempt.reason)
+
+    @receive.register
+    async def _(self, message: StreamEndProbed) -> None:
+        if not self._is_current(message.exchange):
+            return
+        if message.engine_ended:
+            await self._attempt_failed(
+                AttemptOutcome.BROKEN, "the engine ended before the end of the stream was known"
+            )
+        else:
+            self._complete_response()
+
+    @receive.register
+    async def _(self, message: WaitEnded) -> None:
+        if self.ended:
+            return
+        if message.endpoint_left:
+            self._schedule(message.not_before - self.env.now, Tick(message.step))
+        else:
+            await self._give_up(AttemptOutcome.NO_ENDPOINT, "no endpoint is left that may run it")
+
     @receive.register
     async def _(self, message: PartsSuspected) -> None:
         if self._may_withdraw():
@@ -272,22 +313,31 @@
             left = self.next_event_by - self.env.now
             self._schedule(left, Tick(f"stall {self.exchange.number}"))
         elif self.route.resumable:
-            if await self._has_replacement():
-                await self._attempt_failed(AttemptOutcome.BROKEN, "the stream makes no progress")
+            if await self._begin_hand_over():
+                await self._attempt_failed(
+                    AttemptOutcome.BROKEN, "the stream makes no progress", work_outcome="failed"
+                )
             else:
                 self._schedule(SILENCE_SECONDS, Tick(f"stall {self.exchange.number}"))
 
-    async def _has_replacement(self) -> bool:
-        """Return whether a sound endpoint can take over from that of the current exchange.
+    async def _begin_hand_over(self) -> bool:
+        """Return whether a sound endpoint takes over from that of the current exchange.
 
-        Without one the exchange goes on: an endpoint that has fallen silent may still answer.
+        Otherwise the exchange goes on: an endpoint that has fallen silent may still answer.
         """
+        if not may_hand_over(self._situation(AttemptOutcome.BROKEN), self.history):
+            return False
         found = await self._find_placement(
             PromptState.PREFILL_AT_DECODER,
             excluded=frozenset({*self.failed_endpoints, self.exchange.endpoint.id}),
             last_resort=False,
         )
-        return isinstance(found, Placement)
+        if not isinstance(found, Placement):
+            return False
+        if self.arrivals and not self.repeat_spent:
+            self.repeat_spent = await self.context.fleet.query(SpendRepeat(self.service))
+            return self.repeat_spent
+        return True
 
     def _allowed_endpoints(self) -> frozenset[str] | None:
         """Return the endpoints that may get the request, or ``None`` for every endpoint."""
@@ -392,7 +442,12 @@
         self._start_exchange(placement.prefill_engine, sent, prefill=True)
 
     async def _send_request(self, endpoint: EndpointInfo, kv_source: str | None) -> None:
-        if self.arrivals and not await self.context.fleet.query(SpendRepeat(self.service)):
+        repeat_spent, self.repeat_spent = self.repeat_spent, False
+        if (
+            self.arrivals
+            and not repeat_spent
+            and not await self.context.fleet.query(SpendRepeat(self.service))
+        ):
             reason = "the repeat budget is spent"
             if may_wait(self._situation(AttemptOutcome.NOT_RUN), self.history):
                 self._wait("decode" if kv_source else "place", reason)
@@ -453,26 +508,31 @@
             await self._attempt_failed(
                 AttemptOutcome.NOT_RUN, f"status {self.received.head.status}"
             )
-        elif (problem := await self._problem(until_closed=until_closed)) is not None:
+        elif (problem := self._problem()) is not None:
             await self._attempt_failed(AttemptOutcome.BROKEN, problem)
         elif self.received.head.status in SERVER_ERROR_STATUSES or (
             self.response.started and not self._is_streaming()
         ):
             await self._attempt_failed(AttemptOutcome.FAILED, f"status {self.received.head.status}")
+        elif until_closed and self._is_streaming():
+            # A crash ends the connection too, where the stream has neither a length nor chunks.
+            self.spawn(self._probe_stream_end(self.exchange))
         else:
             self._complete_response()
 
-    async def _problem(self, *, until_closed: bool) -> str | None:
+    async def _probe_stream_end(self, exchange: Exchange) -> None:
+        self.send(StreamEndProbed(exchange.number, await self._has_ended(exchange.endpoint)))
+
+    async def _has_ended(self, endpoint: EndpointInfo) -> bool:
+        """Return whether the endpoint's process has ended."""
+        probe = ProbeAddress(endpoint.address, connect=True)
+        return await self.context.connections.query(probe) is Reachability.REFUSED
+
+    def _problem(self) -> str | None:
         """Return why what was received can't be the endpoint's complete response, or ``None``."""
         if not self._is_streaming():
             return response_problem(self.received.head)
-        problem = self.response.stream.problem_at_end()
-        if problem is None and until_closed:
-            # A crash ends the connection too, where the stream has neither a length nor chunks.
-            probe = ProbeAddress(self.exchange.endpoint.address, connect=True)
-            if await self.context.connections.query(probe) is Reachability.REFUSED:
-                return "the engine ended before the end of the stream was known"
-        return problem
+        return self.response.stream.problem_at_end()
 
     def _complete_response(self) -> None:
         streaming = self._is_streaming()
@@ -564,10 +624,11 @@
     ) -> None:
         self.history.record_failure(outcome)
         self._log_attempt_failed(outcome, reason)
-        if outcome is AttemptOutcome.BROKEN and work_outcome is None:
-            await self._check_crash()
-        elif outcome is AttemptOutcome.NOT_RUN and self._committed:
+        if outcome is AttemptOutcome.NOT_RUN and self._committed and self.first_sent_to:
             self.history.forget_endpoint(self.exchange.endpoint.id)
+        broken = None
+        if outcome is AttemptOutcome.BROKEN and work_outcome is None:
+            broken = self._broken_attempt(reason)
         fetches_kv_cache = self.exchange is not None and self.exchange.fetches_kv_cache
         if self.exchange is not None:
             if outcome is AttemptOutcome.NOT_RUN and fetches_kv_cache:
@@ -578,6 +639,15 @@
             self._end_exchange(work_outcome or _work_outcome(outcome))
         if outcome is AttemptOutcome.NOT_SENT:
             self.arrivals -= 1
+        if broken is not None and (broken.is_evidence or self._allowed_endpoints()):
+            self.spawn(self._probe_broken_endpoint(broken))
+        else:
+            await self._continue_after(outcome, reason, next_step=next_step)
+
+    async def _continue_after(
+        self, outcome: AttemptOutcome, reason: str, *, next_step: str = "place"
+    ) -> None:
+        """Retry, wait or give up after a failed attempt."""
         at = self._situation(outcome)
         if decide(at, self.history) is NextStep.RETRY and self._has_endpoint_left():
             await self._place()
@@ -595,8 +665,10 @@
         self.spawn(self._take_step_with_endpoint(step, not_before))
 
     async def _take_step_with_endpoint(self, step: str, not_before: float) -> None:
-        await self.context.fleet.query(AwaitEndpoint(self.service, self._allowed_endpoints()))
-        self._schedule(not_before - self.env.now, Tick(step))
+        found = await self.context.fleet.query(
+            AwaitEndpoint(self.service, self._allowed_endpoints())
+        )
+        self.send(WaitEnded(step, not_before, endpoint_left=found))
 
     def _log_attempt_failed(self, outcome: AttemptOutcome, reason: str) -> None:
         self.log.log_attempt_failed(
@@ -613,21 +685,18 @@
             return 0
         return self.response.stream.data_events - self.exchange.events_before
 
-    async def _check_crash(self) -> None:
-        """Find out whether the endpoint has crashed.
+    def _broken_attempt(self, reason: str) -> BrokenAttempt:
+        return BrokenAttempt(
+            exchange=self.exchange,
+            reason=reason,
+            begun=self.received.head is not None,
+            is_evidence=bool(self.prompt.keys) and not self._exchange_events(),
+        )
 
-        A process that has ended doesn't count as tried. If it had sent no event, the guard is told.
-        """
-        exchange = self.exchange
-        is_evidence = bool(self.prompt.keys) and not self._exchange_events()
-        if exchange.prefill or not (is_evidence or self._allowed_endpoints()):
-            return
-        probe = ProbeAddress(exchange.endpoint.address, connect=True)
-        if await self.context.connections.query(probe) is not Reachability.REFUSED:
-            return
-        self.history.forget_endpoint(exchange.endpoint.id)
-        if is_evidence:
-            self.prompt.record_crash(exchange.endpoint, begun=self.received.head is not None)
+    async def _probe_broken_endpoint(self, attempt: BrokenAttempt) -> None:
+        """Find out whether the endpoint has ended, which then doesn't count as tried."""
+        ended = await self._has_ended(attempt.exchange.endpoint)
+        self.send(BrokenEndpointProbed(attempt, ended))
 
     def _may_withdraw(self) -> bool:
         """Return whether the request waits at an engine and may be sent again."""
