--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -85,6 +85,7 @@
     found = decode_endpoint("i-1", ENDPOINT)
     assert found.address == ("10.0.0.9", 8080)
     assert (found.stage, found.draining) == (Stage.DECODE, False)
+    assert (found.started_ms, found.updates) == (1_700_000_000_000, 4)
 
 
 @given(JSON)
