Confirm a withheld entry by a later read of the list

Cause: after a restore, an entry whose removal may be newer was believed once four heartbeats had passed, whether or not the list had been read since. While the store was away nothing could deny the entry, and an endpoint that had left got requests again. The time also went on over a second restore, as `setdefault` kept the first one, and over an outage, in which the store may remove no entry.

An entry is now believed by a list or a watch response that comes after the time and still has it. The time starts again with each restore and after each outage. The subscriber sets a deadline for the watch, so that a silent watch of 28 s doesn't keep a live endpoint out.

Ruled out: listing the collection again at that time, which reads every entry where an empty watch response says the same; and more heartbeats, which only move the moment.

Failed before: test_entry_that_no_read_confirms_gets_no_requests, test_entry_of_the_copy_is_not_believed_while_the_store_is_away, test_outage_restarts_the_confirmation, test_second_restore_restarts_the_confirmation and test_removal_that_waits_in_a_pause_between_watches_counts. They pass now. The two tests of the watch deadline test what is new. `confirm` in the tests now sends a read after the time, because the time alone no longer confirms; that the time alone doesn't is a test of its own.

--- a/chivewall/gateway/endpoint_list.py
+++ b/chivewall/gateway/endpoint_list.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from chivewall.decisions.endpoint_record import EndpointRecord
 from chivewall.decisions.entry_history import EntryHistory, EntryVerdict
@@ -30,10 +30,11 @@
 
 @frozen
 class WithheldEntry:
-    """An entry that is believed if the store still has it later."""
+    """An entry that is believed if a later read shows that the store still has it."""
 
     info: EndpointInfo
-    believed_at: float
+    era: int | None  # of the store, when it was read
+    confirmed_from: float | None  # a read from this time on confirms it; None while there is none
 
 
 class EndpointList:
@@ -62,6 +63,7 @@
             self._update(item, listed=True)
         for name in self.withheld.keys() - listed:
             del self.withheld[name]
+        self._believe_confirmed()
         for name in self.records.keys() - listed:
             if restored:
                 self._record_missing(name)
@@ -72,9 +74,20 @@
         """Apply changed and removed entries."""
         for item in changes.items:
             self._update(item, listed=False)
+        self._believe_confirmed()
+
+    def record_unavailable(self) -> None:
+        """Record that the store doesn't answer; it may remove no entry meanwhile."""
+        for name, entry in self.withheld.items():
+            self.withheld[name] = evolve(entry, confirmed_from=None)
+
+    def next_confirmation(self) -> float | None:
+        """Return from when on a read confirms an entry, or ``None`` if none is awaited."""
+        times = (one.confirmed_from for one in self.withheld.values())
+        return min((one for one in times if one is not None), default=None)
 
     def expire(self) -> None:
-        """Drop the endpoints that left long ago, and believe the entries that have stayed."""
+        """Drop the endpoints that left long ago."""
         now = self.env.now
         allowed = (1 - WATCH_PAUSE_SHARE) * self.cfg.drain_ms / MS_PER_SECOND
         limit = now - allowed + GONE_MARGIN_SECONDS
@@ -82,11 +95,26 @@
             since = record.missing_since if record.unlisted_at is None else record.unlisted_at
             if since is not None and since <= limit:
                 self._drop(name)
+
+    def _believe_confirmed(self) -> None:
+        """Believe the entries that this read confirms."""
         for name, entry in list(self.withheld.items()):
-            if entry.believed_at <= now:
+            if entry.confirmed_from is None:
+                self.withheld[name] = evolve(entry, confirmed_from=self._confirmed_from())
+            elif entry.confirmed_from <= self.env.now:
                 del self.withheld[name]
                 self._accept(entry.info, revision=None)
 
+    def _confirmed_from(self) -> float:
+        return self.env.now + CONFIRMING_HEARTBEATS * self.cfg.heartbeat_ms / MS_PER_SECOND
+
+    def _withhold(self, name: str, info: EndpointInfo) -> None:
+        entry = self.withheld.get(name)
+        if entry is None or entry.era != self.era:
+            self.withheld[name] = WithheldEntry(info, self.era, self._confirmed_from())
+        else:
+            self.withheld[name] = evolve(entry, info=info)
+
     def _update(self, item: CollectionItem, *, listed: bool) -> None:
         info: EndpointInfo | None = item.value
         if info is None:
@@ -102,9 +130,7 @@
         if record is not None and record.unlisted_at is None:
             record.missing_since = None
         elif verdict is not EntryVerdict.LEFT:
-            seconds = CONFIRMING_HEARTBEATS * self.cfg.heartbeat_ms / MS_PER_SECOND
-            believed_at = self.env.now + seconds
-            self.withheld.setdefault(item.name, WithheldEntry(info, believed_at))
+            self._withhold(item.name, info)
         self.env.log.emit(
             Event.ENDPOINT_ENTRY_IGNORED,
             endpoint=info.id,
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -50,6 +50,7 @@
     CollectionSnapshot,
     CollectionUnavailable,
     CollectionWatcher,
+    EndWatchAt,
 )
 from chivewall.messages import Tick
 from chivewall.plugins.base import Plugin
@@ -102,6 +103,11 @@
         for budget in self.repeat_budgets.values():
             budget.policy = self.repeat_policy
 
+    def _await_confirmation(self) -> None:
+        at = self.endpoints.next_confirmation()
+        if at is not None:
+            self.watcher.send(EndWatchAt(at))
+
     def start(self) -> None:
         """Start the task and the watch of the endpoint list."""
         super().start()
@@ -120,16 +126,19 @@
     async def _(self, message: CollectionSnapshot) -> None:
         self.list_read = True
         self.endpoints.apply_snapshot(message)
+        self._await_confirmation()
         self._end_waits()
 
     @receive.register
     async def _(self, message: CollectionChanges) -> None:
         self.endpoints.apply_changes(message)
+        self._await_confirmation()
         self._end_waits()
 
     @receive.register
     async def _(self, message: CollectionUnavailable) -> None:
         """Continue with the endpoints known so far."""
+        self.endpoints.record_unavailable()
 
     @receive.register
     async def _(self, message: Tick) -> None:
--- a/chivewall/gateway/store_collections.py
+++ b/chivewall/gateway/store_collections.py
@@ -68,6 +68,13 @@
     collection: str
 
 
+@frozen
+class EndWatchAt:
+    """Let no watch wait for changes beyond this time, so that its answer is a read of then."""
+
+    time: float
+
+
 class CollectionSource(Protocol):
     """Reads one collection of the platform's store."""
 
@@ -128,6 +135,8 @@
         self._reading: Deferred | None = None  # the list or watch in progress
         self._read_number = 0  # of the latest list or watch
         self._timer: IDelayedCall | None = None  # starts the next list or watch
+        self._watch_until: float | None = None  # deadline of the watch in progress
+        self._end_watch_at: float | None = None  # deadline that the subscriber has set
 
     def start(self) -> None:
         """Start the task and list the collection."""
@@ -165,6 +174,14 @@
         if self.revision is not None:
             self._list_again()
 
+    @receive.register
+    async def _(self, message: EndWatchAt) -> None:
+        self._end_watch_at = message.time
+        watching = self._reading is not None and self._watch_until is not None
+        if watching and self.env.now < message.time < self._watch_until:
+            self._reading.cancel()
+            self._begin_read()
+
     @receive.register
     async def _(self, message: ReadEnded) -> None:
         if message.number != self._read_number:
@@ -273,13 +290,20 @@
         self._read_number += 1
         self._reading = self.spawn(self._read(self._read_number))
 
+    def _watch_deadline(self) -> float:
+        deadline = self.env.now + (RECHECK_SECONDS if self.failures else WATCH_SECONDS)
+        if self._end_watch_at is not None and self._end_watch_at > self.env.now:
+            return min(deadline, self._end_watch_at)
+        return deadline
+
     async def _read(self, number: int) -> None:
         try:
             if self.revision is None:
+                self._watch_until = None
                 result = await self.source.read_all()
             else:
-                seconds = RECHECK_SECONDS if self.failures else WATCH_SECONDS
-                result = await self.source.watch(self.revision, self.env.now + seconds)
+                self._watch_until = self._watch_deadline()
+                result = await self.source.watch(self.revision, self._watch_until)
         except StoreError as exc:
             result = exc
         except CancelledError:
--- a/tests/test_collection_follower.py
+++ b/tests/test_collection_follower.py
@@ -20,6 +20,7 @@
     CollectionSnapshot,
     CollectionUnavailable,
     CollectionWatcher,
+    EndWatchAt,
 )
 from chivewall.gateway.store_eras import EraSeen, StoreEras
 from chivewall.settings import CoreSettings, Role, Settings
@@ -211,3 +212,16 @@
     source.watch_calls[0][1].callback(CollectionChanges("servers", (), 9))
     assert len(received(sink)) == 2
     assert len(source.list_calls) == 1
+
+
+def test_silent_watch_ends_when_its_subscriber_needs_a_read(source, follower, clock):
+    """Guards against half a minute until an entry that awaits a read is confirmed."""
+    source.list_calls[0].callback(CollectionSnapshot("servers", (), 7))
+    follower.send(EndWatchAt(clock.seconds() + 3.0))
+    assert [revision for revision, _ in source.watch_calls] == [7, 7]
+    assert source.watch_deadlines[-1] == clock.seconds() + 3.0
+    follower.send(EndWatchAt(clock.seconds() + 3.0))
+    assert len(source.watch_calls) == 2
+    clock.advance(3.0)
+    source.watch_calls[1][1].callback(CollectionChanges("servers", (), 7))
+    assert source.watch_deadlines[-1] == clock.seconds() + WATCH_SECONDS
--- a/tests/test_restored_endpoints.py
+++ b/tests/test_restored_endpoints.py
@@ -10,6 +10,8 @@
     CollectionChanges,
     CollectionItem,
     CollectionSnapshot,
+    CollectionUnavailable,
+    EndWatchAt,
 )
 from tests.utils.fleets import make_fleet, query_placement
 from tests.utils.gateways import engine_info
@@ -40,10 +42,21 @@
     return one
 
 
-def confirm(clock, fleet):
+def pass_confirming_time(clock, fleet):
     clock.advance(CONFIRMING_HEARTBEATS * fleet.cfg.heartbeat_ms / 1000)
 
 
+def confirm(clock, fleet):
+    pass_confirming_time(clock, fleet)
+    fleet.send(changes(2))
+
+
+def leave(clock, fleet):
+    fleet.send(changes(1, CollectionItem("d1", None, 3)))
+    clock.advance(fleet.cfg.drain_ms / 1000)
+    assert query_placement(fleet) is None
+
+
 def test_draining_endpoint_gets_nothing_after_a_restore(fleet):
     """Guards against requests to a leaving endpoint that the copy shows as ready."""
     fleet.send(changes(1, CollectionItem("d1", DRAINING, 3)))
@@ -91,3 +104,73 @@
     assert "d2" not in fleet.states
     fleet.send(changes(2, CollectionItem("d2", other, 3)))
     assert "d2" in fleet.states
+
+
+def test_entry_that_no_read_confirms_gets_no_requests(clock, fleet):
+    """Guards against requests to an endpoint that ended: time passed, but no read followed."""
+    leave(clock, fleet)
+    fleet.send(snapshot(2, READY))
+    pass_confirming_time(clock, fleet)
+    clock.advance(5)
+    assert query_placement(fleet) is None
+    fleet.send(changes(2))
+    assert query_placement(fleet).endpoint.id == "d1"
+
+
+def test_entry_of_the_copy_is_not_believed_while_the_store_is_away(clock, fleet):
+    """Guards against requests to an endpoint that ended, as nothing confirms its entry."""
+    leave(clock, fleet)
+    fleet.send(snapshot(2, READY))
+    fleet.send(CollectionUnavailable("servers"))
+    pass_confirming_time(clock, fleet)
+    clock.advance(5)
+    assert query_placement(fleet) is None
+
+
+def test_outage_restarts_the_confirmation(clock, fleet):
+    """Guards against requests to an endpoint that ended: the store couldn't remove its entry."""
+    leave(clock, fleet)
+    fleet.send(snapshot(2, READY))
+    fleet.send(CollectionUnavailable("servers"))
+    confirm(clock, fleet)
+    assert query_placement(fleet) is None
+    confirm(clock, fleet)
+    assert query_placement(fleet).endpoint.id == "d1"
+
+
+def test_second_restore_restarts_the_confirmation(clock, fleet):
+    """Guards against requests to an endpoint that ended, whose entry a second copy brought back."""
+    leave(clock, fleet)
+    fleet.send(snapshot(2, READY))
+    clock.advance((CONFIRMING_HEARTBEATS - 1) * fleet.cfg.heartbeat_ms / 1000)
+    fleet.send(snapshot(3, READY))
+    clock.advance(1.5 * fleet.cfg.heartbeat_ms / 1000)
+    fleet.send(changes(3))
+    assert query_placement(fleet) is None
+
+
+def test_removal_that_waits_in_a_pause_between_watches_counts(clock, fleet):
+    """Guards against an entry that is believed while its removal waits for the next watch."""
+    leave(clock, fleet)
+    fleet.send(snapshot(2, READY))
+    pass_confirming_time(clock, fleet)
+    clock.advance(fleet.watcher.pause_seconds)
+    assert query_placement(fleet) is None
+    fleet.send(changes(2, CollectionItem("d1", None, 4)))
+    assert query_placement(fleet) is None
+
+
+def test_withheld_entry_is_read_again_in_time(clock, fleet):
+    """Guards against a live endpoint that stays unused until a silent watch ends."""
+    leave(clock, fleet)
+    sent = []
+    fleet.watcher.send = sent.append
+    fleet.send(snapshot(2, READY))
+    seconds = CONFIRMING_HEARTBEATS * fleet.cfg.heartbeat_ms / 1000
+    assert sent == [EndWatchAt(clock.seconds() + seconds)]
+
+
+def test_confirmation_outlasts_the_pause_between_watches(fleet):
+    """Guards against a read that comes before the news of a removal has left the pause."""
+    spare_ms = (CONFIRMING_HEARTBEATS - 3) * fleet.cfg.heartbeat_ms
+    assert spare_ms / 1000 > fleet.watcher.pause_seconds
