Compare entries without a start time by their count of updates

Cause: an entry that was read after a restore counted as news whenever it or the known one named no start time. The older "ready" entry of the copy replaced "draining", and a leaving endpoint got requests; one that had left came back without a confirmation.

An entry of a list with an unknown start time is now taken as one of the known run: fewer updates make it outdated, and after a removal it awaits a confirmation. One that was just written stays news, as the endpoint may have started again and count from 0.

Ruled out: treating a removed endpoint that was draining as left for good, as with equal start times; it may have started again, and its entry may not change for a long time.

Failed before, pass now: test_draining_endpoint_without_a_start_time_gets_nothing_after_a_restore, test_count_of_updates_tells_the_older_entry_without_a_start_time (three cases) and test_endpoint_without_a_start_time_that_left_awaits_a_confirmation.

--- a/chivewall/decisions/entry_history.py
+++ b/chivewall/decisions/entry_history.py
@@ -58,7 +58,7 @@
         if known is None or known.era == era or era is None:
             return EntryVerdict.NEWS
         if info.started_ms is None or known.info.started_ms is None:
-            return EntryVerdict.NEWS
+            return _judge_without_start(info, known, listed=listed)
         if info.started_ms != known.info.started_ms:
             newer = info.started_ms > known.info.started_ms
             return EntryVerdict.NEWS if newer else EntryVerdict.OUTDATED
@@ -97,3 +97,17 @@
             if self._left[first] > now and len(self._left) <= MAX_LEFT:
                 return
             del self._left[first], self._known[first]
+
+
+def _judge_without_start(info: EndpointInfo, known: KnownEntry, *, listed: bool) -> EntryVerdict:
+    """Return what an entry says if it is unknown whether it is of the known run.
+
+    An entry of the copy is taken as one of that run; one that was just written is news, as the
+    endpoint may have started again.
+    """
+    if not listed:
+        return EntryVerdict.NEWS
+    if known.removed:
+        return EntryVerdict.UNCONFIRMED
+    outdated = info.updates < known.info.updates
+    return EntryVerdict.OUTDATED if outdated else EntryVerdict.NEWS
--- a/tests/test_entry_history.py
+++ b/tests/test_entry_history.py
@@ -76,3 +76,22 @@
     history.record(evolve(NEW, id="n-9999"), era=1)
     history.record_removed("n-9999", era=1, now=1.0 + LEFT_MEMORY_SECONDS)
     assert history.judge(evolve(NEW, id="n-5"), 2, listed=True) is EntryVerdict.NEWS
+
+
+@pytest.mark.parametrize(("known_start", "start"), [(None, None), (5000, None), (None, 5000)])
+def test_count_of_updates_tells_the_older_entry_without_a_start_time(known_start, start):
+    """Guards against a copy that replaces a later entry because a start time is missing."""
+    history = EntryHistory()
+    history.record(evolve(NEW, started_ms=known_start), era=1)
+    old, new = evolve(OLD, started_ms=start), evolve(NEW, started_ms=start)
+    assert history.judge(old, 2, listed=True) is EntryVerdict.OUTDATED
+    assert history.judge(new, 2, listed=True) is EntryVerdict.NEWS
+    assert history.judge(old, 2, listed=False) is EntryVerdict.NEWS
+
+
+def test_endpoint_without_a_start_time_that_left_awaits_a_confirmation():
+    """Guards against requests to an endpoint that ended and named no start time."""
+    history = EntryHistory()
+    history.record(evolve(NEW, started_ms=None), era=1)
+    history.record_removed("i-1", era=1, now=0.0)
+    assert history.judge(evolve(NEW, started_ms=None), 2, listed=True) is EntryVerdict.UNCONFIRMED
--- a/tests/test_restored_endpoints.py
+++ b/tests/test_restored_endpoints.py
@@ -174,3 +174,13 @@
     """Guards against a read that comes before the news of a removal has left the pause."""
     spare_ms = (CONFIRMING_HEARTBEATS - 3) * fleet.cfg.heartbeat_ms
     assert spare_ms / 1000 > fleet.watcher.pause_seconds
+
+
+def test_draining_endpoint_without_a_start_time_gets_nothing_after_a_restore(clock):
+    """Guards against requests to a leaving endpoint whose older entry names no start time."""
+    ready = evolve(READY, started_ms=None)
+    fleet = make_fleet(clock)
+    fleet.send(snapshot(1, ready))
+    fleet.send(changes(1, CollectionItem("d1", evolve(DRAINING, started_ms=None), 3)))
+    fleet.send(snapshot(2, ready))
+    assert query_placement(fleet) is None
