Take an entry with an earlier start that was written after a restore

Cause: after a restore, an entry with a smaller start time counted as one of an earlier run, also if it had just been written. An endpoint whose clock stepped back before it started again was kept out for ever, and its address stayed that of the run that had ended.

An entry of a watch event was written after the restore, so it is news. One of a list may be from the copy: it awaits a confirmation, also while the known run is still used, and is dropped if that run writes again.

Ruled out: taking the listed one at once, which brings back an earlier run of the copy.

Failed before, pass now: test_earlier_start_that_was_just_written_is_news, test_endpoint_whose_clock_stepped_back_comes_back and test_entry_with_an_earlier_start_that_is_written_again_is_used_at_once. test_entry_of_an_earlier_run_is_dropped_when_the_later_one_is_written guards the confirmation itself and passed before.

--- a/chivewall/decisions/entry_history.py
+++ b/chivewall/decisions/entry_history.py
@@ -60,7 +60,8 @@
         if info.started_ms is None or known.info.started_ms is None:
             return _judge_without_start(info, known, listed=listed)
         if info.started_ms != known.info.started_ms:
-            newer = info.started_ms > known.info.started_ms
+            # The clock of an endpoint may have stepped back before it started again.
+            newer = info.started_ms > known.info.started_ms or not listed
             return EntryVerdict.NEWS if newer else EntryVerdict.OUTDATED
         outdated = info.updates < known.info.updates
         if known.removed and (listed or outdated):
--- a/chivewall/gateway/endpoint_list.py
+++ b/chivewall/gateway/endpoint_list.py
@@ -127,9 +127,12 @@
             self._accept(info, item.revision)
             return
         record = self.records.get(info.id)
-        if record is not None and record.unlisted_at is None:
+        used = record is not None and record.unlisted_at is None
+        if used:
             record.missing_since = None
-        elif verdict is not EntryVerdict.LEFT:
+        if verdict is EntryVerdict.LEFT or (used and _may_be_same_run(record.info, info)):
+            self.withheld.pop(item.name, None)
+        else:
             self._withhold(item.name, info)
         self.env.log.emit(
             Event.ENDPOINT_ENTRY_IGNORED,
@@ -194,3 +197,7 @@
     def _drop(self, name: str) -> None:
         del self.records[name]
         self.history.record_left(name, self.env.now)
+
+
+def _may_be_same_run(one: EndpointInfo, other: EndpointInfo) -> bool:
+    return None in (one.started_ms, other.started_ms) or one.started_ms == other.started_ms
--- a/tests/test_entry_history.py
+++ b/tests/test_entry_history.py
@@ -95,3 +95,10 @@
     history.record(evolve(NEW, started_ms=None), era=1)
     history.record_removed("i-1", era=1, now=0.0)
     assert history.judge(evolve(NEW, started_ms=None), 2, listed=True) is EntryVerdict.UNCONFIRMED
+
+
+def test_earlier_start_that_was_just_written_is_news(history):
+    """Guards against an endpoint that is kept out as its clock stepped back before its start."""
+    earlier = evolve(OLD, started_ms=4000)
+    assert history.judge(earlier, 2, listed=False) is EntryVerdict.NEWS
+    assert history.judge(earlier, 2, listed=True) is EntryVerdict.OUTDATED
--- a/tests/test_restored_endpoints.py
+++ b/tests/test_restored_endpoints.py
@@ -184,3 +184,31 @@
     fleet.send(changes(1, CollectionItem("d1", evolve(DRAINING, started_ms=None), 3)))
     fleet.send(snapshot(2, ready))
     assert query_placement(fleet) is None
+
+
+def test_endpoint_whose_clock_stepped_back_comes_back(clock, fleet):
+    """Guards against a live endpoint that is kept out, as its start time is the smaller one."""
+    fleet.send(changes(1, CollectionItem("d1", DRAINING, 3)))
+    again = evolve(READY, started_ms=4000)
+    fleet.send(snapshot(2, again))
+    assert query_placement(fleet) is None
+    confirm(clock, fleet)
+    assert query_placement(fleet).endpoint.started_ms == 4000
+
+
+def test_entry_with_an_earlier_start_that_is_written_again_is_used_at_once(fleet):
+    """Guards against a live endpoint that is kept out after its clock stepped back."""
+    fleet.send(changes(1, CollectionItem("d1", None, 3)))
+    fleet.send(snapshot(2))
+    fleet.send(changes(2, CollectionItem("d1", evolve(READY, started_ms=4000), 4)))
+    assert fleet.states["d1"].unlisted_at is None
+
+
+@pytest.mark.parametrize("updates", [0, 2])
+def test_entry_of_an_earlier_run_is_dropped_when_the_later_one_is_written(clock, fleet, updates):
+    """Guards against a live endpoint that is replaced by an earlier run of the copy."""
+    fleet.send(snapshot(2, evolve(READY, started_ms=4000)))
+    assert query_placement(fleet).endpoint.started_ms == 5000
+    fleet.send(changes(2, CollectionItem("d1", evolve(READY, updates=updates), 3)))
+    confirm(clock, fleet)
+    assert query_placement(fleet).endpoint.started_ms == 5000
