Treat an order lock of an earlier era as that of another holder

Cause: an instance took its next order lock at once if the stored one was its own. A PUT that got no answer may be carried out after a restore, and the revision that it names may be that of a newer holder's lock by then. The late write then hides that lock, and its writer gave an order within the lease of the other.

The record of a lock now has the era in which it was acquired. An own lock of an earlier era has to be as old as that of another holder. Records without an era, of earlier versions, can be read.

Ruled out: telling the era from the upper bits of the fencing number, which may be above the era after a wrong one.

test_late_write_of_an_own_lock_permits_no_order_at_once fails with the new record and the old rule (trial: the order is given at once), and passes now. The tests of the stored record test what is new; test_own_lock_of_the_same_era_permits_the_next_order guards the old rule.

--- a/chivewall/decisions/stages.py
+++ b/chivewall/decisions/stages.py
@@ -150,6 +150,7 @@
     engine: str
     stage: Stage
     taken_at: float  # Unix time in seconds, by the holder's clock
+    era: int | None = None  # of the store, when the lock was acquired
 
 
 @define
@@ -168,9 +169,13 @@
         if lock is not None:
             self.highest_number = max(self.highest_number, lock.number)
 
-    def may_take(self, own: str, now: float, unix_time: float) -> bool:
-        """Return whether the next order lock can't overlap with that of another holder."""
-        if self.lock is None or self.lock.holder == own:
+    def may_take(self, own: str, now: float, unix_time: float, era: int | None = None) -> bool:
+        """Return whether the next order lock can't overlap with that of another holder.
+
+        ``era`` is that of the store. A late write of an earlier era may have replaced the lock of
+        another holder: the store gives the revision that it names out again.
+        """
+        if self.lock is None or (self.lock.holder == own and self.lock.era == era):
             return True
         if now - self.seen_at >= OTHER_HOLDER_LEASES * self.lease_seconds:
             return True
@@ -186,7 +191,7 @@
         """
         first = (era or 0) << ORDERS_IN_ERA_BITS
         number = max(self.highest_number, first) + 1
-        return OrderLock(number, own, change.engine, change.stage, unix_time)
+        return OrderLock(number, own, change.engine, change.stage, unix_time, era)
 
 
 @define
--- a/chivewall/gateway/stage_changer.py
+++ b/chivewall/gateway/stage_changer.py
@@ -131,7 +131,7 @@
         if not self.lock_era.settled(self.clock()):
             self._log_held(load, change, f"era {self.lock_era.era} of the store is too recent")
             return
-        if not view.may_take(own, self.clock(), self.env.unix_time()):
+        if not view.may_take(own, self.clock(), self.env.unix_time(), stored.era):
             self._log_held(load, change, f"order lock {lock.number} of {lock.holder} is too recent")
             return
         info = load.endpoints[change.engine]
--- a/chivewall/platform/engines.py
+++ b/chivewall/platform/engines.py
@@ -126,6 +126,7 @@
         "engine": lock.engine,
         "stage": lock.stage.value,
         "takenAt": lock.taken_at,
+        "era": lock.era,
     }
 
 
@@ -136,4 +137,5 @@
         engine=string(spec, "engine"),
         stage=Stage(string(spec, "stage")),
         taken_at=number(spec, "takenAt"),
+        era=None if spec.get("era") is None else integer(spec, "era"),
     )
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -10,11 +10,14 @@
 from twisted.internet.defer import succeed
 from twisted.internet.task import Clock
 
+from chivewall.decisions.stages import OrderLock
 from chivewall.environment import Environment
 from chivewall.errors import HistoryLostError, StoreRestoredError
 from chivewall.events import EventLog
 from chivewall.gateway.channels import HttpResponse
 from chivewall.gateway.peer_codec import PeerMessage, encode
+from chivewall.gateway.routing_configuration import Stage
+from chivewall.platform.engines import PlatformOrderLocks
 from chivewall.platform.objects import ObjectClient, ObjectCollection
 from chivewall.settings import CoreSettings, Role, Settings
 from chivewall.standins.platform_store import PlatformStore
@@ -85,7 +88,7 @@
 
 
 @pytest.fixture
-def collection(connections):
+def client(connections):
     core = CoreSettings(role=Role.GATEWAY, instance="g", data_centre="north", plugins=("x",))
     env = Environment(
         settings=Settings(core=core),
@@ -93,7 +96,11 @@
         random=random.Random(1),
         log=EventLog(StringIO()),
     )
-    client = ObjectClient(env, connections, ("10.0.0.9", 80))
+    return ObjectClient(env, connections, ("10.0.0.9", 80))
+
+
+@pytest.fixture
+def collection(client):
     return ObjectCollection(client, "servers", lambda _, spec: spec)
 
 
@@ -138,3 +145,36 @@
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as peer:
             peer.sendto(encode(PeerMessage(store_era=2)), ("127.0.0.1", site.ports["peer"]))
             wait_until(in_force(site, 2), "version 2 in force")
+
+
+@define(eq=False)
+class OneObject:
+    """Stands in for a store of one object, without a network."""
+
+    document: dict = field(factory=dict)
+
+    def fetch(self, address, method, target, deadline, body=b"", **options):
+        if method != b"GET":
+            self.document = json.loads(body)
+            self.document["metadata"]["rev"] = 7
+        return succeed(HttpResponse(200, (), json.dumps(self.document).encode()))
+
+
+@pytest.mark.parametrize("era", [None, 2])
+def test_order_lock_keeps_its_era(client, era):
+    """Guards against an order lock of an earlier era that is read as one of the current era."""
+    client.connections = OneObject()
+    locks = PlatformOrderLocks(client)
+    lock = OrderLock(5, "gateway-1", "d1", Stage.PREFILL, taken_at=1000.0, era=era)
+    result_of(locks.acquire("engines", lock, 6))
+    assert result_of(locks.read("engines")).lock == lock
+
+
+def test_order_lock_of_an_earlier_version_is_read(client):
+    """Guards against an update after which no order is given: the stored lock names no era."""
+    client.connections = OneObject()
+    locks = PlatformOrderLocks(client)
+    lock = OrderLock(5, "gateway-1", "d1", Stage.PREFILL, taken_at=1000.0)
+    result_of(locks.acquire("engines", lock, 6))
+    del client.connections.document["spec"]["era"]
+    assert result_of(locks.read("engines")).lock == lock
--- a/tests/test_stage_changer.py
+++ b/tests/test_stage_changer.py
@@ -224,6 +224,22 @@
     assert [number for _, _, number, _ in fakes.orders] == [first_number(2)]
 
 
+def test_late_write_of_an_own_lock_permits_no_order_at_once(fakes, clock, eras):
+    """Guards against two instances' orders in one lease: the late write hid the other's lock."""
+    fakes.era, fakes.lock = 2, evolve(OTHER_LOCK, number=first_number(2), era=2)
+    eras.send(EraSeen(2))
+    fakes.now += 6.1
+    # The write got no answer before the restore, and names the revision of the other's lock.
+    fakes.lock = evolve(OTHER_LOCK, number=first_number(1), holder="gateway-1", era=1)
+    clock.advance(1.0)
+    fakes.now += 5.9
+    clock.advance(1.0)
+    assert fakes.orders == []
+    fakes.now += 0.2
+    clock.advance(1.0)
+    assert [number for _, _, number, _ in fakes.orders] == [first_number(2)]
+
+
 def test_own_lock_of_the_copy_permits_no_order(fakes, clock, eras):
     """Guards against an order beside that of the holder whose later lock was lost."""
     fakes.lock, fakes.revision = evolve(OTHER_LOCK, holder="gateway-1"), 9
@@ -257,3 +273,15 @@
     clock.advance(1.0)
     assert fakes.lock is not None
     assert fakes.orders == []
+
+
+@pytest.mark.parametrize("era", [None, 1])
+def test_own_lock_of_the_same_era_permits_the_next_order(fakes, clock, era):
+    """Guards against an instance that waits for its own lock to become old."""
+    fakes.era = era
+    fakes.lock, fakes.revision = evolve(OTHER_LOCK, holder="gateway-1", era=era), 9
+    clock.advance(1.0)
+    fakes.now += 6.1
+    fakes.lock = evolve(fakes.lock, number=5)
+    clock.advance(1.0)
+    assert len(fakes.orders) == 1
