--- a/chivewall/gateway/ingress_connection.py
+++ b/chivewall/gateway/ingress_connection.py
@@ -7,7 +7,6 @@
 
 from enum import Enum
 from functools import singledispatchmethod
-from http import HTTPStatus
 from typing import Any, Protocol
 
 import h11
@@ -28,6 +27,7 @@
 )
 from chivewall.gateway.caller_response import NOT_RUN_STATUSES, RETRY_AFTER_SECONDS
 from chivewall.gateway.http_dialect import CallerRequest, Headers, HttpDialect
+from chivewall.gateway.http_text import head_bytes, origin_form, reason_phrase
 from chivewall.gateway.routing_configuration import IngressLimits
 from chivewall.gateway.sockets import set_tcp_options
 from chivewall.results import ResultCode
@@ -286,7 +286,7 @@
         self._head = event
         self._drop_body()
         self._enter_phase(Phase.BODY)
-        if _head_bytes(event) > self.handler.limits.header_bytes:
+        if head_bytes(event) > self.handler.limits.header_bytes:
             self._reject(ResultCode.HEAD_TOO_LARGE, "the request headers exceed the limit")
             return False
         names = [name for name, _ in event.headers]
@@ -312,7 +312,7 @@
         method = bytes(head.method)
         request = CallerRequest(
             method=method,
-            target=_origin_form(bytes(head.target)),
+            target=origin_form(bytes(head.target)),
             headers=headers,
             body=bytes(self._body),
             has_body=bool(self._body)
@@ -356,7 +356,7 @@
             fields.append((b"Content-Length", str(length).encode()))
         if self.handler.closing:
             fields.append((b"Connection", b"close"))
-        response = h11.Response(status_code=status, headers=fields, reason=_reason_phrase(status))
+        response = h11.Response(status_code=status, headers=fields, reason=reason_phrase(status))
         self._write(self._http.send(response))
 
     def _write_response(self, status: int, headers: Headers, body: bytes) -> None:
@@ -424,24 +424,3 @@
 
 
 _PENDING: Any = _Pending()
-
-
-def _head_bytes(event: h11.Request) -> int:
-    lines = sum(len(name) + len(value) + 4 for name, value in event.headers)
-    return len(event.method) + len(event.target) + lines
-
-
-def _origin_form(target: bytes) -> bytes:
-    """Return path and query of a request target, which may be in absolute form."""
-    if not target.lower().startswith(b"http://"):
-        return target
-    rest = target[len(b"http://") :]
-    slash = rest.find(b"/")
-    return b"/" if slash < 0 else rest[slash:]
-
-
-def _reason_phrase(status: int) -> bytes:
-    try:
-        return HTTPStatus(status).phrase.encode()
-    except ValueError:
-        return b""
