Send nothing new to an endpoint that says it leaves

Nothing read the header in which an endpoint says that it is being taken out of service.

The head of each response is now read for it, also of refusals, prefills, reports and responses that are dropped. The notice names id and start of the process and outweighs every entry of this process or an earlier one; decisions/availability.py alone decides. A draining entry is such a notice too. Other gateways are told in one datagram (version 6). A connection that was used for one process isn't used for a request to another one.

Ruled out: an age limit, the newest evidence, a notice about the address (see docs/decisions/endpoint-announcements.md).

Pauses that an endpoint asks for (Retry-After) are not part of this change.

--- a/chivewall/decisions/endpoint_record.py
+++ b/chivewall/decisions/endpoint_record.py
@@ -7,6 +7,7 @@
 from attrs import define, field
 
 from chivewall.backoff import exponential_delay
+from chivewall.decisions.availability import Availability, LeavingNotice, availability
 from chivewall.decisions.sent_work import (
     EngineSpeed,
     PrefillBudget,
@@ -61,6 +62,7 @@
     failed_connections: int = 0  # consecutive ones
     missing_since: float | None = None  # when a restored store was found not to have its entry
     unlisted_at: float | None = None  # when it left the list; it is then only a last resort
+    notice: LeavingNotice | None = None  # the latest notice of leaving about its id
     # Prefix key to the time of its last use.
     _prefixes: OrderedDict = field(factory=OrderedDict, init=False)
 
@@ -69,11 +71,15 @@
         """Return whether it is a prefill engine."""
         return self.info.stage is Stage.PREFILL
 
+    @property
+    def availability(self) -> Availability:
+        """Return whether requests may be sent to it."""
+        return availability(self.info, self.notice, self.unlisted_at)
+
     def is_usable(self, now: float) -> bool:
         """Return whether it may get work now, and not just as a last resort."""
         return (
-            not self.info.draining
-            and self.unlisted_at is None
+            self.availability is Availability.OPEN
             and self.cooldown_until <= now
             and self.avoid_until <= now
         )
@@ -82,8 +88,7 @@
         """Return whether it is an engine that answers requests and is sound as far as is known."""
         return (
             self.info.stage is Stage.DECODE
-            and not self.info.draining
-            and self.unlisted_at is None
+            and self.availability is Availability.OPEN
             and self.failed_connections == 0
             and self.cooldown_until <= now
         )
--- a/chivewall/decisions/placement.py
+++ b/chivewall/decisions/placement.py
@@ -11,6 +11,7 @@
 
 from attrs import define, evolve, frozen
 
+from chivewall.decisions.availability import Availability
 from chivewall.decisions.endpoint_record import EndpointRecord, PrefixChain, prefix_chain
 from chivewall.decisions.overload import Overloaded, admit
 from chivewall.gateway.http_dialect import RequestFields
@@ -165,12 +166,14 @@
 
 
 def _usable(states: list[EndpointRecord], context: PlacementContext) -> list[EndpointRecord]:
-    listed = [
-        one for one in states if not one.info.draining and one.info.id not in context.excluded
+    staying = [
+        one
+        for one in states
+        if one.availability is not Availability.LEAVING and one.info.id not in context.excluded
     ]
     if not context.last_resort:
-        return [one for one in listed if one.is_usable(context.now)]
-    present = [one for one in listed if one.unlisted_at is None] or listed
+        return [one for one in staying if one.is_usable(context.now)]
+    present = [one for one in staying if one.availability is Availability.OPEN] or staying
     steady = [one for one in present if one.cooldown_until <= context.now] or present
     return [one for one in steady if one.avoid_until <= context.now] or steady
 
--- a/chivewall/events.py
+++ b/chivewall/events.py
@@ -87,6 +87,7 @@
     CALL_WAITING = (716, "info", "call that may have run waits for an endpoint")
     GATEWAY_DRAINED = (718, "info", "gateway has ended its calls before it stops")
     ENDPOINT_ENTRY_IGNORED = (717, "info", "endpoint's entry is older than what is known")
+    ENDPOINT_LEAVING = (720, "info", "endpoint leaves; it gets no new requests")
     SPEED_LEARNED = (710, "info", "learned speeds of a service changed")
     PEER_UNREACHABLE = (708, "warning", "datagram to another gateway not sent")
 
--- a/chivewall/gateway/channels.py
+++ b/chivewall/gateway/channels.py
@@ -13,6 +13,8 @@
 from chivewall.addresses import Address, describe_address
 from chivewall.environment import Environment
 from chivewall.errors import StoreUnavailableError
+from chivewall.gateway.announcement_messages import EndpointLeaving, SubscribeToAnnouncements
+from chivewall.gateway.announcements import is_from
 from chivewall.gateway.byte_budget import MAX_RESPONSE_BYTES
 from chivewall.gateway.exchange_messages import (
     CancelExchange,
@@ -28,6 +30,7 @@
 )
 from chivewall.gateway.http_dialect import Headers, HttpDialect, ResponseFields
 from chivewall.gateway.outgoing_connection import OutgoingConnection
+from chivewall.gateway.routing_configuration import EndpointInfo
 from chivewall.messages import Tick
 from chivewall.plugins.base import Plugin
 from chivewall.plugins.registry import Registry
@@ -89,6 +92,7 @@
         self._last_data_at: dict[Address, float] = {}  # time of the latest bytes from an address
         self._probes: dict[Address, list[ProbeAddress]] = {}
         self._numbers = itertools.count(1)
+        self._announcement_subscriber: Inbox | None = None
 
     def start(self) -> None:
         """Start the task and the checks for connections that were idle too long."""
@@ -113,9 +117,12 @@
         *,
         headers: Headers = (),
         body: bytes = b"",
+        endpoint: EndpointInfo | None = None,
     ) -> HttpResponse:
         """Send a request of the gateway itself and return the response.
 
+        ``endpoint``: the only endpoint that may serve it, if ``headers`` says so.
+
         Raises ``StoreUnavailableError`` if no complete response comes before the deadline.
         """
         inbox = Inbox()
@@ -128,6 +135,7 @@
             reply_to=inbox,
             body=body,
             has_body=bool(body),
+            endpoint=endpoint,
         )
         timer = self.env.clock.callLater(
             max(0.0, deadline - self.env.now),
@@ -231,6 +239,10 @@
                 connection.cancel()
         self.env.clock.callLater(IDLE_CHECK_SECONDS, self.send, Tick())
 
+    @receive.register
+    async def _(self, message: SubscribeToAnnouncements) -> None:
+        self._announcement_subscriber = message.inbox
+
     def _take_idle(self, request: OutgoingRequest) -> OutgoingConnection | None:
         connections = self._idle.get(request.address, [])
         now = self.env.now
@@ -242,6 +254,7 @@
             if (
                 now < connection.idle_until
                 and now - connection.idle_since <= request.max_idle_seconds
+                and _same_process(connection.endpoint, request.endpoint)
             ):
                 return connection
             connection.cancel()
@@ -277,11 +290,21 @@
         connection.on_idle = self._keep_idle
         connection.on_closed = self._remove
         connection.on_data = self._record_data
+        connection.on_head = self._report_announcements
         return connection
 
     def _decode_fields(self, status: int, headers: Headers) -> ResponseFields:
         return self.env.require(HttpDialect).decode_response(status, headers)
 
+    def _report_announcements(
+        self, endpoint: EndpointInfo, status: int, fields: ResponseFields
+    ) -> None:
+        """Pass on what an endpoint says of itself, also in a response that no request waits for."""
+        if self._announcement_subscriber is None or not is_from(endpoint, status, fields):
+            return
+        if fields.leaving:
+            self._announcement_subscriber.put(EndpointLeaving(endpoint))
+
     def _record_data(self, connection: OutgoingConnection) -> None:
         self._last_data_at[connection.address] = self.env.now
 
@@ -303,6 +326,16 @@
             kept.remove(connection)
 
 
+def _same_process(used: EndpointInfo | None, wanted: EndpointInfo | None) -> bool:
+    """Return whether a connection that was used for one endpoint may be used for another.
+
+    Otherwise a late response could be taken for one of the endpoint that now has the address.
+    """
+    if used is None or wanted is None:
+        return True
+    return (used.id, used.started_ms) == (wanted.id, wanted.started_ms)
+
+
 def _reachability(failure: Failure) -> Reachability:
     return (
         Reachability.REFUSED if failure.check(error.ConnectionRefusedError) else Reachability.SILENT
--- a/chivewall/gateway/endpoint_list.py
+++ b/chivewall/gateway/endpoint_list.py
@@ -4,10 +4,12 @@
 
 from attrs import evolve, frozen
 
+from chivewall.decisions.availability import Availability
 from chivewall.decisions.endpoint_record import EndpointRecord
 from chivewall.decisions.entry_history import EntryHistory, EntryVerdict
 from chivewall.environment import Environment
 from chivewall.events import Event
+from chivewall.gateway.announcements import Announcements
 from chivewall.gateway.fleet_settings import FleetSettings
 from chivewall.gateway.routing_configuration import EndpointInfo
 from chivewall.gateway.store_collections import (
@@ -45,10 +47,12 @@
         env: Environment,
         cfg: FleetSettings,
         new_record: Callable[[EndpointInfo], EndpointRecord],
+        announcements: Announcements,
     ) -> None:
         self.env = env
         self.cfg = cfg
         self.new_record = new_record
+        self.announcements = announcements
         self.records: dict[str, EndpointRecord] = {}  # by endpoint id
         self.era: int | None = None  # era of the store in which the list was read
         self.history = EntryHistory()
@@ -153,12 +157,16 @@
             or record.info.started_ms != info.started_ms
             or record.info.service != info.service
         ):
+            if record is not None:
+                self.announcements.forget(record.info)
             self.records[info.id] = self.new_record(info)
         else:
             if record.info.stage is not info.stage:
                 record.cooldown_until = 0.0
             record.info = info
             record.unlisted_at = record.missing_since = None
+        self.announcements.record_entry(info)
+        self.records[info.id].notice = self.announcements.notice(info.id)
         self.env.log.emit(
             Event.ENDPOINT_LISTED,
             endpoint=info.id,
@@ -175,7 +183,8 @@
         if record is None or record.unlisted_at is not None:
             return
         self.env.log.emit(Event.ENDPOINT_LISTED, endpoint=name, gone=True, era=self.era)
-        if record.info.draining:
+        self.announcements.record_unlisted(name)
+        if record.availability is Availability.LEAVING:
             self._drop(name)
             return
         # Its entry may have expired while the store was unreachable, or the endpoint may be
@@ -189,7 +198,7 @@
         it would have to be dropped, it is used like the others.
         """
         record = self.records[name]
-        if record.info.draining:
+        if record.availability is Availability.LEAVING:
             self._drop(name)
         elif record.unlisted_at is None and record.missing_since is None:
             record.missing_since = self.env.now
--- a/chivewall/gateway/endpoint_waits.py
+++ b/chivewall/gateway/endpoint_waits.py
@@ -4,6 +4,7 @@
 
 from attrs import define, field
 
+from chivewall.decisions.availability import Availability
 from chivewall.decisions.endpoint_record import EndpointRecord
 from chivewall.gateway.fleet_messages import AwaitEndpoint
 
@@ -47,7 +48,7 @@
     return (
         info.service == query.service
         and not record.prefills_first
-        and not info.draining
+        and record.availability is not Availability.LEAVING
         and (query.allowed is None or info.id in query.allowed)
     )
 
--- a/chivewall/gateway/exchange.py
+++ b/chivewall/gateway/exchange.py
@@ -119,6 +119,7 @@
         has_body=request.has_body,
         request_id=request.fields.request_id,
         max_idle_seconds=MAX_IDLE_IDEMPOTENT_SECONDS if idempotent else MAX_IDLE_UNSAFE_SECONDS,
+        endpoint=exchange.endpoint,
     )
 
 
--- a/chivewall/gateway/exchange_messages.py
+++ b/chivewall/gateway/exchange_messages.py
@@ -6,6 +6,7 @@
 
 from chivewall.addresses import Address
 from chivewall.gateway.http_dialect import Headers, ResponseHead
+from chivewall.gateway.routing_configuration import EndpointInfo
 from chivewall.task import Inbox, Query
 
 
@@ -23,6 +24,7 @@
     has_body: bool = False
     request_id: str | None = None  # a response with another request id is skipped
     max_idle_seconds: float = 4.0  # maximum idle time of a reused connection, in seconds
+    endpoint: EndpointInfo | None = None  # the only endpoint that may serve it; ``None``: any
 
 
 @frozen
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -17,6 +17,14 @@
 from chivewall.decisions.stages import EngineView, PrefillLoad
 from chivewall.environment import Environment
 from chivewall.events import Event
+from chivewall.gateway.announcement_messages import (
+    EndpointLeaving,
+    LeavingNews,
+    PeerLeavingNews,
+    SubscribeToAnnouncements,
+)
+from chivewall.gateway.announcements import Announcements
+from chivewall.gateway.channels import ConnectionPool
 from chivewall.gateway.endpoint_list import MS_PER_SECOND, WATCH_PAUSE_SHARE, EndpointList
 from chivewall.gateway.endpoint_waits import EndpointWaits
 from chivewall.gateway.fleet_messages import (
@@ -76,7 +84,8 @@
             pause_seconds=WATCH_PAUSE_SHARE * cfg.drain_ms / MS_PER_SECOND,
         )
         self.list_read = False  # the list of endpoints was read at least once
-        self.endpoints = EndpointList(env, cfg, self._new_record)
+        self.announcements = Announcements(env)
+        self.endpoints = EndpointList(env, cfg, self._new_record, self.announcements)
         self.states = self.endpoints.records  # by endpoint id
         self.repeat_budgets: dict[str, RepeatBudget] = {}  # by service
         self.live_gateways = 1  # including this one
@@ -324,6 +333,20 @@
     async def _(self, message: PeerEngineCooldown) -> None:
         self._set_cooldown(message.endpoint, message.seconds)
 
+    @receive.register
+    async def _(self, message: EndpointLeaving) -> None:
+        info = message.endpoint
+        news = self.announcements.record_response(info, listed=self._is_listed(info.id))
+        if news is not None:
+            self._apply_notice(info.id)
+            self._share(news)
+
+    @receive.register
+    async def _(self, message: PeerLeavingNews) -> None:
+        for news in message.news:
+            self.announcements.record_news(news, listed=self._is_listed(news.endpoint))
+            self._apply_notice(news.endpoint)
+
     @receive.register
     async def _(self, message: EngineLoads) -> None:
         # Services without work are included: without a decode engine no work can be sent to a
@@ -361,6 +384,16 @@
         if next_check is not None:
             self.env.clock.callLater(next_check - self.env.now, self.send, Tick())
 
+    def _is_listed(self, endpoint: str) -> bool:
+        state = self.states.get(endpoint)
+        return state is not None and state.unlisted_at is None
+
+    def _apply_notice(self, endpoint: str) -> None:
+        state = self.states.get(endpoint)
+        if state is not None:
+            state.notice = self.announcements.notice(endpoint)
+            self._end_waits()
+
     def _avoid(self, state: EndpointRecord) -> None:
         state.record_failed_connection(self.env.now)
         self.env.log.emit(
@@ -413,7 +446,7 @@
             samples=self.speeds[service].sample_count,
         )
 
-    def _share(self, message: SharedWork | WorkProgress | EngineCooldown) -> None:
+    def _share(self, message: SharedWork | WorkProgress | EngineCooldown | LeavingNews) -> None:
         if self.work_subscriber is not None:
             self.work_subscriber.put(message)
 
@@ -433,8 +466,9 @@
         self.env.provide(Fleet, self.fleet)
 
     async def start(self) -> None:
-        """Start the task."""
+        """Start the task, and subscribe it to what endpoints announce."""
         self.fleet.start()
+        self.env.require(ConnectionPool).send(SubscribeToAnnouncements(self.fleet.inbox))
 
     async def stop(self) -> None:
         """Stop the task."""
--- a/chivewall/gateway/http_dialect.py
+++ b/chivewall/gateway/http_dialect.py
@@ -75,6 +75,7 @@
     not_run: bool = False  # the endpoint says that it has not run the request
     endpoint: str | None = None
     retry_after: float | None = None  # seconds
+    leaving: bool = False  # the endpoint says that it is being taken out of service
 
 
 @frozen
--- a/chivewall/gateway/metrics.py
+++ b/chivewall/gateway/metrics.py
@@ -64,6 +64,9 @@
         self.ignored_entries = self._counter(
             "endpoint_entries_ignored_total", "Entries of a restored store that were not believed."
         )
+        self.leaving = self._counter(
+            "endpoints_leaving_total", "Notices that an endpoint leaves, by how they were learned."
+        )
         self.blocked_parts = Gauge(
             "chivewall_gateway_blocked_prompt_parts",
             "Prompt parts that are blocked now.",
@@ -85,6 +88,7 @@
             Event.ENDPOINT_ENTRY_IGNORED: (self.ignored_entries, "reason", "reason"),
             Event.PROMPT_PART_CHECKED: (self.part_checks, "verdict", "verdict"),
             Event.PROMPT_PART_BLOCKED: (self.parts_blocked, "service", "service"),
+            Event.ENDPOINT_LEAVING: (self.leaving, "source", "source"),
         }
 
     def observe(self, event: Event, fields: dict[str, Any]) -> None:
--- a/chivewall/gateway/outgoing_connection.py
+++ b/chivewall/gateway/outgoing_connection.py
@@ -22,6 +22,7 @@
     ResponseStarted,
 )
 from chivewall.gateway.http_dialect import Headers, ResponseFields, ResponseHead
+from chivewall.gateway.routing_configuration import EndpointInfo
 from chivewall.gateway.sockets import set_tcp_options
 from chivewall.integers import parse_digits
 
@@ -35,6 +36,7 @@
 IDLE_MARGIN_SECONDS = 0.5  # an idle connection is closed this long before the endpoint would
 DecodeFields = Callable[[int, Headers], ResponseFields]
 ConnectionCallback = Callable[["OutgoingConnection"], None]
+ResponseCallback = Callable[[EndpointInfo, int, ResponseFields], None]
 
 
 class OutgoingConnection(Protocol):
@@ -46,7 +48,9 @@
         self.on_idle: ConnectionCallback = lambda _: None
         self.on_closed: ConnectionCallback = lambda _: None
         self.on_data: ConnectionCallback = lambda _: None
+        self.on_head: ResponseCallback = lambda *_: None
         self.request: OutgoingRequest | None = None
+        self.endpoint: EndpointInfo | None = None  # endpoint that requests were meant for
         self.exchange = 0  # number of the latest exchange
         self.idle_until = 0.0  # time after which the endpoint may close the connection
         self.idle_since = 0.0
@@ -71,6 +75,7 @@
         """Write a request; the connection must be idle."""
         self.request = request
         self.exchange = request.exchange
+        self.endpoint = request.endpoint or self.endpoint
         self._request_ids.append(request.request_id)
         self._foreign_bytes = 0
         self._response_started = False
@@ -162,6 +167,8 @@
     def _handle_head(self, event: h11.Response) -> None:
         headers = tuple(event.headers.raw_items())
         fields = self.decode_fields(event.status_code, headers)
+        if self.request.endpoint is not None:
+            self.on_head(self.request.endpoint, event.status_code, fields)
         expected = self.request.request_id
         # Endpoints name the request in each response; one without an id may belong to any.
         self._skipping_response = expected is not None and fields.request_id != expected
--- a/chivewall/gateway/peer_codec.py
+++ b/chivewall/gateway/peer_codec.py
@@ -17,12 +17,13 @@
 )
 from chivewall.decisions.speeds import Line, ServiceSpeed
 from chivewall.errors import DecodeError
+from chivewall.gateway.announcement_messages import LeavingNews
 
 VERSION = 6
 MAX_DATAGRAM_BYTES = 1_200  # a larger datagram could be fragmented on the way
 MAX_TAG_CHARS = 16  # of a request, in news of suspected prompt parts
 MAX_SECONDS = 1000.0  # a larger time is an error of the sender
-EMPTY_DATAGRAM_BYTES = 30  # size of a datagram without items
+EMPTY_DATAGRAM_BYTES = 33  # size of a datagram without items
 
 
 @frozen
@@ -57,6 +58,7 @@
     ended: tuple[int, ...] = ()  # numbers of work that ended
     speeds: tuple[tuple[str, ServiceSpeed], ...] = ()  # learned speeds by service
     parts: tuple[PartNews, ...] = ()  # suspected prompt parts
+    leaving: tuple[LeavingNews, ...] = ()  # endpoints that leave
     configuration_version: int = 0  # that the sender has in force; 0: not told
     store_era: int = 0  # newest era of the store that the sender has seen; 0: not told
 
@@ -72,6 +74,7 @@
         list(message.ended),
         [_encode_speed(service, speed) for service, speed in message.speeds],
         [_encode_part(one) for one in message.parts],
+        [[one.endpoint, one.started_ms] for one in message.leaving],
         message.configuration_version,
         message.store_era,
     ]
@@ -84,7 +87,7 @@
         format_version, *rest = json.loads(datagram)
         if format_version != VERSION:
             raise DecodeError(f"datagram version {format_version!r} is unknown")
-        known, work, cooldowns, prefilled, ended, speeds, parts, version, era = rest
+        known, work, cooldowns, prefilled, ended, speeds, parts, leaving, version, era = rest
         return PeerMessage(
             known=tuple((_decode_ip(one), _bounded_seconds(age)) for one, age in known),
             work=tuple(_decode_work(*one) for one in work),
@@ -93,6 +96,7 @@
             ended=tuple(int(one) for one in ended),
             speeds=tuple(_decode_speed(*one) for one in speeds),
             parts=tuple(_decode_part(*one) for one in parts),
+            leaving=tuple(LeavingNews(str(one), int(started_ms)) for one, started_ms in leaving),
             configuration_version=max(0, int(version)),
             store_era=max(0, int(era)),
         )
--- a/chivewall/gateway/peers.py
+++ b/chivewall/gateway/peers.py
@@ -15,6 +15,7 @@
 from chivewall.environment import Environment
 from chivewall.errors import DecodeError
 from chivewall.events import Event
+from chivewall.gateway.announcement_messages import LeavingNews, PeerLeavingNews
 from chivewall.gateway.configuration_messages import (
     ConfigurationInForce,
     PeerConfigurationVersion,
@@ -158,6 +159,10 @@
         hosts = self.table.sharing_targets(self.env.now)
         self._send(PeerMessage(cooldowns=((message.endpoint, message.seconds),)), hosts)
 
+    @receive.register
+    async def _(self, message: LeavingNews) -> None:
+        self._send(PeerMessage(leaving=(message,)), self.table.sharing_targets(self.env.now))
+
     @receive.register
     async def _(self, message: SharePartNews) -> None:
         self._send_parts(message.news, self.table.sharing_targets(self.env.now))
@@ -197,18 +202,23 @@
         if not self.table.is_known(message.gateway_ip):
             await self._greet(message.gateway_ip)
         self.table.record_datagram(message.gateway_ip, found.known, self.env.now)
+        if found.parts:
+            relay = self.table.live_count(self.env.now) > MAX_PEERS
+            self.guard.send(PeerPartNews(found.parts, relay=relay))
+        self._inform_fleet(message.gateway_ip, found)
+        self._pass_on_versions(found, message.gateway_ip)
+
+    def _inform_fleet(self, gateway_ip: str, found: PeerMessage) -> None:
         for work in found.work:
-            self.fleet.send(PeerWork(message.gateway_ip, work))
+            self.fleet.send(PeerWork(gateway_ip, work))
         if found.prefilled or found.ended:
-            self.fleet.send(PeerProgress(message.gateway_ip, found.prefilled, found.ended))
+            self.fleet.send(PeerProgress(gateway_ip, found.prefilled, found.ended))
         if found.speeds:
             self.fleet.send(PeerSpeeds(found.speeds))
-        if found.parts:
-            relay = self.table.live_count(self.env.now) > MAX_PEERS
-            self.guard.send(PeerPartNews(found.parts, relay=relay))
+        if found.leaving:
+            self.fleet.send(PeerLeavingNews(found.leaving))
         for endpoint, seconds in found.cooldowns:
             self.fleet.send(PeerEngineCooldown(endpoint, seconds))
-        self._pass_on_versions(found, message.gateway_ip)
 
     async def _greet(self, host: str) -> None:
         """Tell a new gateway what it should not have to wait for until the next hello.
--- a/chivewall/platform/engines.py
+++ b/chivewall/platform/engines.py
@@ -87,6 +87,7 @@
                 self.env.now + seconds,
                 headers=((b"X-Expect-Instance", endpoint.id.encode()),),
                 body=body,
+                endpoint=endpoint,
             )
         except StoreUnavailableError as exc:
             raise EndpointError(f"{endpoint.id}: {exc}") from exc
--- a/chivewall/platform/headers.py
+++ b/chivewall/platform/headers.py
@@ -23,6 +23,7 @@
 NOT_RUN = b"x-not-run"
 ENDPOINT_ID = b"x-runner-id"
 RETRY_AFTER = b"retry-after"
+LEAVING = b"server-leaving"
 HOP_BY_HOP = frozenset(
     {
         b"connection",
@@ -100,6 +101,7 @@
             not_run=_first_value(headers, NOT_RUN) is not None or status == 421,
             endpoint=_first_value(headers, ENDPOINT_ID),
             retry_after=_seconds(_first_value(headers, RETRY_AFTER)),
+            leaving=_first_value(headers, LEAVING) == "1",
         )
 
     def response_headers(self, headers: Headers) -> Headers:
--- a/chivewall/standins/platform_endpoint.py
+++ b/chivewall/standins/platform_endpoint.py
@@ -38,6 +38,8 @@
     deadly_parts: frozenset[str] = frozenset()  # prompt parts whose requests crash the endpoint
     down_seconds: float = 1.5  # time from a crash to the restart
     crash_count: int = 0
+    leaving: bool = False  # all responses say that it is being taken out of service
+    started_ms: int = 1  # start of its process, in the store's list
     _server: ThreadedServer | None = field(default=None, init=False)
     _lock: threading.Lock = field(factory=threading.Lock, init=False)
 
@@ -52,7 +54,7 @@
             "state": state,
             "coldLeftMs": 0,
             "seq": 1,
-            "born": 1,
+            "born": self.started_ms,
         }
         if self.stage is not None:
             document["stage"] = self.stage
@@ -130,6 +132,8 @@
         self.send_header("X-Request-Id", self.request_id)
         if stamped:
             self.send_header("X-Answer-Stamp", ANSWER_STAMP)
+        if self.endpoint.leaving:
+            self.send_header("Server-Leaving", "1")
         for name, value in headers:
             self.send_header(name, value)
         self.end_headers()
