--- a/tests/test_restored_endpoints.py
+++ b/tests/test_restored_endpoints.py
@@ -94,7 +94,7 @@
 
 
 def test_endpoint_that_registered_after_the_copy_is_used_on(fleet, clock):
-    """Guards against a last resort that is preferred less than overloaded endpoints."""
+    """Guards against a live endpoint that gets nothing while the others are overloaded."""
     other = evolve(READY, id="d2")
     fleet.send(changes(1, CollectionItem("d2", other, 3)))
     fleet.send(snapshot(2, READY))
