--- a/chivewall/decisions/placement.py
+++ b/chivewall/decisions/placement.py
@@ -71,9 +71,7 @@
     committed: bool = False  # it may have run, or a part of its response was sent
     pause_seconds: float = 0.3  # longest pause between events that the route's objective allows
     kv_data_centre: str | None = None  # data centre of the engine that keeps the KV cache
-    last_resort: bool = (
-        True  # an endpoint that had better get no work is chosen if no other is left
-    )
+    last_resort: bool = True  # endpoints that had better get no work are chosen as a last resort
 
 
 class PromptState(Enum):
--- a/chivewall/gateway/endpoint_waits.py
+++ b/chivewall/gateway/endpoint_waits.py
@@ -11,7 +11,7 @@
 
 @define
 class EndpointWaits:
-    """Holds the waiting requests, and the time of the next check for them."""
+    """Holds the queries of the waiting requests, and the time of the next check for them."""
 
     next_check: float | None = None
     _waiting: list[AwaitEndpoint] = field(factory=list, init=False)
