Name the collection of a rejected peer configuration

Two changes met here: rejected documents are counted by their collection, and a rejected configuration of another gateway was logged without one. The counter raised KeyError out of the fetch, so its end was never told and this gateway would have fetched no configuration from another gateway again.

The tests of the exchange now have the metrics attached, as a gateway has; all 8 cases of test_unusable_document_changes_nothing failed so, and pass now. The bound on error texts in the log stands in one place.

--- a/chivewall/events.py
+++ b/chivewall/events.py
@@ -12,6 +12,8 @@
 
 Clock = Callable[[], float]
 
+MAX_ERROR_CHARS = 300  # of the text of an error that another process caused, in the log
+
 
 class Event(Enum):
     """A log event: number, level and text.
--- a/chivewall/gateway/configuration_exchange.py
+++ b/chivewall/gateway/configuration_exchange.py
@@ -15,7 +15,7 @@
 
 from chivewall.environment import Environment
 from chivewall.errors import DecodeError, StoreError
-from chivewall.events import Event
+from chivewall.events import MAX_ERROR_CHARS, Event
 from chivewall.gateway.channels import ConnectionPool, HttpResponse
 from chivewall.gateway.configuration_messages import (
     ConfigurationInForce,
@@ -134,8 +134,12 @@
             )
             found = self._check(response, news)
         except (DecodeError, StoreError, ValueError, RecursionError) as exc:
-            source = f"configuration of {news.gateway_ip}"
-            self.env.log.emit(Event.DOCUMENT_REJECTED, object=source, error=str(exc))
+            self.env.log.emit(
+                Event.DOCUMENT_REJECTED,
+                collection="peer configurations",
+                object=f"configuration of {news.gateway_ip}",
+                error=str(exc)[:MAX_ERROR_CHARS],
+            )
         self.send(FetchEnded(found))
 
     def _check(self, response: HttpResponse, news: PeerConfigurationVersion) -> PeerConfiguration:
--- a/chivewall/gateway/peers.py
+++ b/chivewall/gateway/peers.py
@@ -14,7 +14,7 @@
 from chivewall.decisions.peers import HELLO_INTERVAL_SECONDS, MAX_PEERS, PeerTable
 from chivewall.environment import Environment
 from chivewall.errors import DecodeError
-from chivewall.events import Event
+from chivewall.events import MAX_ERROR_CHARS, Event
 from chivewall.gateway.announcement_messages import LeavingNews, PeerLeavingNews
 from chivewall.gateway.configuration_messages import (
     ConfigurationInForce,
@@ -54,7 +54,6 @@
 from chivewall.plugins.registry import Registry
 from chivewall.task import Inbox, Query, Task
 
-MAX_ERROR_CHARS = 300  # of the reason why a datagram was rejected, in the log
 BATCH_SECONDS = 0.03  # time for which work is collected before it is sent in one batch
 
 
--- a/chivewall/platform/objects.py
+++ b/chivewall/platform/objects.py
@@ -19,7 +19,7 @@
     StoreUnavailableError,
     VersionConflictError,
 )
-from chivewall.events import Event
+from chivewall.events import MAX_ERROR_CHARS, Event
 from chivewall.gateway.channels import ConnectionPool, HttpResponse
 from chivewall.gateway.store_collections import (
     CollectionChanges,
@@ -43,7 +43,6 @@
 HTTP_OK = range(200, 300)
 ERA_HEADER = b"store-era"  # in each response; rises by one when the store comes back from a copy
 MAX_ERA = 2**31 - 1  # fencing numbers have room for no larger one
-MAX_ERROR_CHARS = 300  # of the reason why an object was rejected, in the log
 
 Decoder = Callable[[str, object], Any]
 
--- a/tests/test_configuration_exchange.py
+++ b/tests/test_configuration_exchange.py
@@ -26,6 +26,7 @@
     ConfigurationInForce,
     PeerConfigurationVersion,
 )
+from chivewall.gateway.metrics import GatewayMetrics
 from chivewall.gateway.peer_codec import PeerMessage, encode
 from chivewall.platform.routing_configuration import decode_routing_configuration
 from chivewall.settings import CoreSettings, Role, Settings
@@ -77,6 +78,7 @@
     env = Environment(
         settings=Settings(core=core), clock=clock, random=random.Random(1), log=EventLog(log)
     )
+    env.log.subscribe(GatewayMetrics().observe)
     task = ConfigurationExchange(
         env,
         ConfigurationExchangeSettings(host="10.0.0.1", port=7380),
