Let the soak's variant take the placement's new arguments

The variant that breaks the at-most-once promise replaces the search for a placement, which has had optional arguments since a live exchange is handed over only to a sound endpoint.

--- a/soak/variants.py
+++ b/soak/variants.py
@@ -35,7 +35,9 @@
 
 
 async def _query_any_placement(
-    request_task: forwarded_request.ForwardedRequest, prompt: placement.PromptState
+    request_task: forwarded_request.ForwardedRequest,
+    prompt: placement.PromptState,
+    **_: object,
 ) -> object:
     return await request_task.context.fleet.query(
         forwarded_request.FindPlacement(
