--- a/tests/test_ingress_limits.py
+++ b/tests/test_ingress_limits.py
@@ -12,11 +12,9 @@
 from chivewall.gateway.ingress_connection import IDLE_MARGIN_SECONDS, IngressConnection
 from chivewall.gateway.part_guard import PartGuard
 from chivewall.gateway.routing_configuration import IngressLimits, RoutingConfiguration
-from chivewall.gateway.sources import CollectionSources
 from chivewall.gateway.store_collections import CollectionChanges, CollectionItem
 from chivewall.platform.headers import PlatformDialect
-from chivewall.task import Inbox
-from tests.utils.fleets import SilentSource, make_fleet
+from tests.utils.fleets import make_fleet, make_sources
 from tests.utils.requests import FakeConnections
 
 SHORT = RoutingConfiguration(version=1, routes=(), limits=IngressLimits(idle_timeout_ms=2000))
@@ -55,11 +53,8 @@
         connections=FakeConnections(),
         dialect=PlatformDialect(),
     )
-    sources = CollectionSources(
-        routing_configuration=SilentSource(), endpoints=SilentSource(), eras=Inbox()
-    )
     cfg = GatewaySettings(address="127.0.0.1:80", grace_seconds=8)
-    gateway = Gateway(fleet.env, cfg, context, sources)
+    gateway = Gateway(fleet.env, cfg, context, make_sources())
     gateway.start()
     return gateway
 
--- a/tests/utils/fleets.py
+++ b/tests/utils/fleets.py
@@ -27,6 +27,16 @@
         return Deferred()
 
 
+def make_sources():
+    """Return collections whose lists are never returned."""
+    return CollectionSources(
+        routing_configuration=SilentSource(),
+        endpoints=SilentSource(),
+        eras=Inbox(),
+        decode_configuration=lambda document: document,
+    )
+
+
 def make_fleet(clock, **stages):
     """Return a started fleet that knows one engine for each name and stage."""
     core = CoreSettings(role=Role.GATEWAY, instance="g", data_centre="north", plugins=("x",))
@@ -42,12 +52,7 @@
     fleet = Fleet(
         env,
         bounds,
-        CollectionSources(
-            routing_configuration=SilentSource(),
-            endpoints=SilentSource(),
-            eras=Inbox(),
-            decode_configuration=lambda document: document,
-        ),
+        make_sources(),
     )
     fleet.start()
     engines = [engine_info(name, stage) for name, stage in stages.items()]
