--- a/chivewall/gateway/gateway.py
+++ b/chivewall/gateway/gateway.py
@@ -41,11 +41,6 @@
 # The load balancer sends new connections until two readiness probes, one a second, have
 # failed; for this long they are still accepted and served.
 BALANCER_DELAY_SECONDS = 2.6
-# Draining ends this many seconds before the platform kills the process.
-CLOSE_MARGIN_SECONDS = 0.7
-# Requests have their final responses this many seconds before draining ends, so that callers read
-# them before their connections are closed.
-RESPONSE_MARGIN_SECONDS = 0.3
 # Time in which the last responses are written when a process stops without draining.
 LAST_RESPONSES_SECONDS = 0.1
 POLL_SECONDS = 0.1  # interval between checks for open connections while draining
@@ -185,7 +180,7 @@
 
     def _end_requests(self) -> None:
         self.closing = True
-        self.shutdown = ShutdownSchedule(late_from=self.env.now, end_by=self.env.now)
+        self.shutdown = ShutdownSchedule(self.env.now, self.env.now, self.env.now)
         for connection in list(self.connections):
             connection.end_by(self.env.now)
             connection.end()
@@ -338,10 +333,7 @@
     async def drain(self) -> None:
         """Serve until the load balancer sends no more and no request is in progress."""
         began = self.env.now
-        close_by = began + self.cfg.grace_seconds - CLOSE_MARGIN_SECONDS
-        schedule = schedule_shutdown(
-            self.env.now, BALANCER_DELAY_SECONDS, close_by - RESPONSE_MARGIN_SECONDS
-        )
+        schedule = schedule_shutdown(began, self.cfg.grace_seconds, BALANCER_DELAY_SECONDS)
         self.gateway.send(BeginShutdown(schedule))
         await pause(self.env, BALANCER_DELAY_SECONDS)
         # Connections that wait for accept() would be reset. Twisted accepts as many at once as came
@@ -357,7 +349,7 @@
             self.gateway.send(CloseIdleConnections())
         unfinished_calls = self.gateway.calls_in_progress()
         self.gateway.send(EndRequests())
-        while self.gateway.connections and self.env.now < close_by:
+        while self.gateway.connections and self.env.now < schedule.close_by:
             await pause(self.env, POLL_SECONDS)
         self.env.log.emit(
             Event.GATEWAY_DRAINED,
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -288,6 +288,14 @@
 
 def test_schedule_of_a_short_grace_takes_nothing_after_its_end():
     """Guards against requests that are taken after the time at which the last ones end."""
-    schedule = schedule_shutdown(now=100.0, balancer_seconds=2.6, end_by=101.0)
+    schedule = schedule_shutdown(100.0, grace_seconds=8 / 7, balancer_seconds=2.6)
     assert schedule.takes(received_at=100.9, deadline=120.0)
     assert not schedule.takes(received_at=101.0, deadline=101.5)
+
+
+@pytest.mark.parametrize("grace", [2.0, 5.0, 8.0, 30.0])
+def test_work_in_progress_gets_most_of_any_grace(grace):
+    """Guards against streams that a fixed margin cuts early in a short grace period."""
+    schedule = schedule_shutdown(100.0, grace_seconds=grace, balancer_seconds=2.6)
+    assert schedule.end_by >= 100.0 + grace * 5 / 6
+    assert schedule.end_by < schedule.close_by < 100.0 + grace
