Take the review's case of endless bytes in place of large requests

Seen: a runner sends a body without an end; at the route's timeout the gateway closes that channel, but the client's is neither answered nor closed: no byte and no end for 3.5 s until the client leaves (CONFIG: no final answer half a second after timeoutMs). At fault: IngressConnection stays registered as the transport's producer, so loseConnection on a paused transport never closes it.

--- a/review/stand/client.py
+++ b/review/stand/client.py
@@ -20,13 +20,14 @@
     body: bytes = b""
     complete: bool = False  # by the framing of the answer
     end: str = ""  # how reading ended
+    last_byte_at: float = 0.0
 
 
 class Channel:
     """A kept channel to a gateway.
 
     ``recv_buffer``: size of the receive buffer; ``pace``: called after each read with the number
-    of bytes, to read slowly.
+    of bytes, to read slowly; ``patience_s``: how long it waits for the whole answer.
     """
 
     def __init__(
@@ -34,6 +35,7 @@
         address: tuple[str, int],
         recv_buffer: int | None = None,
         pace: Callable[[int], None] | None = None,
+        patience_s: float | None = None,
     ) -> None:
         self.socket = socket.socket()
         if recv_buffer is not None:
@@ -41,6 +43,7 @@
         self.socket.settimeout(TIMEOUT_S)
         self.socket.connect(address)
         self.pace = pace
+        self.patience_s = patience_s
         self._data = bytearray()
 
     def close(self) -> None:
@@ -50,14 +53,18 @@
     def request(self, method: str, path: str, headers: dict[str, str], body: bytes = b"") -> Answer:
         """Send a request and read its answer."""
         answer = Answer(headers_id(headers), sent_at=time.monotonic())
+        self._sent_at = self._last_byte_at = answer.sent_at
         lines = [f"{method} {path} HTTP/1.1", *(f"{k}: {v}" for k, v in headers.items())]
         if method != "GET":
             lines.append(f"Content-Length: {len(body)}")
         try:
             self.socket.sendall("\r\n".join([*lines, "", ""]).encode() + body)
             self._read(answer)
+        except TimeoutError:
+            answer.end = "the channel is still open, without an end of the answer"
         except OSError as exc:
             answer.end = f"channel broke: {type(exc).__name__}"
+        answer.last_byte_at = self._last_byte_at
         answer.ended_at = time.monotonic()
         return answer
 
@@ -122,8 +129,12 @@
         return line
 
     def _more(self) -> bool:
+        if self.patience_s is not None:
+            left = self._sent_at + self.patience_s - time.monotonic()
+            self.socket.settimeout(max(0.001, left))
         data = self.socket.recv(65_536)
         self._data += data
+        self._last_byte_at = time.monotonic() if data else self._last_byte_at
         if data and self.pace is not None:
             self.pace(len(data))
         return bool(data)
--- a/review/stand/runner.py
+++ b/review/stand/runner.py
@@ -2,7 +2,8 @@
 
 It follows the users' pages. Each event of a request goes to the file ``log`` as one JSON line.
 The settings say how it answers: ``kind`` is ``plain`` or ``stream``; ``unframed`` answers have
-neither a length nor chunks and end with their channel.
+neither a length nor chunks and end with their channel. A runner of the kind
+``endless`` is in trouble: its answers are bytes without an event and without an end.
 """
 
 import json
@@ -14,6 +15,7 @@
 from typing import Any
 
 PIECE = 65_536  # bytes written at once
+NO_ANSWER = (b": " + b"." * 1020 + b"\n\n") * 32  # lines of a stream that hold no event
 
 
 def plain_body(request_id: str, size: int) -> bytes:
@@ -70,7 +72,9 @@
         self.log.write(event="run", request=request_id, runner=self.cfg["id"], bytes=len(body))
         del body
         time.sleep(self.cfg.get("work_s", 0.0))
-        if self.cfg["kind"] == "stream":
+        if self.cfg["kind"] == "endless":
+            self._send_without_end(request_id)
+        elif self.cfg["kind"] == "stream":
             self._send_stream(request_id)
         else:
             self._send_plain(request_id)
@@ -122,6 +126,21 @@
             self.wfile.flush()
             time.sleep(self.cfg.get("pause_s", 0.0))
 
+    def _send_without_end(self, request_id: str) -> None:
+        """Send bytes that are no answer in a body, until the caller closes."""
+        stamp = ("X-Answer-Stamp", f"stamp-{request_id}")
+        kind = ("Content-Type", "text/event-stream")
+        self._head(200, request_id, stamp, kind, *self._framing(0))
+        sent = 0
+        try:
+            while True:
+                self.wfile.write(NO_ANSWER)
+                self.wfile.flush()
+                sent += len(NO_ANSWER)
+                time.sleep(self.cfg.get("pause_s", 0.0))
+        finally:
+            self.log.write(event="closed by the caller", request=request_id, bytes=sent)
+
     def _send_stream(self, request_id: str) -> None:
         events = self.cfg["events"]
         stamp = ("X-Answer-Stamp", f"stamp-{request_id}")
