--- a/review/stand/deployment.py
+++ b/review/stand/deployment.py
@@ -216,7 +216,8 @@
 
 
 def finish(check: Callable[[], bool]) -> None:
-    """Run a case and exit with its status."""
+    """Run a case and exit with its status; SIGTERM ends it and all that it started."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     try:
         broken = check()
     except Exception:
