Log and count the rate limits that endpoints name

Cause: no log line or metric told what a gateway knew of a limit, so that "nothing reads it", "each keeps it and the sum exceeds it" and "another kind of request exceeds it" could not be told apart. Change: the header is decoded once (lowest readable value; negative, exponent, infinite or other text is logged and neither sets nor ends a limit), and judged in decisions/stated_limits.py by when the request was sent, since responses overtake each other. Events 721 and 722, a gauge, and a counter of attempts to limited endpoints. No decision uses it yet.

--- a/chivewall/events.py
+++ b/chivewall/events.py
@@ -90,6 +90,8 @@
     ENDPOINT_ENTRY_IGNORED = (717, "info", "endpoint's entry is older than what is known")
     GATEWAY_DRAINED = (718, "info", "gateway has ended its calls before it stops")
     ENDPOINT_LEAVING = (720, "info", "endpoint leaves; it gets no new requests")
+    ENDPOINT_LIMIT = (721, "info", "endpoint changed the rate limit that it names")
+    ENDPOINT_LIMIT_REJECTED = (722, "warning", "endpoint names a rate limit that can't be read")
     SPEED_LEARNED = (710, "info", "learned speeds of a service changed")
     PEER_UNREACHABLE = (708, "warning", "datagram to another gateway not sent")
 
--- a/chivewall/gateway/announcement_messages.py
+++ b/chivewall/gateway/announcement_messages.py
@@ -2,6 +2,7 @@
 
 from attrs import frozen
 
+from chivewall.gateway.http_dialect import StatedLimit
 from chivewall.gateway.routing_configuration import EndpointInfo
 from chivewall.task import Inbox
 
@@ -20,6 +21,22 @@
     endpoint: EndpointInfo  # as known when the request was sent
 
 
+@frozen
+class EndpointLimit:
+    """A response of an endpoint named a limit, or no longer does."""
+
+    endpoint: EndpointInfo  # as known when the request was sent
+    limit: StatedLimit | None  # ``None``: the response names none
+    sent_at: float  # when the request was sent
+
+
+@frozen
+class FollowLimits:
+    """Set the endpoints whose responses are reported also if they name no limit."""
+
+    endpoints: frozenset[str]  # ids
+
+
 @frozen
 class LeavingNews:
     """The process of an endpoint leaves, as reported between gateways."""
--- a/chivewall/gateway/announcements.py
+++ b/chivewall/gateway/announcements.py
@@ -1,11 +1,17 @@
 """What endpoints announced of themselves, as the ``Fleet`` task keeps and logs it."""
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from chivewall.decisions.availability import LeavingNotice, LeavingNotices, NoticeSource
+from chivewall.decisions.stated_limits import (
+    LimitSource,
+    LimitStatement,
+    StatedLimits,
+    effective_rate,
+)
 from chivewall.environment import Environment
 from chivewall.events import Event
-from chivewall.gateway.announcement_messages import LeavingNews
+from chivewall.gateway.announcement_messages import EndpointLimit, LeavingNews
 from chivewall.gateway.http_dialect import ResponseFields
 from chivewall.gateway.routing_configuration import EndpointInfo
 
@@ -22,10 +28,11 @@
 
 @define
 class Announcements:
-    """Records notices of leaving, and logs each new one."""
+    """Records notices of leaving and stated limits, and logs each new one."""
 
     env: Environment
     notices: LeavingNotices = field(factory=LeavingNotices)
+    limits: StatedLimits = field(factory=StatedLimits)
 
     def record_response(self, info: EndpointInfo, *, listed: bool) -> LeavingNews | None:
         """Record that an endpoint said that it leaves; return the news if it was not known."""
@@ -52,6 +59,15 @@
         The clock of the new one may have stepped back, so its start doesn't tell it from the other.
         """
         self.notices.forget(replaced.id, replaced.started_ms or 0)
+        self.forget_limit(replaced.id)
+
+    def forget_limit(self, endpoint: str) -> None:
+        """Drop the limit of an endpoint whose process has been replaced or has left."""
+        known = self.limits.statement(endpoint)
+        if known is None:
+            return
+        self.limits.forget(endpoint)
+        self._log_limit(evolve(known, rate=None, source=LimitSource.LIST))
 
     def record_unlisted(self, endpoint: str) -> None:
         """Record that an endpoint's entry was removed."""
@@ -61,6 +77,44 @@
         """Return the notice of an endpoint id, or ``None``."""
         return self.notices.get(endpoint, self.env.now)
 
+    def record_limit(self, message: EndpointLimit) -> LimitStatement | None:
+        """Record what a response says of the endpoint's limit; return it if it changes the limit.
+
+        A value that can't be read neither sets a limit nor ends one.
+        """
+        info, limit = message.endpoint, message.limit
+        if limit is not None and limit.rate is None:
+            self.env.log.emit(
+                Event.ENDPOINT_LIMIT_REJECTED, endpoint=info.id, value=ascii(limit.text)
+            )
+            return None
+        statement = LimitStatement(
+            endpoint=info.id,
+            started_ms=info.started_ms or 0,
+            rate=None if limit is None else limit.rate,
+            sent_at=message.sent_at,
+            received_at=self.env.now,
+            source=LimitSource.RESPONSE,
+        )
+        return statement if self._record_limit(statement) else None
+
+    def _record_limit(self, statement: LimitStatement) -> bool:
+        changed = self.limits.record(statement)
+        if changed:
+            self._log_limit(statement)
+        return changed
+
+    def _log_limit(self, statement: LimitStatement) -> None:
+        self.env.log.emit(
+            Event.ENDPOINT_LIMIT,
+            endpoint=statement.endpoint,
+            started_ms=statement.started_ms,
+            rate=effective_rate(statement.rate),
+            source=statement.source.value,
+            age=round(self.env.now - statement.received_at, 3),
+            limited_endpoints=len(self.limits),
+        )
+
     def _record(self, news: LeavingNews, source: NoticeSource, *, listed: bool) -> bool:
         notice = LeavingNotice(news.endpoint, news.started_ms, source, self.env.now)
         is_new = self.notices.record(notice, listed=listed)
--- a/chivewall/gateway/channels.py
+++ b/chivewall/gateway/channels.py
@@ -13,7 +13,12 @@
 from chivewall.addresses import Address, describe_address
 from chivewall.environment import Environment
 from chivewall.errors import StoreUnavailableError
-from chivewall.gateway.announcement_messages import EndpointLeaving, SubscribeToAnnouncements
+from chivewall.gateway.announcement_messages import (
+    EndpointLeaving,
+    EndpointLimit,
+    FollowLimits,
+    SubscribeToAnnouncements,
+)
 from chivewall.gateway.announcements import is_from
 from chivewall.gateway.byte_budget import MAX_RESPONSE_BYTES
 from chivewall.gateway.exchange_messages import (
@@ -93,6 +98,7 @@
         self._probes: dict[Address, list[ProbeAddress]] = {}
         self._numbers = itertools.count(1)
         self._announcement_subscriber: Inbox | None = None
+        self._followed_limits: frozenset[str] = frozenset()  # ids of endpoints
 
     def start(self) -> None:
         """Start the task and the checks for connections that were idle too long."""
@@ -179,8 +185,7 @@
         if connection is None:
             self._connect(request)
         else:
-            self._busy[request.exchange] = connection
-            connection.send(request)
+            self._send(connection, request)
 
     @receive.register
     async def _(self, message: CancelExchange) -> None:
@@ -198,8 +203,7 @@
         if self._connecting.pop(message.request.exchange, None) is None:
             connection.cancel()
             return
-        self._busy[message.request.exchange] = connection
-        connection.send(message.request)
+        self._send(connection, message.request)
 
     @receive.register
     async def _(self, message: ConnectFailed) -> None:
@@ -243,6 +247,15 @@
     async def _(self, message: SubscribeToAnnouncements) -> None:
         self._announcement_subscriber = message.inbox
 
+    @receive.register
+    async def _(self, message: FollowLimits) -> None:
+        self._followed_limits = message.endpoints
+
+    def _send(self, connection: OutgoingConnection, request: OutgoingRequest) -> None:
+        self._busy[request.exchange] = connection
+        connection.sent_at = self.env.now
+        connection.send(request)
+
     def _take_idle(self, request: OutgoingRequest) -> OutgoingConnection | None:
         connections = self._idle.get(request.address, [])
         now = self.env.now
@@ -297,13 +310,15 @@
         return self.env.require(HttpDialect).decode_response(status, headers)
 
     def _report_announcements(
-        self, endpoint: EndpointInfo, status: int, fields: ResponseFields
+        self, endpoint: EndpointInfo, status: int, fields: ResponseFields, sent_at: float
     ) -> None:
         """Pass on what an endpoint says of itself, also in a response that no request waits for."""
         if self._announcement_subscriber is None or not is_from(endpoint, status, fields):
             return
         if fields.leaving:
             self._announcement_subscriber.put(EndpointLeaving(endpoint))
+        if fields.limit is not None or endpoint.id in self._followed_limits:
+            self._announcement_subscriber.put(EndpointLimit(endpoint, fields.limit, sent_at))
 
     def _record_data(self, connection: OutgoingConnection) -> None:
         self._last_data_at[connection.address] = self.env.now
--- a/chivewall/gateway/endpoint_list.py
+++ b/chivewall/gateway/endpoint_list.py
@@ -205,6 +205,7 @@
 
     def _drop(self, name: str) -> None:
         del self.records[name]
+        self.announcements.forget_limit(name)
         self.history.record_left(name, self.env.now)
 
 
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -19,6 +19,8 @@
 from chivewall.events import Event
 from chivewall.gateway.announcement_messages import (
     EndpointLeaving,
+    EndpointLimit,
+    FollowLimits,
     LeavingNews,
     PeerLeavingNews,
     SubscribeToAnnouncements,
@@ -96,6 +98,7 @@
         self.prefill_loads: dict[str, PrefillLoad] = {}  # by service
         self.peer_work: OrderedDict[WorkKey, str] = OrderedDict()  # endpoint id of each attempt
         self.work_subscriber: Inbox | None = None  # receives the attempts of this gateway
+        self.connections: Inbox | None = None  # of the task that reports what endpoints announce
         self.waits = EndpointWaits()
 
     def reload(self, cfg: FleetSettings) -> None:
@@ -341,6 +344,11 @@
             self._apply_notice(info.id)
             self._share(news)
 
+    @receive.register
+    async def _(self, message: EndpointLimit) -> None:
+        if self.announcements.record_limit(message) is not None:
+            self._follow_limits()
+
     @receive.register
     async def _(self, message: PeerLeavingNews) -> None:
         for news in message.news:
@@ -394,6 +402,12 @@
             state.notice = self.announcements.notice(endpoint)
             self._end_waits()
 
+    def _follow_limits(self) -> None:
+        """Let the end of each limit be reported."""
+        limited = frozenset(one.endpoint for one in self.announcements.limits)
+        if self.connections is not None:
+            self.connections.put(FollowLimits(limited))
+
     def _avoid(self, state: EndpointRecord) -> None:
         state.record_failed_connection(self.env.now)
         self.env.log.emit(
@@ -467,8 +481,10 @@
 
     async def start(self) -> None:
         """Start the task, and subscribe it to what endpoints announce."""
+        connections = self.env.require(ConnectionPool)
+        self.fleet.connections = connections.inbox
         self.fleet.start()
-        self.env.require(ConnectionPool).send(SubscribeToAnnouncements(self.fleet.inbox))
+        connections.send(SubscribeToAnnouncements(self.fleet.inbox))
 
     async def stop(self) -> None:
         """Stop the task."""
--- a/chivewall/gateway/http_dialect.py
+++ b/chivewall/gateway/http_dialect.py
@@ -66,6 +66,14 @@
     last_event_id: str | None = None
 
 
+@frozen
+class StatedLimit:
+    """A limit on the requests of all gateways that an endpoint names in a response."""
+
+    rate: float | None  # requests a second; ``None``: the value can't be read
+    text: str = ""  # as received, for the log
+
+
 @frozen
 class ResponseFields:
     """Decoded headers of an endpoint's response."""
@@ -76,6 +84,7 @@
     endpoint: str | None = None
     retry_after: float | None = None  # seconds
     leaving: bool = False  # the endpoint says that it is being taken out of service
+    limit: StatedLimit | None = None  # ``None``: the endpoint names none
 
 
 @frozen
--- a/chivewall/gateway/metrics.py
+++ b/chivewall/gateway/metrics.py
@@ -67,6 +67,16 @@
         self.leaving = self._counter(
             "endpoints_leaving_total", "Notices that an endpoint leaves, by how they were learned."
         )
+        self.limited_endpoints = Gauge(
+            "chivewall_gateway_limited_endpoints",
+            "Endpoints that name a rate limit now.",
+            registry=self.registry,
+        )
+        self.limited_attempts = self._counter(
+            "limited_attempts_total",
+            "Attempts sent to endpoints that name a rate limit, by endpoint and kind.",
+        )
+        self._limits: set[str] = set()  # ids of the endpoints that name one
         self.blocked_parts = Gauge(
             "chivewall_gateway_blocked_prompt_parts",
             "Prompt parts that are blocked now.",
@@ -103,12 +113,24 @@
             if fields["first_after"] is not None:
                 self.first_event_seconds.observe(route, fields["first_after"])
         elif event is Event.CALL_ATTEMPT:
-            self.attempts.inc({"kind": "prefill" if fields["prefill"] else "run"})
+            kind = {"kind": "prefill" if fields["prefill"] else "run"}
+            self.attempts.inc(kind)
+            if fields["endpoint"] in self._limits:
+                self.limited_attempts.inc({"endpoint": fields["endpoint"], **kind})
+        elif event is Event.ENDPOINT_LIMIT:
+            self._observe_limit(fields)
         elif event in (Event.PROMPT_PART_BLOCKED, Event.PROMPT_PART_CLEARED):
             self.blocked_parts.set({}, fields["blocked_parts"])
         else:
             self._observe_store(event, fields)
 
+    def _observe_limit(self, fields: dict[str, Any]) -> None:
+        self.limited_endpoints.set({}, fields["limited_endpoints"])
+        if fields["rate"] is None:
+            self._limits.discard(fields["endpoint"])
+        else:
+            self._limits.add(fields["endpoint"])
+
     def _observe_store(self, event: Event, fields: dict[str, Any]) -> None:
         if event is Event.CATALOGUE_IN_FORCE and "peer" in fields:
             self.peer_configurations.inc({})
--- a/chivewall/gateway/outgoing_connection.py
+++ b/chivewall/gateway/outgoing_connection.py
@@ -36,7 +36,8 @@
 IDLE_MARGIN_SECONDS = 0.5  # an idle connection is closed this long before the endpoint would
 DecodeFields = Callable[[int, Headers], ResponseFields]
 ConnectionCallback = Callable[["OutgoingConnection"], None]
-ResponseCallback = Callable[[EndpointInfo, int, ResponseFields], None]
+# Called with the endpoint that the request was for, status, fields, and when it was sent.
+ResponseCallback = Callable[[EndpointInfo, int, ResponseFields, float], None]
 
 
 class OutgoingConnection(Protocol):
@@ -52,6 +53,7 @@
         self.request: OutgoingRequest | None = None
         self.endpoint: EndpointInfo | None = None  # endpoint that requests were meant for
         self.exchange = 0  # number of the latest exchange
+        self.sent_at = 0.0  # time at which its request was sent
         self.idle_until = 0.0  # time after which the endpoint may close the connection
         self.idle_since = 0.0
         self.completed_exchanges = 0  # exchanges completed on this connection
@@ -167,11 +169,12 @@
     def _handle_head(self, event: h11.Response) -> None:
         headers = tuple(event.headers.raw_items())
         fields = self.decode_fields(event.status_code, headers)
-        if self.request.endpoint is not None:
-            self.on_head(self.request.endpoint, event.status_code, fields)
         expected = self.request.request_id
         # Endpoints name the request in each response; one without an id may belong to any.
         self._skipping_response = expected is not None and fields.request_id != expected
+        if self.request.endpoint is not None:
+            sent_at = 0.0 if self._skipping_response else self.sent_at  # of an earlier request
+            self.on_head(self.request.endpoint, event.status_code, fields, sent_at)
         if self._skipping_response:
             return
         self._response_started = True
--- a/chivewall/platform/headers.py
+++ b/chivewall/platform/headers.py
@@ -1,5 +1,7 @@
 """The platform's HTTP headers and bodies, behind the protocol ``HttpDialect``."""
 
+import re
+
 from chivewall.errors import RequestError
 from chivewall.gateway.http_dialect import (
     CallerRequest,
@@ -9,6 +11,7 @@
     PromptPart,
     RequestFields,
     ResponseFields,
+    StatedLimit,
 )
 from chivewall.integers import parse_digits
 from chivewall.platform.fields import integer, json_object, parse_json, string
@@ -24,6 +27,9 @@
 ENDPOINT_ID = b"x-runner-id"
 RETRY_AFTER = b"retry-after"
 LEAVING = b"server-leaving"
+LIMIT = b"server-limit"  # requests a second from all gateways together
+DECIMAL = re.compile(r"[0-9]{1,20}(\.[0-9]{0,20})?|\.[0-9]{1,20}")
+MAX_LOGGED_VALUE = 64  # characters of a value that can't be read
 HOP_BY_HOP = frozenset(
     {
         b"connection",
@@ -102,6 +108,7 @@
             endpoint=_first_value(headers, ENDPOINT_ID),
             retry_after=_seconds(_first_value(headers, RETRY_AFTER)),
             leaving=_first_value(headers, LEAVING) == "1",
+            limit=_limit(headers),
         )
 
     def response_headers(self, headers: Headers) -> Headers:
@@ -167,6 +174,23 @@
         return None  # a date or an invalid value; the header is only a hint
 
 
+def _limit(headers: Headers) -> StatedLimit | None:
+    """Return the lowest of the limits that the headers name.
+
+    Values that are no decimal numbers are left out: negative ones, exponents, infinity.
+    """
+    values = [
+        one.strip()
+        for name, value in headers
+        if name.lower() == LIMIT
+        for one in value.decode("latin-1").split(",")
+    ]
+    if not values:
+        return None
+    rates = [float(one) for one in values if DECIMAL.fullmatch(one)]
+    return StatedLimit(min(rates, default=None), ",".join(values)[:MAX_LOGGED_VALUE])
+
+
 def _token_count(value: str | None) -> tuple[int, int]:
     """Parse ``PROMPT,OUTPUT``; a malformed value counts as 0 tokens and is forwarded as it is."""
     if value is None:
