Show that an endpoint gets more requests than the limit that it names

Seen: one gateway, one endpoint that names a limit of 2 requests a second and a free one beside it: the limited one got 37 of 80 requests in 4 s, where 17 are allowed. Change: the stand-in of an endpoint names a limit and records when requests arrive. Conclusion: the fault needs neither several gateways nor a change; reading alone causes it.

--- a/chivewall/standins/platform_endpoint.py
+++ b/chivewall/standins/platform_endpoint.py
@@ -39,6 +39,8 @@
     down_seconds: float = 1.5  # time from a crash to the restart
     crash_count: int = 0
     leaving: bool = False  # all responses say that it is being taken out of service
+    limit: str | None = None  # named in all responses: requests a second from all gateways
+    arrivals: list[float] = field(factory=list)  # times of the requests with an id
     started_ms: int = 1  # start of its process, in the store's list
     _server: ThreadedServer | None = field(default=None, init=False)
     _lock: threading.Lock = field(factory=threading.Lock, init=False)
@@ -76,6 +78,8 @@
             self.received_headers.append(
                 {name.lower(): value for name, value in handler.headers.items()}
             )
+            if handler.request_id:
+                self.arrivals.append(time.monotonic())
             behaviour = self.behaviours.pop(0) if self.behaviours else answer
         if handler.prompt_part_ids() & self.deadly_parts and not handler.prefill_only():
             behaviour = crash
@@ -134,6 +138,8 @@
             self.send_header("X-Answer-Stamp", ANSWER_STAMP)
         if self.endpoint.leaving:
             self.send_header("Server-Leaving", "1")
+        if self.endpoint.limit is not None:
+            self.send_header("Server-Limit", self.endpoint.limit)
         for name, value in headers:
             self.send_header(name, value)
         self.end_headers()
