Share the rate limit of an endpoint among the gateways by permits

Seen by callers and endpoints: an endpoint that named a limit got as many requests as before (4.2 to 6.5 a second at limits of 1.4 to 2.9). Ruled out: a share of the limit for each gateway. It holds only while their number is known; with 68 gateways and 2 requests a second the first request of each is already too many. Change: one live gateway keeps the limit of an endpoint, by rendezvous hashing, and grants permits for single requests, the most urgent first with a turn for the others; an ask that can't be granted in time is denied at once, with the wait. Prefills, hand-overs, repeats and resumptions need one. Placement counts the expected wait, so a free endpoint goes first, and a request that would wait too long is refused at once with that wait as Retry-After. Limits are told to the other gateways at once, to newcomers, and again in hellos. Gateways that disagree on who is live grant parts of the limit (a half at the second place; by the number of gateways seen on each side of a partition). A stopping gateway says goodbye. Datagrams have version 7. Settings of gateways list the new plug-in `chivewall.gateway.rate_limits`. Why it works: each request at an endpoint is counted in one place, before it is sent. The others play loss, freezes, deaths, restarts and partitions of 5 to 68 gateways on a virtual clock.

--- a/chivewall/decisions/endpoint_record.py
+++ b/chivewall/decisions/endpoint_record.py
@@ -17,6 +17,7 @@
     WorkKey,
 )
 from chivewall.decisions.speeds import FactorEstimator, ServiceSpeeds
+from chivewall.decisions.stated_limits import LimitStatement
 from chivewall.gateway.http_dialect import RequestFields
 from chivewall.gateway.routing_configuration import EndpointInfo, Stage
 
@@ -63,6 +64,9 @@
     missing_since: float | None = None  # when a restored store was found not to have its entry
     unlisted_at: float | None = None  # when it left the list; it is then only a last resort
     notice: LeavingNotice | None = None  # the latest notice of leaving about its id
+    limit: LimitStatement | None = None  # the latest limit that its id has named
+    # Time before which no permit is expected for a request, by its rank.
+    _permits_at: dict[int, float] = field(factory=dict, init=False)
     # Prefix key to the time of its last use.
     _prefixes: OrderedDict = field(factory=OrderedDict, init=False)
 
@@ -93,6 +97,25 @@
             and self.cooldown_until <= now
         )
 
+    @property
+    def rate_limit(self) -> float | None:
+        """Return the requests a second that it takes from all gateways, or ``None`` for any."""
+        if self.limit is None or not self.limit.concerns(self.info.id, self.info.started_ms or 0):
+            return None
+        return self.limit.rate
+
+    def record_permit_expected(self, rank: int, at: float, now: float) -> None:
+        """Record that no permit is expected before a time for requests of a rank."""
+        self._permits_at = {one: due for one, due in self._permits_at.items() if due > now}
+        self._permits_at[rank] = at
+
+    def permit_wait(self, now: float, rank: int) -> float:
+        """Return the seconds until a permit is expected for a request, as far as is known."""
+        if self.rate_limit is None:
+            return 0.0
+        times = [due for one, due in self._permits_at.items() if one <= rank]
+        return max([0.0, *(due - now for due in times)])
+
     def speed(self, now: float) -> EngineSpeed:
         """Return how fast it prefills."""
         service = self.service_speeds.current
--- a/chivewall/decisions/overload.py
+++ b/chivewall/decisions/overload.py
@@ -27,15 +27,24 @@
 
 
 def admit(
-    estimate: float, slack_seconds: float, time_left_seconds: float, rng: random.Random
+    estimate: float,
+    slack_seconds: float,
+    time_left_seconds: float,
+    rng: random.Random,
+    *,
+    permit_seconds: float = 0.0,
 ) -> Overloaded | None:
     """Return ``None`` if a request is admitted, or why not.
 
     ``estimate``: expected seconds to the first event or the response;
-    ``slack_seconds``: seconds to the objective; ``time_left_seconds``: to the deadline.
+    ``slack_seconds``: seconds to the objective; ``time_left_seconds``: to the deadline;
+    ``permit_seconds``: part of the estimate that it would wait for endpoints with a rate limit.
     """
     if estimate <= max(slack_seconds, LATE_SHARE * time_left_seconds):
         return None
     # After this time the queue is short enough for a request with the same time left.
-    seconds = (estimate - LATE_SHARE * time_left_seconds) * rng.uniform(*RETRY_SPREAD)
+    seconds = estimate - LATE_SHARE * time_left_seconds
+    # The queue for permits is as long as callers' patience while demand is above the limits, so
+    # it is no shorter for a caller who comes back before the permit that it would have got.
+    seconds = max(seconds, permit_seconds) * rng.uniform(*RETRY_SPREAD)
     return Overloaded(min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, seconds)), estimate)
--- a/chivewall/decisions/peers.py
+++ b/chivewall/decisions/peers.py
@@ -22,6 +22,10 @@
 PEER_TIMEOUT_SECONDS = 6.0
 GOSSIP_TIMEOUT_SECONDS = 12.0
 ADDRESSES_IN_HELLO = 40  # other gateways named in a hello, with the age of the news of them
+# Gateways that fell silent are remembered for this long: they may live behind a partition.
+REMEMBERED_SECONDS = 60.0
+# Another gateway may still name one that has ended: its news is under way, and ages are rounded.
+LEFT_MARGIN_SECONDS = 1.0
 # A gateway sends its records to at most this many others. In a larger system, each gateway
 # estimates an endpoint's load from a part of it.
 MAX_PEERS = 40
@@ -43,6 +47,8 @@
     seeds: frozenset[str]  # addresses from the settings
     _live_at: dict[str, float] = field(factory=dict, init=False)
     _namings: dict[str, int] = field(factory=dict, init=False)  # how often each was named
+    _silent_since: dict[str, float] = field(factory=dict, init=False)
+    _left_at: dict[str, float] = field(factory=dict, init=False)  # gateways that said so
     _newcomers: set[str] = field(factory=set, init=False)  # gateways to be answered by a hello
 
     def record_datagram(
@@ -52,9 +58,24 @@
         if address not in self._live_at:
             self._newcomers.add(address)
         self._live_at[address] = now
+        self._left_at.pop(address, None)
         for one, age in known:
             if one != self.own_address and 0 <= age < GOSSIP_TIMEOUT_SECONDS:
-                self._live_at[one] = max(self._live_at.get(one, 0.0), now - age)
+                self._record_named(one, now - age)
+
+    def _record_named(self, address: str, live_at: float) -> None:
+        left_at = self._left_at.get(address)
+        if left_at is None or live_at > left_at + LEFT_MARGIN_SECONDS:
+            self._live_at[address] = max(self._live_at.get(address, live_at), live_at)
+
+    def record_left(self, address: str, now: float) -> None:
+        """Record that a gateway said that it ends; others may still name it for a while."""
+        self._live_at.pop(address, None)
+        self._silent_since.pop(address, None)
+        self._left_at = {
+            one: at for one, at in self._left_at.items() if now - at < GOSSIP_TIMEOUT_SECONDS
+        }
+        self._left_at[address] = now
 
     def is_known(self, address: str) -> bool:
         """Return whether a gateway was known to be live before."""
@@ -71,6 +92,20 @@
             return live
         return sorted(live, key=self._pair_hash)[:MAX_PEERS]
 
+    def live_gateways(self, now: float) -> tuple[str, ...]:
+        """Return the addresses of the live gateways, including this one."""
+        return (self.own_address, *self._live(now))
+
+    def remembered_count(self, now: float) -> int:
+        """Return the number of gateways that are live or fell silent not long ago."""
+        live = self._live(now)
+        self._silent_since = {
+            one: at
+            for one, at in self._silent_since.items()
+            if now - at < REMEMBERED_SECONDS and one not in self._live_at
+        }
+        return 1 + len(live) + len(self._silent_since)
+
     def live_count(self, now: float) -> int:
         """Return the number of other live gateways."""
         return len(self._live(now))
@@ -106,6 +141,7 @@
         )
         for address in [one for one, at in self._live_at.items() if now - at > timeout]:
             del self._live_at[address]
+            self._silent_since[address] = now
         return sorted(self._live_at)
 
     def _pair_hash(self, address: str) -> bytes:
--- a/chivewall/decisions/placement.py
+++ b/chivewall/decisions/placement.py
@@ -15,6 +15,7 @@
 from chivewall.decisions.endpoint_record import EndpointRecord, PrefixChain, prefix_chain
 from chivewall.decisions.overload import Overloaded, admit
 from chivewall.gateway.http_dialect import RequestFields
+from chivewall.gateway.rate_limit_messages import PermitNeed
 from chivewall.gateway.routing_configuration import EndpointInfo, Stage
 
 LOCAL_ROUND_TRIP_SECONDS = 0.0005  # round trip inside a data centre
@@ -31,6 +32,9 @@
 BACKLOG_EXCESS_WEIGHT = 4.0  # cost of each second above that limit; favours a busier prefill engine
 STALL_WEIGHT = 0.05  # cost of each second by which a prefill delays a running stream
 EARLY_WEIGHT = 0.25  # cost of a second of delay while the objective can still be met
+# Cost of asking another gateway for a permit; it also keeps a request at an endpoint for which it
+# has a permit.
+ASK_SECONDS = 0.01
 SLACK_SHARE = 0.8  # usable share of the time to the objective; estimates are off by some tenths
 # A request whose estimate takes more than this share of the slack yields to others: with queues
 # at the full slack, half of the requests would miss their objective by a little.
@@ -55,6 +59,7 @@
     reference_seconds: float = 0.0  # prefill time of these tokens at the reference speed
     decode_backlog_seconds: float = 0.0  # seconds of prefill that then wait at a decode engine
     rank: int = 0  # rank to send it with
+    needs: tuple[PermitNeed, ...] = ()  # permits to acquire before it is sent
 
 
 @frozen
@@ -72,6 +77,10 @@
     pause_seconds: float = 0.3  # longest pause between events that the route's objective allows
     kv_data_centre: str | None = None  # data centre of the engine that keeps the KV cache
     last_resort: bool = True  # endpoints that had better get no work are chosen as a last resort
+    permits: frozenset[str] = frozenset()  # ids of endpoints for which the request has a permit
+    # Rank of its asks for permits. A late request doesn't yield here: unlike the time of an engine,
+    # a permit costs the others the same whether the request is late or not.
+    permit_rank: int = 0
 
 
 class PromptState(Enum):
@@ -95,6 +104,18 @@
     usable = _usable(states, context)
     if not usable:
         return None
+    found = _choose(fields, usable, context, prompt)
+    if not isinstance(found, Placement):
+        return found
+    return evolve(found, needs=_permit_needs(found, usable, context))
+
+
+def _choose(
+    fields: RequestFields,
+    usable: list[EndpointRecord],
+    context: PlacementContext,
+    prompt: PromptState,
+) -> Placement | Overloaded | None:
     if all(one.info.stage is Stage.NONE for one in usable):
         placement = _choose_service_endpoint(usable, context)
         return _admitted(placement, usable, context)
@@ -110,6 +131,35 @@
     return _admitted(placement, usable, context)
 
 
+def _permit_needs(
+    placement: Placement, usable: list[EndpointRecord], context: PlacementContext
+) -> tuple[PermitNeed, ...]:
+    """Return the permits that a placement needs, that of the decode engine first.
+
+    Without one for a prefill engine, the decode engine can prefill the prompt itself.
+    """
+    infos = (placement.endpoint, placement.prefill_engine)
+    states = [one for info in infos for one in usable if one.info is info]
+    return tuple(
+        PermitNeed(
+            endpoint=one.info.id,
+            rate=one.rate_limit,
+            stated_at=one.limit.received_at,
+            rank=context.permit_rank,
+            wait=one.permit_wait(context.now, context.permit_rank),
+        )
+        for one in states
+        if one.rate_limit is not None and one.info.id not in context.permits
+    )
+
+
+def _permit_seconds(state: EndpointRecord, context: PlacementContext) -> float:
+    """Return the expected time to acquire a permit for an endpoint."""
+    if state.rate_limit is None or state.info.id in context.permits:
+        return 0.0
+    return ASK_SECONDS + state.permit_wait(context.now, context.permit_rank)
+
+
 def _admitted(
     placement: Placement,
     usable: list[EndpointRecord],
@@ -118,16 +168,18 @@
 ) -> Placement | Overloaded:
     if context.committed:
         return placement  # a refusal would not be true, or would cut its stream
-    chosen = (placement.endpoint, placement.prefill_engine)
+    infos = (placement.endpoint, placement.prefill_engine)
+    chosen = [one for one in usable if one.info in infos]
     # Failures make an endpoint less attractive, but callers don't wait for them.
     failure_seconds = FAILURE_SECONDS * sum(
-        one.current_failure_share(context.now) for one in usable if one.info in chosen
+        one.current_failure_share(context.now) for one in chosen
     )
     refused = admit(
         placement.estimate - failure_seconds + overtaken_seconds,
         context.slack_seconds,
         context.time_left_seconds,
         context.rng,
+        permit_seconds=sum(_permit_seconds(one, context) for one in chosen),
     )
     return placement if refused is None else refused
 
@@ -184,6 +236,7 @@
         )
         return (
             _round_trip_seconds(state, context)
+            + _permit_seconds(state, context)
             + call_seconds * (1 + waiting + 0.5 * state.in_flight / state.info.slots)
             + FAILURE_SECONDS * state.current_failure_share(context.now)
             + state.info.warmup_left_ms * 1e-6
@@ -315,7 +368,8 @@
     decode_wait, decoder = waits.best(state.info.data_centre)
     speed = state.speed(context.now)
     seconds = (
-        state.prefill_wait(context.now, context.rank)
+        _permit_seconds(state, context)
+        + state.prefill_wait(context.now, context.rank)
         + reference * speed.scale
         + speed.response_seconds
         + _round_trip_seconds(state, context)
@@ -368,6 +422,7 @@
     first_event = state.first_event_seconds(context.now, fetched=fetched)
     return (
         _round_trip_seconds(state, context)
+        + _permit_seconds(state, context)
         + prefill_wait
         + first_event * (1 + EXCESS_REQUEST_SHARE * excess_requests)
         + FAILURE_SECONDS * state.current_failure_share(context.now)
--- a/chivewall/events.py
+++ b/chivewall/events.py
@@ -92,6 +92,8 @@
     ENDPOINT_LEAVING = (720, "info", "endpoint leaves; it gets no new requests")
     ENDPOINT_LIMIT = (721, "info", "endpoint changed the rate limit that it names")
     ENDPOINT_LIMIT_REJECTED = (722, "warning", "endpoint names a rate limit that can't be read")
+    PERMIT_DECIDED = (723, "info", "permit for an endpoint with a rate limit granted or denied")
+    PERMIT_KEEPER_SILENT = (724, "warning", "gateway that grants permits does not answer")
     SPEED_LEARNED = (710, "info", "learned speeds of a service changed")
     PEER_UNREACHABLE = (708, "warning", "datagram to another gateway not sent")
 
--- a/chivewall/gateway/announcements.py
+++ b/chivewall/gateway/announcements.py
@@ -13,6 +13,7 @@
 from chivewall.events import Event
 from chivewall.gateway.announcement_messages import EndpointLimit, LeavingNews
 from chivewall.gateway.http_dialect import ResponseFields
+from chivewall.gateway.rate_limit_messages import LimitNews
 from chivewall.gateway.routing_configuration import EndpointInfo
 
 
@@ -77,8 +78,8 @@
         """Return the notice of an endpoint id, or ``None``."""
         return self.notices.get(endpoint, self.env.now)
 
-    def record_limit(self, message: EndpointLimit) -> LimitStatement | None:
-        """Record what a response says of the endpoint's limit; return it if it changes the limit.
+    def record_limit(self, message: EndpointLimit) -> LimitNews | None:
+        """Record what a response says of the endpoint's limit; return the news if it changes.
 
         A value that can't be read neither sets a limit nor ends one.
         """
@@ -96,7 +97,32 @@
             received_at=self.env.now,
             source=LimitSource.RESPONSE,
         )
-        return statement if self._record_limit(statement) else None
+        return self._limit_news(statement) if self._record_limit(statement) else None
+
+    def record_limit_news(self, news: LimitNews) -> bool:
+        """Record a limit that another gateway reported; return whether it changes."""
+        statement = LimitStatement(
+            endpoint=news.endpoint,
+            started_ms=news.started_ms,
+            rate=news.rate,
+            sent_at=self.env.now - news.sent_age,
+            received_at=self.env.now - news.received_age,
+            source=LimitSource.PEER,
+        )
+        return self._record_limit(statement)
+
+    def limit_news(self) -> tuple[LimitNews, ...]:
+        """Return the limits that are known, for other gateways."""
+        return tuple(self._limit_news(one) for one in self.limits)
+
+    def _limit_news(self, statement: LimitStatement) -> LimitNews:
+        return LimitNews(
+            endpoint=statement.endpoint,
+            started_ms=statement.started_ms,
+            rate=effective_rate(statement.rate),
+            sent_age=self.env.now - statement.sent_at,
+            received_age=self.env.now - statement.received_at,
+        )
 
     def _record_limit(self, statement: LimitStatement) -> bool:
         changed = self.limits.record(statement)
--- a/chivewall/gateway/endpoint_list.py
+++ b/chivewall/gateway/endpoint_list.py
@@ -166,7 +166,9 @@
             record.info = info
             record.unlisted_at = record.missing_since = None
         self.announcements.record_entry(info)
-        self.records[info.id].notice = self.announcements.notice(info.id)
+        record = self.records[info.id]
+        record.notice = self.announcements.notice(info.id)
+        record.limit = self.announcements.limits.statement(info.id)
         self.env.log.emit(
             Event.ENDPOINT_LISTED,
             endpoint=info.id,
--- a/chivewall/gateway/exchange.py
+++ b/chivewall/gateway/exchange.py
@@ -12,6 +12,7 @@
 from chivewall.gateway.fleet import Fleet
 from chivewall.gateway.http_dialect import CallerRequest, ForwardedFields, HttpDialect, ResponseHead
 from chivewall.gateway.part_guard import PartGuard
+from chivewall.gateway.rate_limits import RateLimits
 from chivewall.gateway.routing_configuration import EndpointInfo, Route, RouteKind
 from chivewall.task import Inbox
 
@@ -33,6 +34,7 @@
     env: Environment
     fleet: Fleet
     guard: PartGuard
+    limits: RateLimits
     connections: ConnectionPool
     dialect: HttpDialect
     response_bytes: ByteBudget = field(factory=lambda: ByteBudget(MAX_TOTAL_RESPONSE_BYTES))
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -53,6 +53,12 @@
 )
 from chivewall.gateway.fleet_settings import FleetSettings, repeat_budget_policy
 from chivewall.gateway.peer_codec import SharedWork, WorkProgress
+from chivewall.gateway.rate_limit_messages import (
+    CurrentLimits,
+    LimitNews,
+    PeerLimitNews,
+    PermitExpected,
+)
 from chivewall.gateway.routing_configuration import EndpointInfo, Stage
 from chivewall.gateway.sources import CollectionSources
 from chivewall.gateway.store_collections import (
@@ -99,6 +105,7 @@
         self.peer_work: OrderedDict[WorkKey, str] = OrderedDict()  # endpoint id of each attempt
         self.work_subscriber: Inbox | None = None  # receives the attempts of this gateway
         self.connections: Inbox | None = None  # of the task that reports what endpoints announce
+        self.limited: frozenset[str] = frozenset()  # endpoints whose limits are followed there
         self.waits = EndpointWaits()
 
     def reload(self, cfg: FleetSettings) -> None:
@@ -184,6 +191,8 @@
             committed=message.committed,
             pause_seconds=message.pause_seconds,
             kv_data_centre=message.kv_data_centre,
+            permits=message.permits,
+            permit_rank=message.rank,
             last_resort=message.last_resort,
         )
         message.reply(choose(message.fields, states, context, message.prompt))
@@ -346,8 +355,28 @@
 
     @receive.register
     async def _(self, message: EndpointLimit) -> None:
-        if self.announcements.record_limit(message) is not None:
-            self._follow_limits()
+        news = self.announcements.record_limit(message)
+        if news is not None:
+            self._share(news)
+        self._apply_limit(message.endpoint.id)
+
+    @receive.register
+    async def _(self, message: PeerLimitNews) -> None:
+        for news in message.news:
+            changed = self.announcements.record_limit_news(news)
+            self._apply_limit(news.endpoint)
+            if changed and message.relay:
+                self._share(news)
+
+    @receive.register
+    async def _(self, message: CurrentLimits) -> None:
+        message.reply(self.announcements.limit_news())
+
+    @receive.register
+    async def _(self, message: PermitExpected) -> None:
+        state = self.states.get(message.endpoint)
+        if state is not None:
+            state.record_permit_expected(message.rank, message.at, self.env.now)
 
     @receive.register
     async def _(self, message: PeerLeavingNews) -> None:
@@ -402,11 +431,14 @@
             state.notice = self.announcements.notice(endpoint)
             self._end_waits()
 
-    def _follow_limits(self) -> None:
-        """Let the end of each limit be reported."""
+    def _apply_limit(self, endpoint: str) -> None:
+        state = self.states.get(endpoint)
+        if state is not None:
+            state.limit = self.announcements.limits.statement(endpoint)
         limited = frozenset(one.endpoint for one in self.announcements.limits)
-        if self.connections is not None:
-            self.connections.put(FollowLimits(limited))
+        if self.connections is not None and limited != self.limited:
+            self.limited = limited
+            self.connections.put(FollowLimits(limited))  # so that the end of a limit is reported
 
     def _avoid(self, state: EndpointRecord) -> None:
         state.record_failed_connection(self.env.now)
@@ -460,7 +492,9 @@
             samples=self.speeds[service].sample_count,
         )
 
-    def _share(self, message: SharedWork | WorkProgress | EngineCooldown | LeavingNews) -> None:
+    def _share(
+        self, message: SharedWork | WorkProgress | EngineCooldown | LeavingNews | LimitNews
+    ) -> None:
         if self.work_subscriber is not None:
             self.work_subscriber.put(message)
 
--- a/chivewall/gateway/fleet_messages.py
+++ b/chivewall/gateway/fleet_messages.py
@@ -29,6 +29,7 @@
     pause_seconds: float = 0.3  # longest pause between events that the objective allows
     kv_data_centre: str | None = None  # data centre of the engine that keeps the KV cache
     last_resort: bool = True  # endpoints that had better get no work are chosen as a last resort
+    permits: frozenset[str] = frozenset()  # ids of endpoints for which the request has a permit
 
 
 @define(eq=False)
--- a/chivewall/gateway/forwarded_request.py
+++ b/chivewall/gateway/forwarded_request.py
@@ -64,6 +64,7 @@
 from chivewall.gateway.prefill_progress import PrefillProgress
 from chivewall.gateway.received_response import ReceivedResponse
 from chivewall.gateway.request_log import RequestLog
+from chivewall.gateway.request_permits import MAX_DENIED, PermitsAcquired, RequestPermits
 from chivewall.gateway.routing_configuration import EndpointInfo, Route, RouteKind, Stage
 from chivewall.messages import Tick
 from chivewall.results import ResultCode
@@ -116,6 +117,7 @@
         self.received = ReceivedResponse(context.response_bytes)
         self.first_sent_to = False  # the exchange is the first one with its endpoint
         self.repeat_spent = False  # the repeat of the next attempt was taken from the budget
+        self.prefill_repeat_spent = False  # the same for a further prefill
         self.first_bytes_reported = False  # of the exchange
         self.stall_checked = False  # the progress of the exchange's stream is checked
         self.next_event_by = 0.0  # time by which the stream must have made progress
@@ -133,6 +135,12 @@
             sender=self.inbox,
             request_id=request.fields.request_id,
         )
+        self.permits = RequestPermits(
+            env=context.env,
+            limits=context.limits,
+            request_id=request.fields.request_id,
+            sender=self.inbox,
+        )
         self._timers: list = []
 
     def start(self) -> None:
@@ -272,6 +280,23 @@
         else:
             await self._give_up(AttemptOutcome.NO_ENDPOINT, "no endpoint is left that may run it")
 
+    @receive.register
+    async def _(self, message: PermitsAcquired) -> None:
+        if self.ended:
+            self.permits.release(message.permits)
+            return
+        self.permits.record(message)
+        if self.permits.denied > MAX_DENIED:
+            await self._attempt_failed(
+                AttemptOutcome.NO_ENDPOINT,
+                "the endpoints take no more requests",
+                next_step=message.step,
+            )
+        elif message.step == "decode":
+            await self._decode()
+        else:
+            await self._place()
+
     @receive.register
     async def _(self, message: PartsSuspected) -> None:
         if self._may_withdraw():
@@ -372,6 +397,7 @@
                 pause_seconds=self.route.pause_ms / MS_PER_SECOND,
                 kv_data_centre=self.prefill.kv_data_centre,
                 last_resort=last_resort,
+                permits=self.permits.endpoints,
             )
         )
 
@@ -411,8 +437,10 @@
             and isinstance(placement, Placement)
             and placement.prefill_engine is not None
         )
-        if prefill_again and not await self.context.fleet.query(SpendRepeat(self.service)):
-            placement = await self._find_placement(PromptState.PREFILL_AT_DECODER)
+        if prefill_again and not self.prefill_repeat_spent:
+            self.prefill_repeat_spent = await self.context.fleet.query(SpendRepeat(self.service))
+            if not self.prefill_repeat_spent:
+                placement = await self._find_placement(PromptState.PREFILL_AT_DECODER)
         if isinstance(placement, Overloaded):
             await self._give_up(
                 AttemptOutcome.NOT_RUN,
@@ -425,14 +453,27 @@
                 AttemptOutcome.NO_ENDPOINT, "no endpoint can take the request"
             )
             return
+        if self._lacks_permits("place", placement):
+            return
         self.placement = placement
         if placement.prefill_engine is not None:
             self._send_prefill(placement)
         else:
             await self._send_request(placement.endpoint, kv_source=None)
 
+    def _lacks_permits(self, step: str, placement: Placement) -> bool:
+        """Return whether a step must wait for permits; it is taken again once they are decided."""
+        if placement.needs:
+            self.spawn(
+                self.permits.acquire(
+                    step, placement, self.response_deadline, committed=self._committed
+                )
+            )
+        return bool(placement.needs)
+
     def _send_prefill(self, placement: Placement) -> None:
         self.prefill.sent += 1
+        self.prefill_repeat_spent = False
         sent = ForwardedFields(
             time_left_ms=self._time_left_ms(),
             endpoint=placement.prefill_engine.id,
@@ -467,6 +508,7 @@
     def _start_exchange(
         self, endpoint: EndpointInfo, sent: ForwardedFields, *, prefill: bool
     ) -> None:
+        self.permits.use(endpoint.id)
         number = self.context.connections.next_exchange()
         fetches_kv_cache = sent.kv_source is not None
         self.exchange = Exchange(
@@ -594,6 +636,8 @@
                 AttemptOutcome.NO_ENDPOINT, "no engine can decode", next_step="decode"
             )
             return
+        if self._lacks_permits("decode", placement):
+            return
         self.placement = placement
         kv_source = self.context.dialect.kv_source(
             self.prefill.kv_source.address, self.prefill.kv_handle
@@ -659,6 +703,7 @@
     def _wait(self, step: str, reason: str) -> None:
         """Take a step again once an endpoint can answer the request."""
         self.failed_endpoints.clear()
+        self.permits.denied = 0
         not_before = self.env.now + exponential_delay(WAIT_SECONDS, MAX_WAIT_SECONDS, self.waits)
         self.waits += 1
         self.log.log_waiting(reason, self.response_deadline - self.env.now)
@@ -786,6 +831,7 @@
     def _finish(self, outcome: str, **fields: object) -> None:
         self.ended = True
         self.prompt.end()
+        self.permits.release()
         self.received.start(None)
         if (kept := self.prefill.release()) is not None:
             self.context.fleet.spawn(release_kv_cache(self.context, *kept))
--- a/chivewall/gateway/gateway.py
+++ b/chivewall/gateway/gateway.py
@@ -24,6 +24,7 @@
 from chivewall.gateway.http_dialect import CallerRequest, HttpDialect
 from chivewall.gateway.ingress_connection import IngressConnection
 from chivewall.gateway.part_guard import PartGuard
+from chivewall.gateway.rate_limits import RateLimits
 from chivewall.gateway.routing_configuration import IngressLimits, RoutingConfiguration
 from chivewall.gateway.sources import CollectionSources
 from chivewall.gateway.store_collections import (
@@ -313,6 +314,7 @@
             env=self.env,
             fleet=self.env.require(Fleet),
             guard=self.env.require(PartGuard),
+            limits=self.env.require(RateLimits),
             connections=self.env.require(ConnectionPool),
             dialect=self.env.require(HttpDialect),
         )
--- a/chivewall/gateway/peer_codec.py
+++ b/chivewall/gateway/peer_codec.py
@@ -17,13 +17,16 @@
 )
 from chivewall.decisions.speeds import Line, ServiceSpeed
 from chivewall.errors import DecodeError
+from chivewall.gateway import permit_codec
 from chivewall.gateway.announcement_messages import LeavingNews
+from chivewall.gateway.rate_limit_messages import EndedAsk, LimitNews, SharedAsk, SharedRuling
 
-VERSION = 6
+VERSION = 7
 MAX_DATAGRAM_BYTES = 1_200  # a larger datagram could be fragmented on the way
 MAX_TAG_CHARS = 16  # of a request, in news of suspected prompt parts
 MAX_SECONDS = 1000.0  # a larger time is an error of the sender
 EMPTY_DATAGRAM_BYTES = 33  # size of a datagram without items
+LIMIT_DATAGRAM_BYTES = 16  # size of the parts about rate limits, which most datagrams leave out
 
 
 @frozen
@@ -61,6 +64,11 @@
     leaving: tuple[LeavingNews, ...] = ()  # endpoints that leave
     configuration_version: int = 0  # that the sender has in force; 0: not told
     store_era: int = 0  # newest era of the store that the sender has seen; 0: not told
+    limits: tuple[LimitNews, ...] = ()  # rate limits that endpoints name
+    asks: tuple[SharedAsk, ...] = ()  # for permits that the receiver grants
+    rulings: tuple[SharedRuling, ...] = ()  # on asks of the receiver
+    ended_asks: tuple[EndedAsk, ...] = ()
+    ends: bool = False  # the sender ends
 
 
 def encode(message: PeerMessage) -> bytes:
@@ -78,6 +86,15 @@
         message.configuration_version,
         message.store_era,
     ]
+    limit_parts = [
+        [permit_codec.encode_news(one) for one in message.limits],
+        [permit_codec.encode_ask(one) for one in message.asks],
+        [permit_codec.encode_ruling(one) for one in message.rulings],
+        [permit_codec.encode_ended(one) for one in message.ended_asks],
+        int(message.ends),
+    ]
+    if any(limit_parts):
+        document += limit_parts
     return json.dumps(document, separators=(",", ":")).encode()
 
 
@@ -87,7 +104,8 @@
         format_version, *rest = json.loads(datagram)
         if format_version != VERSION:
             raise DecodeError(f"datagram version {format_version!r} is unknown")
-        known, work, cooldowns, prefilled, ended, speeds, parts, leaving, version, era = rest
+        known, work, cooldowns, prefilled, ended, speeds, parts, leaving, version, era = rest[:10]
+        limits, asks, rulings, ended_asks, ends = rest[10:] or ([], [], [], [], 0)
         return PeerMessage(
             known=tuple((_decode_ip(one), _bounded_seconds(age)) for one, age in known),
             work=tuple(_decode_work(*one) for one in work),
@@ -99,6 +117,11 @@
             leaving=tuple(LeavingNews(str(one), int(started_ms)) for one, started_ms in leaving),
             configuration_version=max(0, int(version)),
             store_era=max(0, int(era)),
+            limits=tuple(permit_codec.decode_news(*one) for one in limits),
+            asks=tuple(permit_codec.decode_ask(*one) for one in asks),
+            rulings=tuple(permit_codec.decode_ruling(*one) for one in rulings),
+            ended_asks=tuple(permit_codec.decode_ended(*one) for one in ended_asks),
+            ends=bool(ends),
         )
     except (ValueError, TypeError, OverflowError, RecursionError) as exc:
         raise DecodeError(f"malformed datagram: {exc}") from exc
@@ -220,6 +243,21 @@
         yield PeerMessage(parts=tuple(packed))
 
 
+def limit_batches(news: Iterable[LimitNews]) -> Iterator[PeerMessage]:
+    """Pack news of rate limits into messages that each fit into one datagram."""
+    packed: list[LimitNews] = []
+    empty = size = EMPTY_DATAGRAM_BYTES + LIMIT_DATAGRAM_BYTES
+    for one in news:
+        length = len(json.dumps(permit_codec.encode_news(one), separators=(",", ":"))) + 1
+        if size + length > MAX_DATAGRAM_BYTES and packed:
+            yield PeerMessage(limits=tuple(packed))
+            packed, size = [], empty
+        packed.append(one)
+        size += length
+    if packed:
+        yield PeerMessage(limits=tuple(packed))
+
+
 def _fit_part(news: PartNews) -> tuple[PartNews, int]:
     """Return news that fits into a datagram, and its encoded length."""
     crashes = sorted(news.crashes, key=lambda one: one[1].at)
--- a/chivewall/gateway/peers.py
+++ b/chivewall/gateway/peers.py
@@ -12,6 +12,7 @@
 from chivewall.addresses import Address
 from chivewall.decisions.crash_evidence import PartNews
 from chivewall.decisions.peers import HELLO_INTERVAL_SECONDS, MAX_PEERS, PeerTable
+from chivewall.decisions.permits import keeper_order
 from chivewall.environment import Environment
 from chivewall.errors import DecodeError
 from chivewall.events import MAX_ERROR_CHARS, Event
@@ -46,8 +47,23 @@
     batches,
     decode,
     encode,
+    limit_batches,
     part_batches,
 )
+from chivewall.gateway.rate_limit_messages import (
+    CurrentLimits,
+    GatewaysChanged,
+    LimitNews,
+    PeerAsk,
+    PeerLimitNews,
+    PeerRelease,
+    PeerRuling,
+    SendAsk,
+    SendRelease,
+    SendRuling,
+    SubscribeToPermits,
+)
+from chivewall.gateway.rate_limits import RateLimits
 from chivewall.gateway.store_eras import EraBegan, EraTold, StoreEras, SubscribeToEras
 from chivewall.messages import Tick
 from chivewall.plugins.base import Plugin
@@ -85,6 +101,11 @@
     """Ask whether this gateway has the lowest address of the live ones; the reply is a ``bool``."""
 
 
+@define(eq=False)
+class SayGoodbye(Query):
+    """Ask to tell the other gateways that this one ends."""
+
+
 class PeerSocket(DatagramProtocol):
     """The UDP socket; passes datagrams to the task."""
 
@@ -100,13 +121,20 @@
     """Exchanges datagrams with the other gateways, and tracks which of them are live."""
 
     def __init__(
-        self, env: Environment, cfg: PeersSettings, fleet: Fleet, guard: PartGuard, eras: Inbox
+        self,
+        env: Environment,
+        cfg: PeersSettings,
+        fleet: Fleet,
+        guard: PartGuard,
+        limits: RateLimits,
+        eras: Inbox,
     ) -> None:
         super().__init__()
         self.env = env
         self.cfg = cfg
         self.fleet = fleet
         self.guard = guard
+        self.limits = limits
         seeds = frozenset(one.rpartition(":")[0] for one in cfg.seeds)
         self.table = PeerTable(own_address=cfg.host, seeds=seeds)
         self.eras = eras  # of the ``StoreEras`` task
@@ -121,6 +149,7 @@
         super().start()
         self.fleet.send(SubscribeToWork(self.inbox))
         self.guard.send(SubscribeToPartNews(self.inbox))
+        self.limits.send(SubscribeToPermits(self.inbox))
         self.eras.put(SubscribeToEras(self.inbox))
         self.send(Tick("hello"))
 
@@ -135,6 +164,7 @@
             self._send_batches()
             return
         self.fleet.send(LiveGateways(1 + self.table.live_count(self.env.now)))
+        self._tell_gateways()
         hello = PeerMessage(
             known=self.table.known_ages(self.env.random, self.env.now),
             speeds=await self.fleet.query(LearnedSpeeds()),
@@ -144,6 +174,7 @@
         targets = self.table.hello_targets(self.env.random, self.env.now)
         self._send(hello, targets)
         self._send_parts(await self.guard.query(CurrentPartNews()), targets)
+        self._send_limits(await self._kept_limits(), targets)
         self.env.clock.callLater(HELLO_INTERVAL_SECONDS, self.send, Tick("hello"))
 
     @receive.register(SharedWork)
@@ -162,6 +193,29 @@
     async def _(self, message: LeavingNews) -> None:
         self._send(PeerMessage(leaving=(message,)), self.table.sharing_targets(self.env.now))
 
+    @receive.register
+    async def _(self, message: LimitNews) -> None:
+        self._send(PeerMessage(limits=(message,)), self.table.sharing_targets(self.env.now))
+
+    @receive.register
+    async def _(self, message: SendAsk) -> None:
+        self._send(PeerMessage(asks=(message.ask,)), [message.gateway])
+
+    @receive.register
+    async def _(self, message: SendRuling) -> None:
+        self._send(PeerMessage(rulings=(message.ruling,)), [message.gateway])
+
+    @receive.register
+    async def _(self, message: SendRelease) -> None:
+        self._send(PeerMessage(ended_asks=(message.ask,)), [message.gateway])
+
+    @receive.register
+    async def _(self, message: SayGoodbye) -> None:
+        targets = self.table.hello_targets(self.env.random, self.env.now)
+        hosts = sorted({*targets, *self.table.sharing_targets(self.env.now)})
+        self._send(PeerMessage(ends=True), hosts)
+        message.reply(None)
+
     @receive.register
     async def _(self, message: SharePartNews) -> None:
         self._send_parts(message.news, self.table.sharing_targets(self.env.now))
@@ -198,9 +252,16 @@
                 error=str(exc)[:MAX_ERROR_CHARS],
             )
             return
-        if not self.table.is_known(message.gateway_ip):
-            await self._greet(message.gateway_ip)
+        if found.ends:
+            self.table.record_left(message.gateway_ip, self.env.now)
+            self._tell_gateways()
+            return
+        is_new = not self.table.is_known(message.gateway_ip)
         self.table.record_datagram(message.gateway_ip, found.known, self.env.now)
+        if is_new:
+            self._tell_gateways()
+            await self._greet(message.gateway_ip)
+        self._inform_limits(message.gateway_ip, found)
         if found.parts:
             relay = self.table.live_count(self.env.now) > MAX_PEERS
             self.guard.send(PeerPartNews(found.parts, relay=relay))
@@ -216,19 +277,53 @@
             self.fleet.send(PeerSpeeds(found.speeds))
         if found.leaving:
             self.fleet.send(PeerLeavingNews(found.leaving))
+        if found.limits:
+            relay = self.table.live_count(self.env.now) > MAX_PEERS
+            self.fleet.send(PeerLimitNews(found.limits, relay=relay))
         for endpoint, seconds in found.cooldowns:
             self.fleet.send(PeerEngineCooldown(endpoint, seconds))
 
+    def _inform_limits(self, gateway_ip: str, found: PeerMessage) -> None:
+        for ask in found.asks:
+            self.limits.send(PeerAsk(gateway_ip, ask))
+        for ruling in found.rulings:
+            self.limits.send(PeerRuling(gateway_ip, ruling))
+        for ask in found.ended_asks:
+            self.limits.send(PeerRelease(gateway_ip, ask))
+
+    def _tell_gateways(self) -> None:
+        """Tell the task of the rate limits which gateways are live."""
+        now = self.env.now
+        self.limits.send(
+            GatewaysChanged(
+                own=self.cfg.host,
+                live=self.table.live_gateways(now),
+                remembered=self.table.remembered_count(now),
+            )
+        )
+
+    async def _kept_limits(self) -> tuple[LimitNews, ...]:
+        """Return the limits that this gateway keeps, or would keep."""
+        live = self.table.live_gateways(self.env.now)
+        return tuple(
+            one
+            for one in await self.fleet.query(CurrentLimits())
+            if keeper_order(one.endpoint, live)[0] == self.cfg.host
+        )
+
     async def _greet(self, host: str) -> None:
         """Tell a new gateway what it should not have to wait for until the next hello.
 
-        It would use old routes, and send what crashes engines.
+        It would use old routes, send what crashes engines, and exceed rate limits.
         """
-        versions = PeerMessage(
-            configuration_version=self.configuration_version, store_era=self.store_era
+        greeting = PeerMessage(
+            known=self.table.known_ages(self.env.random, self.env.now),
+            configuration_version=self.configuration_version,
+            store_era=self.store_era,
         )
-        self._send(versions, [host])
+        self._send(greeting, [host])
         self._send_parts(await self.guard.query(CurrentPartNews()), [host])
+        self._send_limits(await self._kept_limits(), [host])
 
     def _pass_on_versions(self, found: PeerMessage, host: str) -> None:
         if found.configuration_version and self.version_subscriber is not None:
@@ -246,6 +341,10 @@
         for message in part_batches(news):
             self._send(message, hosts)
 
+    def _send_limits(self, news: tuple[LimitNews, ...], hosts: list[str]) -> None:
+        for message in limit_batches(news):
+            self._send(message, hosts)
+
     def _send(self, message: PeerMessage, hosts: list[str]) -> None:
         data = encode(message)
         for host in hosts:
@@ -269,6 +368,7 @@
             self.cfg,
             self.env.require(Fleet),
             self.env.require(PartGuard),
+            self.env.require(RateLimits),
             self.env.require(StoreEras).inbox,
         )
         self.env.provide(Peers, self.peers)
@@ -281,7 +381,8 @@
         self.peers.start()
 
     async def stop(self) -> None:
-        """Stop the task and close the port."""
+        """Tell the other gateways, stop the task and close the port."""
+        await self.peers.query(SayGoodbye())
         await self.peers.stop()
         await self.listener.stopListening()
 
--- a/extras/reference.py
+++ b/extras/reference.py
@@ -23,6 +23,7 @@
     "chivewall.platform.adapter",
     "chivewall.gateway.fleet",
     "chivewall.gateway.part_guard",
+    "chivewall.gateway.rate_limits",
     "chivewall.gateway.peers",
     "chivewall.gateway.stage_changer",
     "chivewall.gateway.gateway",
--- a/tests/test_endpoint_limits_process.py
+++ b/tests/test_endpoint_limits_process.py
@@ -26,7 +26,6 @@
     )
 
 
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 35")
 def test_endpoint_gets_no_more_requests_than_the_limit_that_it_names(site):
     """Guards against a limit that is read and not heeded, while another endpoint is free."""
     limited = site.add(PlatformEndpoint("i-1", "desk", limit=str(LIMIT)))
--- a/tests/test_ingress_limits.py
+++ b/tests/test_ingress_limits.py
@@ -11,6 +11,7 @@
 from chivewall.gateway.gateway import Gateway, GatewaySettings
 from chivewall.gateway.ingress_connection import IDLE_MARGIN_SECONDS, IngressConnection
 from chivewall.gateway.part_guard import PartGuard
+from chivewall.gateway.rate_limits import RateLimits
 from chivewall.gateway.routing_configuration import IngressLimits, RoutingConfiguration
 from chivewall.gateway.store_collections import CollectionChanges, CollectionItem
 from chivewall.platform.headers import PlatformDialect
@@ -50,6 +51,7 @@
         env=fleet.env,
         fleet=fleet,
         guard=PartGuard(fleet.env, fleet),
+        limits=RateLimits(fleet.env, fleet),
         connections=FakeConnections(),
         dialect=PlatformDialect(),
     )
--- a/tests/test_part_guard.py
+++ b/tests/test_part_guard.py
@@ -19,6 +19,7 @@
     SubscribeToPartNews,
 )
 from chivewall.gateway.peers import DatagramReceived, Peers, PeersSettings
+from chivewall.gateway.rate_limits import RateLimits
 from chivewall.gateway.routing_configuration import Stage
 from chivewall.task import Inbox
 from tests.utils.fleets import RecordingSink, make_fleet
@@ -60,7 +61,9 @@
         self.guard = PartGuard(self.env, self.fleet)
         self.guard.start()
         cfg = PeersSettings(host=host, port=7000, seeds=("10.0.0.1:1",))
-        self.peers = Peers(self.env, cfg, self.fleet, self.guard, Inbox())
+        self.peers = Peers(
+            self.env, cfg, self.fleet, self.guard, RateLimits(self.env, self.fleet), Inbox()
+        )
         self.peers.socket.transport = wire.connect(host)
         wire.receivers[host] = self.peers
         self.peers.start()
--- /dev/null
+++ b/tests/test_rate_limits.py
@@ -0,0 +1,203 @@
+"""Gateways that keep the rate limits of endpoints together, on a simulated network."""
+
+import pytest
+
+from chivewall.gateway.rate_limit_messages import (
+    AcquirePermit,
+    PermitExpected,
+    PermitNeed,
+    ReleasePermit,
+)
+from chivewall.gateway.rate_limits import (
+    ANSWER_SECONDS,
+    MAX_KEEPERS,
+    MAX_UNANSWERED,
+    SETTLED_SECONDS,
+)
+from tests.utils.limited_gateways import (
+    PATIENCE_SECONDS,
+    LimitedSite,
+    allowed,
+    most_in_a_window,
+)
+
+DEMAND = 30.0  # asks a second of all gateways, far above the limit
+PLAY_SECONDS = 20.0
+
+
+@pytest.mark.parametrize("count", [1, 5, 68])
+def test_gateways_keep_a_limit_together(count):
+    """Guards against a share for each gateway that adds up to more, or to less, than the limit."""
+    site = LimitedSite(count)
+    site.run(PLAY_SECONDS, asks_per_second=DEMAND)
+    times = site.granted()
+    assert most_in_a_window(times) <= 2 * site.rate * 4 * 0.75
+    assert len(times) >= 0.9 * site.rate * PLAY_SECONDS
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_lost_datagrams_neither_exceed_nor_waste_a_limit(seed):
+    site = LimitedSite(5, seed=seed)
+    site.network.loss = 0.2
+    site.run(PLAY_SECONDS, asks_per_second=DEMAND)
+    times = site.granted()
+    assert most_in_a_window(times) <= allowed(site.rate)
+    assert len(times) >= 0.5 * site.rate * PLAY_SECONDS
+
+
+def test_gateway_that_stops_hands_its_limits_over_at_once():
+    """Guards against an endpoint that gets nothing while its keeper's end is found out."""
+    site = LimitedSite(5)
+    site.run(2.0, asks_per_second=DEMAND)
+    site.end(site.keeper(), goodbye=True)
+    before = len(site.granted())
+    site.run(4.0, asks_per_second=DEMAND)
+    assert len(site.granted()) - before >= 0.9 * site.rate * 4.0
+    assert most_in_a_window(site.granted()) <= allowed(site.rate)
+
+
+def test_gateway_that_dies_is_passed_over():
+    """Guards against requests that wait for a keeper that is gone."""
+    site = LimitedSite(5)
+    site.run(2.0, asks_per_second=DEMAND)
+    keeper = site.keeper()
+    site.end(keeper, goodbye=False)
+    before = len(site.granted())
+    site.run(4.0, asks_per_second=DEMAND)
+    assert len(site.granted()) - before >= 0.3 * site.rate * 4.0
+    site.run(16.0, asks_per_second=DEMAND)
+    last = [one for one in site.granted() if one > site.clock.seconds() - 8.0]
+    assert len(last) >= 0.7 * site.rate * 8.0
+    assert most_in_a_window(site.granted()) <= allowed(site.rate)
+
+
+def test_frozen_keeper_does_not_grant_the_limit_twice():
+    """Guards against two keepers that act at the same time, around a freeze."""
+    site = LimitedSite(5)
+    site.run(2.0, asks_per_second=DEMAND)
+    keeper = site.keeper()
+    for _ in range(3):
+        site.network.frozen.add(keeper.host)
+        site.run(3.0, asks_per_second=DEMAND)
+        site.network.wake(keeper.host)
+        site.run(3.0, asks_per_second=DEMAND)
+    assert most_in_a_window(site.granted()) <= allowed(site.rate)
+
+
+def test_sides_of_a_partition_keep_a_limit_together():
+    """Guards against a keeper on each side of a partition that grants the whole limit."""
+    site = LimitedSite(5)
+    site.run(2.0, asks_per_second=DEMAND)
+    for host, side in zip(site.network.gateways, "aabbb", strict=True):
+        site.network.side_of[host] = side
+    site.run(PLAY_SECONDS, asks_per_second=DEMAND)
+    site.network.side_of.clear()
+    site.run(PLAY_SECONDS, asks_per_second=DEMAND)
+    assert most_in_a_window(site.granted()) <= allowed(site.rate)
+    last = [one for one in site.granted() if one > site.clock.seconds() - 8.0]
+    assert len(last) >= 0.9 * site.rate * 8.0
+
+
+def test_restarts_one_after_the_other_keep_a_limit():
+    site = LimitedSite(5)
+    for host in list(site.network.gateways):
+        site.end(site.network.gateways[host], goodbye=host.endswith(("1", "3")))
+        site.run(1.0, asks_per_second=DEMAND)
+        site.start(host)
+        site.run(2.0, asks_per_second=DEMAND)
+    site.run(SETTLED_SECONDS, asks_per_second=DEMAND)
+    assert most_in_a_window(site.granted()) <= allowed(site.rate)
+
+
+def test_ask_is_denied_when_no_gateway_answers():
+    """Guards against requests that wait for ever for a permit."""
+    site = LimitedSite(5)
+    one = next(gateway for gateway in site.gateways if gateway is not site.keeper())
+    site.network.side_of[one.host] = "alone"
+    one.acquire(site.rate)
+    site.run(MAX_KEEPERS * MAX_UNANSWERED * ANSWER_SECONDS + 0.1)
+    assert (one.waiting, len(one.granted) + len(one.denied)) == (0, 1)
+
+
+def test_every_ask_is_answered_while_gateways_come_and_go():
+    """Guards against asks that are forgotten, and against memory that grows with their number."""
+    site = LimitedSite(5)
+    site.network.loss = 0.1
+    site.run(5.0, asks_per_second=DEMAND)
+    site.end(site.keeper(), goodbye=False)
+    site.run(5.0, asks_per_second=DEMAND)
+    site.run(2 * PATIENCE_SECONDS)
+    for one in site.gateways:
+        assert (one.waiting, one.limits.pending) == (0, {})
+
+
+def test_permit_that_is_given_back_goes_to_another_request():
+    site = LimitedSite(2)
+    first, second = site.gateways
+    permits = []
+    need = PermitNeed("d1", site.rate, stated_at=first.env.now, rank=1, wait=0.0)
+    first.limits.query(AcquirePermit(need, first.env.now + 1.0, None)).addCallback(permits.append)
+    site.run(0.05)
+    second.acquire(site.rate)
+    site.run(0.05)
+    assert (len(permits), second.granted) == (1, [])
+    first.limits.send(ReleasePermit(permits[0]))
+    site.run(0.05)
+    assert len(second.granted) == 1
+
+
+def test_limit_is_known_to_all_gateways_at_once_and_ends_everywhere():
+    """Guards against gateways that exceed a limit until their own first response."""
+    site = LimitedSite(68)
+    first = site.gateways[0]
+    first.name_limit(3.0)
+    site.run(0.1)
+    assert {one.known_limit() for one in site.gateways} == {3.0}
+    site.gateways[5].name_limit(None)
+    site.run(0.1)
+    assert {one.known_limit() for one in site.gateways} == {None}
+
+
+def test_restarted_gateway_is_told_the_limits():
+    """Guards against a gateway that exceeds every limit after its start."""
+    site = LimitedSite(5)
+    site.gateways[0].name_limit(3.0)
+    site.run(0.1)
+    host = site.gateways[4].host
+    site.end(site.network.gateways[host], goodbye=False)
+    site.run(0.5)
+    restarted = site.start(host)
+    site.run(2.5)
+    assert restarted.known_limit() == 3.0
+
+
+def test_free_endpoint_is_preferred_to_a_wait_for_a_permit():
+    site = LimitedSite(1)
+    (one,) = site.gateways
+    one.name_limit(1.0, "d1")
+    one.fleet.send(PermitExpected("d1", 1, one.env.now + 0.5))
+    found = one.placement(rank=1)
+    assert (found.endpoint.id, found.needs) == ("d2", ())
+
+
+def test_request_is_refused_at_once_if_no_permit_comes_in_time():
+    """Guards against requests that wait until their deadline, and against an untrue Retry-After."""
+    site = LimitedSite(1)
+    (one,) = site.gateways
+    for name in ("d1", "d2"):
+        one.name_limit(1.0, name)
+        one.fleet.send(PermitExpected(name, 1, one.env.now + 4.0))
+    refused = one.placement(rank=2, slack_seconds=0.5, time_left_seconds=6.0)
+    assert refused.estimate >= 4.0
+    assert refused.retry_after >= 0.75 * 4.0
+    urgent = one.placement(rank=0, slack_seconds=0.5, time_left_seconds=6.0)
+    assert urgent.needs[0].wait == 0.0
+
+
+def test_permit_that_is_held_is_used():
+    site = LimitedSite(1)
+    (one,) = site.gateways
+    for name in ("d1", "d2"):
+        one.name_limit(1.0, name)
+    found = one.placement(permits=frozenset({"d2"}))
+    assert (found.endpoint.id, found.needs) == ("d2", ())
--- a/tests/utils/requests.py
+++ b/tests/utils/requests.py
@@ -23,6 +23,7 @@
     ResponseHead,
 )
 from chivewall.gateway.part_guard import PartGuard
+from chivewall.gateway.rate_limits import RateLimits
 from chivewall.gateway.routing_configuration import Route, RouteKind, WeightedService
 from chivewall.platform.headers import PlatformDialect
 from tests.utils.fleets import RecordingSink, make_fleet
@@ -98,12 +99,15 @@
         self.env.log.subscribe(lambda event, fields: self.events.append((event.name, fields)))
         self.guard = PartGuard(self.env, self.fleet)
         self.guard.start()
+        self.limits = RateLimits(self.env, self.fleet)
+        self.limits.start()
         self.connections = FakeConnections()
         self.caller = RecordingSink()
         context = RequestContext(
             env=self.env,
             fleet=self.fleet,
             guard=self.guard,
+            limits=self.limits,
             connections=self.connections,
             dialect=PlatformDialect(),
         )
