Let a free prefill engine decode while all decode engines limit their requests

Cause: the change of stages looks at the load, and an engine that limits its requests has little. Change: if permits of the decode engines had to be waited for over 0.3 s in two samples, a prefill engine without a limit becomes a decode engine.

--- a/chivewall/decisions/stages.py
+++ b/chivewall/decisions/stages.py
@@ -17,6 +17,10 @@
 # becomes one. At startup the engines appear in the list one by one, and the first may all be
 # prefill engines.
 NO_DECODER_SAMPLES = 3
+# Shortest wait for a permit of a decode engine, in seconds, that means that rate limits shut
+# requests out, and consecutive samples, one per second, before this counts as lasting.
+QUEUED_PERMIT_SECONDS = 0.3
+LIMITED_SAMPLES = 2
 # Share of time in use at the remaining prefill engines, below which one of them is spare.
 IDLE_PREFILL_SHARE = 0.25
 CROWDED_DECODE_REQUESTS = 40  # requests per decode engine, above which decode steps become slow
@@ -43,6 +47,7 @@
     stage: Stage
     in_flight: int
     usable: bool  # whether it is reachable, not leaving and not changing
+    limited: bool = False  # whether it names a rate limit
 
 
 @frozen
@@ -53,6 +58,7 @@
     prefill_load: float  # prefill sent, in engine seconds per second
     queued_samples: int = 0  # consecutive samples in which every prefill engine had a queue
     no_decoder_samples: int = 0  # consecutive samples in which no decode engine was usable
+    limited_samples: int = 0  # consecutive samples in which requests waited for permits to decode
 
 
 @frozen
@@ -70,6 +76,12 @@
     prefill_engines = [one for one in usable if one.stage is Stage.PREFILL]
     decoders = [one for one in usable if one.stage is Stage.DECODE]
     running = sum(one.in_flight for one in decoders)
+    free = [one for one in prefill_engines if not one.limited]
+    if load.limited_samples >= LIMITED_SAMPLES and free:
+        return _change(free, Stage.DECODE, "the decode engines limit their requests")
+    if any(one.limited for one in decoders):
+        # A limited engine serves most by whole requests, and a free one must remain for the rest.
+        decoders = [one for one in decoders if not one.limited]
     if _needs_prefill_engine(load, len(prefill_engines), len(decoders), running):
         return _change(decoders, Stage.PREFILL, f"prefill busy {load.prefill_load:.2f} engines")
     if _needs_decoder(load, len(prefill_engines), len(decoders), running):
@@ -114,6 +126,7 @@
     _sent: list[tuple[float, float]] = field(factory=list, init=False)  # time, seconds
     _queued_samples: int = field(default=0, init=False)
     _no_decoder_samples: int = field(default=0, init=False)
+    _limited_samples: int = field(default=0, init=False)
     _first_sent_at: float | None = field(default=None, init=False)
 
     def add(self, seconds: float, now: float) -> None:
@@ -123,15 +136,31 @@
         self._sent.append((now, seconds))
 
     def sample(
-        self, engines: tuple[EngineView, ...], shortest_wait: float, now: float
+        self,
+        engines: tuple[EngineView, ...],
+        shortest_wait: float,
+        now: float,
+        *,
+        permit_wait: float = 0.0,
     ) -> StageLoad:
-        """Record a sample of the engines and their shortest queue; return the load."""
+        """Record a sample of the engines and their shortest queue; return the load.
+
+        ``permit_wait``: shortest wait for a permit of a decode engine, in seconds.
+        """
         no_decoder = not any(one.usable and one.stage is Stage.DECODE for one in engines)
         self._no_decoder_samples = self._no_decoder_samples + 1 if no_decoder else 0
         self._queued_samples = (
             self._queued_samples + 1 if shortest_wait > QUEUED_PREFILL_SECONDS else 0
         )
-        return StageLoad(engines, self.average(now), self._queued_samples, self._no_decoder_samples)
+        queued = permit_wait > QUEUED_PERMIT_SECONDS
+        self._limited_samples = self._limited_samples + 1 if queued else 0
+        return StageLoad(
+            engines,
+            self.average(now),
+            queued_samples=self._queued_samples,
+            no_decoder_samples=self._no_decoder_samples,
+            limited_samples=self._limited_samples,
+        )
 
     def average(self, now: float) -> float:
         """Return the prefill sent, in engine seconds per second; 0 before the first full window."""
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -403,6 +403,7 @@
                 stage=one.info.stage,
                 in_flight=one.in_flight,
                 usable=one.is_usable(now),
+                limited=one.rate_limit is not None,
             )
             for one in states
         )
@@ -411,8 +412,18 @@
             for one, view in zip(states, engines, strict=True)
             if view.usable and view.stage is Stage.PREFILL
         ]
+        permit_waits = [
+            one.permit_wait(now, MAX_RANK)
+            for one, view in zip(states, engines, strict=True)
+            if view.usable and view.stage is Stage.DECODE
+        ]
         prefill_load = self.prefill_loads.setdefault(service, PrefillLoad())
-        load = prefill_load.sample(engines, min(waits, default=0.0), now)
+        load = prefill_load.sample(
+            engines,
+            min(waits, default=0.0),
+            now,
+            permit_wait=min(permit_waits, default=0.0),
+        )
         return ServiceLoad(service, load, {one.info.id: one.info for one in states})
 
     def _end_waits(self) -> None:
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from chivewall.gateway.fleet_messages import EngineLoads
 from chivewall.gateway.rate_limit_messages import (
     AcquirePermit,
     PermitExpected,
@@ -14,6 +15,7 @@
     MAX_UNANSWERED,
     SETTLED_SECONDS,
 )
+from chivewall.gateway.routing_configuration import Stage
 from tests.utils.limited_gateways import (
     PATIENCE_SECONDS,
     LimitedSite,
@@ -201,3 +203,18 @@
         one.name_limit(1.0, name)
     found = one.placement(permits=frozenset({"d2"}))
     assert (found.endpoint.id, found.needs) == ("d2", ())
+
+
+def test_limited_decoders_are_reported_to_the_stage_changer():
+    """Guards against free prefill engines while every decode engine limits its requests."""
+    site = LimitedSite(1)
+    (one,) = site.gateways
+    for name in ("d1", "d2"):
+        one.name_limit(1.0, name)
+        one.fleet.send(PermitExpected(name, 2, one.env.now + 1.0))
+    found = []
+    for _ in range(2):
+        one.fleet.query(EngineLoads()).addCallback(found.extend)
+    assert found[-1].load.limited_samples == 2
+    assert [view.limited for view in found[-1].load.engines] == [True, True]
+    assert {view.stage for view in found[-1].load.engines} == {Stage.DECODE}
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -46,6 +46,27 @@
         load = StageLoad(prefill_engines, prefill_load=1.0, no_decoder_samples=NO_DECODER_SAMPLES)
         assert propose(load).stage is Stage.DECODE
 
+    def test_free_prefill_engine_decodes_while_all_decoders_limit_their_requests(self):
+        """Guards against refusals for rate limits while an engine without one is idle."""
+        engines = (
+            view("p1", Stage.PREFILL, in_flight=0, limited=True),
+            view("p2", Stage.PREFILL, in_flight=5),
+            view("d1", Stage.DECODE, limited=True),
+        )
+        load = PrefillLoad()
+        samples = [load.sample(engines, 0.0, one, permit_wait=0.5) for one in (1.0, 2.0)]
+        assert [propose(one) for one in samples] == [
+            None,
+            StageChange("p2", Stage.DECODE, "the decode engines limit their requests"),
+        ]
+        assert propose(load.sample(engines, 0.0, 3.0, permit_wait=0.0)) is None
+
+    def test_decode_engines_without_a_limit_stay_beside_limited_ones(self):
+        """Guards against a busy prefill that takes the last engines that can serve any number."""
+        limited = tuple(evolve(one, limited=one.id != "d1") for one in self.DECODE_ENGINES)
+        load = StageLoad((view("p", Stage.PREFILL), *limited), prefill_load=3.0)
+        assert propose(load) is None
+
     def test_engines_may_be_listed_one_by_one_at_a_start(self):
         """Guards against an order at each start of a site whose prefill engines are listed first.
 
