Send news of limits in batches, and name the wait in every refusal for permits

Seen in the arithmetic: if 42 of 60 endpoints name a limit at the same moment, each of 68 gateways sent 1,680 datagrams at once, one a limit and gateway. A request that gave up after 12 denied permits got the default Retry-After of 0.25 s, though the last answer had named the wait. Change: news of limits are collected for 30 ms like other records; that refusal names the wait.

--- a/chivewall/gateway/forwarded_request.py
+++ b/chivewall/gateway/forwarded_request.py
@@ -287,11 +287,7 @@
             return
         self.permits.record(message)
         if self.permits.denied > MAX_DENIED:
-            await self._attempt_failed(
-                AttemptOutcome.NO_ENDPOINT,
-                "the endpoints take no more requests",
-                next_step=message.step,
-            )
+            await self._permits_denied(message)
         elif message.step == "decode":
             await self._decode()
         else:
@@ -461,6 +457,15 @@
         else:
             await self._send_request(placement.endpoint, kv_source=None)
 
+    async def _permits_denied(self, message: PermitsAcquired) -> None:
+        """Refuse the request after too many denied permits, or wait if it can't be refused."""
+        reason = "the endpoints take no more requests"
+        if self._committed:
+            await self._attempt_failed(AttemptOutcome.NO_ENDPOINT, reason, next_step=message.step)
+        else:
+            wait = message.denied.wait
+            await self._give_up(AttemptOutcome.NOT_RUN, reason, retry_after=wait)
+
     def _lacks_permits(self, step: str, placement: Placement) -> bool:
         """Return whether a step must wait for permits; it is taken again once they are decided."""
         if placement.needs:
--- a/chivewall/gateway/peers.py
+++ b/chivewall/gateway/peers.py
@@ -142,6 +142,7 @@
         self.store_era = 0  # newest one seen; 0: none
         self.version_subscriber: Inbox | None = None  # receives the others' versions
         self.unsent: list[SharedWork | WorkProgress] = []
+        self.unsent_limits: dict[str, LimitNews] = {}  # by endpoint id
         self.socket = PeerSocket(self)
 
     def start(self) -> None:
@@ -180,8 +181,7 @@
     @receive.register(SharedWork)
     @receive.register(WorkProgress)
     async def _(self, message: SharedWork | WorkProgress) -> None:
-        if not self.unsent:
-            self.env.clock.callLater(BATCH_SECONDS, self.send, Tick("batch"))
+        self._schedule_batch()
         self.unsent.append(message)
 
     @receive.register
@@ -195,7 +195,9 @@
 
     @receive.register
     async def _(self, message: LimitNews) -> None:
-        self._send(PeerMessage(limits=(message,)), self.table.sharing_targets(self.env.now))
+        # Many endpoints may change their limits at the same moment.
+        self._schedule_batch()
+        self.unsent_limits[message.endpoint] = message
 
     @receive.register
     async def _(self, message: SendAsk) -> None:
@@ -331,9 +333,16 @@
         if found.store_era:
             self.eras.put(EraTold(found.store_era))
 
+    def _schedule_batch(self) -> None:
+        """Send what is collected soon, unless that is scheduled."""
+        if not (self.unsent or self.unsent_limits):
+            self.env.clock.callLater(BATCH_SECONDS, self.send, Tick("batch"))
+
     def _send_batches(self) -> None:
         waiting, self.unsent = self.unsent, []
+        limits, self.unsent_limits = self.unsent_limits, {}
         hosts = self.table.sharing_targets(self.env.now)
+        self._send_limits(tuple(limits.values()), hosts)
         for message in batches(waiting):
             self._send(message, hosts)
 
