Heed the pauses that endpoints ask for when they refuse requests

Cause: the same class as the rate limits. Retry-After of a refusal was decoded and used nowhere. Placement counts the rest of the pause as a wait, like that for a permit: another endpoint goes first, a short pause is waited for, and a longer one is refused at once with a Retry-After that is not before its end. The return is spread over 0.5 s, and an endpoint is avoided less and less for 2 s after its pause.

--- a/chivewall/decisions/endpoint_record.py
+++ b/chivewall/decisions/endpoint_record.py
@@ -1,5 +1,6 @@
 """What one gateway knows about one endpoint: its work, cached prefixes, failures and speed."""
 
+import math
 from collections import OrderedDict
 from collections.abc import Iterable
 from hashlib import blake2b
@@ -18,6 +19,7 @@
 )
 from chivewall.decisions.speeds import FactorEstimator, ServiceSpeeds
 from chivewall.decisions.stated_limits import LimitStatement
+from chivewall.decisions.stated_pauses import Pause
 from chivewall.gateway.http_dialect import RequestFields
 from chivewall.gateway.routing_configuration import EndpointInfo, Stage
 
@@ -30,6 +32,10 @@
 MAX_REFUSAL_COOLDOWN_SECONDS = 4.0
 AVOID_SECONDS = 1.0  # avoidance after a failed connection, doubled with each further one
 MAX_AVOID_SECONDS = 8.0
+# An endpoint whose pause has ended counts as failing part of its requests, less and less, so that
+# the work which waited for it doesn't come back at the same moment.
+RECOVERY_SECONDS = 2.0
+RECOVERY_FAILURE_SHARE = 0.5
 PREFIX_LIFETIME_SECONDS = 9.0  # a prefix is assumed to be evicted if unused for this long
 PREFIX_KEY_BYTES = 5  # size of a prefix key; a collision causes just one wrong estimate
 MAX_PREFIXES = 4096  # prefixes recorded for one endpoint
@@ -65,6 +71,7 @@
     unlisted_at: float | None = None  # when it left the list; it is then only a last resort
     notice: LeavingNotice | None = None  # the latest notice of leaving about its id
     limit: LimitStatement | None = None  # the latest limit that its id has named
+    pause: Pause | None = None  # the latest pause that its id has asked for
     # Time before which no permit is expected for a request, by its rank.
     _permits_at: dict[int, float] = field(factory=dict, init=False)
     # Prefix key to the time of its last use.
@@ -86,6 +93,7 @@
             self.availability is Availability.OPEN
             and self.cooldown_until <= now
             and self.avoid_until <= now
+            and self.paused_until <= now
         )
 
     def can_answer(self, now: float) -> bool:
@@ -97,6 +105,13 @@
             and self.cooldown_until <= now
         )
 
+    @property
+    def paused_until(self) -> float:
+        """Return the time until which it wants no requests from this gateway, or ``-math.inf``."""
+        if self.pause is None or not self.pause.concerns(self.info.id, self.info.started_ms or 0):
+            return -math.inf
+        return self.pause.until
+
     @property
     def rate_limit(self) -> float | None:
         """Return the requests a second that it takes from all gateways, or ``None`` for any."""
@@ -210,12 +225,21 @@
 
     def current_failure_share(self, now: float) -> float:
         """Return the failure share, decayed since the latest outcome."""
+        return max(self._outcome_failure_share(now), self._recovery_share(now))
+
+    def _outcome_failure_share(self, now: float) -> float:
         return self.failure_share * 0.5 ** (
             (now - self.last_outcome_at) / FAILURE_HALF_LIFE_SECONDS
         )
 
+    def _recovery_share(self, now: float) -> float:
+        elapsed = now - self.paused_until
+        if not 0 <= elapsed < RECOVERY_SECONDS:
+            return 0.0
+        return RECOVERY_FAILURE_SHARE * (1 - elapsed / RECOVERY_SECONDS)
+
     def _update_failure_share(self, outcome: float, now: float) -> None:
         self.failure_share = (
-            self.current_failure_share(now) * (1 - FAILURE_WEIGHT) + FAILURE_WEIGHT * outcome
+            self._outcome_failure_share(now) * (1 - FAILURE_WEIGHT) + FAILURE_WEIGHT * outcome
         )
         self.last_outcome_at = now
--- a/chivewall/decisions/overload.py
+++ b/chivewall/decisions/overload.py
@@ -16,6 +16,7 @@
 MIN_RETRY_SECONDS = 0.1  # shortest time after which a refused caller may come back
 MAX_RETRY_SECONDS = 5.0
 RETRY_SPREAD = (0.75, 1.25)  # range of the random factor that spreads the callers who come back
+CLOSED_SPREAD = (1.0, 1.25)  # the same for a time before which nobody can be served
 
 
 @frozen
@@ -32,19 +33,18 @@
     time_left_seconds: float,
     rng: random.Random,
     *,
-    permit_seconds: float = 0.0,
+    closed_seconds: float = 0.0,
 ) -> Overloaded | None:
     """Return ``None`` if a request is admitted, or why not.
 
     ``estimate``: expected seconds to the first event or the response;
     ``slack_seconds``: seconds to the objective; ``time_left_seconds``: to the deadline;
-    ``permit_seconds``: part of the estimate that it would wait for endpoints with a rate limit.
+    ``closed_seconds``: part of the estimate in which endpoints pause or have no permit for it.
     """
     if estimate <= max(slack_seconds, LATE_SHARE * time_left_seconds):
         return None
     # After this time the queue is short enough for a request with the same time left.
-    seconds = estimate - LATE_SHARE * time_left_seconds
-    # The queue for permits is as long as callers' patience while demand is above the limits, so
-    # it is no shorter for a caller who comes back before the permit that it would have got.
-    seconds = max(seconds, permit_seconds) * rng.uniform(*RETRY_SPREAD)
-    return Overloaded(min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, seconds)), estimate)
+    seconds = (estimate - LATE_SHARE * time_left_seconds) * rng.uniform(*RETRY_SPREAD)
+    # A caller who comes back before that finds the same pause, or as long a queue for permits.
+    closed = closed_seconds * rng.uniform(*CLOSED_SPREAD)
+    return Overloaded(max(MIN_RETRY_SECONDS, min(MAX_RETRY_SECONDS, seconds), closed), estimate)
--- a/chivewall/decisions/placement.py
+++ b/chivewall/decisions/placement.py
@@ -60,6 +60,7 @@
     decode_backlog_seconds: float = 0.0  # seconds of prefill that then wait at a decode engine
     rank: int = 0  # rank to send it with
     needs: tuple[PermitNeed, ...] = ()  # permits to acquire before it is sent
+    not_before: float = -math.inf  # when the last pause of these endpoints ends
 
 
 @frozen
@@ -107,7 +108,12 @@
     found = _choose(fields, usable, context, prompt)
     if not isinstance(found, Placement):
         return found
-    return evolve(found, needs=_permit_needs(found, usable, context))
+    chosen = _chosen(found, usable)
+    return evolve(
+        found,
+        needs=_permit_needs(chosen, context),
+        not_before=max(one.paused_until for one in chosen),
+    )
 
 
 def _choose(
@@ -131,15 +137,19 @@
     return _admitted(placement, usable, context)
 
 
+def _chosen(placement: Placement, usable: list[EndpointRecord]) -> list[EndpointRecord]:
+    """Return the records of a placement's endpoints, the one that runs the request first."""
+    infos = (placement.endpoint, placement.prefill_engine)
+    return [one for info in infos for one in usable if one.info is info]
+
+
 def _permit_needs(
-    placement: Placement, usable: list[EndpointRecord], context: PlacementContext
+    chosen: list[EndpointRecord], context: PlacementContext
 ) -> tuple[PermitNeed, ...]:
-    """Return the permits that a placement needs, that of the decode engine first.
+    """Return the permits that the chosen endpoints need, in their order.
 
     Without one for a prefill engine, the decode engine can prefill the prompt itself.
     """
-    infos = (placement.endpoint, placement.prefill_engine)
-    states = [one for info in infos for one in usable if one.info is info]
     return tuple(
         PermitNeed(
             endpoint=one.info.id,
@@ -148,16 +158,17 @@
             rank=context.permit_rank,
             wait=one.permit_wait(context.now, context.permit_rank),
         )
-        for one in states
+        for one in chosen
         if one.rate_limit is not None and one.info.id not in context.permits
     )
 
 
-def _permit_seconds(state: EndpointRecord, context: PlacementContext) -> float:
-    """Return the expected time to acquire a permit for an endpoint."""
+def _closed_seconds(state: EndpointRecord, context: PlacementContext) -> float:
+    """Return the expected time until an endpoint takes the request, by what it says of itself."""
+    pause_seconds = max(0.0, state.paused_until - context.now)
     if state.rate_limit is None or state.info.id in context.permits:
-        return 0.0
-    return ASK_SECONDS + state.permit_wait(context.now, context.permit_rank)
+        return pause_seconds
+    return max(pause_seconds, ASK_SECONDS + state.permit_wait(context.now, context.permit_rank))
 
 
 def _admitted(
@@ -168,8 +179,7 @@
 ) -> Placement | Overloaded:
     if context.committed:
         return placement  # a refusal would not be true, or would cut its stream
-    infos = (placement.endpoint, placement.prefill_engine)
-    chosen = [one for one in usable if one.info in infos]
+    chosen = _chosen(placement, usable)
     # Failures make an endpoint less attractive, but callers don't wait for them.
     failure_seconds = FAILURE_SECONDS * sum(
         one.current_failure_share(context.now) for one in chosen
@@ -179,7 +189,7 @@
         context.slack_seconds,
         context.time_left_seconds,
         context.rng,
-        permit_seconds=sum(_permit_seconds(one, context) for one in chosen),
+        closed_seconds=sum(_closed_seconds(one, context) for one in chosen),
     )
     return placement if refused is None else refused
 
@@ -236,7 +246,7 @@
         )
         return (
             _round_trip_seconds(state, context)
-            + _permit_seconds(state, context)
+            + _closed_seconds(state, context)
             + call_seconds * (1 + waiting + 0.5 * state.in_flight / state.info.slots)
             + FAILURE_SECONDS * state.current_failure_share(context.now)
             + state.info.warmup_left_ms * 1e-6
@@ -368,7 +378,7 @@
     decode_wait, decoder = waits.best(state.info.data_centre)
     speed = state.speed(context.now)
     seconds = (
-        _permit_seconds(state, context)
+        _closed_seconds(state, context)
         + state.prefill_wait(context.now, context.rank)
         + reference * speed.scale
         + speed.response_seconds
@@ -422,7 +432,7 @@
     first_event = state.first_event_seconds(context.now, fetched=fetched)
     return (
         _round_trip_seconds(state, context)
-        + _permit_seconds(state, context)
+        + _closed_seconds(state, context)
         + prefill_wait
         + first_event * (1 + EXCESS_REQUEST_SHARE * excess_requests)
         + FAILURE_SECONDS * state.current_failure_share(context.now)
--- a/chivewall/events.py
+++ b/chivewall/events.py
@@ -94,6 +94,8 @@
     ENDPOINT_LIMIT_REJECTED = (722, "warning", "endpoint names a rate limit that can't be read")
     PERMIT_DECIDED = (723, "info", "permit for an endpoint with a rate limit granted or denied")
     PERMIT_KEEPER_SILENT = (724, "warning", "gateway that grants permits does not answer")
+    ENDPOINT_PAUSED = (725, "info", "endpoint asks this gateway for a pause")
+    CALL_PAUSED = (726, "info", "call waits for the end of a pause that endpoints asked for")
     SPEED_LEARNED = (710, "info", "learned speeds of a service changed")
     PEER_UNREACHABLE = (708, "warning", "datagram to another gateway not sent")
 
--- a/chivewall/gateway/announcement_messages.py
+++ b/chivewall/gateway/announcement_messages.py
@@ -30,6 +30,14 @@
     sent_at: float  # when the request was sent
 
 
+@frozen
+class EndpointPause:
+    """An endpoint refused a request and asked for a pause."""
+
+    endpoint: EndpointInfo  # as known when the request was sent
+    seconds: float
+
+
 @frozen
 class FollowLimits:
     """Set the endpoints whose responses are reported also if they name no limit."""
--- a/chivewall/gateway/announcements.py
+++ b/chivewall/gateway/announcements.py
@@ -9,9 +9,10 @@
     StatedLimits,
     effective_rate,
 )
+from chivewall.decisions.stated_pauses import StatedPauses
 from chivewall.environment import Environment
 from chivewall.events import Event
-from chivewall.gateway.announcement_messages import EndpointLimit, LeavingNews
+from chivewall.gateway.announcement_messages import EndpointLimit, EndpointPause, LeavingNews
 from chivewall.gateway.http_dialect import ResponseFields
 from chivewall.gateway.rate_limit_messages import LimitNews
 from chivewall.gateway.routing_configuration import EndpointInfo
@@ -29,11 +30,12 @@
 
 @define
 class Announcements:
-    """Records notices of leaving and stated limits, and logs each new one."""
+    """Records notices of leaving, stated limits and pauses, and logs each new one."""
 
     env: Environment
     notices: LeavingNotices = field(factory=LeavingNotices)
     limits: StatedLimits = field(factory=StatedLimits)
+    pauses: StatedPauses = field(factory=StatedPauses)
 
     def record_response(self, info: EndpointInfo, *, listed: bool) -> LeavingNews | None:
         """Record that an endpoint said that it leaves; return the news if it was not known."""
@@ -60,10 +62,11 @@
         The clock of the new one may have stepped back, so its start doesn't tell it from the other.
         """
         self.notices.forget(replaced.id, replaced.started_ms or 0)
-        self.forget_limit(replaced.id)
+        self.forget_requests(replaced.id)
 
-    def forget_limit(self, endpoint: str) -> None:
-        """Drop the limit of an endpoint whose process has been replaced or has left."""
+    def forget_requests(self, endpoint: str) -> None:
+        """Drop what a process that has been replaced or has left said about its requests."""
+        self.pauses.forget(endpoint)
         known = self.limits.statement(endpoint)
         if known is None:
             return
@@ -78,6 +81,21 @@
         """Return the notice of an endpoint id, or ``None``."""
         return self.notices.get(endpoint, self.env.now)
 
+    def record_pause(self, message: EndpointPause) -> None:
+        """Record that an endpoint asked for a pause."""
+        info = message.endpoint
+        pause = self.pauses.record(
+            info.id, info.started_ms or 0, seconds=message.seconds, now=self.env.now
+        )
+        if pause is not None:
+            self.env.log.emit(
+                Event.ENDPOINT_PAUSED,
+                endpoint=info.id,
+                started_ms=pause.started_ms,
+                source=NoticeSource.RESPONSE.value,
+                seconds=round(pause.until - self.env.now, 3),
+            )
+
     def record_limit(self, message: EndpointLimit) -> LimitNews | None:
         """Record what a response says of the endpoint's limit; return the news if it changes.
 
--- a/chivewall/gateway/channels.py
+++ b/chivewall/gateway/channels.py
@@ -16,6 +16,7 @@
 from chivewall.gateway.announcement_messages import (
     EndpointLeaving,
     EndpointLimit,
+    EndpointPause,
     FollowLimits,
     SubscribeToAnnouncements,
 )
@@ -47,6 +48,7 @@
 IDLE_CHECK_SECONDS = 0.5  # interval between checks for connections that were idle too long
 REACHABLE_SECONDS = 0.3  # an address counts as reachable for this long after bytes came from it
 PROBE_TIMEOUT_SECONDS = 0.4  # timeout for the connection that tests whether an address is reachable
+PAUSE_STATUSES = (429, 503)  # HTTP statuses of refusals that may ask for a pause
 MAX_IDLE_CONNECTIONS = 32  # idle connections kept for one address
 
 
@@ -317,6 +319,8 @@
             return
         if fields.leaving:
             self._announcement_subscriber.put(EndpointLeaving(endpoint))
+        if status in PAUSE_STATUSES and fields.retry_after:
+            self._announcement_subscriber.put(EndpointPause(endpoint, fields.retry_after))
         if fields.limit is not None or endpoint.id in self._followed_limits:
             self._announcement_subscriber.put(EndpointLimit(endpoint, fields.limit, sent_at))
 
--- a/chivewall/gateway/endpoint_list.py
+++ b/chivewall/gateway/endpoint_list.py
@@ -169,6 +169,7 @@
         record = self.records[info.id]
         record.notice = self.announcements.notice(info.id)
         record.limit = self.announcements.limits.statement(info.id)
+        record.pause = self.announcements.pauses.get(info.id)
         self.env.log.emit(
             Event.ENDPOINT_LISTED,
             endpoint=info.id,
@@ -207,7 +208,7 @@
 
     def _drop(self, name: str) -> None:
         del self.records[name]
-        self.announcements.forget_limit(name)
+        self.announcements.forget_requests(name)
         self.history.record_left(name, self.env.now)
 
 
--- a/chivewall/gateway/endpoint_waits.py
+++ b/chivewall/gateway/endpoint_waits.py
@@ -54,4 +54,4 @@
 
 
 def _usable_at(record: EndpointRecord) -> float:
-    return max(record.cooldown_until, record.avoid_until)
+    return max(record.cooldown_until, record.avoid_until, record.paused_until)
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -20,6 +20,7 @@
 from chivewall.gateway.announcement_messages import (
     EndpointLeaving,
     EndpointLimit,
+    EndpointPause,
     FollowLimits,
     LeavingNews,
     PeerLeavingNews,
@@ -360,6 +361,13 @@
             self._share(news)
         self._apply_limit(message.endpoint.id)
 
+    @receive.register
+    async def _(self, message: EndpointPause) -> None:
+        self.announcements.record_pause(message)
+        state = self.states.get(message.endpoint.id)
+        if state is not None:
+            state.pause = self.announcements.pauses.get(message.endpoint.id)
+
     @receive.register
     async def _(self, message: PeerLimitNews) -> None:
         for news in message.news:
--- a/chivewall/gateway/forwarded_request.py
+++ b/chivewall/gateway/forwarded_request.py
@@ -78,6 +78,8 @@
 # that are usable again get their waiting requests one after the other.
 WAIT_SECONDS = 0.05
 MAX_WAIT_SECONDS = 0.8
+# Time over which the requests that wait for the end of a pause are spread.
+PAUSE_SPREAD_SECONDS = 0.5
 SUCCESS_STATUSES = range(200, 300)
 SERVER_ERROR_STATUSES = range(500, 600)
 
@@ -449,7 +451,7 @@
                 AttemptOutcome.NO_ENDPOINT, "no endpoint can take the request"
             )
             return
-        if self._lacks_permits("place", placement):
+        if await self._must_wait("place", placement):
             return
         self.placement = placement
         if placement.prefill_engine is not None:
@@ -466,15 +468,38 @@
             wait = message.denied.wait
             await self._give_up(AttemptOutcome.NOT_RUN, reason, retry_after=wait)
 
-    def _lacks_permits(self, step: str, placement: Placement) -> bool:
-        """Return whether a step must wait for permits; it is taken again once they are decided."""
-        if placement.needs:
+    async def _must_wait(self, step: str, placement: Placement) -> bool:
+        """Return whether the endpoints of a placement don't take the request now.
+
+        The step is taken again when a pause has ended or permits are decided, or the request ends.
+        """
+        if placement.not_before > self.env.now:
+            await self._wait_for_pause(step, placement.not_before)
+        elif placement.needs:
             self.spawn(
                 self.permits.acquire(
                     step, placement, self.response_deadline, committed=self._committed
                 )
             )
-        return bool(placement.needs)
+        else:
+            return False
+        return True
+
+    async def _wait_for_pause(self, step: str, not_before: float) -> None:
+        """Take a step again after a pause, or end the request if it can't wait that long.
+
+        The requests that wait are spread, so that they don't arrive at the same moment.
+        """
+        at = not_before + self.env.random.uniform(0, PAUSE_SPREAD_SECONDS)
+        if at >= self.response_deadline:
+            await self._give_up(
+                AttemptOutcome.NOT_RUN,
+                "the endpoints pause",
+                retry_after=not_before - self.env.now,
+            )
+            return
+        self.log.log_paused(at - self.env.now)
+        self._schedule(at - self.env.now, Tick(step))
 
     def _send_prefill(self, placement: Placement) -> None:
         self.prefill.sent += 1
@@ -641,7 +666,7 @@
                 AttemptOutcome.NO_ENDPOINT, "no engine can decode", next_step="decode"
             )
             return
-        if self._lacks_permits("decode", placement):
+        if await self._must_wait("decode", placement):
             return
         self.placement = placement
         kv_source = self.context.dialect.kv_source(
--- a/chivewall/gateway/metrics.py
+++ b/chivewall/gateway/metrics.py
@@ -77,6 +77,15 @@
             "Attempts sent to endpoints that name a rate limit, by endpoint and kind.",
         )
         self._limits: set[str] = set()  # ids of the endpoints that name one
+        self.pauses = self._counter(
+            "endpoint_pauses_total", "Pauses that endpoints asked for, by how they were learned."
+        )
+        self.permits = self._counter(
+            "permits_total", "Permits for endpoints with a rate limit, by outcome."
+        )
+        self.silent_keepers = self._counter(
+            "silent_permit_keepers_total", "Gateways that did not answer an ask for a permit."
+        )
         self.blocked_parts = Gauge(
             "chivewall_gateway_blocked_prompt_parts",
             "Prompt parts that are blocked now.",
@@ -99,6 +108,9 @@
             Event.PROMPT_PART_CHECKED: (self.part_checks, "verdict", "verdict"),
             Event.PROMPT_PART_BLOCKED: (self.parts_blocked, "service", "service"),
             Event.ENDPOINT_LEAVING: (self.leaving, "source", "source"),
+            Event.ENDPOINT_PAUSED: (self.pauses, "source", "source"),
+            Event.PERMIT_DECIDED: (self.permits, "outcome", "outcome"),
+            Event.PERMIT_KEEPER_SILENT: (self.silent_keepers, "peer", "peer"),
         }
 
     def observe(self, event: Event, fields: dict[str, Any]) -> None:
--- a/chivewall/gateway/request_log.py
+++ b/chivewall/gateway/request_log.py
@@ -71,6 +71,15 @@
             seconds_left=round(seconds_left, 3),
         )
 
+    def log_paused(self, seconds: float) -> None:
+        """Log that the request waits until the endpoints that it would go to end their pauses."""
+        self.env.log.emit(
+            Event.CALL_PAUSED,
+            request=self.request.fields.request_id,
+            route=self.route.name,
+            seconds=round(seconds, 3),
+        )
+
     def log_ended(
         self,
         outcome: str,
--- a/chivewall/platform/headers.py
+++ b/chivewall/platform/headers.py
@@ -106,7 +106,7 @@
             stamp=None if stamp is None else stamp.encode("latin-1"),
             not_run=_first_value(headers, NOT_RUN) is not None or status == 421,
             endpoint=_first_value(headers, ENDPOINT_ID),
-            retry_after=_seconds(_first_value(headers, RETRY_AFTER)),
+            retry_after=_longest_seconds(headers),
             leaving=_first_value(headers, LEAVING) == "1",
             limit=_limit(headers),
         )
@@ -167,11 +167,19 @@
     return float(found)
 
 
-def _seconds(value: str | None) -> float | None:
-    try:
-        return None if value is None else max(0.0, float(value))
-    except ValueError:
-        return None  # a date or an invalid value; the header is only a hint
+def _longest_seconds(headers: Headers) -> float | None:
+    """Return the longest readable ``Retry-After``; dates, negative and other values are ignored."""
+    return max(_decimals(headers, RETRY_AFTER), default=None)
+
+
+def _decimals(headers: Headers, name: bytes) -> list[float]:
+    """Return the decimal numbers among the values of a header that may be repeated."""
+    found = [one.strip() for value in _values(headers, name) for one in value.split(",")]
+    return [float(one) for one in found if DECIMAL.fullmatch(one)]
+
+
+def _values(headers: Headers, name: bytes) -> list[str]:
+    return [value.decode("latin-1") for key, value in headers if key.lower() == name]
 
 
 def _limit(headers: Headers) -> StatedLimit | None:
@@ -179,16 +187,11 @@
 
     Values that are no decimal numbers are left out: negative ones, exponents, infinity.
     """
-    values = [
-        one.strip()
-        for name, value in headers
-        if name.lower() == LIMIT
-        for one in value.decode("latin-1").split(",")
-    ]
+    values = _values(headers, LIMIT)
     if not values:
         return None
-    rates = [float(one) for one in values if DECIMAL.fullmatch(one)]
-    return StatedLimit(min(rates, default=None), ",".join(values)[:MAX_LOGGED_VALUE])
+    rate = min(_decimals(headers, LIMIT), default=None)
+    return StatedLimit(rate, ",".join(values)[:MAX_LOGGED_VALUE])
 
 
 def _token_count(value: str | None) -> tuple[int, int]:
--- a/chivewall/standins/platform_endpoint.py
+++ b/chivewall/standins/platform_endpoint.py
@@ -185,6 +185,22 @@
     )
 
 
+def refuse_for(seconds: str, status: int = 503) -> Behaviour:
+    """Return a behaviour that refuses a request and asks for a pause of this many seconds."""
+
+    def behaviour(handler: EndpointHandler) -> None:
+        handler.send_plain(
+            status,
+            b"",
+            ("X-Not-Run", "1"),
+            ("X-Runner-Id", handler.endpoint.id),
+            ("Retry-After", seconds),
+            stamped=False,
+        )
+
+    return behaviour
+
+
 def fail(handler: EndpointHandler) -> None:
     """Run the request and respond with status 500."""
     handler.record_run()
