Order statements of rate limits by when their request was sent, and keep the end of a limit

Cause: an ended limit was forgotten. A gateway that hadn't heard of the end told the limit again, the others took it for a new one and relayed it, and the end was news again. Ruled out: the permits themselves. Change: the end of a limit is kept for 60 s, news of another gateway replace what is known only if their request was sent later, by half a second for an end or a higher limit, since they seem newer by their way. Test: test_news_of_an_ended_limit_come_to_rest failed before (limits came back).

--- a/chivewall/decisions/stated_limits.py
+++ b/chivewall/decisions/stated_limits.py
@@ -3,7 +3,8 @@
 An endpoint in need names its limit in each of its responses, and takes it back by responses that
 name none. Responses overtake each other, so a statement counts by when its request was sent: a
 response can only lift or raise a limit if its request was sent after the limit was last stated.
-A lower limit counts at once.
+A lower limit counts at once. What other gateways report replaces what is known if it is newer; the
+end of a limit is kept for a while too, so that no gateway is told again of a limit that has ended.
 """
 
 import math
@@ -18,6 +19,11 @@
 MIN_RATE = 0.2  # requests a second
 MAX_RATE = 10_000.0  # requests a second; a higher limit is none
 MAX_STATEMENTS = 4096  # endpoints of which a statement is kept
+ENDED_SECONDS = 60.0  # time for which the end of a limit is kept
+# News of another gateway seem newer than they are by the time that they were under way, so that
+# an end of a limit, or a higher one, has to be newer by this much. Its own responses tell a gateway
+# in any case.
+NEWS_SECONDS = 0.5
 
 
 class LimitSource(Enum):
@@ -61,65 +67,78 @@
     A restarted process has no limit until it names one.
     """
 
+    # With the statements that ended a limit, whose rate is ``None``.
     _statements: OrderedDict[str, LimitStatement] = field(factory=OrderedDict)
+    _limited: set[str] = field(factory=set)  # ids of the endpoints that have a limit
 
     def record(self, statement: LimitStatement) -> bool:
         """Record a statement; return whether it changes the limit of the endpoint."""
         statement = evolve(statement, rate=effective_rate(statement.rate))
         known = self._known(statement)
-        if known is None:
-            if statement.rate is None:
-                return False
+        if known is not None and not _replaces(statement, known):
+            return False
+        before = None if known is None else known.rate
+        if known is not None or statement.rate is not None:
             self._keep(statement)
-            return True
-        if statement.started_ms < known.started_ms:
-            return False  # of an earlier process
-        if _is_lower(statement.rate, known.rate):
-            self._keep(statement)
-            return True
-        if statement.sent_at < known.received_at:
-            return False  # the endpoint may have responded before it stated the known limit
-        changed = statement.rate != known.rate
-        if statement.rate is None:
-            del self._statements[statement.endpoint]
-        else:
-            self._keep(statement)
-        return changed
+        return statement.rate != before
 
     def rate(self, endpoint: str, started_ms: int) -> float | None:
         """Return the requests a second that a process of an endpoint takes, ``None``: any."""
-        known = self._statements.get(endpoint)
+        known = self.statement(endpoint)
         if known is None or not known.concerns(endpoint, started_ms):
             return None
         return known.rate
 
     def statement(self, endpoint: str) -> LimitStatement | None:
         """Return the latest statement of an endpoint that has a limit, or ``None``."""
-        return self._statements.get(endpoint)
+        return self._statements[endpoint] if endpoint in self._limited else None
 
     def forget(self, endpoint: str) -> None:
         """Drop the limit of an endpoint whose process has been replaced or has left."""
+        self._limited.discard(endpoint)
         self._statements.pop(endpoint, None)
 
     def __iter__(self) -> Iterator[LimitStatement]:
         """Iterate over the latest statements of the endpoints that have a limit."""
-        return iter(tuple(self._statements.values()))
+        return iter([self._statements[one] for one in sorted(self._limited)])
 
     def __len__(self) -> int:
         """Return the number of endpoints that have a limit."""
-        return len(self._statements)
+        return len(self._limited)
 
     def _known(self, statement: LimitStatement) -> LimitStatement | None:
+        """Return the latest statement, unless it is one of an earlier process or ended long ago."""
         known = self._statements.get(statement.endpoint)
-        if known is not None and known.started_ms < statement.started_ms:
+        if known is None or known.started_ms < statement.started_ms:
+            return None
+        if known.rate is None and statement.received_at - known.received_at > ENDED_SECONDS:
             return None
         return known
 
     def _keep(self, statement: LimitStatement) -> None:
-        self._statements[statement.endpoint] = statement
-        self._statements.move_to_end(statement.endpoint)
+        endpoint = statement.endpoint
+        self._statements[endpoint] = statement
+        self._statements.move_to_end(endpoint)
+        if statement.rate is None:
+            self._limited.discard(endpoint)
+        else:
+            self._limited.add(endpoint)
         while len(self._statements) > MAX_STATEMENTS:
-            self._statements.popitem(last=False)
+            self.forget(next(iter(self._statements)))
+
+
+def _replaces(statement: LimitStatement, known: LimitStatement) -> bool:
+    """Return whether a statement of the same process, or an earlier one, replaces the known one."""
+    if statement.started_ms < known.started_ms:
+        return False
+    is_lower = known.rate is not None and _is_lower(statement.rate, known.rate)
+    if statement.source is LimitSource.PEER:
+        margin = 0.0 if is_lower or statement.rate == known.rate else NEWS_SECONDS
+        return statement.sent_at > known.sent_at + margin
+    if is_lower:
+        return True
+    # Otherwise the endpoint may have responded before it made the known statement.
+    return statement.sent_at >= known.received_at
 
 
 def _is_lower(rate: float | None, known: float | None) -> bool:
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from chivewall.events import Event
 from chivewall.gateway.fleet_messages import EngineLoads
 from chivewall.gateway.rate_limit_messages import (
     AcquirePermit,
@@ -156,6 +157,7 @@
     first.name_limit(3.0)
     site.run(NEWS_SECONDS)
     assert {one.known_limit() for one in site.gateways} == {3.0}
+    site.run(NEWS_SECONDS)
     site.gateways[5].name_limit(None)
     site.run(NEWS_SECONDS)
     assert {one.known_limit() for one in site.gateways} == {None}
@@ -219,3 +221,32 @@
     assert found[-1].load.limited_samples == 2
     assert [view.limited for view in found[-1].load.engines] == [True, True]
     assert {view.stage for view in found[-1].load.engines} == {Stage.DECODE}
+
+
+def test_news_of_an_ended_limit_come_to_rest():
+    """Guards against gateways that tell each other an ended limit over and over.
+
+    On a large site the datagrams took all the time of the gateways for three seconds.
+    """
+    site = LimitedSite(68)
+    keeper = site.keeper()
+    keeper.name_limit(3.0)
+    site.run(1.0)
+    others = [one for one in site.gateways if one is not keeper]
+    changes = []
+    for one in others:
+        one.env.log.subscribe(
+            lambda event, _: changes.append(event) if event is Event.ENDPOINT_LIMIT else None
+        )
+    site.network.side_of[keeper.host] = "alone"
+    others[0].name_limit(None)
+    site.run(1.0)
+    site.network.side_of.clear()
+    site.run(5.0)  # the keeper still tells the limit in its hellos
+    assert {one.known_limit() for one in others} == {None}
+    assert len(changes) == len(others)
+    keeper.name_limit(None)
+    site.run(2 * NEWS_SECONDS)
+    others[1].name_limit(2.0)
+    site.run(1.0)
+    assert {one.known_limit() for one in site.gateways} == {2.0}
--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -78,6 +78,27 @@
     assert after(named, stated(9.0, sent_at=1.6, received_at=2.0)) == 9.0
 
 
+def news(rate, *, sent_at, received_at=None):
+    return evolve(stated(rate, sent_at=sent_at, received_at=received_at), source=LimitSource.PEER)
+
+
+def test_old_news_do_not_bring_an_ended_limit_back():
+    """Guards against gateways that tell each other of a limit and of its end in turns."""
+    ended = [stated(2.0, sent_at=1.0), stated(None, sent_at=5.0)]
+    assert after(*ended, news(2.0, sent_at=4.0)) is None
+    assert after(*ended, news(2.0, sent_at=5.4)) is None  # it may have been under way for long
+    assert after(*ended, news(2.0, sent_at=6.0)) == 2.0
+    assert after(*ended, stated(2.0, sent_at=5.1)) == 2.0
+    assert after(*ended, news(2.0, sent_at=4.0, received_at=70.0)) == 2.0
+
+
+def test_news_of_a_lower_limit_count_at_once():
+    assert after(stated(2.0, sent_at=1.0), news(1.0, sent_at=1.1)) == 1.0
+    assert after(stated(2.0, sent_at=1.0), news(1.0, sent_at=0.9)) == 2.0
+    assert after(stated(2.0, sent_at=1.0), news(3.0, sent_at=1.2)) == 2.0
+    assert after(stated(2.0, sent_at=1.0), news(None, sent_at=1.6)) is None
+
+
 def test_limits_out_of_range_are_bounded():
     """Guards against a limit of 0 that no request would ever find ended."""
     assert after(stated(0.0)) == MIN_RATE
