Spare asks for permits that can't be due yet

A gateway learned that an endpoint has no permit left only by its own ask. Change: the records of sent work, which gateways share anyway, show when an endpoint has last used a permit; the next one isn't asked for before the limit allows it. Test: test_work_of_other_gateways_spares_asks failed before.

--- a/chivewall/decisions/endpoint_record.py
+++ b/chivewall/decisions/endpoint_record.py
@@ -9,6 +9,7 @@
 
 from chivewall.backoff import exponential_delay
 from chivewall.decisions.availability import Availability, LeavingNotice, availability
+from chivewall.decisions.permits import seconds_to_next
 from chivewall.decisions.sent_work import (
     EngineSpeed,
     PrefillBudget,
@@ -154,6 +155,10 @@
     def add_work(self, key: WorkKey, item: WorkItem, now: float) -> None:
         """Record work that a gateway sent to the endpoint."""
         self.work.add(key, item, now)
+        if self.rate_limit is not None:
+            # It used a permit. Asks for another one are spared until it can be due.
+            next_at = now + seconds_to_next(self.rate_limit)
+            self.record_permit_expected(0, max(next_at, self._permits_at.get(0, next_at)), now)
         if self.info.stage is Stage.DECODE:
             work = item.reference_seconds * item.weight
             self.prefill_budget.add(work * self.speed(now).scale, now)
--- a/chivewall/decisions/permits.py
+++ b/chivewall/decisions/permits.py
@@ -35,6 +35,16 @@
 MAX_WAITING = 1024  # asks that wait for one endpoint
 
 
+def seconds_to_next(rate: float) -> float:
+    """Return the shortest time from a permit to the next one, if none was granted for long."""
+    return max(0.0, 1 / rate - _saved_seconds(rate))
+
+
+def _saved_seconds(rate: float) -> float:
+    """Return the time in which the permits that may be saved, beyond one, become due."""
+    return max(0.0, BURST_SECONDS - 1 / rate)
+
+
 class Ruling(Enum):
     """The answer to an ask for a permit."""
 
@@ -185,8 +195,7 @@
 
     @property
     def _saved_seconds(self) -> float:
-        """Return the time in which the permits that may be saved, beyond one, become due."""
-        return max(0.0, BURST_SECONDS - self._interval)
+        return _saved_seconds(self.rate)
 
     def _due_in(self, now: float) -> float:
         return self._next_at - self._saved_seconds - now
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -3,7 +3,8 @@
 import pytest
 
 from chivewall.events import Event
-from chivewall.gateway.fleet_messages import EngineLoads
+from chivewall.gateway.fleet_messages import EngineLoads, PeerWork
+from chivewall.gateway.peer_codec import SharedWork
 from chivewall.gateway.rate_limit_messages import (
     AcquirePermit,
     PermitExpected,
@@ -250,3 +251,19 @@
     others[1].name_limit(2.0)
     site.run(1.0)
     assert {one.known_limit() for one in site.gateways} == {2.0}
+
+
+def test_work_of_other_gateways_spares_asks():
+    """Guards against a round of asks for each request while many endpoints are limited."""
+    site = LimitedSite(2)
+    first, second = site.gateways
+    for one in (first, second):
+        one.name_limit(1.0, "d1")
+        one.name_limit(1.0, "d2")
+    work = SharedWork(
+        number=7, endpoint="d1", reference_seconds=0.1, counted_seconds=6.0, rank=0, prefixes=()
+    )
+    second.fleet.send(PeerWork(first.host, work))
+    assert [need.endpoint for need in second.placement().needs] == ["d2"]
+    site.run(1.1)
+    assert second.fleet.states["d1"].permit_wait(second.env.now, 5) == 0.0
