Tell a restarted gateway all rate limits that are known

Cause: a limit was told by the gateway that keeps it, which may be the one that has just started; and gateways that still know a restarted one don't greet it. Change: the first two hellos of a process say that it has started, and each gateway that gets one answers with all limits that it knows. The socket and its settings move to a module of their own. Test: test_restarted_gateway_is_told_the_limits, with each gateway in turn, failed before.

--- a/chivewall/gateway/peer_codec.py
+++ b/chivewall/gateway/peer_codec.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Iterable, Iterator
+from enum import Enum
 from ipaddress import IPv4Address
 
 from attrs import evolve, frozen
@@ -29,6 +30,14 @@
 LIMIT_DATAGRAM_BYTES = 16  # size of the parts about rate limits, which most datagrams leave out
 
 
+class GatewayPhase(Enum):
+    """Phase of the life of the gateway that sends a datagram."""
+
+    RUNNING = 0
+    ENDS = 1
+    STARTED = 2  # not long ago, so that it may know nothing yet
+
+
 @frozen
 class SharedWork:
     """An attempt that a gateway sent to an endpoint, as reported to the other gateways."""
@@ -68,7 +77,7 @@
     asks: tuple[SharedAsk, ...] = ()  # for permits that the receiver grants
     rulings: tuple[SharedRuling, ...] = ()  # on asks of the receiver
     ended_asks: tuple[EndedAsk, ...] = ()
-    ends: bool = False  # the sender ends
+    phase: GatewayPhase = GatewayPhase.RUNNING
 
 
 def encode(message: PeerMessage) -> bytes:
@@ -91,7 +100,7 @@
         [permit_codec.encode_ask(one) for one in message.asks],
         [permit_codec.encode_ruling(one) for one in message.rulings],
         [permit_codec.encode_ended(one) for one in message.ended_asks],
-        int(message.ends),
+        message.phase.value,
     ]
     if any(limit_parts):
         document += limit_parts
@@ -105,7 +114,7 @@
         if format_version != VERSION:
             raise DecodeError(f"datagram version {format_version!r} is unknown")
         known, work, cooldowns, prefilled, ended, speeds, parts, leaving, version, era = rest[:10]
-        limits, asks, rulings, ended_asks, ends = rest[10:] or ([], [], [], [], 0)
+        limits, asks, rulings, ended_asks, phase = rest[10:] or ([], [], [], [], 0)
         return PeerMessage(
             known=tuple((_decode_ip(one), _bounded_seconds(age)) for one, age in known),
             work=tuple(_decode_work(*one) for one in work),
@@ -121,7 +130,7 @@
             asks=tuple(permit_codec.decode_ask(*one) for one in asks),
             rulings=tuple(permit_codec.decode_ruling(*one) for one in rulings),
             ended_asks=tuple(permit_codec.decode_ended(*one) for one in ended_asks),
-            ends=bool(ends),
+            phase=GatewayPhase(phase),
         )
     except (ValueError, TypeError, OverflowError, RecursionError) as exc:
         raise DecodeError(f"malformed datagram: {exc}") from exc
--- a/chivewall/gateway/peers.py
+++ b/chivewall/gateway/peers.py
@@ -5,11 +5,9 @@
 
 from functools import singledispatchmethod
 
-from attrs import define, field, frozen, validators
+from attrs import define
 from twisted.internet.interfaces import IListeningPort
-from twisted.internet.protocol import DatagramProtocol
 
-from chivewall.addresses import Address
 from chivewall.decisions.crash_evidence import PartNews
 from chivewall.decisions.peers import HELLO_INTERVAL_SECONDS, MAX_PEERS, PeerTable
 from chivewall.decisions.permits import keeper_order
@@ -41,6 +39,7 @@
     SubscribeToPartNews,
 )
 from chivewall.gateway.peer_codec import (
+    GatewayPhase,
     PeerMessage,
     SharedWork,
     WorkProgress,
@@ -50,6 +49,7 @@
     limit_batches,
     part_batches,
 )
+from chivewall.gateway.peer_socket import DatagramReceived, PeerSocket, PeersSettings
 from chivewall.gateway.rate_limit_messages import (
     CurrentLimits,
     GatewaysChanged,
@@ -70,32 +70,12 @@
 from chivewall.plugins.registry import Registry
 from chivewall.task import Inbox, Query, Task
 
+# Hellos of a gateway that has started which say so. Others still know it if it restarted at once,
+# and would not greet it; the first one may be lost.
+NEW_HELLOS = 2
 BATCH_SECONDS = 0.03  # time for which work is collected before it is sent in one batch
 
 
-@frozen
-class PeersSettings:
-    """Addresses for the datagrams between gateways."""
-
-    host: str = field(metadata={"help": "IP address of this gateway."})
-    port: int = field(
-        validator=[validators.ge(1), validators.le(65535)],
-        metadata={"help": "UDP port; the same on all gateways."},
-    )
-    seeds: tuple[str, ...] = field(
-        default=(),
-        metadata={"help": "IP:PORT of gateways to contact first; only the IP addresses are used."},
-    )
-
-
-@frozen
-class DatagramReceived:
-    """A datagram was received from another gateway."""
-
-    gateway_ip: str
-    data: bytes = field(repr=False)
-
-
 @define(eq=False)
 class IsFirstGateway(Query):
     """Ask whether this gateway has the lowest address of the live ones; the reply is a ``bool``."""
@@ -106,17 +86,6 @@
     """Ask to tell the other gateways that this one ends."""
 
 
-class PeerSocket(DatagramProtocol):
-    """The UDP socket; passes datagrams to the task."""
-
-    def __init__(self, task: "Peers") -> None:
-        self.task = task
-
-    def datagramReceived(self, datagram: bytes, addr: Address) -> None:  # noqa: N802
-        """Pass one datagram to the task."""
-        self.task.send(DatagramReceived(addr[0], datagram))
-
-
 class Peers(Task):
     """Exchanges datagrams with the other gateways, and tracks which of them are live."""
 
@@ -142,8 +111,9 @@
         self.store_era = 0  # newest one seen; 0: none
         self.version_subscriber: Inbox | None = None  # receives the others' versions
         self.unsent: list[SharedWork | WorkProgress] = []
+        self.new_hellos = NEW_HELLOS  # left to send
         self.unsent_limits: dict[str, LimitNews] = {}  # by endpoint id
-        self.socket = PeerSocket(self)
+        self.socket = PeerSocket(self.inbox)
 
     def start(self) -> None:
         """Start the task, and subscribe to what this gateway shares with the others."""
@@ -171,7 +141,9 @@
             speeds=await self.fleet.query(LearnedSpeeds()),
             configuration_version=self.configuration_version,
             store_era=self.store_era,
+            phase=GatewayPhase.STARTED if self.new_hellos else GatewayPhase.RUNNING,
         )
+        self.new_hellos = max(0, self.new_hellos - 1)
         targets = self.table.hello_targets(self.env.random, self.env.now)
         self._send(hello, targets)
         self._send_parts(await self.guard.query(CurrentPartNews()), targets)
@@ -215,7 +187,7 @@
     async def _(self, message: SayGoodbye) -> None:
         targets = self.table.hello_targets(self.env.random, self.env.now)
         hosts = sorted({*targets, *self.table.sharing_targets(self.env.now)})
-        self._send(PeerMessage(ends=True), hosts)
+        self._send(PeerMessage(phase=GatewayPhase.ENDS), hosts)
         message.reply(None)
 
     @receive.register
@@ -254,7 +226,7 @@
                 error=str(exc)[:MAX_ERROR_CHARS],
             )
             return
-        if found.ends:
+        if found.phase is GatewayPhase.ENDS:
             self.table.record_left(message.gateway_ip, self.env.now)
             self._tell_gateways()
             return
@@ -262,6 +234,7 @@
         self.table.record_datagram(message.gateway_ip, found.known, self.env.now)
         if is_new:
             self._tell_gateways()
+        if is_new or found.phase is GatewayPhase.STARTED:
             await self._greet(message.gateway_ip)
         self._inform_limits(message.gateway_ip, found)
         if found.parts:
@@ -325,7 +298,7 @@
         )
         self._send(greeting, [host])
         self._send_parts(await self.guard.query(CurrentPartNews()), [host])
-        self._send_limits(await self._kept_limits(), [host])
+        self._send_limits(await self.fleet.query(CurrentLimits()), [host])
 
     def _pass_on_versions(self, found: PeerMessage, host: str) -> None:
         if found.configuration_version and self.version_subscriber is not None:
