Count the bytes that a caller has not read now, not those of a connection's life

Cause: the count of written bytes was set to 0 only by the transport's resume, which comes only after a pause. Change: a pause counts what the transport may hold and the write in progress; later writes are added, and a resume or the end of the connection takes back what was counted.

--- a/chivewall/gateway/ingress_connection.py
+++ b/chivewall/gateway/ingress_connection.py
@@ -36,6 +36,7 @@
 # Seconds for which an idle connection stays open beyond the limit, so that a caller that
 # reuses it just in time finds it open.
 IDLE_MARGIN_SECONDS = 1.0
+TRANSPORT_BUFFER_BYTES = 65_536  # the transport holds at most this without pausing its producer
 LINGER_SECONDS = 1.0  # time for the caller to read the response before the connection is reset
 # Head of a request that the parser holds. The limit in force is checked while the head arrives,
 # since it may change during the life of the connection.
@@ -98,7 +99,8 @@
         self._timer: Any = None
         self._phase_began = 0.0
         self._pipelined_bytes = 0  # bytes received while a request is in progress
-        self._written_bytes = 0  # since the transport could last write all of them
+        self._writing_bytes = 0  # of the write in progress
+        self._unread_bytes = 0  # that were reported to the handler
         self.blocked_since: float | None = None  # when the caller stopped reading
         self._aborted = False  # by the gateway
 
@@ -148,26 +150,30 @@
         self.handler.remove_connection(self)
 
     def pauseProducing(self) -> None:  # noqa: N802 - Twisted's name
-        """Count what was written since the caller stopped reading."""
+        """Count what the transport holds, and all that is written until it has sent everything."""
         if self.blocked_since is None:
             self.blocked_since = self.env.now
-            self.handler.add_unread_bytes(self._written_bytes)
+            self._add_unread_bytes(TRANSPORT_BUFFER_BYTES + self._writing_bytes)
 
     def resumeProducing(self) -> None:  # noqa: N802 - Twisted's name
         """Release what the caller has read."""
-        if self.blocked_since is not None:
-            self.blocked_since = None
-            self.handler.add_unread_bytes(-self._written_bytes)
-        self._written_bytes = 0
+        self.blocked_since = None
+        self._add_unread_bytes(-self._unread_bytes)
 
     def stopProducing(self) -> None:  # noqa: N802 - Twisted's name
         """Do nothing; ``connectionLost`` handles the end of the connection."""
 
     def _write(self, data: bytes) -> None:
-        self._written_bytes += len(data)
         if self.blocked_since is not None:
-            self.handler.add_unread_bytes(len(data))
+            self._add_unread_bytes(len(data))
+        self._writing_bytes = len(data)
         self.transport.write(data)
+        self._writing_bytes = 0
+
+    def _add_unread_bytes(self, size: int) -> None:
+        if size:
+            self._unread_bytes += size
+            self.handler.add_unread_bytes(size)
 
     def put(self, message: object) -> None:
         """Handle a message of the request's task; drop those of earlier requests."""
--- a/tests/test_ingress_limits.py
+++ b/tests/test_ingress_limits.py
@@ -1,42 +1,14 @@
 """Callers' connections while the limits of the routing configuration change."""
 
-from unittest.mock import Mock
-
 import pytest
 from attrs import evolve
 from twisted.internet.task import Clock
-from twisted.internet.testing import StringTransport
 
-from chivewall.gateway.exchange import RequestContext
-from chivewall.gateway.gateway import Gateway, GatewaySettings
 from chivewall.gateway.ingress_connection import IDLE_MARGIN_SECONDS, IngressConnection
-from chivewall.gateway.part_guard import PartGuard
-from chivewall.gateway.rate_limits import RateLimits
-from chivewall.gateway.routing_configuration import IngressLimits, RoutingConfiguration
-from chivewall.gateway.store_collections import CollectionChanges, CollectionItem
-from chivewall.platform.headers import PlatformDialect
-from tests.utils.fleets import make_fleet, make_sources
-from tests.utils.requests import FakeConnections
-
-SHORT = RoutingConfiguration(version=1, routes=(), limits=IngressLimits(idle_timeout_ms=2000))
-LONG = evolve(SHORT, version=2, limits=IngressLimits(idle_timeout_ms=8000))
-
-
-class SocketTransport(StringTransport):
-    """Transport without a socket to set options on."""
+from chivewall.gateway.routing_configuration import IngressLimits
+from tests.utils.ingress import SHORT, SocketTransport, apply, make_gateway
 
-    def loseWriteConnection(self):  # noqa: N802 - Twisted's name
-        """Ignore the half-close."""
-
-    def setTcpNoDelay(self, enabled):  # noqa: N802 - Twisted's name
-        """Ignore the option."""
-
-    def setTcpKeepAlive(self, enabled):  # noqa: N802 - Twisted's name
-        """Ignore the option."""
-
-    def getHandle(self):  # noqa: N802 - Twisted's name
-        """Return a socket that accepts all options."""
-        return Mock()
+LONG = evolve(SHORT, version=2, limits=IngressLimits(idle_timeout_ms=8000))
 
 
 @pytest.fixture
@@ -46,24 +18,7 @@
 
 @pytest.fixture
 def gateway(clock):
-    fleet = make_fleet(clock)
-    context = RequestContext(
-        env=fleet.env,
-        fleet=fleet,
-        guard=PartGuard(fleet.env, fleet),
-        limits=RateLimits(fleet.env, fleet),
-        connections=FakeConnections(),
-        dialect=PlatformDialect(),
-    )
-    cfg = GatewaySettings(address="127.0.0.1:80", grace_seconds=8)
-    gateway = Gateway(fleet.env, cfg, context, make_sources())
-    gateway.start()
-    return gateway
-
-
-def apply(gateway, configuration):
-    item = CollectionItem("main", configuration, configuration.version)
-    gateway.send(CollectionChanges("config", (item,), configuration.version))
+    return make_gateway(clock)
 
 
 def connect(gateway):
