Close callers' connections whether they read or not, and deliver what was handed over

Cause: both ways of closing left the connection registered as the transport's producer. A paused producer is asked for more when everything is sent, and the transport then forgets that it was to close; and the reset after 1 s didn't ask whether the caller was still reading. Change: whoever begins to close unregisters the producer. A complete response is delivered for up to 30 s while the kernel still holds unacknowledged bytes of it (asked once a second), within the schedule of a stop; a caller that acknowledges nothing is reset by TCP_USER_TIMEOUT after 2.5 s, so a pause of up to that is borne. An aborted response gets 1 s. Tests: four of test_ingress_delivery.py failed before.

--- a/chivewall/gateway/ingress_connection.py
+++ b/chivewall/gateway/ingress_connection.py
@@ -29,15 +29,17 @@
 from chivewall.gateway.http_dialect import CallerRequest, Headers, HttpDialect
 from chivewall.gateway.http_text import head_bytes, origin_form, reason_phrase
 from chivewall.gateway.routing_configuration import IngressLimits
-from chivewall.gateway.sockets import set_tcp_options
+from chivewall.gateway.sockets import set_tcp_options, unsent_bytes
 from chivewall.results import ResultCode
 from chivewall.task import Inbox
 
 # Seconds for which an idle connection stays open beyond the limit, so that a caller that
 # reuses it just in time finds it open.
 IDLE_MARGIN_SECONDS = 1.0
+# Time for the caller to close its side once it has read everything; then comes a reset.
+LINGER_SECONDS = 1.0
+DELIVERY_SECONDS = 30.0  # time for a caller that reads to get the rest of a complete response
 TRANSPORT_BUFFER_BYTES = 65_536  # the transport holds at most this without pausing its producer
-LINGER_SECONDS = 1.0  # time for the caller to read the response before the connection is reset
 # Head of a request that the parser holds. The limit in force is checked while the head arrives,
 # since it may change during the life of the connection.
 MAX_HEAD_BYTES = 1_048_576
@@ -205,7 +207,7 @@
     def close_if_idle(self) -> None:
         """Close the connection if it waits for a request."""
         if self.phase is Phase.IDLE:
-            self.transport.loseConnection()
+            self._close()
 
     def end_by(self, deadline: float) -> None:
         """Tell the task of the request in progress when it must have ended."""
@@ -242,11 +244,10 @@
 
     @_respond.register
     def _(self, message: AbortResponse) -> None:
-        # Bytes already written still reach the caller; the missing last chunk shows that the
-        # response is incomplete.
+        # Bytes already written still reach a caller who reads them at once; the missing last chunk
+        # shows that the response is incomplete.
         self._task = None
-        self.phase = Phase.CLOSING
-        self.transport.loseConnection()
+        self._close(delivery_seconds=0.0)
 
     def _read_events(self) -> None:
         more = True
@@ -266,7 +267,7 @@
         if isinstance(event, h11.EndOfMessage):
             self._start_request()
         else:
-            self.transport.loseConnection()
+            self._close()
         return False
 
     def _handle_data(self, data: bytes) -> bool:
@@ -390,12 +391,32 @@
             self._write_response(code.http_status, headers, body)
         self._linger()
 
+    def _close(self, delivery_seconds: float = DELIVERY_SECONDS) -> None:
+        """Close the connection once what was written is sent."""
+        self._begin_closing(delivery_seconds)
+        self.transport.loseConnection()
+
     def _linger(self) -> None:
-        """Close the connection after a delay, because a reset could destroy the response."""
+        """Close the writing side first, because a reset could destroy the response."""
+        self._begin_closing(DELIVERY_SECONDS)
+        self.transport.loseWriteConnection()
+
+    def _begin_closing(self, delivery_seconds: float) -> None:
+        """Let the transport close without asking for more, and not wait for ever for its peer."""
         self._stop_timer()
         self.phase = Phase.CLOSING
-        self.transport.loseWriteConnection()
-        self._timer = self.env.clock.callLater(LINGER_SECONDS, self.transport.abortConnection)
+        self.transport.unregisterProducer()
+        self._abort_later(self.env.now + delivery_seconds)
+
+    def _abort_later(self, deliver_by: float) -> None:
+        self._timer = self.env.clock.callLater(LINGER_SECONDS, self._abort_if_sent, deliver_by)
+
+    def _abort_if_sent(self, deliver_by: float) -> None:
+        """Abort the connection unless its caller is still reading the response."""
+        if self.env.now < deliver_by and unsent_bytes(self.transport):
+            self._abort_later(deliver_by)
+        else:
+            self.transport.abortConnection()
 
     def _enter_phase(self, phase: Phase) -> None:
         """Enter a phase and start its timeout."""
@@ -413,7 +434,7 @@
 
     def _timed_out(self) -> None:
         if self.phase is Phase.IDLE:
-            self.transport.loseConnection()
+            self._close()
         else:
             self._reject(ResultCode.DEADLINE_PASSED, "the request took too long to arrive")
 
--- a/chivewall/gateway/sockets.py
+++ b/chivewall/gateway/sockets.py
@@ -1,6 +1,9 @@
 """TCP options that detect a dead or silent peer within seconds."""
 
+import fcntl
 import socket
+import struct
+import termios
 from typing import Any
 
 KEEPALIVE_IDLE_SECONDS = 1  # seconds without traffic before the first probe
@@ -23,3 +26,19 @@
         (socket.TCP_USER_TIMEOUT, ACK_TIMEOUT_MS),
     ):
         handle.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
+def unsent_bytes(transport: Any) -> int:
+    """Return how many bytes of a connection its peer has not acknowledged; 0 if it can't be told.
+
+    Bytes that the transport itself still holds don't count; it holds some only while the kernel's
+    buffer is full.
+    """
+    handle = transport.getHandle()
+    if handle is None or handle.fileno() < 0:
+        return 0
+    try:
+        found = fcntl.ioctl(handle.fileno(), termios.TIOCOUTQ, bytes(4))
+    except OSError:
+        return 0
+    return struct.unpack("i", found)[0]
--- a/tests/test_ingress_delivery.py
+++ b/tests/test_ingress_delivery.py
@@ -4,8 +4,10 @@
 from twisted.internet.abstract import FileDescriptor
 from twisted.internet.task import Clock
 
-from chivewall.gateway.caller_messages import SendResponse
-from chivewall.gateway.gateway import MAX_TOTAL_UNREAD_BYTES
+from chivewall.decisions.shutdown import ShutdownSchedule
+from chivewall.gateway import ingress_connection
+from chivewall.gateway.caller_messages import AbortResponse, SendChunk, SendResponse, StartResponse
+from chivewall.gateway.gateway import MAX_TOTAL_UNREAD_BYTES, BeginShutdown
 from chivewall.gateway.ingress_connection import IngressConnection
 from chivewall.task import Inbox
 from tests.utils.ingress import SHORT, SocketTransport, apply, make_gateway
@@ -114,3 +116,53 @@
     assert 200_000 <= gateway.unread_bytes <= 300_000 < MAX_TOTAL_UNREAD_BYTES
     connection.transport.read(300_000)
     assert gateway.unread_bytes == 0
+
+
+def test_connection_of_an_aborted_response_is_closed_however_its_caller_reads(connection):
+    """Guards against a caller that is neither answered nor disconnected at its deadline."""
+    number = begin_request(connection)
+    connection.put(StartResponse(number, 200, ()))
+    connection.put(SendChunk(number, b"x" * 200_000))
+    connection.put(AbortResponse(number))
+    connection.transport.read(300_000)
+    assert connection.transport.lost
+    assert not connection.transport.sent.endswith(b"0\r\n\r\n")
+
+
+def test_connection_of_an_aborted_response_is_closed_if_its_caller_reads_nothing(
+    gateway,
+    connection,
+):
+    number = begin_request(connection)
+    connection.put(StartResponse(number, 200, ()))
+    connection.put(SendChunk(number, b"x" * 200_000))
+    connection.put(AbortResponse(number))
+    gateway.env.clock.advance(1.1)
+    assert connection.transport.lost
+    assert gateway.unread_bytes == 0
+
+
+def test_idle_connection_with_unread_bytes_is_closed_once_they_are_read(connection):
+    """Guards against a connection that stays for ever since its caller once paused."""
+    number = begin_request(connection)
+    connection.put(SendResponse(number, 200, (), b"x" * 200_000))
+    connection.close_if_idle()
+    connection.transport.read(300_000)
+    assert connection.transport.lost
+
+
+def test_response_at_a_stop_is_delivered_while_its_caller_reads(gateway, connection, monkeypatch):
+    """Guards against a long response that is cut off a second after the gateway got it."""
+    monkeypatch.setattr(ingress_connection, "unsent_bytes", lambda one: one.unsent_bytes())
+    number = begin_request(connection)
+    now = gateway.env.now
+    gateway.send(BeginShutdown(ShutdownSchedule(now + 2.6, now + 7.0, now + 7.3)))
+    body = b"x" * 1_000_000
+    connection.put(SendResponse(number, 200, (), body))
+    for _ in range(30):
+        assert not connection.transport.lost
+        connection.transport.read(40_000)
+        gateway.env.clock.advance(0.1)
+    assert bytes(connection.transport.sent).endswith(body)
+    gateway.env.clock.advance(2.0)
+    assert connection.transport.lost
