Don't hold up a stage change for rate limits by one that was made for the load

Cause: after each order no change is considered for 8 s, so that its effect is seen. The effect of a limit needs no measuring. Change: a change for limits waits only for an earlier one of its kind. While a change for the load settles, the queues are not sampled, as before. Test: test_rate_limits_are_not_held_up_by_a_change_that_was_made_for_the_load failed before.

--- a/chivewall/decisions/stages.py
+++ b/chivewall/decisions/stages.py
@@ -6,7 +6,7 @@
 it is used once and immediately.
 """
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from chivewall.gateway.routing_configuration import Stage
 
@@ -68,6 +68,9 @@
     engine: str
     stage: Stage
     reason: str
+    # Requests are refused although an engine is free, so it doesn't wait until a change that was
+    # made for the load has settled.
+    urgent: bool = False
 
 
 def propose(load: StageLoad) -> StageChange | None:
@@ -78,7 +81,8 @@
     running = sum(one.in_flight for one in decoders)
     free = [one for one in prefill_engines if not one.limited]
     if load.limited_samples >= LIMITED_SAMPLES and free:
-        return _change(free, Stage.DECODE, "the decode engines limit their requests")
+        change = _change(free, Stage.DECODE, "the decode engines limit their requests")
+        return evolve(change, urgent=True)
     if any(one.limited for one in decoders):
         # A limited engine serves most by whole requests, and a free one must remain for the rest.
         decoders = [one for one in decoders if not one.limited]
@@ -142,18 +146,20 @@
         now: float,
         *,
         permit_wait: float = 0.0,
+        settling: bool = False,
     ) -> StageLoad:
         """Record a sample of the engines and their shortest queue; return the load.
 
-        ``permit_wait``: shortest wait for a permit of a decode engine, in seconds.
+        ``permit_wait``: shortest wait for a permit of a decode engine, in seconds;
+        ``settling``: the queues may still be those of before the latest change.
         """
-        no_decoder = not any(one.usable and one.stage is Stage.DECODE for one in engines)
-        self._no_decoder_samples = self._no_decoder_samples + 1 if no_decoder else 0
-        self._queued_samples = (
-            self._queued_samples + 1 if shortest_wait > QUEUED_PREFILL_SECONDS else 0
-        )
-        queued = permit_wait > QUEUED_PERMIT_SECONDS
-        self._limited_samples = self._limited_samples + 1 if queued else 0
+        if not settling:
+            no_decoder = not any(one.usable and one.stage is Stage.DECODE for one in engines)
+            self._no_decoder_samples = self._no_decoder_samples + 1 if no_decoder else 0
+            queued = shortest_wait > QUEUED_PREFILL_SECONDS
+            self._queued_samples = self._queued_samples + 1 if queued else 0
+        limited = permit_wait > QUEUED_PERMIT_SECONDS
+        self._limited_samples = self._limited_samples + 1 if limited else 0
         return StageLoad(
             engines,
             self.average(now),
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -398,9 +398,9 @@
         # service, and an engine must change its stage.
         engines = [one.info for one in self.states.values() if one.info.stage is not Stage.NONE]
         services = sorted({one.service for one in engines})
-        message.reply([self._service_load(service) for service in services])
+        message.reply([self._service_load(one, settling=message.settling) for one in services])
 
-    def _service_load(self, service: str) -> ServiceLoad:
+    def _service_load(self, service: str, *, settling: bool) -> ServiceLoad:
         now = self.env.now
         states = [one for one in self.states.values() if one.info.service == service]
         for one in states:
@@ -431,6 +431,7 @@
             min(waits, default=0.0),
             now,
             permit_wait=min(permit_waits, default=0.0),
+            settling=settling,
         )
         return ServiceLoad(service, load, {one.info.id: one.info for one in states})
 
--- a/chivewall/gateway/fleet_messages.py
+++ b/chivewall/gateway/fleet_messages.py
@@ -189,3 +189,5 @@
 @define(eq=False)
 class EngineLoads(Query):
     """Ask for the load of all engines; the reply is a list of ``ServiceLoad``."""
+
+    settling: bool = False  # an engine has changed its stage a moment ago
--- a/chivewall/gateway/stage_changer.py
+++ b/chivewall/gateway/stage_changer.py
@@ -73,7 +73,8 @@
         self.clock = clock
         self.lock_views: dict[str, OrderLockView] = {}
         self.lock_era = LockEra(cfg.lease_ms / 1000)
-        self.next_change_at = 0.0  # time before which no further change is considered
+        self.next_change_at = 0.0  # time before which no further change is made for the load
+        self.next_urgent_change_at = 0.0  # the same for an urgent change
 
     def start(self) -> None:
         """Start the task and the checks of the load."""
@@ -88,8 +89,9 @@
 
     @receive.register
     async def _(self, message: Tick) -> None:
-        if self.env.now >= self.next_change_at and await self.peers.query(IsFirstGateway()):
-            for load in await self.fleet.query(EngineLoads()):
+        if await self.peers.query(IsFirstGateway()):
+            settling = self.env.now < self.next_change_at
+            for load in await self.fleet.query(EngineLoads(settling=settling)):
                 await self._check_service(load)
         self._schedule_check()
 
@@ -103,7 +105,9 @@
 
     async def _check_service(self, load: ServiceLoad) -> None:
         change = propose(load.load)
-        if change is None:
+        if change is None or self.env.now < (
+            self.next_urgent_change_at if change.urgent else self.next_change_at
+        ):
             return
         try:
             await self._order_change(load, change)
@@ -148,6 +152,8 @@
             return
         view.update(new_lock, started_at)
         self.next_change_at = self.env.now + SETTLE_SECONDS
+        if change.urgent:
+            self.next_urgent_change_at = self.next_change_at
         if self.clock() - started_at > ORDER_LOCK_SECONDS:
             self._log_held(
                 load, change, "the order lock is too old; the process may have been suspended"
--- a/tests/test_stage_changer.py
+++ b/tests/test_stage_changer.py
@@ -8,7 +8,14 @@
 from twisted.internet.defer import fail, succeed
 from twisted.internet.task import Clock
 
-from chivewall.decisions.stages import ORDERS_IN_ERA_BITS, EngineView, OrderLock, StageLoad
+from chivewall.decisions.stages import (
+    LIMITED_SAMPLES,
+    ORDERS_IN_ERA_BITS,
+    SETTLE_SECONDS,
+    EngineView,
+    OrderLock,
+    StageLoad,
+)
 from chivewall.environment import Environment
 from chivewall.errors import EndpointError, OrderRefusedError, VersionConflictError
 from chivewall.events import EventLog
@@ -38,10 +45,21 @@
     return ServiceLoad("engines", StageLoad(engines, prefill_load=3.0), endpoints)
 
 
+def limited_load():
+    """Return the load of a service whose decode engines all limit their requests."""
+    engines = tuple(
+        EngineView(name, stage, 1, usable=True, limited=stage is Stage.DECODE)
+        for name, stage in (("p1", Stage.PREFILL), ("p2", Stage.PREFILL), ("d1", Stage.DECODE))
+    )
+    load = StageLoad(engines, prefill_load=0.0, limited_samples=LIMITED_SAMPLES)
+    return ServiceLoad("engines", load, {one.id: engine_info(one.id, one.stage) for one in engines})
+
+
 @define(eq=False)
 class FakeSurroundings:
     """Stands in for the fleet, the peers, the store and the engines."""
 
+    load: ServiceLoad = field(factory=busy_load)
     now: float = 500.0  # seconds on a clock that also counts suspensions
     has_lowest_address: bool = True
     lock: OrderLock | None = None
@@ -57,7 +75,7 @@
 
     def query(self, query):
         return succeed(
-            self.has_lowest_address if type(query).__name__ == "IsFirstGateway" else [busy_load()]
+            self.has_lowest_address if type(query).__name__ == "IsFirstGateway" else [self.load]
         )
 
     def send(self, message):
@@ -141,6 +159,19 @@
     assert len(fakes.orders) == 1  # the first change must take effect before the next order
 
 
+def test_rate_limits_are_not_held_up_by_a_change_that_was_made_for_the_load(fakes, clock):
+    """Guards against 9 s of refusals while a prefill engine without a limit is free."""
+    clock.advance(1.0)
+    fakes.load = limited_load()
+    clock.advance(1.0)
+    assert [(engine, stage) for engine, stage, *_ in fakes.orders] == [
+        ("d1", Stage.PREFILL),
+        ("p1", Stage.DECODE),
+    ]
+    clock.pump([1.0] * int(SETTLE_SECONDS - 1))
+    assert len(fakes.orders) == 2
+
+
 def test_only_the_gateway_with_the_lowest_address_gives_orders(fakes, clock):
     """Guards against several gateways that give orders at the same time."""
     fakes.has_lowest_address = False
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -57,7 +57,7 @@
         samples = [load.sample(engines, 0.0, one, permit_wait=0.5) for one in (1.0, 2.0)]
         assert [propose(one) for one in samples] == [
             None,
-            StageChange("p2", Stage.DECODE, "the decode engines limit their requests"),
+            StageChange("p2", Stage.DECODE, "the decode engines limit their requests", urgent=True),
         ]
         assert propose(load.sample(engines, 0.0, 3.0, permit_wait=0.0)) is None
 
