Grant no permit twice, and bound what gateways grant that disagree

Seen in tests with lost datagrams and restarts (trials, 5 gateways, limit 2 a second, 20 s, 40 permits due): 56 to 68 permits with 20% loss, up to 18 in 4 s where 17 are allowed; 13 and 14 in 4 s without loss once asks were repeated more often; three permits at once to a gateway that restarted three times. Causes: a second answer to an ask, to a repeat of it that was under way, was taken for one that nobody waits for, and gave back a permit that was used. After a restart a gateway numbered its asks from 1 again and got the permits remembered under these numbers. Two lost datagrams in a row made another gateway act as keeper, at half the rate, and each further one at half of that: twice the limit together. Change: granted asks are remembered by number; numbers begin at random; three unanswered asks of 0.1 s instead of two of 0.15 s pass a keeper over; gateways that aren't the first grant a quarter, an eighth and so on, so all together at most one and a half times the limit, and their first permit is due like a further one. A waiting ask is repeated each 0.4 s as was meant. Denials are worked out in one pass over the queue.

--- a/chivewall/decisions/permits.py
+++ b/chivewall/decisions/permits.py
@@ -5,9 +5,10 @@
 gateways. The others ask it for a permit before each request. It grants permits at the rate of the
 limit, the most urgent first, and tells at once those that would wait longer than they can.
 
-Gateways may disagree on which of them are live. What they grant together stays bounded: a gateway
-that isn't the first in its own view grants at half the rate, the next one at a quarter; and the
-sides of a partition get parts of the rate by the number of gateways that each still sees.
+Gateways may disagree on which of them are live. What they grant together is at most one and a half
+times the limit: a gateway that isn't the first in its own view grants at a quarter of the rate, the
+next one at an eighth and so on; and the sides of a partition get parts of the rate by the number of
+gateways that each still sees.
 """
 
 import itertools
@@ -106,7 +107,7 @@
 
     Example: ``granted_share(0, 3, 5) + granted_share(0, 2, 5) == 1.0``.
     """
-    return 0.5**position * live / max(live, remembered)
+    return (0.5 ** (position + 1) if position else 1.0) * live / max(live, remembered)
 
 
 @define
@@ -115,7 +116,7 @@
 
     rate: float  # permits a second
     stated_at: float  # when the endpoint stated the limit that the rate follows from
-    created_at: float
+    first_at: float  # when the first permit is due
     _next_at: float = field(init=False)  # when the next permit is due if the saved ones are used up
     _waiting: list[WaitingAsk] = field(factory=list, init=False)
     _granted: dict[AskKey, float] = field(factory=dict, init=False)  # times, oldest first
@@ -124,8 +125,7 @@
     _orders: itertools.count = field(factory=itertools.count, init=False)
 
     def __attrs_post_init__(self) -> None:
-        # One permit is available at once, and no saved ones.
-        self._next_at = self.created_at + self._saved_seconds
+        self._next_at = self.first_at + self._saved_seconds
 
     def set_rate(self, rate: float, stated_at: float, now: float) -> None:
         """Set the rate that follows from the latest statement of the endpoint."""
@@ -173,12 +173,14 @@
             self._waiting.remove(chosen)
             self._grant(chosen.ask, now)
             decisions.append(PermitDecision(chosen.ask.key, Ruling.GRANTED, 0.0))
-        for one in sorted(self._waiting, key=lambda waiting: waiting.order, reverse=True):
-            ahead = self._ahead(one.ask.rank, one.order)
-            wait = self._expected_wait(one.ask.rank, ahead, now)
+        kept: list[WaitingAsk] = []
+        for one in sorted(self._waiting, key=lambda waiting: (waiting.ask.rank, waiting.order)):
+            wait = self._expected_wait(one.ask.rank, len(kept), now)
             if now + wait > one.ask.give_up_at:
-                self._waiting.remove(one)
                 decisions.append(PermitDecision(one.ask.key, Ruling.DENIED, wait))
+            else:
+                kept.append(one)
+        self._waiting = kept
         return decisions
 
     def next_due(self, now: float) -> float | None:
--- a/chivewall/gateway/rate_limits.py
+++ b/chivewall/gateway/rate_limits.py
@@ -6,6 +6,7 @@
 """
 
 import itertools
+from collections import OrderedDict
 from functools import singledispatchmethod
 
 from attrs import define
@@ -48,13 +49,15 @@
 from chivewall.plugins.registry import Registry
 from chivewall.task import Inbox, Task
 
-ANSWER_SECONDS = 0.15  # time in which another gateway answers an ask; a datagram may be lost
-MAX_UNANSWERED = 2  # asks without an answer after which the next gateway is asked
+ANSWER_SECONDS = 0.1  # time in which another gateway answers an ask; a datagram may be lost
+MAX_UNANSWERED = 3  # asks without an answer after which the next gateway is asked
 SILENT_SECONDS = 2.0  # time for which a gateway that did not answer is passed over
 MAX_KEEPERS = 3  # gateways that are asked for one permit
 REPEAT_SECONDS = 0.4  # interval in which a waiting ask is repeated
 # Two intervals between hellos: a gateway that has just started may not know the others yet.
 SETTLED_SECONDS = 4.0
+MAX_GRANTED = 4096  # granted asks whose numbers are kept, since a second answer may be under way
+FIRST_NUMBERS = 2**40  # range of the first number of an ask
 UNKNOWN_WAIT_SECONDS = 1.0  # expected wait if no gateway answers
 
 
@@ -66,7 +69,8 @@
     number: int
     asked_at: float
     keeper: str = ""  # gateway that is asked, ``""`` for this one
-    answered: bool = False  # since it was last sent
+    sent_at: float = 0.0  # the last time
+    answered: bool = False  # since then
     unanswered: int = 0  # asks without an answer since the last one
     keepers_asked: int = 1
 
@@ -87,9 +91,11 @@
         self.sender: Inbox | None = None  # sends messages to other gateways
         self.queues: dict[str, PermitQueue] = {}  # by endpoint id
         self.pending: dict[int, PendingAsk] = {}
+        self._granted: OrderedDict[int, None] = OrderedDict()  # numbers of the latest granted asks
         self._silent_until: dict[str, float] = {}  # by gateway
         self._orders: dict[str, list[str]] = {}  # keeper order by endpoint id
-        self._numbers = itertools.count(1)
+        # A gateway that restarts must not take up the numbers of its asks before.
+        self._numbers = itertools.count(env.random.randrange(FIRST_NUMBERS))
         self._timer: IDelayedCall | None = None
 
     async def on_stop(self) -> None:
@@ -110,6 +116,9 @@
     async def _(self, message: GatewaysChanged) -> None:
         if set(message.live) != set(self.gateways.live):
             self._orders.clear()
+            self._silent_until = {
+                one: until for one, until in self._silent_until.items() if one in message.live
+            }
         self.gateways = message
 
     @receive.register
@@ -148,7 +157,7 @@
         if pending is not None and pending.keeper == message.gateway:
             pending.answered, pending.unanswered = True, 0
             self._settle(pending, ruling.ruling, ruling.wait)
-        elif ruling.ruling is Ruling.GRANTED:
+        elif ruling.ruling is Ruling.GRANTED and ruling.number not in self._granted:
             self._release(message.gateway, EndedAsk(ruling.number, ruling.endpoint))
 
     @receive.register
@@ -163,6 +172,7 @@
         """Ask the gateway that keeps the endpoint's limit."""
         need = pending.query.need
         pending.keeper = self._keeper(need.endpoint)
+        pending.sent_at, pending.answered = self.env.now, False
         ask = SharedAsk(
             number=pending.number,
             endpoint=need.endpoint,
@@ -180,8 +190,10 @@
         elif self.sender is not None:
             self.sender.put(SendAsk(pending.keeper, ask))
         if pending.number in self.pending:
-            seconds = REPEAT_SECONDS if pending.answered else ANSWER_SECONDS
-            self.env.clock.callLater(seconds, self.send, Tick(str(pending.number)))
+            self._check_later(pending, ANSWER_SECONDS)
+
+    def _check_later(self, pending: PendingAsk, seconds: float) -> None:
+        self.env.clock.callLater(seconds, self.send, Tick(str(pending.number)))
 
     def _repeat(self, number: int) -> None:
         """Repeat an ask, so that its place is kept, or ask another gateway."""
@@ -192,15 +204,17 @@
             del self.pending[number]
             self._release(pending.keeper, pending.ended())
             return
-        remote = pending.keeper != self.gateways.own
-        if remote and not pending.answered:
+        repeat_in = pending.sent_at + REPEAT_SECONDS - self.env.now
+        if pending.answered and repeat_in > 0:
+            self._check_later(pending, repeat_in)
+            return
+        if not pending.answered and pending.keeper != self.gateways.own:
             pending.unanswered += 1
         if pending.unanswered >= MAX_UNANSWERED:
             self._pass_over(pending)
             if pending.keepers_asked > MAX_KEEPERS:
                 self._settle(pending, Ruling.DENIED, UNKNOWN_WAIT_SECONDS)
                 return
-        pending.answered = False
         self._ask(pending)
 
     def _pass_over(self, pending: PendingAsk) -> None:
@@ -242,6 +256,9 @@
             wait=round(wait, 3),
         )
         if ruling is Ruling.GRANTED:
+            self._granted[pending.number] = None
+            if len(self._granted) > MAX_GRANTED:
+                self._granted.popitem(last=False)
             permit = Permit(endpoint, pending.number, pending.keeper, now + PERMIT_SECONDS)
             query.reply(permit)
         else:
@@ -251,13 +268,17 @@
         """Rule on an ask as the gateway that keeps the limit."""
         now = self.env.now
         queue = self.queues.get(ask.endpoint)
-        share = self._own_share(ask.endpoint)
+        position = self._own_position(ask.endpoint)
+        live = len(self.gateways.live)
+        rate = ask.rate * granted_share(position, live, self.gateways.remembered)
         if queue is None:
             self.queues = {one: kept for one, kept in self.queues.items() if not kept.is_idle(now)}
-            queue = PermitQueue(rate=share * ask.rate, stated_at=stated_at, created_at=now)
+            # Another gateway may have granted a permit just before.
+            first_at = now + 1 / rate if position else now
+            queue = PermitQueue(rate, stated_at, first_at)
             self.queues[ask.endpoint] = queue
         elif stated_at >= queue.stated_at:
-            queue.set_rate(share * ask.rate, stated_at, now)
+            queue.set_rate(rate, stated_at, now)
         own = key.key.gateway == self.gateways.own
         decision = queue.ask(
             key, now, repeated_by=key.give_up_at if own else now + ASK_LIFETIME_SECONDS
@@ -317,12 +338,13 @@
             self._orders[endpoint] = keeper_order(endpoint, self.gateways.live)
         return self._orders[endpoint]
 
-    def _own_share(self, endpoint: str) -> float:
-        order = self._keeper_order(endpoint)
-        position = order.index(self.gateways.own)
-        if self.env.now < self.started_at + SETTLED_SECONDS and len(order) > 1:
-            position += 1
-        return granted_share(position, len(order), self.gateways.remembered)
+    def _own_position(self, endpoint: str) -> int:
+        """Return the position of this gateway in the keeper order, 0 for the first.
+
+        After its start others may come first that it doesn't know yet.
+        """
+        position = self._keeper_order(endpoint).index(self.gateways.own)
+        return position + (self.env.now < self.started_at + SETTLED_SECONDS)
 
 
 class RateLimitsPlugin(Plugin):
--- a/tests/utils/limited_gateways.py
+++ b/tests/utils/limited_gateways.py
@@ -91,6 +91,7 @@
         self.network, self.host, self.clock = network, host, network.clock
         self.fleet = make_fleet(self.clock, d1=Stage.DECODE, d2=Stage.DECODE)
         self.env = self.fleet.env
+        self.env.random.seed(network.rng.random())  # of a new process
         guard = PartGuard(self.env, self.fleet)
         guard.start()
         self.limits = RateLimits(self.env, self.fleet)
