Believe the end of a response without a length only if its process confirms it

Cause: only streams were asked about, and the question was whether the address takes a connection, which a restarted process does too. Change: after the end of the connection the endpoint is asked for its report, addressed to its id. Another process refuses it, names another id or another start; no answer in two tries of 0.4 s counts as an end, for plain answers and streams alike. Then the attempt is broken: repeated or resumed where the route allows it, 502 or an incomplete stream where not. A plain service refuses a request without an id, which confirms its id; a restart under the same id can't be told there. Responses without a body have a known end. Cost: one request to the endpoint for each response without a length. The stand-in answers /report.

--- a/chivewall/gateway/exchange.py
+++ b/chivewall/gateway/exchange.py
@@ -20,6 +20,8 @@
 # not run twice; one that was idle longer may be dead without the gateway knowing.
 MAX_IDLE_UNSAFE_SECONDS = 0.5
 MAX_IDLE_IDEMPOTENT_SECONDS = 4.0  # the same for idempotent requests, in seconds
+CONFIRM_TIMEOUT_SECONDS = 0.4  # timeout of the question whether a process still runs
+CONFIRM_TRIES = 2  # the first may be lost, or sent on a kept connection that is dead
 RELEASE_TIMEOUT_SECONDS = 0.6  # timeout of the request that frees a KV cache
 SERVICE_REQUEST_SECONDS = 0.05  # duration of a plain service's request in other gateways' estimates
 
@@ -78,11 +80,11 @@
 
 
 @frozen
-class StreamEndProbed:
-    """Result of the test whether an engine has ended, whose connection ended with its stream."""
+class EndConfirmed:
+    """Whether the process still runs that ended its response by closing the connection."""
 
     exchange: int
-    engine_ended: bool
+    same_process: bool
 
 
 @frozen
@@ -153,6 +155,30 @@
     )
 
 
+async def is_same_process(context: RequestContext, endpoint: EndpointInfo) -> bool:
+    """Return whether the process that a request was sent to still runs.
+
+    No answer counts as an end: it may have crashed behind a cut.
+    """
+    method, target, headers = context.dialect.identity_request(endpoint.id)
+    for _ in range(CONFIRM_TRIES):
+        deadline = context.env.now + CONFIRM_TIMEOUT_SECONDS
+        try:
+            found = await context.connections.fetch(
+                endpoint.address, method, target, deadline, headers=headers, endpoint=endpoint
+            )
+        except StoreUnavailableError:
+            continue  # the attempt that isn't confirmed is logged
+        return context.dialect.is_process(
+            endpoint.id,
+            endpoint.started_ms,
+            status=found.status,
+            headers=found.headers,
+            body=found.body,
+        )
+    return False
+
+
 async def release_kv_cache(context: RequestContext, endpoint: EndpointInfo, handle: str) -> None:
     """Free a KV cache that won't be fetched; if this fails, it expires by itself."""
     method, target = context.dialect.release_request(handle)
--- a/chivewall/gateway/forwarded_request.py
+++ b/chivewall/gateway/forwarded_request.py
@@ -24,12 +24,13 @@
 from chivewall.gateway.exchange import (
     BrokenAttempt,
     BrokenEndpointProbed,
+    EndConfirmed,
     EndpointProbed,
     Exchange,
     RequestContext,
-    StreamEndProbed,
     WaitEnded,
     is_event_stream,
+    is_same_process,
     outgoing_request,
     release_kv_cache,
     request_deadline,
@@ -263,15 +264,15 @@
         await self._continue_after(AttemptOutcome.BROKEN, attempt.reason)
 
     @receive.register
-    async def _(self, message: StreamEndProbed) -> None:
+    async def _(self, message: EndConfirmed) -> None:
         if not self._is_current(message.exchange):
             return
-        if message.engine_ended:
+        if message.same_process:
+            self._complete_response()
+        else:
             await self._attempt_failed(
-                AttemptOutcome.BROKEN, "the engine ended before the end of the stream was known"
+                AttemptOutcome.BROKEN, "the endpoint may have ended inside its response"
             )
-        else:
-            self._complete_response()
 
     @receive.register
     async def _(self, message: WaitEnded) -> None:
@@ -586,17 +587,18 @@
             self.response.started and not self._is_streaming()
         ):
             await self._attempt_failed(AttemptOutcome.FAILED, f"status {self.received.head.status}")
-        elif until_closed and self._is_streaming():
-            # A crash ends the connection too, where the stream has neither a length nor chunks.
-            self.spawn(self._probe_stream_end(self.exchange))
+        elif until_closed:
+            # A crash ends the connection too, where a response has neither a length nor chunks.
+            self.spawn(self._confirm_end(self.exchange))
         else:
             self._complete_response()
 
-    async def _probe_stream_end(self, exchange: Exchange) -> None:
-        self.send(StreamEndProbed(exchange.number, await self._has_ended(exchange.endpoint)))
+    async def _confirm_end(self, exchange: Exchange) -> None:
+        same_process = await is_same_process(self.context, exchange.endpoint)
+        self.send(EndConfirmed(exchange.number, same_process))
 
     async def _has_ended(self, endpoint: EndpointInfo) -> bool:
-        """Return whether the endpoint's process has ended."""
+        """Return whether nothing listens at the endpoint's address any more."""
         probe = ProbeAddress(endpoint.address, connect=True)
         return await self.context.connections.query(probe) is Reachability.REFUSED
 
--- a/chivewall/gateway/http_dialect.py
+++ b/chivewall/gateway/http_dialect.py
@@ -131,5 +131,19 @@
     def kv_source(self, address: tuple[str, int], handle: str) -> str:
         """Return the value that tells an engine where to fetch a kept KV cache."""
 
+    def identity_request(self, endpoint: str) -> tuple[bytes, bytes, Headers]:
+        """Return method, target and headers of the question whether an endpoint has an address.
+
+        Any other endpoint there refuses it, and none runs it.
+        """
+
+    def is_process(
+        self, endpoint: str, started_ms: int | None, *, status: int, headers: Headers, body: bytes
+    ) -> bool:
+        """Return whether the answer to that question comes from a process of an endpoint.
+
+        ``started_ms``: start of the process as Unix time in ms; ``None`` if it isn't known.
+        """
+
     def release_request(self, handle: str) -> tuple[bytes, bytes]:
         """Return method and target of the request that frees a kept KV cache."""
--- a/chivewall/gateway/outgoing_connection.py
+++ b/chivewall/gateway/outgoing_connection.py
@@ -30,6 +30,7 @@
 # Bytes that are no part of the response to the request: interim responses and responses to other
 # requests. An endpoint in trouble may send them without an end.
 MAX_FOREIGN_BYTES = 1_048_576
+BODILESS_STATUSES = (204, 304)  # HTTP statuses of responses that have no body
 MAX_REQUEST_IDS = 256  # latest requests of a connection whose ids are kept
 # Keep-alive time, in seconds, if the endpoint names none; such endpoints close later than this.
 DEFAULT_IDLE_SECONDS = 4.0
@@ -179,7 +180,11 @@
             return
         self._response_started = True
         names = {name.lower() for name, _ in headers}
-        self._until_closed = names.isdisjoint((b"content-length", b"transfer-encoding"))
+        self._until_closed = (
+            names.isdisjoint((b"content-length", b"transfer-encoding"))
+            and event.status_code not in BODILESS_STATUSES
+            and self.request.method != b"HEAD"
+        )
         self._keep_alive_seconds = _keep_alive_timeout(headers)
         head = ResponseHead(
             status=event.status_code, reason=bytes(event.reason), headers=headers, fields=fields
--- a/chivewall/platform/headers.py
+++ b/chivewall/platform/headers.py
@@ -2,7 +2,7 @@
 
 import re
 
-from chivewall.errors import RequestError
+from chivewall.errors import DecodeError, RequestError
 from chivewall.gateway.http_dialect import (
     CallerRequest,
     ForwardedFields,
@@ -136,6 +136,26 @@
         """Return the value of ``X-Kv-From`` for a kept KV cache."""
         return f"{address[0]}:{address[1]}/{handle}"
 
+    def identity_request(self, endpoint: str) -> tuple[bytes, bytes, Headers]:
+        """Return method, target and headers of the question whether an endpoint has an address.
+
+        An engine answers with its report. A plain service refuses a request without an id.
+        """
+        return b"GET", b"/report", ((b"X-Expect-Instance", endpoint.encode("latin-1")),)
+
+    def is_process(
+        self, endpoint: str, started_ms: int | None, *, status: int, headers: Headers, body: bytes
+    ) -> bool:
+        """Return whether the answer to that question comes from a process of an endpoint."""
+        if status == 421 or _first_value(headers, ENDPOINT_ID) not in (None, endpoint):
+            return False
+        try:
+            document = parse_json(body)
+        except DecodeError:
+            return True  # no report; another endpoint would have refused the request
+        born = document.get("born") if isinstance(document, dict) else None
+        return None in (born, started_ms) or born == started_ms
+
     def release_request(self, handle: str) -> tuple[bytes, bytes]:
         """Return method and target of the request that frees a KV cache."""
         return b"DELETE", b"/kv-handle/" + handle.encode("latin-1")
--- a/chivewall/standins/platform_endpoint.py
+++ b/chivewall/standins/platform_endpoint.py
@@ -1,5 +1,6 @@
 """Simulated endpoint of the users' platform, a plain service or an engine, run in a thread."""
 
+import json
 import threading
 import time
 from collections.abc import Callable
@@ -101,12 +102,32 @@
     def handle_request(self) -> None:
         """Read the body and handle the request."""
         self.request_count += 1
+        if self.path == "/report":
+            self.send_report()
+            return
         length = int(self.headers.get("Content-Length") or 0)
         self.endpoint.received_bodies.append(self.rfile.read(length))
         self.endpoint.serve_request(self)
 
     do_GET = do_POST = do_PUT = do_DELETE = handle_request  # noqa: N815 - inherited names
 
+    def send_report(self) -> None:
+        """Answer the question for a report; a plain service refuses a request without an id."""
+        if self.expects_another_endpoint():
+            self.send_plain(421, b"", ("X-Not-Run", "1"), stamped=False)
+        elif self.endpoint.stage is None:
+            self.send_plain(400, b"", ("X-Not-Run", "1"), stamped=False)
+        else:
+            report = {
+                "stage": self.endpoint.stage,
+                "busy": False,
+                "seq": 0,
+                "born": self.endpoint.started_ms,
+            }
+            body = json.dumps(report).encode()
+            name = ("X-Runner-Id", self.endpoint.id)
+            self.send_plain(200, body, name, stamped=False)
+
     @property
     def request_id(self) -> str:
         """Return the request's id, or an empty string."""
--- a/tests/utils/requests.py
+++ b/tests/utils/requests.py
@@ -2,6 +2,8 @@
 
 from attrs import define, field
 
+from chivewall.errors import StoreUnavailableError
+from chivewall.gateway.channels import HttpResponse
 from chivewall.gateway.exchange import RequestContext
 from chivewall.gateway.exchange_messages import (
     CancelExchange,
@@ -35,6 +37,12 @@
     headers=((b"Content-Type", b"text/event-stream"),),
     fields=ResponseFields(request_id="r1", stamp=b"s"),
 )
+PLAIN_HEAD = ResponseHead(
+    status=200,
+    reason=b"OK",
+    headers=((b"Content-Type", b"application/json"),),
+    fields=ResponseFields(request_id="r1", stamp=b"s"),
+)
 REFUSAL_HEAD = ResponseHead(
     status=503, reason=b"Busy", headers=(), fields=ResponseFields(request_id="r1", not_run=True)
 )
@@ -65,6 +73,9 @@
     cancelled: list = field(factory=list)  # numbers of the cancelled exchanges
     reachability: Reachability = Reachability.REACHABLE  # result of each probe
     probes: int = 0
+    fetched: int = 0  # requests of the gateway itself
+    identity_status: int = 200  # of the answer to the question who is there
+    identity: bytes = b"{}"
 
     def next_exchange(self):
         return len(self.sent) + 1
@@ -82,7 +93,11 @@
         return message.deferred
 
     async def fetch(self, *arguments, **fields):
-        """Answer the request that frees a KV cache."""
+        """Answer the gateway's own requests: the question who is there, or to free a KV cache."""
+        self.fetched += 1
+        if self.reachability is not Reachability.REACHABLE:
+            raise StoreUnavailableError("no response")
+        return HttpResponse(self.identity_status, (), self.identity)
 
 
 class RequestBench:
@@ -153,8 +168,15 @@
         data = b"id: %d\ndata: token %d\n\n" % (number, number)
         self.task.send(ResponseData(self.exchange, data))
 
-    def finish(self):
-        self.task.send(ResponseEnded(self.exchange))
+    def finish(self, *, until_closed=False):
+        self.task.send(ResponseEnded(self.exchange, until_closed=until_closed))
+
+    def answer_plainly(self, body):
+        """Let the endpoint send a plain body whose end only its connection shows."""
+        self.task.send(RequestWritten(self.exchange, reused=False))
+        self.task.send(ResponseStarted(self.exchange, PLAIN_HEAD))
+        self.task.send(ResponseData(self.exchange, body))
+        self.finish(until_closed=True)
 
     def break_off(self):
         """Let the connection of the latest exchange break."""
