--- a/tests/test_stated_pauses.py
+++ b/tests/test_stated_pauses.py
@@ -14,27 +14,16 @@
 from chivewall.decisions.placement import Placement
 from chivewall.decisions.stated_pauses import MAX_PAUSE_SECONDS, MAX_PAUSES, StatedPauses
 from chivewall.gateway.announcement_messages import EndpointPause
-from chivewall.gateway.fleet_messages import FindPlacement
 from chivewall.gateway.forwarded_request import PAUSE_SPREAD_SECONDS
-from chivewall.gateway.http_dialect import RequestFields
 from chivewall.gateway.routing_configuration import Stage
 from chivewall.platform.headers import PlatformDialect
-from tests.utils.fleets import make_fleet
+from tests.utils.fleets import make_fleet, query_placement
 from tests.utils.gateways import engine_info
 from tests.utils.requests import RequestBench
 
 
 def placed(fleet, **fields):
-    found = []
-    query = FindPlacement(
-        service="engines",
-        fields=RequestFields(prompt_tokens=200),
-        excluded=frozenset(),
-        allowed=None,
-        **fields,
-    )
-    fleet.query(query).addCallback(found.append)
-    return found[0]
+    return query_placement(fleet, prompt_tokens=200, **fields)
 
 
 def pause(fleet, name, seconds, stage=Stage.DECODE):
--- a/tests/utils/fleets.py
+++ b/tests/utils/fleets.py
@@ -71,10 +71,10 @@
         self.messages.append(message)
 
 
-def query_placement(fleet, **fields):
-    """Return the placement of a long prompt, or ``None``."""
+def query_placement(fleet, prompt_tokens=20_000, **fields):
+    """Return the placement of a prompt, by default a long one, or ``None``."""
     found = []
-    prompt = RequestFields(prompt_tokens=20_000)
+    prompt = RequestFields(prompt_tokens=prompt_tokens)
     fleet.query(
         FindPlacement(
             service="engines", fields=prompt, excluded=frozenset(), allowed=None, **fields
--- a/tests/utils/limited_gateways.py
+++ b/tests/utils/limited_gateways.py
@@ -5,15 +5,14 @@
 from twisted.internet.task import Clock
 
 from chivewall.gateway.announcement_messages import EndpointLimit
-from chivewall.gateway.fleet_messages import FindPlacement
-from chivewall.gateway.http_dialect import RequestFields, StatedLimit
+from chivewall.gateway.http_dialect import StatedLimit
 from chivewall.gateway.part_guard import PartGuard
 from chivewall.gateway.peers import DatagramReceived, Peers, PeersSettings, SayGoodbye
 from chivewall.gateway.rate_limit_messages import AcquirePermit, Permit, PermitNeed
 from chivewall.gateway.rate_limits import RateLimits
 from chivewall.gateway.routing_configuration import Stage
 from chivewall.task import Inbox
-from tests.utils.fleets import make_fleet
+from tests.utils.fleets import make_fleet, query_placement
 from tests.utils.gateways import engine_info
 
 DELAY_SECONDS = 0.005  # of a datagram
@@ -126,16 +125,7 @@
         (self.granted if isinstance(reply, Permit) else self.denied).append(self.env.now)
 
     def placement(self, **fields):
-        found = []
-        query = FindPlacement(
-            service="engines",
-            fields=RequestFields(prompt_tokens=200),
-            excluded=frozenset(),
-            allowed=None,
-            **fields,
-        )
-        self.fleet.query(query).addCallback(found.append)
-        return found[0]
+        return query_placement(self.fleet, prompt_tokens=200, **fields)
 
     def end(self, *, goodbye):
         """End the process, with or without telling the others."""
