Let the test of spared asks fail without its fix

Cause: it looked only at the choice, not at the wait. Change: it also asks for the wait that follows from the work, 1 s at one request a second. The earlier assertions stay.

--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -272,6 +272,7 @@
     )
     second.fleet.send(PeerWork(first.host, work))
     assert [need.endpoint for need in second.placement().needs] == ["d2"]
+    assert second.fleet.states["d1"].permit_wait(second.env.now, 5) == pytest.approx(1.0)
     site.run(1.1)
     assert second.fleet.states["d1"].permit_wait(second.env.now, 5) == 0.0
 
