Add the types that the parts for the two new deployments share

Cause: workspace keys, fairness, duties with one holder, usage and the number of endpoints are built side by side, and need the same types: workspaces and ranges of endpoint numbers in the routing configuration, the key in a request's headers, and the lock and the calls of a duty at the platform.

--- a/chivewall/errors.py
+++ b/chivewall/errors.py
@@ -117,3 +117,15 @@
     """The link to an agent broke or timed out."""
 
     code = ResultCode.OUTCOME_UNKNOWN
+
+
+class PlatformUnavailableError(ChivewallError):
+    """The platform didn't answer a call, which it may have accepted."""
+
+    code = ResultCode.PLATFORM_UNAVAILABLE
+
+
+class DutyRefusedError(ChivewallError):
+    """The platform didn't accept a call that is the duty of one gateway at a time."""
+
+    code = ResultCode.PLATFORM_UNAVAILABLE
--- a/chivewall/gateway/fleet_messages.py
+++ b/chivewall/gateway/fleet_messages.py
@@ -30,6 +30,7 @@
     kv_data_centre: str | None = None  # data centre of the engine that keeps the KV cache
     last_resort: bool = True  # endpoints that had better get no work are chosen as a last resort
     permits: frozenset[str] = frozenset()  # ids of endpoints for which the request has a permit
+    workspace: str | None = None  # name of the caller's workspace
 
 
 @define(eq=False)
--- a/chivewall/gateway/forwarded_request.py
+++ b/chivewall/gateway/forwarded_request.py
@@ -66,7 +66,13 @@
 from chivewall.gateway.received_response import ReceivedResponse
 from chivewall.gateway.request_log import RequestLog
 from chivewall.gateway.request_permits import MAX_DENIED, PermitsAcquired, RequestPermits
-from chivewall.gateway.routing_configuration import EndpointInfo, Route, RouteKind, Stage
+from chivewall.gateway.routing_configuration import (
+    EndpointInfo,
+    Route,
+    RouteKind,
+    Stage,
+    Workspace,
+)
 from chivewall.messages import Tick
 from chivewall.results import ResultCode
 from chivewall.task import Inbox, Task
@@ -96,8 +102,10 @@
         service: str,
         connection: Inbox,
         request_number: int,
+        workspace: Workspace | None = None,
     ) -> None:
         super().__init__()
+        self.workspace = workspace  # None: the route is public, or there are no workspaces
         self.context = context
         self.env = context.env
         self.request = request
--- a/chivewall/gateway/http_dialect.py
+++ b/chivewall/gateway/http_dialect.py
@@ -27,6 +27,8 @@
     prompt_tokens: int = 0
     max_output_tokens: int = 0
     prompt_parts: tuple[PromptPart, ...] = ()
+    # All values of the header with the workspace key, of which there must be one.
+    workspace_keys: tuple[str, ...] = field(default=(), repr=False)
 
 
 @frozen
@@ -64,6 +66,7 @@
     stage: Stage | None = None  # PREFILL: only compute and keep the KV cache of the prompt
     kv_source: str | None = None  # location from which to fetch the KV cache of the prompt
     last_event_id: str | None = None
+    workspace: str | None = None  # name of the workspace whose key the caller sent
 
 
 @frozen
--- a/chivewall/gateway/routing_configuration.py
+++ b/chivewall/gateway/routing_configuration.py
@@ -2,7 +2,7 @@
 
 from enum import Enum
 
-from attrs import frozen
+from attrs import field, frozen
 
 MS_PER_SECOND = 1000.0
 
@@ -47,6 +47,7 @@
     pause_ms: float = 300.0  # target for the longest pause between two events of a stream
     resumable: bool = False  # a broken stream may be continued by another endpoint
     prefix_affinity: bool = False  # requests name the parts of their prompts in a header
+    public: bool = False  # served without a workspace key
 
     @property
     def idempotent(self) -> bool:
@@ -64,13 +65,38 @@
     idle_timeout_ms: float = 15_000.0
 
 
+@frozen
+class Workspace:
+    """A workspace, and the keys that its callers send."""
+
+    name: str
+    keys: tuple[str, ...] = field(repr=False)
+    priority: int | None = None  # goes before that of the route; ``None``: the route's holds
+
+
+@frozen
+class EndpointScale:
+    """The range in which the number of a service's endpoints may be ordered."""
+
+    service: str
+    minimum: int  # endpoints in each data centre
+    maximum: int
+    start_seconds: float  # from the order of an endpoint until it serves
+
+
 @frozen
 class RoutingConfiguration:
-    """One version of the routing configuration."""
+    """One version of the routing configuration.
+
+    Without ``workspaces``, requests need no key. A service without an ``EndpointScale`` has a fixed
+    number of endpoints.
+    """
 
     version: int
     routes: tuple[Route, ...]
     limits: IngressLimits
+    workspaces: tuple[Workspace, ...] = ()
+    scales: tuple[EndpointScale, ...] = ()
 
 
 @frozen
