Compare an endpoint's times with what its service's speeds say now

Its log shows the calls of the service learned as 0.7 ms and, when the other endpoint had answered in 45 ms for a while, as 42 ms. The factor of that endpoint had been measured against 0.7 ms and was then multiplied with 42 ms.

Change: samples of a factor keep the measured time and what it consists of, and are compared with the speeds of now.

Conclusion: the failure is traced; it concerns each gateway whose first speeds are wrong, at its start most of all.

--- a/chivewall/decisions/endpoint_record.py
+++ b/chivewall/decisions/endpoint_record.py
@@ -135,7 +135,7 @@
     def speed(self, now: float) -> EngineSpeed:
         """Return how fast it prefills."""
         service = self.service_speeds.current
-        factor = self.slowness.factor(now)
+        factor = self.slowness.factor(now, service)
         return EngineSpeed(service.prefill_scale * factor, service.response_seconds * factor)
 
     def reference_prefill_seconds(self, prompt: int, cached: int) -> float:
@@ -150,7 +150,12 @@
         """
         service = self.service_speeds.current
         line = service.fetched_event if fetched else service.first_event
-        return line.seconds(self.work.running) * self.slowness.factor(now)
+        return line.seconds(self.work.running) * self.slowness.factor(now, service)
+
+    def call_seconds(self, now: float) -> float:
+        """Return the duration of a plain service's call."""
+        service = self.service_speeds.current
+        return service.call_seconds * self.slowness.factor(now, service)
 
     def add_work(self, key: WorkKey, item: WorkItem, now: float) -> None:
         """Record work that a gateway sent to the endpoint."""
--- a/chivewall/decisions/placement.py
+++ b/chivewall/decisions/placement.py
@@ -241,9 +241,7 @@
 def _choose_service_endpoint(states: list[EndpointRecord], context: PlacementContext) -> Placement:
     def cost(state: EndpointRecord) -> float:
         waiting = max(0, state.in_flight + 1 - state.info.slots) / state.info.slots
-        call_seconds = state.service_speeds.current.call_seconds * state.slowness.factor(
-            context.now
-        )
+        call_seconds = state.call_seconds(context.now)
         return (
             _round_trip_seconds(state, context)
             + _closed_seconds(state, context)
--- a/chivewall/decisions/speed_samples.py
+++ b/chivewall/decisions/speed_samples.py
@@ -73,8 +73,8 @@
         if record.info.stage is not Stage.PREFILL:
             return  # a decode engine may use only a share of its time for prefill
         speeds = record.service_speeds
-        expected = throughput.reference_seconds * speeds.current.prefill_scale
-        record.slowness.add(throughput.seconds, expected, now)
+        work = throughput.reference_seconds
+        record.slowness.add(throughput.seconds, lambda speed: work * speed.prefill_scale, now)
         speeds.add_throughput(
             throughput.prompts, throughput.reference_seconds, throughput.seconds, now
         )
@@ -85,19 +85,19 @@
 
     def _add_call(self, sample: SentSample, seconds: float, now: float) -> None:
         speeds = sample.record.service_speeds
-        sample.record.slowness.add(seconds, speeds.current.call_seconds, now)
+        sample.record.slowness.add(seconds, lambda speed: speed.call_seconds, now)
         speeds.add_call(seconds, now)
 
     def _add_prefill(self, sample: SentSample, seconds: float, now: float) -> None:
         speeds = sample.record.service_speeds
-        expected = speeds.current.prefill.seconds(sample.reference_seconds)
-        sample.record.slowness.add(seconds, expected, now)
+        work = sample.reference_seconds
+        sample.record.slowness.add(seconds, lambda speed: speed.prefill.seconds(work), now)
         speeds.add_prefill(sample.reference_seconds, seconds, now)
 
     def _add_fetched_event(self, sample: SentSample, seconds: float, now: float) -> None:
         speeds = sample.record.service_speeds
-        expected = speeds.current.fetched_event.seconds(sample.running)
-        sample.record.slowness.add(seconds, expected, now)
+        running = sample.running
+        sample.record.slowness.add(seconds, lambda speed: speed.fetched_event.seconds(running), now)
         speeds.add_fetched_event(sample.running, seconds, now)
 
     def _add_first_event(self, sample: SentSample, seconds: float, now: float) -> None:
@@ -105,7 +105,12 @@
         current = speeds.current
         prefill = sample.reference_seconds * current.prefill_scale
         event = current.first_event.seconds(sample.running)
-        sample.record.slowness.add(seconds, prefill + event, now)
+        work, running = sample.reference_seconds, sample.running
+        sample.record.slowness.add(
+            seconds,
+            lambda speed: work * speed.prefill_scale + speed.first_event.seconds(running),
+            now,
+        )
         if prefill <= MINOR_SHARE * (prefill + event):
             speeds.add_first_event(sample.running, seconds - prefill, now)
         else:
--- a/chivewall/decisions/speeds.py
+++ b/chivewall/decisions/speeds.py
@@ -6,9 +6,8 @@
 """
 
 import math
-from bisect import insort
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from attrs import define, evolve, field, frozen, validators
 
@@ -149,39 +148,6 @@
         return Line(fixed, slope)
 
 
-@define
-class FactorEstimator:
-    """The factor by which one endpoint is slower than its service: a median of few samples."""
-
-    # Time and factor; the latest ones.
-    _samples: deque = field(factory=lambda: deque(maxlen=MAX_ENDPOINT_SAMPLES), init=False)
-    _sorted: list[float] = field(factory=lambda: [1.0, 1.0], init=False)
-
-    def add(self, seconds: float, expected_seconds: float, now: float) -> None:
-        """Add a measured time and the one that is expected of an endpoint of the service."""
-        if not math.isfinite(seconds) or seconds <= 0 or expected_seconds <= 0:
-            return
-        self._samples.append((now, math.exp(_log_ratio(seconds, expected_seconds))))
-        while self._samples[0][0] < now - FORGET_SECONDS:
-            self._samples.popleft()
-        # Two samples of a usual endpoint, which one absurd time can't outweigh.
-        self._sorted = [1.0, 1.0]
-        for _, factor in self._samples:
-            insort(self._sorted, factor)
-
-    def factor(self, now: float) -> float:
-        """Return the factor; 1 if nothing was measured for a while."""
-        if not self._samples or self._samples[-1][0] < now - FORGET_SECONDS:
-            return 1.0
-        middle = len(self._sorted) // 2
-        found = (
-            self._sorted[middle]
-            if len(self._sorted) % 2
-            else (self._sorted[middle - 1] + self._sorted[middle]) / 2
-        )
-        return 1.0 if EVEN_FACTORS[0] <= found <= EVEN_FACTORS[1] else found
-
-
 @frozen
 class ServiceSpeed:
     """The speeds of a service's endpoints, as one gateway knows them."""
@@ -212,6 +178,49 @@
         return self.prefill.fixed
 
 
+# Returns the time that a piece of work takes at an endpoint of a service with these speeds.
+ExpectedTime = Callable[[ServiceSpeed], float]
+
+
+@define
+class FactorEstimator:
+    """The factor by which one endpoint is slower than its service: a median of few samples.
+
+    Each measured time is compared with what the service's speeds say now. They may be far off
+    while little was measured, and factors against those speeds would count the difference twice
+    once the service's speeds are learned.
+
+    Example: ``estimator.add(0.9, lambda speed: speed.call_seconds, now)``.
+    """
+
+    # Time, seconds and what is expected of an endpoint of the service; the latest ones.
+    _samples: deque = field(factory=lambda: deque(maxlen=MAX_ENDPOINT_SAMPLES), init=False)
+    _compared_with: ServiceSpeed | None = field(default=None, init=False)
+    _median: float = field(default=1.0, init=False)
+
+    def add(self, seconds: float, expected: ExpectedTime, now: float) -> None:
+        """Add a measured time."""
+        if not math.isfinite(seconds) or seconds <= 0:
+            return
+        self._samples.append((now, seconds, expected))
+        while self._samples[0][0] < now - FORGET_SECONDS:
+            self._samples.popleft()
+        self._compared_with = None
+
+    def factor(self, now: float, service: ServiceSpeed) -> float:
+        """Return the factor against a service; 1 if nothing was measured for a while."""
+        if not self._samples or self._samples[-1][0] < now - FORGET_SECONDS:
+            return 1.0
+        if service is not self._compared_with:
+            self._compared_with = service
+            ratios = [
+                _log_ratio(seconds, expected(service)) for _, seconds, expected in self._samples
+            ]
+            # Two samples of a usual endpoint, which one absurd time can't outweigh.
+            self._median = math.exp(_median([0.0, 0.0, *ratios]))
+        return 1.0 if EVEN_FACTORS[0] <= self._median <= EVEN_FACTORS[1] else self._median
+
+
 @define
 class ServiceSpeeds:
     """Learns the speeds of one service's endpoints.
@@ -225,7 +234,7 @@
     first_event: LineEstimator = field(init=False)
     fetched_event: LineEstimator = field(init=False)
     call: LineEstimator = field(init=False)
-    _current: ServiceSpeed = field(init=False)
+    _current: ServiceSpeed | None = field(default=None, init=False)
 
     def __attrs_post_init__(self) -> None:
         priors = self.priors
@@ -287,12 +296,14 @@
 
     def _refresh(self) -> None:
         prefill = self.prefill.line
-        self._current = ServiceSpeed(
+        found = ServiceSpeed(
             prefill=evolve(prefill, slope=max(prefill.slope, MIN_FACTOR)),
             first_event=self.first_event.line,
             fetched_event=self.fetched_event.line,
             call_seconds=self.call.line.fixed,
         )
+        if found != self._current:
+            self._current = found
 
 
 def _log_ratio(seconds: float, expected_seconds: float) -> float:
--- a/tests/test_speeds.py
+++ b/tests/test_speeds.py
@@ -84,8 +84,8 @@
     speeds.add_prefill(0.15, 1e5, TRAFFIC_SECONDS)
     assert speeds.current.prefill.seconds(0.15) == pytest.approx(before, rel=0.1)
     factor = FactorEstimator()
-    factor.add(1e5, 0.1, 0.0)
-    assert factor.factor(0.0) == 1.0
+    factor.add(1e5, lambda _: 0.1, 0.0)
+    assert factor.factor(0.0, speeds.current) == 1.0
 
 
 def test_change_of_speed_is_followed():
@@ -100,11 +100,28 @@
 
 def test_slow_endpoint_is_told_from_its_service_and_forgotten():
     """Guards against a slow engine that gets its full share, or is avoided after it recovered."""
-    slow = FactorEstimator()
+    slow, service = FactorEstimator(), ServiceSpeeds().current
     for step in range(4):
-        slow.add(0.9, 0.3, step / 10)
-    assert slow.factor(0.4) == pytest.approx(3.0)
-    assert slow.factor(1.0 + FORGET_SECONDS) == 1.0
+        slow.add(0.9, lambda _: 0.3, step / 10)
+    assert slow.factor(0.4, service) == pytest.approx(3.0)
+    assert slow.factor(1.0 + FORGET_SECONDS, service) == 1.0
+
+
+def test_endpoint_is_compared_with_what_is_known_of_its_service_now():
+    """Guards against an endpoint that is expected to take 60 times as long as it does.
+
+    Its calls were compared with speeds of the service that were wrong by this factor, and the
+    factor stayed when the service's speed was learned.
+    """
+    speeds, endpoint = ServiceSpeeds(), FactorEstimator()
+    for step in range(8):
+        speeds.add_call(0.0007, step / 100)
+    for step in range(24):
+        now = 1.0 + step / 10
+        endpoint.add(0.045, lambda speed: speed.call_seconds, now)
+        speeds.add_call(0.045, now)
+        expected = speeds.current.call_seconds * endpoint.factor(now, speeds.current)
+        assert expected < 0.046
 
 
 def test_gateway_that_starts_late_adopts_what_others_learned():
