Serve requests by the keys of workspaces

Cause: where the routing configuration has workspaces, requests were served without a look at their keys, and the keys were passed on to the endpoints.

Change: the gateway finds the workspace by the key and refuses others with 401, or with 503 while its configuration may be old. Endpoints get the workspace's name and never the key; its priority goes before the route's. Each new configuration is told to the requests in progress, which send no further attempt once their key is gone. No text contains a key, malformed header lines included.

--- a/chivewall/events.py
+++ b/chivewall/events.py
@@ -96,6 +96,9 @@
     PERMIT_KEEPER_SILENT = (724, "warning", "gateway that grants permits does not answer")
     ENDPOINT_PAUSED = (725, "info", "endpoint asks this gateway for a pause")
     CALL_PAUSED = (726, "info", "call waits for the end of a pause that endpoints asked for")
+    WORKSPACES_IN_FORCE = (730, "info", "keys of workspaces in force")
+    WORKSPACE_ENTRY_ODD = (731, "warning", "part of the workspaces can't be read or is ambiguous")
+    KEY_REVOKED = (732, "info", "call ended before its next attempt: its key is no longer valid")
     SPEED_LEARNED = (710, "info", "learned speeds of a service changed")
     PEER_UNREACHABLE = (708, "warning", "datagram to another gateway not sent")
 
--- a/chivewall/gateway/forwarded_request.py
+++ b/chivewall/gateway/forwarded_request.py
@@ -1,6 +1,7 @@
 """The task of one caller's request: places it, sends it, and forwards the response."""
 
 from functools import singledispatchmethod
+from typing import Any
 
 from chivewall.backoff import exponential_delay
 from chivewall.decisions.crash_evidence import Verdict
@@ -73,6 +74,8 @@
     Stage,
     Workspace,
 )
+from chivewall.gateway.workspace_access import KeyRefusal, key_refusal
+from chivewall.gateway.workspace_messages import KeysInForce
 from chivewall.messages import Tick
 from chivewall.results import ResultCode
 from chivewall.task import Inbox, Task
@@ -103,9 +106,13 @@
         connection: Inbox,
         request_number: int,
         workspace: Workspace | None = None,
+        *,
+        workspaces_in_use: bool = False,
     ) -> None:
         super().__init__()
         self.workspace = workspace  # None: the route is public, or there are no workspaces
+        self.workspaces_in_use = workspaces_in_use
+        self.key_refusal: KeyRefusal | None = None  # why no further attempt may be sent
         self.context = context
         self.env = context.env
         self.request = request
@@ -196,6 +203,17 @@
             self.response_deadline = self.deadline - RESPONSE_MARGIN_SECONDS
             self._schedule(self.response_deadline - self.env.now, Tick("answer_by"))
 
+    @receive.register
+    async def _(self, message: KeysInForce) -> None:
+        if self.ended:
+            return
+        ruling = message.keys.rule(self.request.fields.workspace_keys, self.route)
+        self.workspace = ruling.workspace
+        self.workspaces_in_use = ruling.workspaces_in_use
+        self.key_refusal = key_refusal(ruling)
+        if self.key_refusal is not None and self.exchange is None:
+            await self._end_without_key(AttemptOutcome.NOT_RUN)
+
     @receive.register
     async def _(self, message: RequestWritten) -> None:
         if not self._is_current(message.exchange):
@@ -357,6 +375,8 @@
 
         Otherwise the exchange goes on: an endpoint that has fallen silent may still answer.
         """
+        if self.key_refusal is not None:
+            return False
         if not may_hand_over(self._situation(AttemptOutcome.BROKEN), self.history):
             return False
         found = await self._find_placement(
@@ -397,7 +417,7 @@
                 excluded=excluded,
                 allowed=allowed,
                 prompt=prompt,
-                rank=self.route.priority,
+                rank=self._rank,
                 slack_seconds=self._slack_seconds(),
                 time_left_seconds=self.response_deadline - self.env.now,
                 committed=self._committed,
@@ -405,6 +425,7 @@
                 kv_data_centre=self.prefill.kv_data_centre,
                 last_resort=last_resort,
                 permits=self.permits.endpoints,
+                workspace=self._workspace_fields()["workspace"],
             )
         )
 
@@ -418,6 +439,9 @@
 
         If not, the request has ended, or its ``step`` is taken again soon.
         """
+        if self.key_refusal is not None:
+            await self._end_without_key(AttemptOutcome.NOT_RUN)
+            return False
         if self.response.stream.data_events:
             return True  # an engine began to answer it and survived
         check = await self.prompt.check()
@@ -517,6 +541,7 @@
             time_left_ms=self._time_left_ms(),
             endpoint=placement.prefill_engine.id,
             priority=self._priority(),
+            **self._workspace_fields(),
             stage=Stage.PREFILL,
         )
         self._start_exchange(placement.prefill_engine, sent, prefill=True)
@@ -538,6 +563,7 @@
             time_left_ms=self._time_left_ms(),
             endpoint=endpoint.id,
             priority=self._priority(),
+            **self._workspace_fields(),
             kv_source=kv_source,
             last_event_id=self.response.stream.last_id,
         )
@@ -733,13 +759,20 @@
     ) -> None:
         """Retry, wait or give up after a failed attempt."""
         at = self._situation(outcome)
-        if decide(at, self.history) is NextStep.RETRY and self._has_endpoint_left():
+        if self.key_refusal is not None:
+            await self._end_without_key(outcome)
+        elif decide(at, self.history) is NextStep.RETRY and self._has_endpoint_left():
             await self._place()
         elif may_wait(at, self.history):
             self._wait(next_step, reason)
         else:
             await self._give_up(outcome, reason)
 
+    async def _end_without_key(self, outcome: AttemptOutcome) -> None:
+        """End the request, whose key no longer holds, before another attempt."""
+        self.log.log_key_revoked(self.key_refusal.reason)
+        await self._give_up(outcome, self.key_refusal.reason, code=self.key_refusal.code)
+
     def _wait(self, step: str, reason: str) -> None:
         """Take a step again once an endpoint can answer the request."""
         self.failed_endpoints.clear()
@@ -880,6 +913,18 @@
         )
         self.stop()
 
+    @property
+    def _rank(self) -> int:
+        """Return the rank of the request: its workspace's goes before its route's."""
+        if self.workspace is None or self.workspace.priority is None:
+            return self.route.priority
+        return self.workspace.priority
+
+    def _workspace_fields(self) -> dict[str, Any]:
+        """Return the fields of ``ForwardedFields`` that tell an endpoint the workspace."""
+        name = None if self.workspace is None else self.workspace.name
+        return {"workspace": name, "workspaces_in_use": self.workspaces_in_use}
+
     def _priority(self) -> int | None:
         return self.placement.rank if self.route.prefix_affinity else None
 
--- a/chivewall/gateway/gateway.py
+++ b/chivewall/gateway/gateway.py
@@ -17,13 +17,19 @@
 from chivewall.gateway.caller_messages import EndBy
 from chivewall.gateway.caller_response import error_response
 from chivewall.gateway.channels import ConnectionPool
-from chivewall.gateway.configuration_messages import ConfigurationInForce, PeerConfiguration
+from chivewall.gateway.configuration_messages import (
+    ConfigurationInForce,
+    PeerConfiguration,
+    PeerConfigurationVersion,
+    SubscribeToPeerVersions,
+)
 from chivewall.gateway.exchange import RequestContext, request_deadline
 from chivewall.gateway.fleet import Fleet
 from chivewall.gateway.forwarded_request import ForwardedRequest
 from chivewall.gateway.http_dialect import CallerRequest, HttpDialect
 from chivewall.gateway.ingress_connection import IngressConnection
 from chivewall.gateway.part_guard import PartGuard
+from chivewall.gateway.peers import Peers
 from chivewall.gateway.rate_limits import RateLimits
 from chivewall.gateway.routing_configuration import IngressLimits, RoutingConfiguration
 from chivewall.gateway.sources import CollectionSources
@@ -34,6 +40,8 @@
     CollectionUnavailable,
     CollectionWatcher,
 )
+from chivewall.gateway.workspace_access import WorkspaceAccess, key_refusal
+from chivewall.gateway.workspace_messages import KeysInForce
 from chivewall.plugins.base import Plugin
 from chivewall.plugins.registry import Registry
 from chivewall.results import ResultCode
@@ -109,6 +117,8 @@
             env, sources.routing_configuration, self.inbox, sources.eras
         )
         self.table: RouteTable | None = None
+        self.configuration_name: str | None = None  # of its object in the store
+        self.access = WorkspaceAccess(env)
         self.limits = IngressLimits()
         self.in_force: ConfigurationInForce | None = None
         self.subscribers: list[Inbox] = []  # receive each ``ConfigurationInForce``
@@ -139,15 +149,23 @@
 
     @receive.register
     async def _(self, message: CollectionSnapshot) -> None:
+        self.access.age.store_in_touch = True
         self._apply_items(message.items, message.era)
 
     @receive.register
     async def _(self, message: CollectionChanges) -> None:
+        self.access.age.store_in_touch = True
         self._apply_items(message.items, message.era)
 
     @receive.register
     async def _(self, message: CollectionUnavailable) -> None:
         """Continue with the routes known so far."""
+        self.access.age.store_in_touch = False
+
+    @receive.register
+    async def _(self, message: PeerConfigurationVersion) -> None:
+        if self.table is not None and message.version > self.table.configuration.version:
+            self.access.age.record_newer(self.env.now)
 
     @receive.register
     async def _(self, message: PeerConfiguration) -> None:
@@ -205,9 +223,21 @@
                 request, connection, ResultCode.DRAINING, "the gateway may stop before its end"
             )
             return inbox
+        ruling = self.access.rule(request, route)
+        refusal = key_refusal(ruling)
+        if refusal is not None:
+            self._refuse(request, connection, refusal.code, refusal.reason)
+            return inbox
         service = choose_service(route, self.env.random)
         task = ForwardedRequest(
-            self.context, request, route, service, connection, connection.request_number
+            self.context,
+            request,
+            route,
+            service,
+            connection,
+            connection.request_number,
+            ruling.workspace,
+            workspaces_in_use=ruling.workspaces_in_use,
         )
         if self.shutdown is not None:
             task.send(EndBy(self.shutdown.end_by))
@@ -267,7 +297,10 @@
 
     def _apply_items(self, items: tuple[CollectionItem, ...], era: int | None) -> None:
         for item in items:
+            if item.value is None and item.name == self.configuration_name:
+                self.access.age.unreadable = True
             if isinstance(item.value, RoutingConfiguration):
+                self.configuration_name = item.name
                 self._apply(item.value, item.document, revision=item.revision, era=era)
 
     def _apply(self, configuration: RoutingConfiguration, document: Any, **origin: Any) -> None:
@@ -275,8 +308,10 @@
             return
         self.table = RouteTable(configuration)
         self.limits = configuration.limits
+        keys = self.access.apply(configuration)
         for connection in self.connections:
             connection.extend_idle_time()
+            connection.tell_request(KeysInForce(keys))
         self.env.log.emit(
             Event.CATALOGUE_IN_FORCE,
             version=configuration.version,
@@ -324,6 +359,7 @@
     async def start(self) -> None:
         """Listen on the port; requests are refused until the routes are known."""
         self.gateway.start()
+        self.env.require(Peers).send(SubscribeToPeerVersions(self.gateway.inbox))
         host, port = parse_address(self.cfg.address)
         self.listener: IListeningPort = self.env.reactor.listenTCP(
             port,
--- a/chivewall/gateway/http_dialect.py
+++ b/chivewall/gateway/http_dialect.py
@@ -37,8 +37,8 @@
 
     method: bytes
     target: bytes  # path and query as sent
-    headers: Headers
-    body: bytes
+    headers: Headers = field(repr=False)  # with the caller's key
+    body: bytes = field(repr=False)
     has_body: bool
     received_at: float
     fields: RequestFields
@@ -67,6 +67,8 @@
     kv_source: str | None = None  # location from which to fetch the KV cache of the prompt
     last_event_id: str | None = None
     workspace: str | None = None  # name of the workspace whose key the caller sent
+    # The caller's own values of the headers with its key and its workspace are dropped.
+    workspaces_in_use: bool = False
 
 
 @frozen
--- a/chivewall/gateway/http_text.py
+++ b/chivewall/gateway/http_text.py
@@ -1,9 +1,12 @@
 """Parts of the text of HTTP/1.1 messages that h11 leaves to its user."""
 
+import re
 from http import HTTPStatus
 
 import h11
 
+QUOTED_BYTES = re.compile(r"(?:bytearray\()?\bb['\"]")
+
 
 def head_bytes(event: h11.Request) -> int:
     """Return the size of a request's head, without the line ends of its first line."""
@@ -26,3 +29,11 @@
         return HTTPStatus(status).phrase.encode()
     except ValueError:
         return b""
+
+
+def without_quoted_bytes(text: str) -> str:
+    """Return the text of a parser's error without the bytes that it quotes.
+
+    A malformed header line may hold a key, which must not be logged or sent back.
+    """
+    return QUOTED_BYTES.split(text)[0].rstrip(" :(")
--- a/chivewall/gateway/ingress_connection.py
+++ b/chivewall/gateway/ingress_connection.py
@@ -27,7 +27,12 @@
 )
 from chivewall.gateway.caller_response import NOT_RUN_STATUSES, RETRY_AFTER_SECONDS
 from chivewall.gateway.http_dialect import CallerRequest, Headers, HttpDialect
-from chivewall.gateway.http_text import head_bytes, origin_form, reason_phrase
+from chivewall.gateway.http_text import (
+    head_bytes,
+    origin_form,
+    reason_phrase,
+    without_quoted_bytes,
+)
 from chivewall.gateway.routing_configuration import IngressLimits
 from chivewall.gateway.sockets import set_tcp_options, unsent_bytes
 from chivewall.results import ResultCode
@@ -211,8 +216,12 @@
 
     def end_by(self, deadline: float) -> None:
         """Tell the task of the request in progress when it must have ended."""
+        self.tell_request(EndBy(deadline))
+
+    def tell_request(self, message: object) -> None:
+        """Send a message to the task of the request in progress, if there is one."""
         if self._task is not None:
-            self._task.put(EndBy(deadline))
+            self._task.put(message)
 
     def end(self) -> None:
         """Give a final response to a request that has not arrived completely, and close."""
@@ -378,7 +387,7 @@
         code = ResultCode.BAD_HEADER
         if exc.error_status_hint == ResultCode.HEAD_TOO_LARGE.http_status:
             code = ResultCode.HEAD_TOO_LARGE
-        self._reject(code, str(exc))
+        self._reject(code, without_quoted_bytes(str(exc)))
 
     def _reject(self, code: ResultCode, reason: str) -> None:
         self.env.log.emit(Event.INGRESS_REJECTED, code=code.number, reason=reason)
--- a/chivewall/gateway/metrics.py
+++ b/chivewall/gateway/metrics.py
@@ -86,6 +86,14 @@
         self.silent_keepers = self._counter(
             "silent_permit_keepers_total", "Gateways that did not answer an ask for a permit."
         )
+        self.revoked_keys = self._counter(
+            "revoked_keys_total", "Calls that ended since their key was revoked, by route."
+        )
+        self.workspace_keys = Gauge(
+            "chivewall_gateway_workspace_keys",
+            "Keys of workspaces in force.",
+            registry=self.registry,
+        )
         self.blocked_parts = Gauge(
             "chivewall_gateway_blocked_prompt_parts",
             "Prompt parts that are blocked now.",
@@ -111,6 +119,7 @@
             Event.ENDPOINT_PAUSED: (self.pauses, "source", "source"),
             Event.PERMIT_DECIDED: (self.permits, "outcome", "outcome"),
             Event.PERMIT_KEEPER_SILENT: (self.silent_keepers, "peer", "peer"),
+            Event.KEY_REVOKED: (self.revoked_keys, "route", "route"),
         }
 
     def observe(self, event: Event, fields: dict[str, Any]) -> None:
@@ -146,6 +155,8 @@
     def _observe_store(self, event: Event, fields: dict[str, Any]) -> None:
         if event is Event.CATALOGUE_IN_FORCE and "peer" in fields:
             self.peer_configurations.inc({})
+        elif event is Event.WORKSPACES_IN_FORCE:
+            self.workspace_keys.set({}, fields["keys"])
         elif event is Event.STORE_ERA_BEGAN:
             self.store_era.set({}, fields["era"])
             if fields["previous"] is not None:
--- a/chivewall/gateway/peers.py
+++ b/chivewall/gateway/peers.py
@@ -109,7 +109,7 @@
         self.eras = eras  # of the ``StoreEras`` task
         self.configuration_version = 0  # in force at this gateway; 0: none
         self.store_era = 0  # newest one seen; 0: none
-        self.version_subscriber: Inbox | None = None  # receives the others' versions
+        self.version_subscribers: list[Inbox] = []  # receive the others' versions
         self.unsent: list[SharedWork | WorkProgress] = []
         self.new_hellos = NEW_HELLOS  # left to send
         self.unsent_limits: dict[str, LimitNews] = {}  # by endpoint id
@@ -212,7 +212,7 @@
 
     @receive.register
     async def _(self, message: SubscribeToPeerVersions) -> None:
-        self.version_subscriber = message.inbox
+        self.version_subscribers.append(message.inbox)
 
     @receive.register
     async def _(self, message: DatagramReceived) -> None:
@@ -301,8 +301,9 @@
         self._send_limits(await self.fleet.query(CurrentLimits()), [host])
 
     def _pass_on_versions(self, found: PeerMessage, host: str) -> None:
-        if found.configuration_version and self.version_subscriber is not None:
-            self.version_subscriber.put(PeerConfigurationVersion(host, found.configuration_version))
+        if found.configuration_version:
+            for inbox in self.version_subscribers:
+                inbox.put(PeerConfigurationVersion(host, found.configuration_version))
         if found.store_era:
             self.eras.put(EraTold(found.store_era))
 
--- a/chivewall/gateway/request_log.py
+++ b/chivewall/gateway/request_log.py
@@ -71,6 +71,15 @@
             seconds_left=round(seconds_left, 3),
         )
 
+    def log_key_revoked(self, reason: str) -> None:
+        """Log that the request's key no longer holds, so that no attempt follows."""
+        self.env.log.emit(
+            Event.KEY_REVOKED,
+            request=self.request.fields.request_id,
+            route=self.route.name,
+            reason=reason,
+        )
+
     def log_paused(self, seconds: float) -> None:
         """Log that the request waits until the endpoints that it would go to end their pauses."""
         self.env.log.emit(
--- a/chivewall/gateway/routing_configuration.py
+++ b/chivewall/gateway/routing_configuration.py
@@ -88,8 +88,8 @@
 class RoutingConfiguration:
     """One version of the routing configuration.
 
-    Without ``workspaces``, requests need no key. A service without an ``EndpointScale`` has a fixed
-    number of endpoints.
+    Unless ``keys_required``, requests need no key. A service without an ``EndpointScale`` has a
+    fixed number of endpoints.
     """
 
     version: int
@@ -97,6 +97,8 @@
     limits: IngressLimits
     workspaces: tuple[Workspace, ...] = ()
     scales: tuple[EndpointScale, ...] = ()
+    keys_required: bool = False  # it has a list of workspaces, which may be empty
+    odd_workspaces: int = 0  # entries of workspaces that can't be read, or not all of them
 
 
 @frozen
--- a/chivewall/platform/headers.py
+++ b/chivewall/platform/headers.py
@@ -22,6 +22,8 @@
 LAST_EVENT_ID = b"last-event-id"
 TOKEN_COUNT = b"x-token-count"
 PROMPT_PREFIX = b"x-prompt-prefix"
+WORKSPACE_KEY = b"x-key"
+WORKSPACE = b"x-tenant"
 ANSWER_STAMP = b"x-answer-stamp"
 NOT_RUN = b"x-not-run"
 ENDPOINT_ID = b"x-runner-id"
@@ -81,11 +83,14 @@
             prompt_tokens=prompt,
             max_output_tokens=output,
             prompt_parts=_prompt_parts(_first_value(headers, PROMPT_PREFIX)),
+            workspace_keys=tuple(_values(headers, WORKSPACE_KEY)),
         )
 
     def request_headers(self, request: CallerRequest, sent: ForwardedFields) -> Headers:
         """Return the headers of the forwarded request."""
         dropped = HOP_BY_HOP | SET_BY_GATEWAY | _connection_options(request.headers)
+        if sent.workspaces_in_use:
+            dropped |= {WORKSPACE_KEY, WORKSPACE}
         kept = [(name, value) for name, value in request.headers if name.lower() not in dropped]
         set_here = (
             (b"X-Deadline-Ms", str(max(1, int(sent.time_left_ms)))),
@@ -94,6 +99,7 @@
             (b"X-Stage", sent.stage and sent.stage.value),
             (b"X-Kv-From", sent.kv_source),
             (b"Last-Event-Id", sent.last_event_id),
+            (b"X-Tenant", sent.workspace),
         )
         kept += [(name, value.encode("latin-1")) for name, value in set_here if value is not None]
         return tuple(kept)
--- a/chivewall/platform/routing_configuration.py
+++ b/chivewall/platform/routing_configuration.py
@@ -19,6 +19,7 @@
     number,
     string,
 )
+from chivewall.platform.workspaces import decode_workspaces
 
 DEFAULT_PAUSE_MS = 300.0  # of routes that declare none
 MAX_MS = 86_400_000.0  # a day
@@ -37,10 +38,14 @@
 def decode_routing_configuration(spec: object) -> RoutingConfiguration:
     """Decode the document; raise a ``DecodeError`` that names the invalid field."""
     document = json_object(spec, "manifest")
+    decoded = decode_workspaces(document)
     return RoutingConfiguration(
         version=integer(document, "version"),
         routes=tuple(_route(json_object(one, "routes")) for one in list_items(document, "routes")),
         limits=_limits(json_object(document.get("limits", {}), "limits")),
+        workspaces=decoded.workspaces,
+        keys_required=decoded.required,
+        odd_workspaces=decoded.odd,
     )
 
 
@@ -60,6 +65,7 @@
         # Despite its name, this field marks routes whose requests name the parts of their
         # prompts.
         prefix_affinity=boolean(document, "sticky"),
+        public=boolean(document, "public"),
     )
 
 
--- a/chivewall/results.py
+++ b/chivewall/results.py
@@ -31,6 +31,7 @@
     METHOD_NOT_ALLOWED = (1011, 405, RunState.NO, "Use a method that the path supports.")
 
     HEAD_TOO_LARGE = (1012, 431, RunState.NO, "Send smaller headers.")
+    UNKNOWN_KEY = (1013, 401, RunState.NO, "Send one valid key of your workspace.")
 
     # Refusals: the work was not run.
     OVER_LIMIT = (2001, 429, RunState.NO, "Wait for Retry-After, or contest the named limit.")
@@ -55,6 +56,12 @@
         RunState.NO,
         "Wait for Retry-After; a part of the prompt crashed engines.",
     )
+    KEY_UNDECIDED = (
+        2014,
+        503,
+        RunState.NO,
+        "Wait for Retry-After; the gateway may not know the newest keys.",
+    )
     SHED = (2011, 503, RunState.NO, "Wait for Retry-After; the queue was backed up for too long.")
 
     # Work that was or may have been started.
--- a/tests/utils/requests.py
+++ b/tests/utils/requests.py
@@ -106,7 +106,7 @@
     Example: ``RequestBench(clock, d1=Stage.DECODE).begin()`` starts its stream at ``d1``.
     """
 
-    def __init__(self, clock, route=None, parts=(), **stages):
+    def __init__(self, clock, route=None, parts=(), keys=(), **stages):
         self.clock = clock
         self.fleet = make_fleet(clock, **stages)
         self.env = self.fleet.env
@@ -130,6 +130,7 @@
             request_id="r1",
             prompt_tokens=100,
             prompt_parts=tuple(PromptPart(one, 10) for one in parts),
+            workspace_keys=keys,
         )
         request = CallerRequest(
             method=b"POST",
