Make duty calls with a lock of the store for each call

Cause: the platform takes usage reports and orders for endpoints from anybody, and one window with two counts, or two holders that take turns, breaks ONE.

--- a/chivewall/events.py
+++ b/chivewall/events.py
@@ -71,6 +71,10 @@
     PLAN_REJECTED = (606, "warning", "plan object rejected")
     SLOT_TAKEN = (607, "warning", "another process holds the exclusive lock of the endpoint")
 
+    DUTY_CALLED = (608, "info", "call made that is the duty of one gateway at a time")
+    DUTY_HELD = (609, "info", "call of a duty postponed")
+    DUTY_RELEASED = (610, "info", "lock of a duty released for another gateway")
+
     CALL_ENDED = (700, "info", "forwarded call ended")
     CALL_ATTEMPT = (701, "info", "attempt of a call sent to an endpoint")
     CALL_ATTEMPT_FAILED = (702, "warning", "attempt of a call failed")
--- a/chivewall/gateway/metrics.py
+++ b/chivewall/gateway/metrics.py
@@ -41,6 +41,9 @@
             "Documents that can't be decoded, by collection; once for each of their revisions.",
         )
         self.orders = self._counter("orders_total", "Orders to engines by stage.")
+        self.duty_calls = self._counter(
+            "duty_calls_total", "Calls that are the duty of one gateway, by outcome."
+        )
         self.engine_crashes = self._counter(
             "engine_crashes_total", "Calls that were starting at an engine when it crashed."
         )
@@ -103,6 +106,7 @@
             Event.STORE_UNAVAILABLE: (self.outages, "collection", "key"),
             Event.DOCUMENT_REJECTED: (self.rejected, "collection", "collection"),
             Event.ORDER_SENT: (self.orders, "stage", "stage"),
+            Event.DUTY_CALLED: (self.duty_calls, "outcome", "outcome"),
             Event.ENGINE_CRASHED: (self.engine_crashes, "service", "service"),
             Event.ENDPOINT_ENTRY_IGNORED: (self.ignored_entries, "reason", "reason"),
             Event.PROMPT_PART_CHECKED: (self.part_checks, "verdict", "verdict"),
--- a/chivewall/gateway/platform_duties.py
+++ b/chivewall/gateway/platform_duties.py
@@ -5,12 +5,20 @@
 """
 
 from collections.abc import Mapping
+from enum import Enum
 from typing import Any, Protocol
 
 from attrs import field, frozen
 from twisted.internet.defer import Deferred
 
 
+class Duty(Enum):
+    """What one gateway at a time does at the platform."""
+
+    USAGE = "usage"  # reports the requests of each workspace
+    ENDPOINT_COUNTS = "endpoint counts"  # orders the number of a service's endpoints
+
+
 @frozen
 class DutyLock:
     """The latest lock of a subject as it is stored, with what its call is about."""
@@ -20,6 +28,7 @@
     taken_at: float  # Unix time in seconds, by the holder's clock
     era: int | None = None  # of the store, when the lock was acquired
     content: Mapping[str, Any] = field(factory=dict)  # what a later holder has to know
+    released: bool = False  # the holder makes no more calls with it
 
 
 @frozen
@@ -47,10 +56,14 @@
 class PlatformDuties(Protocol):
     """Makes the calls that are the duty of one gateway at a time.
 
+    ``duties`` are those that the platform asks for.
+
     Both calls fail with ``DutyRefusedError`` if the platform did not accept the call, and with
     ``PlatformUnavailableError`` if it may have accepted it.
     """
 
+    duties: frozenset[Duty]
+
     def report_usage(self, lock: DutyLock, window: int, counts: Mapping[str, int]) -> Deferred:
         """Report the requests of each workspace that began to run in a window."""
 
--- a/chivewall/platform/adapter.py
+++ b/chivewall/platform/adapter.py
@@ -35,6 +35,7 @@
         """Create the implementations and provide them."""
         address = parse_address(self.cfg.store)
         client = ObjectClient(self.env, self.env.require(ConnectionPool), address)
+        self.env.provide(ObjectClient, client)
         self.env.provide(
             EngineControl, PlatformEngineControl(self.env, self.env.require(ConnectionPool))
         )
--- a/chivewall/standins/template.py
+++ b/chivewall/standins/template.py
@@ -7,6 +7,8 @@
 
 TEMPLATE = Path(__file__).parents[2] / "deploy" / "gateway.jsonc"
 PLACEHOLDER = re.compile(r"\{\{([\w.]+)\|json\}\}")
+# A section, rendered if its field has a value; the fields that the template names are no lists.
+SECTION = re.compile(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", re.DOTALL)
 
 
 def render_settings(fields: dict[str, Any]) -> str:
@@ -14,15 +16,32 @@
 
     ``metricsPort`` is not a field of the platform; it replaces the port that the template fixes.
     """
+    text = _render_sections(TEMPLATE.read_text(), fields)
+    text = PLACEHOLDER.sub(lambda match: json.dumps(_value(fields, match[1])), text)
+    return text.replace("{{ip}}:9464", f"{fields['ip']}:{fields['metricsPort']}")
 
-    def value(match: re.Match[str]) -> str:
-        found = fields
-        for key in match.group(1).split("."):
-            found = found[int(key)] if key.isdigit() else found[key]
-        return json.dumps(found)
 
-    text = PLACEHOLDER.sub(value, TEMPLATE.read_text())
-    return text.replace("{{ip}}:9464", f"{fields['ip']}:{fields['metricsPort']}")
+def _render_sections(text: str, fields: dict[str, Any]) -> str:
+    """Return a text without the sections whose field is missing, empty or false."""
+
+    def section(match: re.Match[str]) -> str:
+        return _render_sections(match[2], fields) if _has_value(fields, match[1]) else ""
+
+    return SECTION.sub(section, text)
+
+
+def _has_value(fields: dict[str, Any], path: str) -> bool:
+    try:
+        return _value(fields, path) not in (None, False, [], {})
+    except (KeyError, IndexError):
+        return False
+
+
+def _value(fields: dict[str, Any], path: str) -> Any:
+    found = fields
+    for key in path.split("."):
+        found = found[int(key)] if key.isdigit() else found[key]
+    return found
 
 
 def instance_fields(
--- a/extras/reference.py
+++ b/extras/reference.py
@@ -25,6 +25,8 @@
     "chivewall.gateway.part_guard",
     "chivewall.gateway.rate_limits",
     "chivewall.gateway.peers",
+    "chivewall.platform.platform_duties",
+    "chivewall.gateway.duties",
     "chivewall.gateway.stage_changer",
     "chivewall.gateway.gateway",
     "chivewall.gateway.configuration_exchange",
