--- a/chivewall/gateway/exchange.py
+++ b/chivewall/gateway/exchange.py
@@ -39,6 +39,7 @@
     limits: RateLimits
     connections: ConnectionPool
     dialect: HttpDialect
+    usage: Inbox | None = None  # receives ``RequestBegan``; ``None``: usage isn't reported
     response_bytes: ByteBudget = field(factory=lambda: ByteBudget(MAX_TOTAL_RESPONSE_BYTES))
 
 
@@ -155,6 +156,17 @@
     )
 
 
+def run_began_at(env: Environment, route: Route, written_at: float) -> float:
+    """Return the Unix time at which a run began whose first bytes arrive now.
+
+    A stream's first event follows its first token at once. A plain service responds at the end of
+    the run, before which the request may have waited.
+    """
+    if route.kind is RouteKind.STREAM:
+        return env.unix_time()
+    return env.unix_time() - min(SERVICE_REQUEST_SECONDS, env.now - written_at)
+
+
 async def is_same_process(context: RequestContext, endpoint: EndpointInfo) -> bool:
     """Return whether the process that a request was sent to still runs.
 
--- a/chivewall/gateway/forwarded_request.py
+++ b/chivewall/gateway/forwarded_request.py
@@ -35,6 +35,7 @@
     release_kv_cache,
     request_deadline,
     response_problem,
+    run_began_at,
     shared_work_seconds,
 )
 from chivewall.gateway.exchange_messages import (
@@ -73,6 +74,7 @@
     Stage,
     Workspace,
 )
+from chivewall.gateway.usage_messages import RequestBegan
 from chivewall.messages import Tick
 from chivewall.results import ResultCode
 from chivewall.task import Inbox, Task
@@ -135,6 +137,7 @@
         self.last_data_at = request.received_at  # time of the last byte, or of sending the request
         self.written_at = request.received_at  # when the exchange's request was written
         self.ended = False
+        self.began = False  # it is known to have begun to run
         self.failed_endpoints: set[str] = set()  # ids of endpoints that failed to serve it
         # Exchanges that reached an endpoint, except a first prefill.
         self.arrivals = 0
@@ -211,8 +214,11 @@
 
     @receive.register
     async def _(self, message: ResponseStarted) -> None:
-        if self._is_current(message.exchange):
-            self.received.start(message.head)
+        if not self._is_current(message.exchange):
+            return
+        self.received.start(message.head)
+        if self.route.kind is not RouteKind.STREAM:
+            self._report_began()
 
     @receive.register
     async def _(self, message: ResponseData) -> None:
@@ -221,6 +227,8 @@
         self.last_data_at = self.env.now
         if not (self.exchange.prefill or self.first_bytes_reported):
             self._report_first_bytes(prefilled=not self.exchange.fetches_kv_cache)
+            if self._is_streaming():
+                self._report_began()
         try:
             self._take_data(message.data)
         except EndpointError as exc:
@@ -637,6 +645,16 @@
             )
         )
 
+    def _report_began(self) -> None:
+        """Report that the request began to run, once."""
+        fields = self.received.head.fields
+        if self.workspace is None or self.began or fields.not_run or fields.stamp is None:
+            return
+        self.began = True
+        if self.context.usage is not None:
+            at = run_began_at(self.env, self.route, self.written_at)
+            self.context.usage.put(RequestBegan(self.workspace.name, at))
+
     def _is_streaming(self) -> bool:
         return (
             self.route.kind is RouteKind.STREAM
--- a/chivewall/gateway/gateway.py
+++ b/chivewall/gateway/gateway.py
@@ -34,6 +34,7 @@
     CollectionUnavailable,
     CollectionWatcher,
 )
+from chivewall.gateway.usage import UsageCounter
 from chivewall.plugins.base import Plugin
 from chivewall.plugins.registry import Registry
 from chivewall.results import ResultCode
@@ -318,6 +319,8 @@
             connections=self.env.require(ConnectionPool),
             dialect=self.env.require(HttpDialect),
         )
+        if (counter := self.env.find(UsageCounter)) is not None:
+            context.usage = counter.inbox
         self.gateway = Gateway(self.env, self.cfg, context, self.env.require(CollectionSources))
         self.env.provide(Gateway, self.gateway)
 
--- a/chivewall/gateway/peers.py
+++ b/chivewall/gateway/peers.py
@@ -81,6 +81,11 @@
     """Ask whether this gateway has the lowest address of the live ones; the reply is a ``bool``."""
 
 
+@define(eq=False)
+class ListGateways(Query):
+    """Ask for the addresses of the live gateways with this one, the lowest first."""
+
+
 @define(eq=False)
 class SayGoodbye(Query):
     """Ask to tell the other gateways that this one ends."""
@@ -198,6 +203,10 @@
     async def _(self, message: IsFirstGateway) -> None:
         message.reply(self.table.has_lowest_address(self.env.now))
 
+    @receive.register
+    async def _(self, message: ListGateways) -> None:
+        message.reply(tuple(sorted(self.table.live_gateways(self.env.now))))
+
     @receive.register
     async def _(self, message: EraBegan) -> None:
         self.store_era = message.era
--- a/extras/reference.py
+++ b/extras/reference.py
@@ -27,6 +27,7 @@
     "chivewall.gateway.peers",
     "chivewall.platform.platform_duties",
     "chivewall.gateway.duties",
+    "chivewall.gateway.usage",
     "chivewall.gateway.stage_changer",
     "chivewall.gateway.gateway",
     "chivewall.gateway.configuration_exchange",
