Report usage under kills, restarts, suspensions and outages

Cause: counts and reports were not tested, and a collector that restarted reported windows without what its former process had counted.

A process that started inside a window leaves its report to the other collectors and releases the lock; a lock of the store's era needs no further wait; earlier take-over times.

--- a/chivewall/decisions/usage.py
+++ b/chivewall/decisions/usage.py
@@ -14,8 +14,8 @@
 # gateways, the others then look whether it has reported, and take over one after the other.
 CLOSE_SHARE = 0.2
 OBSERVE_SHARE = 0.26
-TAKE_OVER_SHARE = 0.4
-RANK_SHARE = 0.07
+TAKE_OVER_SHARE = 0.37
+RANK_SHARE = 0.04
 SHARE_SHARE = 0.4  # a gateway repeats its counts of an ended window for this share of that time
 # Time after a window's end until a gateway's counts of it count as complete, and the largest
 # difference between the clocks of two instances that is reckoned with, in seconds.
--- a/chivewall/gateway/duties.py
+++ b/chivewall/gateway/duties.py
@@ -123,7 +123,9 @@
 
     def _may_take(self, era: int | None) -> bool:
         now = self.clock()
-        return self.lock_era.settled(now) and self.view.may_take(
+        # A lock of the store's era was taken when every lock of an earlier era was old.
+        is_of_era = self.view.lock is not None and self.view.lock.era == era
+        return (is_of_era or self.lock_era.settled(now)) and self.view.may_take(
             self.own, now, self.env.unix_time(), era
         )
 
--- a/chivewall/gateway/usage_reporter.py
+++ b/chivewall/gateway/usage_reporter.py
@@ -159,7 +159,9 @@
         if message.outcome is DutyOutcome.ACCEPTED:
             self.failures = 0
             self.done = max(self.done, message.report.window)
-            if self.done < self.times.last_ended(self.env.unix_time()):
+            if self._started_after(message.report.window + 1):
+                await self._release()
+            elif self.done < self.times.last_ended(self.env.unix_time()):
                 self._read()
             return
         self._retry_later()
@@ -183,7 +185,7 @@
         """Return whether the process before this one held the duty when it ended."""
         lock = None if self.state is None else self.state.lock
         own = self.env.settings.core.instance
-        return lock is not None and lock.holder == own and not self.state.is_own
+        return lock is not None and lock.holder == own and not (self.state.is_own or lock.released)
 
     def _may_report(self, now: float) -> bool:
         """Return whether this gateway may report now, if the lock allows it."""
@@ -192,11 +194,17 @@
             return True
         if self.state is not None and self.state.lock is None and self.rank == 0:
             return now >= self.times.closes_at(window)
-        # A gateway that started inside a window doesn't know what its former process counted.
-        starts_at = self.times.ends_at(window) - self.times.window_seconds
-        rank = self.rank if self.started_at <= starts_at else COLLECTORS
+        rank = COLLECTORS if self._started_after(window) else self.rank
         return now >= self.times.taken_over_at(window, rank)
 
+    def _started_after(self, window: int) -> bool:
+        """Return whether this process started after the beginning of a window.
+
+        It doesn't know what processes counted that had ended by then, such as the one before it, so
+        the other collectors report that window.
+        """
+        return self.started_at > self.times.ends_at(window) - self.times.window_seconds
+
     async def _is_closed(self, window: int, now: float) -> bool:
         if now >= self.times.closes_at(window):
             return True
@@ -245,8 +253,11 @@
     async def _step_down(self) -> None:
         """Let a collector take the lock, as this gateway isn't told the counts any more."""
         if self._is_holder() and not self.busy:
-            self.state = None
-            await self.holder.query(ReleaseDuty())
+            await self._release()
+
+    async def _release(self) -> None:
+        self.state = None
+        await self.holder.query(ReleaseDuty())
 
     def _record_done(self, recorded: Recorded) -> None:
         """Another holder's report counts as made, one of this instance when it was accepted."""
