--- a/chivewall/gateway/gateway.py
+++ b/chivewall/gateway/gateway.py
@@ -40,6 +40,7 @@
     CollectionUnavailable,
     CollectionWatcher,
 )
+from chivewall.gateway.usage import UsageCounter
 from chivewall.gateway.workspace_access import WorkspaceAccess, key_refusal
 from chivewall.gateway.workspace_messages import KeysInForce
 from chivewall.plugins.base import Plugin
@@ -353,6 +354,8 @@
             connections=self.env.require(ConnectionPool),
             dialect=self.env.require(HttpDialect),
         )
+        if (counter := self.env.find(UsageCounter)) is not None:
+            context.usage = counter.inbox
         self.gateway = Gateway(self.env, self.cfg, context, self.env.require(CollectionSources))
         self.env.provide(Gateway, self.gateway)
 
