Let workspaces over their fair share yield while room is short

Cause: in a burst beyond the capacity of a service, all workspaces were late and refused alike, whoever caused it.

Change: gateways add up what each workspace asks for and uses, and tell each other once a second while room is short. The room is allotted max-min fairly, with half of its proportional part for each workspace, and a queue counts more for who uses more than its part. Without a queue, and without workspaces, nothing changes, and no byte is sent.

--- a/chivewall/decisions/overload.py
+++ b/chivewall/decisions/overload.py
@@ -25,6 +25,7 @@
 
     retry_after: float  # seconds after which a place is expected
     estimate: float  # seconds to its first event if it were admitted
+    yields: bool = False  # it would be admitted if its workspace were not over its fair share
 
 
 def admit(
@@ -34,17 +35,23 @@
     rng: random.Random,
     *,
     closed_seconds: float = 0.0,
+    yielded_seconds: float = 0.0,
 ) -> Overloaded | None:
     """Return ``None`` if a request is admitted, or why not.
 
     ``estimate``: expected seconds to the first event or the response;
     ``slack_seconds``: seconds to the objective; ``time_left_seconds``: to the deadline;
-    ``closed_seconds``: part of the estimate in which endpoints pause or have no permit for it.
+    ``closed_seconds``: part of the estimate in which endpoints pause or have no permit for it;
+    ``yielded_seconds``: added to the estimate of a request that yields to other workspaces.
     """
-    if estimate <= max(slack_seconds, LATE_SHARE * time_left_seconds):
+    limit = max(slack_seconds, LATE_SHARE * time_left_seconds)
+    if estimate + yielded_seconds <= limit:
         return None
+    yields = estimate <= limit
+    estimate += yielded_seconds
     # After this time the queue is short enough for a request with the same time left.
     seconds = (estimate - LATE_SHARE * time_left_seconds) * rng.uniform(*RETRY_SPREAD)
     # A caller who comes back before that finds the same pause, or as long a queue for permits.
     closed = closed_seconds * rng.uniform(*CLOSED_SPREAD)
-    return Overloaded(max(MIN_RETRY_SECONDS, min(MAX_RETRY_SECONDS, seconds), closed), estimate)
+    retry_after = max(MIN_RETRY_SECONDS, min(MAX_RETRY_SECONDS, seconds), closed)
+    return Overloaded(retry_after, estimate, yields)
--- a/chivewall/decisions/placement.py
+++ b/chivewall/decisions/placement.py
@@ -61,6 +61,7 @@
     rank: int = 0  # rank to send it with
     needs: tuple[PermitNeed, ...] = ()  # permits to acquire before it is sent
     not_before: float = -math.inf  # when the last pause of these endpoints ends
+    yields: bool = False  # it goes late, since its workspace is over its fair share
 
 
 @frozen
@@ -82,6 +83,8 @@
     # Rank of its asks for permits. A late request doesn't yield here: unlike the time of an engine,
     # a permit costs the others the same whether the request is late or not.
     permit_rank: int = 0
+    # How many times a queue counts for it: more than once if its workspace is over its share.
+    queue_weight: float = 1.0
 
 
 class PromptState(Enum):
@@ -128,12 +131,16 @@
     placement = _choose_at_rank(fields, usable, context, prompt)
     if placement is None or prompt is PromptState.PREFILLED:
         return placement  # once its prompt is prefilled, a request is finished soon
-    if placement.estimate > ON_TIME_SHARE * context.slack_seconds:
+    yielded_seconds = _yielded_seconds(placement, usable, context)
+    if placement.estimate + yielded_seconds > ON_TIME_SHARE * context.slack_seconds:
         # It misses its objective anyway, so it yields to requests that can meet theirs.
         late_rank = min(MAX_RANK, context.rank + LATE_RANK_INCREASE)
         late = evolve(context, rank=late_rank)
+        yields = placement.estimate <= ON_TIME_SHARE * context.slack_seconds
         placement = _choose_at_rank(fields, usable, late, prompt)
-        return _admitted(placement, usable, late, _overtaken_seconds(placement, usable, late))
+        overtaken_seconds = _overtaken_seconds(placement, usable, late)
+        found = _admitted(placement, usable, late, overtaken_seconds)
+        return evolve(found, yields=True) if yields else found
     return _admitted(placement, usable, context)
 
 
@@ -190,10 +197,41 @@
         context.time_left_seconds,
         context.rng,
         closed_seconds=sum(_closed_seconds(one, context) for one in chosen),
+        yielded_seconds=_yielded_seconds(placement, usable, context),
     )
     return placement if refused is None else refused
 
 
+def _yielded_seconds(
+    placement: Placement, usable: list[EndpointRecord], context: PlacementContext
+) -> float:
+    """Return what is added to the estimate of a request whose workspace is over its fair share.
+
+    The queue counts more for it, so that the others find a shorter one. Without a queue nothing is
+    added: nobody waits for the room.
+    """
+    if context.queue_weight <= 1.0 or context.committed:
+        return 0.0
+    queues = (_queue_seconds(one, context) for one in _chosen(placement, usable))
+    return (context.queue_weight - 1.0) * sum(queues)
+
+
+def _queue_seconds(state: EndpointRecord, context: PlacementContext) -> float:
+    """Return the part of a request's estimate in which others are before it."""
+    excess_requests = max(0, state.in_flight + 1 - state.info.slots)
+    if state.info.stage is Stage.NONE:
+        call_seconds = state.service_speeds.current.call_seconds * state.slowness.factor(
+            context.now
+        )
+        waiting = call_seconds * excess_requests / state.info.slots
+    else:
+        waiting = state.prefill_wait(context.now, context.rank)
+        if not state.prefills_first:
+            first_event = state.first_event_seconds(context.now, fetched=True)
+            waiting += first_event * EXCESS_REQUEST_SHARE * excess_requests
+    return waiting + _closed_seconds(state, context)
+
+
 def _overtaken_seconds(
     placement: Placement, usable: list[EndpointRecord], context: PlacementContext
 ) -> float:
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -43,10 +43,12 @@
     LiveGateways,
     PeerEngineCooldown,
     PeerProgress,
+    PeerShares,
     PeerSpeeds,
     PeerWork,
     RequestReceived,
     ServiceLoad,
+    ShareReports,
     SpendRepeat,
     SubscribeToWork,
     WorkEnded,
@@ -69,6 +71,7 @@
     CollectionWatcher,
     EndWatchAt,
 )
+from chivewall.gateway.workspace_fairness import ReportShares, WorkspaceFairness
 from chivewall.messages import Tick
 from chivewall.plugins.base import Plugin
 from chivewall.plugins.registry import Registry
@@ -108,6 +111,7 @@
         self.connections: Inbox | None = None  # of the task that reports what endpoints announce
         self.limited: frozenset[str] = frozenset()  # endpoints whose limits are followed there
         self.waits = EndpointWaits()
+        self.fairness = WorkspaceFairness(env, self.inbox)
 
     def reload(self, cfg: FleetSettings) -> None:
         """Apply changed settings; earlier requests and repeats stay counted."""
@@ -195,12 +199,27 @@
             permits=message.permits,
             permit_rank=message.rank,
             last_resort=message.last_resort,
+            queue_weight=self.fairness.queue_weight(message),
         )
-        message.reply(choose(message.fields, states, context, message.prompt))
+        found = choose(message.fields, states, context, message.prompt)
+        self.fairness.record_choice(message, found, context.queue_weight)
+        message.reply(found)
 
     @receive.register
     async def _(self, message: RequestReceived) -> None:
         self._repeat_budget(message.service).count_request(self.env.now)
+        if message.use is not None:
+            self.fairness.shares.record_demand(message.use, self.env.now)
+
+    @receive.register
+    async def _(self, message: ReportShares) -> None:
+        reports = self.fairness.due_reports()
+        if reports:
+            self._share(ShareReports(reports))
+
+    @receive.register
+    async def _(self, message: PeerShares) -> None:
+        self.fairness.record_reports(message.reports, record_weight(self.live_gateways))
 
     @receive.register
     async def _(self, message: SpendRepeat) -> None:
@@ -211,6 +230,8 @@
         state = self.states.get(message.endpoint)
         if state is None:
             return
+        if message.use is not None:
+            self.fairness.shares.record_sent(message.use, self.env.now)
         keys = tuple(key for key, _ in prefix_chain(message.fields))
         expires_at = self.env.now + message.seconds_left
         item = WorkItem(message.reference_seconds, message.rank, expires_at)
@@ -513,7 +534,13 @@
         )
 
     def _share(
-        self, message: SharedWork | WorkProgress | EngineCooldown | LeavingNews | LimitNews
+        self,
+        message: SharedWork
+        | WorkProgress
+        | EngineCooldown
+        | LeavingNews
+        | LimitNews
+        | ShareReports,
     ) -> None:
         if self.work_subscriber is not None:
             self.work_subscriber.put(message)
--- a/chivewall/gateway/fleet_messages.py
+++ b/chivewall/gateway/fleet_messages.py
@@ -7,6 +7,7 @@
 from chivewall.decisions.placement import PromptState
 from chivewall.decisions.speeds import ServiceSpeed
 from chivewall.decisions.stages import StageLoad
+from chivewall.decisions.workspace_shares import ShareReport, WorkspaceUse
 from chivewall.gateway.http_dialect import RequestFields
 from chivewall.gateway.peer_codec import SharedWork
 from chivewall.gateway.routing_configuration import EndpointInfo
@@ -49,6 +50,7 @@
     """A caller sent a request that goes to this service."""
 
     service: str
+    use: WorkspaceUse | None = None  # what it counts for its workspace
 
 
 @define(eq=False)
@@ -70,6 +72,21 @@
     seconds_left: float  # seconds until the deadline of the request
     exchange: int
     rank: int = 0  # rank with which it was sent; 0 is served first
+    use: WorkspaceUse | None = None  # what it counts for its workspace; only in its first attempt
+
+
+@frozen
+class PeerShares:
+    """Another gateway told what the workspaces ask for and use."""
+
+    reports: tuple[ShareReport, ...]
+
+
+@frozen
+class ShareReports:
+    """What this gateway tells the others of the workspaces."""
+
+    reports: tuple[ShareReport, ...]
 
 
 @frozen
--- a/chivewall/gateway/forwarded_request.py
+++ b/chivewall/gateway/forwarded_request.py
@@ -19,6 +19,7 @@
 )
 from chivewall.decisions.overload import Overloaded
 from chivewall.decisions.placement import Placement, PromptState
+from chivewall.decisions.workspace_shares import WorkspaceUse
 from chivewall.errors import DecodeError, EndpointError
 from chivewall.gateway.caller_messages import CallerDisconnected, EndBy
 from chivewall.gateway.caller_response import CallerResponse
@@ -75,6 +76,7 @@
     Workspace,
 )
 from chivewall.gateway.workspace_access import KeyRefusal, key_refusal
+from chivewall.gateway.workspace_fairness import workspace_use
 from chivewall.gateway.workspace_messages import KeysInForce
 from chivewall.messages import Tick
 from chivewall.results import ResultCode
@@ -145,6 +147,7 @@
         self.failed_endpoints: set[str] = set()  # ids of endpoints that failed to serve it
         # Exchanges that reached an endpoint, except a first prefill.
         self.arrivals = 0
+        self.exchanges = 0  # begun
         self.waits = 0  # times that it had to wait for an endpoint
         self.prefill = PrefillProgress()
         self.prompt = GuardedPrompt(
@@ -164,7 +167,7 @@
     def start(self) -> None:
         """Start the task and place the request."""
         super().start()
-        self.context.fleet.send(RequestReceived(self.service))
+        self.context.fleet.send(RequestReceived(self.service, self._workspace_use()))
         self._schedule(self.response_deadline - self.env.now, Tick("answer_by"))
         self.send(Tick("place"))
 
@@ -475,7 +478,9 @@
         if isinstance(placement, Overloaded):
             await self._give_up(
                 AttemptOutcome.NOT_RUN,
-                f"its first event is expected after {placement.estimate:.2f} s",
+                "its workspace uses more than its share of too little room"
+                if placement.yields
+                else f"its first event is expected after {placement.estimate:.2f} s",
                 retry_after=placement.retry_after,
             )
             return
@@ -574,6 +579,8 @@
         self, endpoint: EndpointInfo, sent: ForwardedFields, *, prefill: bool
     ) -> None:
         self.permits.use(endpoint.id)
+        is_first = self.exchanges == 0
+        self.exchanges += 1
         number = self.context.connections.next_exchange()
         fetches_kv_cache = sent.kv_source is not None
         self.exchange = Exchange(
@@ -596,6 +603,7 @@
                 seconds_left=self.deadline - self.env.now,
                 exchange=number,
                 rank=self.placement.rank,
+                use=self._workspace_use() if is_first else None,
             )
         )
         outgoing = outgoing_request(
@@ -925,6 +933,10 @@
         name = None if self.workspace is None else self.workspace.name
         return {"workspace": name, "workspaces_in_use": self.workspaces_in_use}
 
+    def _workspace_use(self) -> WorkspaceUse | None:
+        name = None if self.workspace is None else self.workspace.name
+        return workspace_use(name, self.service, self._rank, self.request.fields)
+
     def _priority(self) -> int | None:
         return self.placement.rank if self.route.prefix_affinity else None
 
--- a/chivewall/gateway/metrics.py
+++ b/chivewall/gateway/metrics.py
@@ -89,6 +89,10 @@
         self.revoked_keys = self._counter(
             "revoked_keys_total", "Calls that ended since their key was revoked, by route."
         )
+        self.yields = self._counter(
+            "workspace_yields_total",
+            "Calls that were late or refused since their workspace was over its share.",
+        )
         self.workspace_keys = Gauge(
             "chivewall_gateway_workspace_keys",
             "Keys of workspaces in force.",
@@ -144,6 +148,7 @@
             self.blocked_parts.set({}, fields["blocked_parts"])
         else:
             self._observe_store(event, fields)
+            self._observe_workspaces(event, fields)
 
     def _observe_limit(self, fields: dict[str, Any]) -> None:
         self.limited_endpoints.set({}, fields["limited_endpoints"])
@@ -152,11 +157,16 @@
         else:
             self._limits.add(fields["endpoint"])
 
+    def _observe_workspaces(self, event: Event, fields: dict[str, Any]) -> None:
+        if event is Event.WORKSPACES_IN_FORCE:
+            self.workspace_keys.set({}, fields["keys"])
+        elif event is Event.WORKSPACE_YIELDS:
+            labels = {"workspace": fields["workspace"], "outcome": fields["outcome"]}
+            self.yields.inc(labels)
+
     def _observe_store(self, event: Event, fields: dict[str, Any]) -> None:
         if event is Event.CATALOGUE_IN_FORCE and "peer" in fields:
             self.peer_configurations.inc({})
-        elif event is Event.WORKSPACES_IN_FORCE:
-            self.workspace_keys.set({}, fields["keys"])
         elif event is Event.STORE_ERA_BEGAN:
             self.store_era.set({}, fields["era"])
             if fields["previous"] is not None:
--- a/chivewall/gateway/peer_codec.py
+++ b/chivewall/gateway/peer_codec.py
@@ -17,8 +17,9 @@
     PartNews,
 )
 from chivewall.decisions.speeds import Line, ServiceSpeed
+from chivewall.decisions.workspace_shares import ShareReport
 from chivewall.errors import DecodeError
-from chivewall.gateway import permit_codec
+from chivewall.gateway import permit_codec, share_codec
 from chivewall.gateway.announcement_messages import LeavingNews
 from chivewall.gateway.rate_limit_messages import EndedAsk, LimitNews, SharedAsk, SharedRuling
 
@@ -78,6 +79,7 @@
     rulings: tuple[SharedRuling, ...] = ()  # on asks of the receiver
     ended_asks: tuple[EndedAsk, ...] = ()
     phase: GatewayPhase = GatewayPhase.RUNNING
+    shares: tuple[ShareReport, ...] = ()  # what workspaces ask for and use while room is short
 
 
 def encode(message: PeerMessage) -> bytes:
@@ -102,8 +104,11 @@
         [permit_codec.encode_ended(one) for one in message.ended_asks],
         message.phase.value,
     ]
-    if any(limit_parts):
+    shares = [share_codec.encode_report(one) for one in message.shares]
+    if any(limit_parts) or shares:
         document += limit_parts
+    if shares:
+        document.append(shares)
     return json.dumps(document, separators=(",", ":")).encode()
 
 
@@ -114,7 +119,8 @@
         if format_version != VERSION:
             raise DecodeError(f"datagram version {format_version!r} is unknown")
         known, work, cooldowns, prefilled, ended, speeds, parts, leaving, version, era = rest[:10]
-        limits, asks, rulings, ended_asks, phase = rest[10:] or ([], [], [], [], 0)
+        limits, asks, rulings, ended_asks, phase = rest[10:15] or ([], [], [], [], 0)
+        (shares,) = rest[15:] or ([],)
         return PeerMessage(
             known=tuple((_decode_ip(one), _bounded_seconds(age)) for one, age in known),
             work=tuple(_decode_work(*one) for one in work),
@@ -131,6 +137,7 @@
             rulings=tuple(permit_codec.decode_ruling(*one) for one in rulings),
             ended_asks=tuple(permit_codec.decode_ended(*one) for one in ended_asks),
             phase=GatewayPhase(phase),
+            shares=tuple(share_codec.decode_report(*one) for one in shares),
         )
     except (ValueError, TypeError, OverflowError, RecursionError) as exc:
         raise DecodeError(f"malformed datagram: {exc}") from exc
@@ -267,6 +274,13 @@
         yield PeerMessage(limits=tuple(packed))
 
 
+def share_batches(reports: Iterable[ShareReport]) -> Iterator[PeerMessage]:
+    """Put reports about workspaces into messages that each fit into one datagram."""
+    room = MAX_DATAGRAM_BYTES - EMPTY_DATAGRAM_BYTES - LIMIT_DATAGRAM_BYTES
+    for one in share_codec.split_reports(reports, room):
+        yield PeerMessage(shares=(one,))
+
+
 def _fit_part(news: PartNews) -> tuple[PartNews, int]:
     """Return news that fits into a datagram, and its encoded length."""
     crashes = sorted(news.crashes, key=lambda one: one[1].at)
--- a/chivewall/gateway/peers.py
+++ b/chivewall/gateway/peers.py
@@ -27,8 +27,10 @@
     LiveGateways,
     PeerEngineCooldown,
     PeerProgress,
+    PeerShares,
     PeerSpeeds,
     PeerWork,
+    ShareReports,
     SubscribeToWork,
 )
 from chivewall.gateway.part_guard import PartGuard
@@ -48,6 +50,7 @@
     encode,
     limit_batches,
     part_batches,
+    share_batches,
 )
 from chivewall.gateway.peer_socket import DatagramReceived, PeerSocket, PeersSettings
 from chivewall.gateway.rate_limit_messages import (
@@ -171,6 +174,12 @@
         self._schedule_batch()
         self.unsent_limits[message.endpoint] = message
 
+    @receive.register
+    async def _(self, message: ShareReports) -> None:
+        hosts = self.table.sharing_targets(self.env.now)
+        for one in share_batches(message.reports):
+            self._send(one, hosts)
+
     @receive.register
     async def _(self, message: SendAsk) -> None:
         self._send(PeerMessage(asks=(message.ask,)), [message.gateway])
@@ -255,6 +264,8 @@
         if found.limits:
             relay = self.table.live_count(self.env.now) > MAX_PEERS
             self.fleet.send(PeerLimitNews(found.limits, relay=relay))
+        if found.shares:
+            self.fleet.send(PeerShares(found.shares))
         for endpoint, seconds in found.cooldowns:
             self.fleet.send(PeerEngineCooldown(endpoint, seconds))
 
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -105,6 +105,9 @@
             share = self.load if BURST[0] <= at < BURST[1] else CALM_LOAD
             at += self.rng.expovariate(share * CAPACITY)
             self.schedule(at, self.arrive)
+        return self.play()
+
+    def play(self):
         while self.events:
             self.now, _, action, arguments = heapq.heappop(self.events)
             action(*arguments)
@@ -126,10 +129,13 @@
         )
         found = choose(fields, list(self.records.values()), context)
         if isinstance(found, Overloaded):
-            self.outcomes.append(Outcome(self.now, 0.0, None))
+            self.refuse()
             return
         self.send(found, self.now)
 
+    def refuse(self):
+        self.outcomes.append(Outcome(self.now, 0.0, None))
+
     def send(self, found: Placement, sent_at):
         self._number += 1
         key = ("", self._number)
