--- a/chivewall/decisions/placement.py
+++ b/chivewall/decisions/placement.py
@@ -220,10 +220,7 @@
     """Return the part of a request's estimate in which others are before it."""
     excess_requests = max(0, state.in_flight + 1 - state.info.slots)
     if state.info.stage is Stage.NONE:
-        call_seconds = state.service_speeds.current.call_seconds * state.slowness.factor(
-            context.now
-        )
-        waiting = call_seconds * excess_requests / state.info.slots
+        waiting = state.call_seconds(context.now) * excess_requests / state.info.slots
     else:
         waiting = state.prefill_wait(context.now, context.rank)
         if not state.prefills_first:
