Keep the windows of usage over steps of the clock, and describe usage

Cause: an instance whose time of day jumps would count into other windows, and a holder would report windows before their end.

--- a/chivewall/gateway/metrics.py
+++ b/chivewall/gateway/metrics.py
@@ -44,6 +44,12 @@
         self.duty_calls = self._counter(
             "duty_calls_total", "Calls that are the duty of one gateway, by outcome."
         )
+        self.incomplete_windows = self._counter(
+            "usage_windows_incomplete_total", "Windows reported without some gateways' counts."
+        )
+        self.skipped_windows = self._counter(
+            "usage_windows_skipped_total", "Windows of usage that were not reported."
+        )
         self.engine_crashes = self._counter(
             "engine_crashes_total", "Calls that were starting at an engine when it crashed."
         )
@@ -147,7 +153,7 @@
         elif event in (Event.PROMPT_PART_BLOCKED, Event.PROMPT_PART_CLEARED):
             self.blocked_parts.set({}, fields["blocked_parts"])
         else:
-            self._observe_store(event, fields)
+            self._observe_platform(event, fields)
 
     def _observe_limit(self, fields: dict[str, Any]) -> None:
         self.limited_endpoints.set({}, fields["limited_endpoints"])
@@ -156,7 +162,7 @@
         else:
             self._limits.add(fields["endpoint"])
 
-    def _observe_store(self, event: Event, fields: dict[str, Any]) -> None:
+    def _observe_platform(self, event: Event, fields: dict[str, Any]) -> None:
         if event is Event.CATALOGUE_IN_FORCE and "peer" in fields:
             self.peer_configurations.inc({})
         elif event is Event.WORKSPACES_IN_FORCE:
@@ -165,6 +171,10 @@
             self.store_era.set({}, fields["era"])
             if fields["previous"] is not None:
                 self.restores.inc({})
+        elif event is Event.USAGE_INCOMPLETE:
+            self.incomplete_windows.inc({})
+        elif event is Event.USAGE_SKIPPED:
+            self.skipped_windows.add({}, fields["last_window"] - fields["first_window"] + 1)
 
     def _counter(self, name: str, doc: str) -> Counter:
         return Counter(f"chivewall_gateway_{name}", doc, registry=self.registry)
--- a/chivewall/gateway/usage.py
+++ b/chivewall/gateway/usage.py
@@ -9,6 +9,7 @@
 from attrs import field, frozen, validators
 from twisted.internet.interfaces import IListeningPort
 
+from chivewall.decisions.steady_time import SteadyTime
 from chivewall.decisions.usage import COLLECTORS, GatewayCounts, OwnCounts, UsageTable, UsageTimes
 from chivewall.environment import Environment
 from chivewall.errors import DecodeError
@@ -23,6 +24,7 @@
 from chivewall.messages import Tick
 from chivewall.plugins.base import Plugin
 from chivewall.plugins.registry import Registry
+from chivewall.reactor import boot_time
 from chivewall.task import Task
 
 SHARE_SECONDS = 0.5  # interval between datagrams to the collectors
@@ -60,9 +62,12 @@
 class UsageCounter(Task):
     """Owns the socket, the counts of this process and those that other gateways tell."""
 
-    def __init__(self, env: Environment, cfg: UsageSettings, peers: Peers) -> None:
+    def __init__(
+        self, env: Environment, cfg: UsageSettings, peers: Peers, time: SteadyTime
+    ) -> None:
         super().__init__()
         self.env = env
+        self.time = time
         self.cfg = cfg
         self.peers = peers
         self.times = cfg.times
@@ -86,20 +91,20 @@
 
     @receive.register
     async def _(self, message: RequestBegan) -> None:
-        self.own.add(message.workspace, message.at, self.env.unix_time())
+        self.own.add(message.workspace, self.time.steady(message.at), self.time.now())
 
     @receive.register
     async def _(self, message: Tick) -> None:
         self.gateways = await self.peers.query(ListGateways())
         self.rounds += 1
-        self._share(self.own.shared(self.env.unix_time()))
-        self.table.forget_before(self.times.window_at(self.env.unix_time()) - KEPT_WINDOWS)
+        self._share(self.own.shared(self.time.now()))
+        self.table.forget_before(self.times.window_at(self.time.now()) - KEPT_WINDOWS)
         self.env.clock.callLater(SHARE_SECONDS, self.send, Tick())
 
     @receive.register
     async def _(self, message: ShareLast) -> None:
         self.shared.clear()
-        self._share(self.own.shared(self.env.unix_time(), ends=True))
+        self._share(self.own.shared(self.time.now(), ends=True))
         message.reply(None)
 
     @receive.register
@@ -114,13 +119,13 @@
                 error=str(exc)[:MAX_ERROR_CHARS],
             )
             return
-        current = self.times.window_at(self.env.unix_time())
+        current = self.times.window_at(self.time.now())
         if current - KEPT_WINDOWS <= found.window <= current + 1:
             self.table.merge(message.gateway_ip, started_ms, found)
 
     @receive.register
     async def _(self, message: ReadUsage) -> None:
-        for one in self.own.shared(self.env.unix_time()):
+        for one in self.own.shared(self.time.now()):
             self.table.merge(self.cfg.host, self.started_ms, one)
         message.reply(
             WindowUsage(
@@ -165,7 +170,8 @@
         if not self.is_on:
             return
         peers = self.env.require(Peers)
-        self.counter = UsageCounter(self.env, self.cfg, peers)
+        time = SteadyTime(self.env.unix_time, boot_time)
+        self.counter = UsageCounter(self.env, self.cfg, peers, time)
         self.env.provide(UsageCounter, self.counter)
         self.reporter = UsageReporter(
             self.env,
@@ -173,6 +179,7 @@
             self.cfg.times,
             peers=peers,
             counter=self.counter,
+            time=time,
             holder=self.env.require(Duties).holder(SUBJECT),
         )
 
--- a/chivewall/gateway/usage_reporter.py
+++ b/chivewall/gateway/usage_reporter.py
@@ -10,6 +10,7 @@
 from twisted.internet.defer import Deferred
 
 from chivewall.backoff import exponential_delay
+from chivewall.decisions.steady_time import SteadyTime
 from chivewall.decisions.usage import (
     COLLECTORS,
     Recorded,
@@ -95,6 +96,7 @@
         peers: Task,
         counter: Task,
         holder: Task,
+        time: SteadyTime,
     ) -> None:
         super().__init__()
         self.env = env
@@ -102,8 +104,9 @@
         self.times = times
         self.peers = peers
         self.counter = counter
+        self.time = time
         self.holder = holder  # of the lock of the reports
-        self.started_at = env.unix_time()
+        self.started_at = time.now()
         self.state: DutyState | None = None  # as it was read last
         self.done = -1  # latest window that was reported, as far as known
         self.observed = -1  # latest window after whose end the lock was read
@@ -140,7 +143,7 @@
         if message.state is None:
             self._retry_later()
             return
-        now = self.env.unix_time()
+        now = self.time.now()
         self.observed = self.times.last_ended(now)
         recorded = recorded_report(message.state)
         self._record_done(recorded)
@@ -161,14 +164,14 @@
             self.done = max(self.done, message.report.window)
             if self._started_after(message.report.window + 1):
                 await self._release()
-            elif self.done < self.times.last_ended(self.env.unix_time()):
+            elif self.done < self.times.last_ended(self.time.now()):
                 self._read()
             return
         self._retry_later()
 
     async def _is_due(self) -> bool:
         """Return whether to read the lock now, to report a window or to see whether it was."""
-        now = self.env.unix_time()
+        now = self.time.now()
         window = self.times.last_ended(now)
         if self.done >= window or now < self.next_try_at:
             return False
@@ -211,7 +214,7 @@
         return self.times.is_settled(window, now) and not (await self._usage(window)).missing
 
     async def _report(self, state: DutyState, recorded: Recorded) -> None:
-        now = self.env.unix_time()
+        now = self.time.now()
         if not state.may_take:
             self._retry_later()
             return
@@ -277,7 +280,7 @@
         self.failures += 1
         if self.unanswered >= MAX_UNANSWERED:
             delay, self.unanswered = YIELD_SECONDS, 0
-        self.next_try_at = self.env.unix_time() + delay
+        self.next_try_at = self.time.now() + delay
 
     def _schedule_check(self) -> None:
         self.env.clock.callLater(CHECK_SECONDS, self.send, Tick())
