Tell ended windows less often in large installations

Cause: with 360 gateways a collector would get about 1,300 datagrams a second (worked out).

Change: with over 50 gateways, the counts of an ended window are told three times at once and then as often as those of the window in progress; the rounds of gateways that start together have different phases. A test loads the settings that the template gives.

--- a/chivewall/gateway/usage.py
+++ b/chivewall/gateway/usage.py
@@ -4,6 +4,7 @@
 datagram has all of a window's, so that lost and late ones do no harm.
 """
 
+from collections import Counter
 from functools import singledispatchmethod
 
 from attrs import field, frozen, validators
@@ -29,8 +30,11 @@
 
 SHARE_SECONDS = 0.5  # interval between datagrams to the collectors
 # With more gateways, the counts of a window in progress are told less often: only what a gateway
-# counts between its last datagram and its death is lost.
+# counts between its last datagram and its death is lost. The counts of an ended window are told so
+# many times at once, and then less often too.
 GATEWAYS_FOR_EACH_SHARE = 50
+COMPLETE_SHARES = 3
+MAX_PHASE = 1_000  # of the rounds, so that gateways that start together don't tell together
 LAST_SHARES = 2  # times that a stopping gateway tells its counts, as a datagram may be lost
 MS_PER_SECOND = 1000
 KEPT_WINDOWS = 8  # ended windows whose counts are kept
@@ -76,7 +80,8 @@
         self.table = UsageTable()
         self.gateways: tuple[str, ...] = (cfg.host,)  # live ones, by address
         self.shared: dict[int, GatewayCounts] = {}  # what was told last, by window
-        self.rounds = 0  # of datagrams
+        self.rounds = env.random.randrange(MAX_PHASE)  # of datagrams
+        self.complete_shares: Counter[int] = Counter()  # by window
         self.socket = PeerSocket(self.inbox)
 
     def start(self) -> None:
@@ -104,6 +109,7 @@
     @receive.register
     async def _(self, message: ShareLast) -> None:
         self.shared.clear()
+        self.complete_shares.clear()
         self._share(self.own.shared(self.time.now(), ends=True))
         message.reply(None)
 
@@ -139,12 +145,18 @@
         interval = 1 + len(self.gateways) // GATEWAYS_FOR_EACH_SHARE
         for one in windows:
             self.table.merge(self.cfg.host, self.started_ms, one)
-            unchanged = self.shared.get(one.window) == one
-            if one.complete or not (unchanged or self.rounds % interval):
+            if self._is_due(one, in_turn=self.rounds % interval == 0):
                 self._send(one)
                 self.shared[one.window] = one
+                self.complete_shares[one.window] += one.complete
         first = windows[0].window
-        self.shared = {window: one for window, one in self.shared.items() if window >= first}
+        for window in [one for one in self.shared if one < first]:
+            del self.shared[window], self.complete_shares[window]
+
+    def _is_due(self, counts: GatewayCounts, *, in_turn: bool) -> bool:
+        if counts.complete:
+            return in_turn or self.complete_shares[counts.window] < COMPLETE_SHARES
+        return in_turn and self.shared.get(counts.window) != counts
 
     def _send(self, counts: GatewayCounts) -> None:
         for data in encode(self.started_ms, counts):
--- a/tests/test_platform_duties.py
+++ b/tests/test_platform_duties.py
@@ -7,6 +7,7 @@
 from twisted.internet.defer import fail, succeed
 from twisted.internet.task import Clock
 
+from chivewall.decisions.usage import UsageTimes
 from chivewall.errors import (
     DutyRefusedError,
     ObjectMissingError,
@@ -15,6 +16,7 @@
 )
 from chivewall.gateway.channels import HttpResponse
 from chivewall.gateway.platform_duties import Duty, DutyLock
+from chivewall.gateway.usage import UsageSettings
 from chivewall.platform.objects import StoredObject
 from chivewall.platform.platform_duties import (
     LOCKS_KIND,
@@ -22,6 +24,7 @@
     PlatformDutiesSettings,
     PlatformDutyLocks,
 )
+from chivewall.settings import parse
 from chivewall.standins.template import instance_fields, render_settings
 from tests.utils.duties import make_env
 
@@ -130,6 +133,19 @@
     assert "chivewall.gateway.duties" in settings["plugins"]
 
 
+def test_settings_of_usage_are_those_of_its_plugin():
+    """Guards against a gateway that rejects the settings that the platform fills in."""
+    ports = dict.fromkeys(("metrics", "peer", "front", "ready"), 8000)
+    fields = instance_fields("gateway-1", ports, ("127.0.0.1", 80))
+    fields["cloud"] = {"addr": "10.0.0.9:80", "duties": ["metering"]}
+    fields["bounds"] |= {"windowS": 5, "usageLateS": 10}
+    fields["portRange"] = [8000, 8015]
+    settings = parse(render_settings(fields))
+    assert "chivewall.gateway.usage" in settings.core.plugins
+    cfg = settings.section("usage", UsageSettings)
+    assert (cfg.port, cfg.times) == (8015, UsageTimes(5.0, 10.0))
+
+
 def test_duties_are_those_that_the_platform_names():
     """Guards against a duty that the platform doesn't ask for, and a start stopped by a new one."""
     assert make_duties(200)[0].duties == {Duty.USAGE}
