--- a/chivewall/gateway/usage.py
+++ b/chivewall/gateway/usage.py
@@ -4,11 +4,13 @@
 datagram has all of a window's, so that lost and late ones do no harm.
 """
 
+from collections import Counter
 from functools import singledispatchmethod
 
 from attrs import field, frozen, validators
 from twisted.internet.interfaces import IListeningPort
 
+from chivewall.decisions.steady_time import SteadyTime
 from chivewall.decisions.usage import COLLECTORS, GatewayCounts, OwnCounts, UsageTable, UsageTimes
 from chivewall.environment import Environment
 from chivewall.errors import DecodeError
@@ -23,12 +25,16 @@
 from chivewall.messages import Tick
 from chivewall.plugins.base import Plugin
 from chivewall.plugins.registry import Registry
+from chivewall.reactor import boot_time
 from chivewall.task import Task
 
 SHARE_SECONDS = 0.5  # interval between datagrams to the collectors
 # With more gateways, the counts of a window in progress are told less often: only what a gateway
-# counts between its last datagram and its death is lost.
+# counts between its last datagram and its death is lost. The counts of an ended window are told so
+# many times at once, and then less often too.
 GATEWAYS_FOR_EACH_SHARE = 50
+COMPLETE_SHARES = 3
+MAX_PHASE = 1_000  # of the rounds, so that gateways that start together don't tell together
 LAST_SHARES = 2  # times that a stopping gateway tells its counts, as a datagram may be lost
 MS_PER_SECOND = 1000
 KEPT_WINDOWS = 8  # ended windows whose counts are kept
@@ -60,9 +66,12 @@
 class UsageCounter(Task):
     """Owns the socket, the counts of this process and those that other gateways tell."""
 
-    def __init__(self, env: Environment, cfg: UsageSettings, peers: Peers) -> None:
+    def __init__(
+        self, env: Environment, cfg: UsageSettings, peers: Peers, time: SteadyTime
+    ) -> None:
         super().__init__()
         self.env = env
+        self.time = time
         self.cfg = cfg
         self.peers = peers
         self.times = cfg.times
@@ -71,7 +80,8 @@
         self.table = UsageTable()
         self.gateways: tuple[str, ...] = (cfg.host,)  # live ones, by address
         self.shared: dict[int, GatewayCounts] = {}  # what was told last, by window
-        self.rounds = 0  # of datagrams
+        self.rounds = env.random.randrange(MAX_PHASE)  # of datagrams
+        self.complete_shares: Counter[int] = Counter()  # by window
         self.socket = PeerSocket(self.inbox)
 
     def start(self) -> None:
@@ -86,20 +96,21 @@
 
     @receive.register
     async def _(self, message: RequestBegan) -> None:
-        self.own.add(message.workspace, message.at, self.env.unix_time())
+        self.own.add(message.workspace, self.time.steady(message.at), self.time.now())
 
     @receive.register
     async def _(self, message: Tick) -> None:
         self.gateways = await self.peers.query(ListGateways())
         self.rounds += 1
-        self._share(self.own.shared(self.env.unix_time()))
-        self.table.forget_before(self.times.window_at(self.env.unix_time()) - KEPT_WINDOWS)
+        self._share(self.own.shared(self.time.now()))
+        self.table.forget_before(self.times.window_at(self.time.now()) - KEPT_WINDOWS)
         self.env.clock.callLater(SHARE_SECONDS, self.send, Tick())
 
     @receive.register
     async def _(self, message: ShareLast) -> None:
         self.shared.clear()
-        self._share(self.own.shared(self.env.unix_time(), ends=True))
+        self.complete_shares.clear()
+        self._share(self.own.shared(self.time.now(), ends=True))
         message.reply(None)
 
     @receive.register
@@ -114,13 +125,13 @@
                 error=str(exc)[:MAX_ERROR_CHARS],
             )
             return
-        current = self.times.window_at(self.env.unix_time())
+        current = self.times.window_at(self.time.now())
         if current - KEPT_WINDOWS <= found.window <= current + 1:
             self.table.merge(message.gateway_ip, started_ms, found)
 
     @receive.register
     async def _(self, message: ReadUsage) -> None:
-        for one in self.own.shared(self.env.unix_time()):
+        for one in self.own.shared(self.time.now()):
             self.table.merge(self.cfg.host, self.started_ms, one)
         message.reply(
             WindowUsage(
@@ -134,12 +145,18 @@
         interval = 1 + len(self.gateways) // GATEWAYS_FOR_EACH_SHARE
         for one in windows:
             self.table.merge(self.cfg.host, self.started_ms, one)
-            unchanged = self.shared.get(one.window) == one
-            if one.complete or not (unchanged or self.rounds % interval):
+            if self._is_due(one, in_turn=self.rounds % interval == 0):
                 self._send(one)
                 self.shared[one.window] = one
+                self.complete_shares[one.window] += one.complete
         first = windows[0].window
-        self.shared = {window: one for window, one in self.shared.items() if window >= first}
+        for window in [one for one in self.shared if one < first]:
+            del self.shared[window], self.complete_shares[window]
+
+    def _is_due(self, counts: GatewayCounts, *, in_turn: bool) -> bool:
+        if counts.complete:
+            return in_turn or self.complete_shares[counts.window] < COMPLETE_SHARES
+        return in_turn and self.shared.get(counts.window) != counts
 
     def _send(self, counts: GatewayCounts) -> None:
         for data in encode(self.started_ms, counts):
@@ -165,7 +182,8 @@
         if not self.is_on:
             return
         peers = self.env.require(Peers)
-        self.counter = UsageCounter(self.env, self.cfg, peers)
+        time = SteadyTime(self.env.unix_time, boot_time)
+        self.counter = UsageCounter(self.env, self.cfg, peers, time)
         self.env.provide(UsageCounter, self.counter)
         self.reporter = UsageReporter(
             self.env,
@@ -173,6 +191,7 @@
             self.cfg.times,
             peers=peers,
             counter=self.counter,
+            time=time,
             holder=self.env.require(Duties).holder(SUBJECT),
         )
 
