Fetch shared prompt parts that other engines keep

Engines read 85% of the tokens of long prompts themselves, 4.4 million of them again though another engine kept them. Reading a token again takes an engine over ten times as long as fetching its KV cache.

The placement now counts what each engine keeps by the end of its prefill, and an engine that lacks it fetches it from the nearest one that has it (Kv-Fetch). What a copy displaces is a cost of the choice, so that parts are not spread over all engines.

--- a/chivewall/decisions/endpoint_record.py
+++ b/chivewall/decisions/endpoint_record.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from hashlib import blake2b
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from chivewall.backoff import exponential_delay
 from chivewall.decisions.availability import Availability, LeavingNotice, availability
@@ -53,6 +53,14 @@
     return chain
 
 
+@frozen
+class CachedPrefix:
+    """A prefix that an endpoint has been sent."""
+
+    used_at: float  # time of its last use
+    kept_from: float  # time from which it is probably kept, after its prefill
+
+
 @define
 class EndpointRecord:
     """State of one endpoint as this gateway knows it; lags behind what other gateways send."""
@@ -75,8 +83,7 @@
     pause: Pause | None = None  # the latest pause that its id has asked for
     # Time before which no permit is expected for a request, by its rank.
     _permits_at: dict[int, float] = field(factory=dict, init=False)
-    # Prefix key to the time of its last use.
-    _prefixes: OrderedDict = field(factory=OrderedDict, init=False)
+    _prefixes: OrderedDict[str, CachedPrefix] = field(factory=OrderedDict, init=False)  # by key
 
     @property
     def prefills_first(self) -> bool:
@@ -171,6 +178,12 @@
         """Return the seconds until the prefill of a prompt that is sent now with this rank."""
         return self.work.prefill_wait(now, rank, self.speed(now))
 
+    def prefilled_after(self, item: WorkItem, now: float) -> float:
+        """Return the seconds until it will have prefilled, or fetched, a prompt that it is sent."""
+        speed = self.speed(now)
+        seconds = item.reference_seconds * speed.scale + speed.response_seconds
+        return seconds + self.prefill_wait(now, item.rank)
+
     def overtaken_seconds(self, now: float, rank: int) -> float:
         """Return the wait for more urgent prompts that arrive while a prompt waits its turn."""
         share_left = self.work.share_left(now, rank, self.speed(now))
@@ -190,15 +203,35 @@
         covered = 0
         for key, tokens in chain:
             seen = self._prefixes.get(key)
-            if seen is None or now - seen > PREFIX_LIFETIME_SECONDS:
+            if seen is None or now - seen.used_at > PREFIX_LIFETIME_SECONDS:
                 break
             covered += tokens
         return covered
 
-    def record_prefixes(self, keys: Iterable[str], now: float) -> None:
-        """Record prefixes that the endpoint prefills and then caches."""
+    def kept_tokens(self, chain: PrefixChain, now: float) -> int:
+        """Return the number of leading prompt tokens that other engines can probably fetch."""
+        kept = []
+        for key, tokens in chain:
+            seen = self._prefixes.get(key)
+            if seen is None or seen.kept_from > now:
+                break
+            kept.append((key, tokens))
+        return self.cached_tokens(kept, now)
+
+    def record_prefixes(
+        self, keys: Iterable[str], now: float, kept_from: float | None = None
+    ) -> None:
+        """Record prefixes that the endpoint prefills and then caches.
+
+        ``kept_from``: time at which their prefill will probably have ended.
+        """
+        kept_from = now if kept_from is None else kept_from
         for key in keys:
-            self._prefixes[key] = now
+            seen = self._prefixes.get(key)
+            known = seen is not None and now - seen.used_at <= PREFIX_LIFETIME_SECONDS
+            self._prefixes[key] = CachedPrefix(
+                now, min(seen.kept_from, kept_from) if known else kept_from
+            )
             self._prefixes.move_to_end(key)
         while len(self._prefixes) > MAX_PREFIXES:
             self._prefixes.popitem(last=False)
--- a/chivewall/decisions/placement.py
+++ b/chivewall/decisions/placement.py
@@ -14,6 +14,7 @@
 from chivewall.decisions.availability import Availability
 from chivewall.decisions.endpoint_record import EndpointRecord, PrefixChain, prefix_chain
 from chivewall.decisions.overload import Overloaded, admit
+from chivewall.decisions.prefix_sources import PrefixSource, PrefixSources, fetch_seconds
 from chivewall.gateway.http_dialect import RequestFields
 from chivewall.gateway.rate_limit_messages import PermitNeed
 from chivewall.gateway.routing_configuration import EndpointInfo, Stage
@@ -57,6 +58,7 @@
     uncached_tokens: int  # prompt tokens to prefill
     reason: str
     reference_seconds: float = 0.0  # prefill time of these tokens at the reference speed
+    prefix_source: EndpointInfo | None = None  # engine from which the prompt's start is fetched
     decode_backlog_seconds: float = 0.0  # seconds of prefill that then wait at a decode engine
     rank: int = 0  # rank to send it with
     needs: tuple[PermitNeed, ...] = ()  # permits to acquire before it is sent
@@ -275,8 +277,9 @@
         sum(tokens for _, tokens in chain[:-1]), cached=0
     )
     preference = min(HASH_PREFERENCE_SECONDS, saved_seconds)
+    sources = PrefixSources(chain, [*decoders, *prefill_engines], context.now)
     at_decoder = _cheapest(
-        [_prefill_at_decoder(fields, chain, one, context) for one in decoders],
+        [_prefill_at_decoder(fields, chain, one, sources, context) for one in decoders],
         _hash_preferred(shared, decoders),
         preference,
     )
@@ -284,7 +287,10 @@
         return at_decoder.placement(context)
     waits = DecodeWaits(fields, decoders, context)
     handed_over = _cheapest(
-        [_prefill_and_hand_over(fields, chain, one, waits, context) for one in prefill_engines],
+        [
+            _prefill_and_hand_over(fields, chain, one, waits, sources, context)
+            for one in prefill_engines
+        ],
         _hash_preferred(shared, prefill_engines),
         preference,
     )
@@ -301,6 +307,7 @@
     estimate: float  # seconds to the first event
     uncached_tokens: int
     reference_seconds: float  # prefill time at the reference speed
+    source: PrefixSource | None
     decode_backlog_seconds: float = 0.0
 
     def placement(self, context: PlacementContext) -> Placement:
@@ -315,6 +322,7 @@
             if handed_over
             else "prefill at the decode engine",
             reference_seconds=self.reference_seconds,
+            prefix_source=None if self.source is None else self.source.record.info,
             decode_backlog_seconds=self.decode_backlog_seconds,
             rank=context.rank,
         )
@@ -337,25 +345,68 @@
     return min(options, key=cost)
 
 
-def _prefill_at_decoder(
-    fields: RequestFields, chain: PrefixChain, state: EndpointRecord, context: PlacementContext
-) -> PlacementOption:
+@frozen
+class Reading:
+    """How an engine gets the KV cache of a prompt."""
+
+    uncached_tokens: int  # tokens that it prefills
+    reference_seconds: float  # time in which it does so at the reference speed
+    source: PrefixSource | None  # engine from which it fetches those before
+    fetch_seconds: float = 0.0
+    # Time to read again what the fetched tokens displace in the engine's memory.
+    displaced_seconds: float = 0.0
+
+
+def _reading(
+    fields: RequestFields,
+    chain: PrefixChain,
+    state: EndpointRecord,
+    sources: PrefixSources,
+    context: PlacementContext,
+) -> Reading:
     cached = state.cached_tokens(chain, context.now)
+    source = sources.best(state, cached, fields.prompt_tokens)
     reference = state.reference_prefill_seconds(fields.prompt_tokens, cached)
-    prefill_time = reference * state.speed(context.now).scale
+    if source is None:
+        return Reading(fields.prompt_tokens - cached, reference, None)
+    left = state.reference_prefill_seconds(fields.prompt_tokens, source.tokens)
+    return Reading(
+        uncached_tokens=fields.prompt_tokens - source.tokens,
+        reference_seconds=left,
+        source=source,
+        fetch_seconds=fetch_seconds(source.tokens - cached, source.record, state),
+        displaced_seconds=(reference - left) * state.speed(context.now).scale,
+    )
+
+
+def _prefill_at_decoder(
+    fields: RequestFields,
+    chain: PrefixChain,
+    state: EndpointRecord,
+    sources: PrefixSources,
+    context: PlacementContext,
+) -> PlacementOption:
+    reading = _reading(fields, chain, state, sources, context)
+    prefill_time = reading.reference_seconds * state.speed(context.now).scale
     wait = state.prefill_wait(context.now, context.rank)
-    seconds = _decode_wait(state, context, wait, fetched=False) + prefill_time
+    seconds = (
+        _decode_wait(state, context, wait, fetched=False) + prefill_time + reading.fetch_seconds
+    )
     stall = STALL_WEIGHT * state.in_flight * prefill_time
     debt = max(0.0, state.prefill_debt(context.now) - wait)
     backlog = prefill_time + wait + debt
     excess = max(0.0, backlog - DECODE_BACKLOG_SHARE * context.pause_seconds)
     return PlacementOption(
-        cost=_time_cost(seconds + debt, context) + stall + BACKLOG_EXCESS_WEIGHT * excess,
+        cost=_time_cost(seconds + debt, context)
+        + EARLY_WEIGHT * reading.displaced_seconds
+        + stall
+        + BACKLOG_EXCESS_WEIGHT * excess,
         engine=state,
         decoder=state,
         estimate=seconds,
-        uncached_tokens=fields.prompt_tokens - cached,
-        reference_seconds=reference,
+        uncached_tokens=reading.uncached_tokens,
+        reference_seconds=reading.reference_seconds,
+        source=reading.source,
         decode_backlog_seconds=backlog,
     )
 
@@ -371,28 +422,30 @@
     chain: PrefixChain,
     state: EndpointRecord,
     waits: "DecodeWaits",
+    sources: PrefixSources,
     context: PlacementContext,
 ) -> PlacementOption:
-    cached = state.cached_tokens(chain, context.now)
-    reference = state.reference_prefill_seconds(fields.prompt_tokens, cached)
+    reading = _reading(fields, chain, state, sources, context)
     decode_wait, decoder = waits.best(state.info.data_centre)
     speed = state.speed(context.now)
     seconds = (
         _closed_seconds(state, context)
         + state.prefill_wait(context.now, context.rank)
-        + reference * speed.scale
+        + reading.fetch_seconds
+        + reading.reference_seconds * speed.scale
         + speed.response_seconds
         + _round_trip_seconds(state, context)
         + FAILURE_SECONDS * state.current_failure_share(context.now)
         + decode_wait
     )
     return PlacementOption(
-        cost=_time_cost(seconds, context),
+        cost=_time_cost(seconds, context) + EARLY_WEIGHT * reading.displaced_seconds,
         engine=state,
         decoder=decoder,
         estimate=seconds,
-        uncached_tokens=fields.prompt_tokens - cached,
-        reference_seconds=reference,
+        uncached_tokens=reading.uncached_tokens,
+        reference_seconds=reading.reference_seconds,
+        source=reading.source,
     )
 
 
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -478,8 +478,9 @@
         self, state: EndpointRecord, key: WorkKey, item: WorkItem, prefixes: tuple[str, ...]
     ) -> None:
         now = self.env.now
+        kept_from = now + state.prefilled_after(item, now)
         state.add_work(key, item, now)
-        state.record_prefixes(prefixes, now)
+        state.record_prefixes(prefixes, now, kept_from)
         if state.info.stage is Stage.NONE:
             return
         prefill_load = self.prefill_loads.setdefault(state.info.service, PrefillLoad())
--- a/chivewall/gateway/forwarded_request.py
+++ b/chivewall/gateway/forwarded_request.py
@@ -518,9 +518,14 @@
             endpoint=placement.prefill_engine.id,
             priority=self._priority(),
             stage=Stage.PREFILL,
+            prefix_source=self._prefix_source(),
         )
         self._start_exchange(placement.prefill_engine, sent, prefill=True)
 
+    def _prefix_source(self) -> tuple[str, int] | None:
+        source = self.placement.prefix_source
+        return None if source is None else source.address
+
     async def _send_request(self, endpoint: EndpointInfo, kv_source: str | None) -> None:
         repeat_spent, self.repeat_spent = self.repeat_spent, False
         if (
@@ -539,6 +544,7 @@
             endpoint=endpoint.id,
             priority=self._priority(),
             kv_source=kv_source,
+            prefix_source=None if kv_source else self._prefix_source(),
             last_event_id=self.response.stream.last_id,
         )
         self.arrivals += 1
--- a/chivewall/gateway/http_dialect.py
+++ b/chivewall/gateway/http_dialect.py
@@ -65,6 +65,8 @@
     priority: int | None = None
     stage: Stage | None = None  # PREFILL: only compute and keep the KV cache of the prompt
     kv_source: str | None = None  # location from which to fetch the KV cache of the prompt
+    # Address of an engine from which to fetch what it keeps of the prompt.
+    prefix_source: tuple[str, int] | None = None
     last_event_id: str | None = None
     workspace: str | None = None  # name of the workspace whose key the caller sent
 
--- a/chivewall/gateway/metrics.py
+++ b/chivewall/gateway/metrics.py
@@ -32,6 +32,10 @@
         self.registry = Registry()
         self.requests = self._counter("calls_total", "Ended calls by route and outcome.")
         self.attempts = self._counter("attempts_total", "Attempts by kind.")
+        self.prefix_fetches = self._counter(
+            "prefix_fetches_total",
+            "Attempts at engines that fetch a part of the prompt from another engine, by kind.",
+        )
         self.failures = self._counter("attempt_failures_total", "Failed attempts by outcome.")
         self.waits = self._counter("call_waits_total", "Waits of calls for an endpoint by route.")
         self.refusals = self._counter("refusals_total", "Calls refused without a route, by code.")
@@ -125,10 +129,7 @@
             if fields["first_after"] is not None:
                 self.first_event_seconds.observe(route, fields["first_after"])
         elif event is Event.CALL_ATTEMPT:
-            kind = {"kind": "prefill" if fields["prefill"] else "run"}
-            self.attempts.inc(kind)
-            if fields["endpoint"] in self._limits:
-                self.limited_attempts.inc({"endpoint": fields["endpoint"], **kind})
+            self._observe_attempt(fields)
         elif event is Event.ENDPOINT_LIMIT:
             self._observe_limit(fields)
         elif event in (Event.PROMPT_PART_BLOCKED, Event.PROMPT_PART_CLEARED):
@@ -136,6 +137,14 @@
         else:
             self._observe_store(event, fields)
 
+    def _observe_attempt(self, fields: dict[str, Any]) -> None:
+        kind = {"kind": "prefill" if fields["prefill"] else "run"}
+        self.attempts.inc(kind)
+        if fields["fetched_from"] is not None:
+            self.prefix_fetches.inc(kind)
+        if fields["endpoint"] in self._limits:
+            self.limited_attempts.inc({"endpoint": fields["endpoint"], **kind})
+
     def _observe_limit(self, fields: dict[str, Any]) -> None:
         self.limited_endpoints.set({}, fields["limited_endpoints"])
         if fields["rate"] is None:
--- a/chivewall/gateway/request_log.py
+++ b/chivewall/gateway/request_log.py
@@ -32,6 +32,7 @@
             handed_over=exchange.fetches_kv_cache,
             estimate=round(placement.estimate, 4),
             uncached=placement.uncached_tokens,
+            fetched_from=None if placement.prefix_source is None else placement.prefix_source.id,
             reason=placement.reason,
             rank=placement.rank,
             time_left_ms=round(sent.time_left_ms),
--- a/chivewall/platform/headers.py
+++ b/chivewall/platform/headers.py
@@ -93,6 +93,7 @@
             (b"X-Request-Priority", None if sent.priority is None else str(sent.priority)),
             (b"X-Stage", sent.stage and sent.stage.value),
             (b"X-Kv-From", sent.kv_source),
+            (b"Kv-Fetch", sent.prefix_source and "{}:{}".format(*sent.prefix_source)),
             (b"Last-Event-Id", sent.last_event_id),
         )
         kept += [(name, value.encode("latin-1")) for name, value in set_here if value is not None]
