Learn the speed of each engine from the work of all gateways

Slow engines had queues of half a second that were expected to be none. The learned response time, 0.09 s in times without a queue, stood at 0.04 to 0.56 s, as slow engines and unnoticed prompts add to its median.

The records that gateways share already name each prompt and the end of its prefill. The time that an engine was busy against the reference time of what it prefilled gives its scale, averaged over 6 s, so that slow moments of less than a second hardly count. The fixed part of the prefill line is the lower quartile of the times, and doesn't grow with an engine's slowness. No datagram changes.

--- a/chivewall/decisions/endpoint_record.py
+++ b/chivewall/decisions/endpoint_record.py
@@ -9,6 +9,7 @@
 
 from chivewall.backoff import exponential_delay
 from chivewall.decisions.availability import Availability, LeavingNotice, availability
+from chivewall.decisions.engine_scale import EngineScale
 from chivewall.decisions.permits import seconds_to_next
 from chivewall.decisions.sent_work import (
     EngineSpeed,
@@ -68,6 +69,8 @@
     info: EndpointInfo
     service_speeds: ServiceSpeeds = field(factory=ServiceSpeeds)  # shared by the service's records
     slowness: FactorEstimator = field(factory=FactorEstimator)  # against its service
+    scale: EngineScale = field(factory=EngineScale)  # of its prefill
+    logged_scale: float | None = None  # its scale in the latest log line
     work: SentWork = field(factory=SentWork)  # work of all gateways that share their records
     prefill_budget: PrefillBudget = field(factory=PrefillBudget)  # used for a decode engine
     failure_share: float = 0.0  # smoothed, as of ``last_outcome_at``
@@ -142,6 +145,8 @@
     def speed(self, now: float) -> EngineSpeed:
         """Return how fast it prefills."""
         service = self.service_speeds.current
+        if self.prefills_first:
+            return EngineSpeed(self.learned_scale(now), service.response_seconds)
         factor = self.slowness.factor(now)
         return EngineSpeed(service.prefill_scale * factor, service.response_seconds * factor)
 
@@ -172,7 +177,22 @@
 
     def record_prefilled(self, key: WorkKey, now: float) -> Throughput | None:
         """Record the end of a prefill; return the throughput if a measurement of it ends."""
-        return self.work.record_prefilled(key, now, self.speed(now))
+        speed = self.speed(now)
+        prompt = self.work.prompt_seconds(key)
+        if prompt > 0:
+            spent = now - self.work.current_since - self._report_seconds(now, speed)
+            self.scale.add(prompt, spent, self.service_speeds.current.prefill_scale, now)
+        return self.work.record_prefilled(key, now, speed)
+
+    def _report_seconds(self, now: float, speed: EngineSpeed) -> float:
+        """Return the time from the end of a prefill to what shows it."""
+        if self.prefills_first:
+            return speed.response_seconds
+        return self.service_speeds.current.first_event.seconds(self.work.running)
+
+    def learned_scale(self, now: float) -> float:
+        """Return its time for a reference second of prefill, whatever its stage."""
+        return self.scale.scale(self.service_speeds.current.prefill_scale, now)
 
     def prefill_wait(self, now: float, rank: int) -> float:
         """Return the seconds until the prefill of a prompt that is sent now with this rank."""
--- a/chivewall/decisions/sent_work.py
+++ b/chivewall/decisions/sent_work.py
@@ -105,6 +105,17 @@
         """Return the number of prompts that are not known to be prefilled."""
         return sum(len(one.prompts) for one in self._queues.values())
 
+    @property
+    def current_since(self) -> float:
+        """Return when the prefill in progress began, as far as is known."""
+        return self._current_since
+
+    def prompt_seconds(self, key: WorkKey) -> float:
+        """Return the reference seconds of a prompt that is not known to be prefilled, or 0."""
+        item = self._items.get(key)
+        queue = None if item is None else self._queues.get(item.rank)
+        return 0.0 if queue is None else queue.prompts.get(key, 0.0)
+
     def add(self, key: WorkKey, item: WorkItem, now: float) -> None:
         """Record work that was sent; a gateway that restarts uses its numbers again."""
         self.record_ended(key, now)
--- a/chivewall/decisions/speeds.py
+++ b/chivewall/decisions/speeds.py
@@ -20,6 +20,9 @@
 MAX_ENDPOINT_SAMPLES = 7  # samples of one endpoint's factor
 # Factors outside this range are taken for errors of measurement.
 MIN_FACTOR, MAX_FACTOR = 0.01, 100.0
+# The fixed part of a prefill's time is that of the faster times. Prompts that other gateways sent
+# unnoticed, and slower engines than most, only add to it.
+PREFILL_FIXED_SHARE = 0.25
 # An endpoint's factor counts as 1 inside this range, since single times differ by as much.
 EVEN_FACTORS = (0.8, 1.25)
 
@@ -86,6 +89,8 @@
     """
 
     expected: Line  # used until times were measured
+    # Share of the times, less the slope's part, that are below the fixed part.
+    fixed_share: float = 0.5
     # Time, load and seconds of the latest samples; time, load and slope of measured slopes.
     _samples: deque = field(factory=lambda: deque(maxlen=MAX_SAMPLES), init=False)
     _slopes: deque = field(factory=lambda: deque(maxlen=MAX_SAMPLES), init=False)
@@ -143,7 +148,7 @@
                 if x1 != x2:
                     slopes.append(((y2 - y1) / (x2 - x1), abs(x2 - x1)))
         slope = max(0.0, _weighted_median(slopes)) if slopes else scale * self.expected.slope
-        fixed = max(0.0, _median([y - slope * x for x, y in points]))
+        fixed = max(0.0, _quantile([y - slope * x for x, y in points], self.fixed_share))
         if fixed + slope <= 0:
             return Line(scale * self.expected.fixed, scale * self.expected.slope)
         return Line(fixed, slope)
@@ -230,7 +235,7 @@
     def __attrs_post_init__(self) -> None:
         priors = self.priors
         per_request = priors.running_request_seconds
-        self.prefill = LineEstimator(Line(priors.response_seconds, 1.0))
+        self.prefill = LineEstimator(Line(priors.response_seconds, 1.0), PREFILL_FIXED_SHARE)
         self.first_event = LineEstimator(Line(priors.first_event_seconds, per_request))
         self.fetched_event = LineEstimator(Line(priors.fetched_event_seconds, per_request))
         self.call = LineEstimator(Line(priors.call_seconds, 0.0))
@@ -301,11 +306,14 @@
 
 
 def _median(values: Iterable[float]) -> float:
+    return _quantile(values, 0.5)
+
+
+def _quantile(values: Iterable[float], share: float) -> float:
     ordered = sorted(values)
-    middle = len(ordered) // 2
-    if len(ordered) % 2:
-        return ordered[middle]
-    return (ordered[middle - 1] + ordered[middle]) / 2
+    place = share * (len(ordered) - 1)
+    low, high = ordered[math.floor(place)], ordered[math.ceil(place)]
+    return low + (high - low) * (place - math.floor(place))
 
 
 def _weighted_median(pairs: list[tuple[float, float]]) -> float:
--- a/chivewall/events.py
+++ b/chivewall/events.py
@@ -97,6 +97,7 @@
     ENDPOINT_PAUSED = (725, "info", "endpoint asks this gateway for a pause")
     CALL_PAUSED = (726, "info", "call waits for the end of a pause that endpoints asked for")
     SPEED_LEARNED = (710, "info", "learned speeds of a service changed")
+    ENGINE_SPEED_LEARNED = (740, "info", "learned speed of one engine changed")
     PEER_UNREACHABLE = (708, "warning", "datagram to another gateway not sent")
 
     def __init__(self, number: int, level: str, text: str) -> None:
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -492,6 +492,23 @@
         throughput = state.record_prefilled(key, self.env.now)
         if throughput is not None:
             self.speed_samples.record_throughput(state, throughput, self.env.now)
+        self._log_engine_speed(state)
+
+    def _log_engine_speed(self, state: EndpointRecord) -> None:
+        """Log the learned scale of an engine if it has changed by much."""
+        scale = state.learned_scale(self.env.now)
+        expected = state.service_speeds.current.prefill_scale
+        logged = expected if state.logged_scale is None else state.logged_scale
+        if max(scale, logged) < SPEED_CHANGE * min(scale, logged):
+            return
+        state.logged_scale = scale
+        self.env.log.emit(
+            Event.ENGINE_SPEED_LEARNED,
+            endpoint=state.info.id,
+            stage=state.info.stage.value,
+            prefill_scale=round(scale, 4),
+            service_scale=round(expected, 4),
+        )
 
     def _log_speed(self, service: str) -> None:
         """Log the learned speeds of a service if one of them has changed by much."""
--- a/chivewall/gateway/metrics.py
+++ b/chivewall/gateway/metrics.py
@@ -90,6 +90,11 @@
         self.silent_keepers = self._counter(
             "silent_permit_keepers_total", "Gateways that did not answer an ask for a permit."
         )
+        self.engine_scale = Gauge(
+            "chivewall_gateway_engine_prefill_scale",
+            "Learned time of an engine for a second of prefill at the speed in the settings.",
+            registry=self.registry,
+        )
         self.blocked_parts = Gauge(
             "chivewall_gateway_blocked_prompt_parts",
             "Prompt parts that are blocked now.",
@@ -132,6 +137,8 @@
             self._observe_attempt(fields)
         elif event is Event.ENDPOINT_LIMIT:
             self._observe_limit(fields)
+        elif event is Event.ENGINE_SPEED_LEARNED:
+            self.engine_scale.set({"endpoint": fields["endpoint"]}, fields["prefill_scale"])
         elif event in (Event.PROMPT_PART_BLOCKED, Event.PROMPT_PART_CLEARED):
             self.blocked_parts.set({}, fields["blocked_parts"])
         else:
