--- a/chivewall/decisions/endpoint_record.py
+++ b/chivewall/decisions/endpoint_record.py
@@ -5,10 +5,11 @@
 from collections.abc import Iterable
 from hashlib import blake2b
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from chivewall.backoff import exponential_delay
 from chivewall.decisions.availability import Availability, LeavingNotice, availability
+from chivewall.decisions.engine_scale import EngineScale
 from chivewall.decisions.permits import seconds_to_next
 from chivewall.decisions.sent_work import (
     EngineSpeed,
@@ -53,6 +54,14 @@
     return chain
 
 
+@frozen
+class CachedPrefix:
+    """A prefix that an endpoint has been sent."""
+
+    used_at: float  # time of its last use
+    kept_from: float  # time from which it is probably kept, after its prefill
+
+
 @define
 class EndpointRecord:
     """State of one endpoint as this gateway knows it; lags behind what other gateways send."""
@@ -60,6 +69,8 @@
     info: EndpointInfo
     service_speeds: ServiceSpeeds = field(factory=ServiceSpeeds)  # shared by the service's records
     slowness: FactorEstimator = field(factory=FactorEstimator)  # against its service
+    scale: EngineScale = field(factory=EngineScale)  # of its prefill
+    logged_scale: float | None = None  # its scale in the latest log line
     work: SentWork = field(factory=SentWork)  # work of all gateways that share their records
     prefill_budget: PrefillBudget = field(factory=PrefillBudget)  # used for a decode engine
     failure_share: float = 0.0  # smoothed, as of ``last_outcome_at``
@@ -75,8 +86,7 @@
     pause: Pause | None = None  # the latest pause that its id has asked for
     # Time before which no permit is expected for a request, by its rank.
     _permits_at: dict[int, float] = field(factory=dict, init=False)
-    # Prefix key to the time of its last use.
-    _prefixes: OrderedDict = field(factory=OrderedDict, init=False)
+    _prefixes: OrderedDict[str, CachedPrefix] = field(factory=OrderedDict, init=False)  # by key
 
     @property
     def prefills_first(self) -> bool:
@@ -135,6 +145,8 @@
     def speed(self, now: float) -> EngineSpeed:
         """Return how fast it prefills."""
         service = self.service_speeds.current
+        if self.prefills_first:
+            return EngineSpeed(self.learned_scale(now), service.response_seconds)
         factor = self.slowness.factor(now, service)
         return EngineSpeed(service.prefill_scale * factor, service.response_seconds * factor)
 
@@ -170,12 +182,33 @@
 
     def record_prefilled(self, key: WorkKey, now: float) -> Throughput | None:
         """Record the end of a prefill; return the throughput if a measurement of it ends."""
-        return self.work.record_prefilled(key, now, self.speed(now))
+        speed = self.speed(now)
+        prompt = self.work.prompt_seconds(key)
+        if prompt > 0:
+            spent = now - self.work.current_since - self._report_seconds(now, speed)
+            self.scale.add(prompt, spent, self.service_speeds.current.prefill_scale, now)
+        return self.work.record_prefilled(key, now, speed)
+
+    def _report_seconds(self, now: float, speed: EngineSpeed) -> float:
+        """Return the time from the end of a prefill to what shows it."""
+        if self.prefills_first:
+            return speed.response_seconds
+        return self.service_speeds.current.first_event.seconds(self.work.running)
+
+    def learned_scale(self, now: float) -> float:
+        """Return its time for a reference second of prefill, whatever its stage."""
+        return self.scale.scale(self.service_speeds.current.prefill_scale, now)
 
     def prefill_wait(self, now: float, rank: int) -> float:
         """Return the seconds until the prefill of a prompt that is sent now with this rank."""
         return self.work.prefill_wait(now, rank, self.speed(now))
 
+    def prefilled_after(self, item: WorkItem, now: float) -> float:
+        """Return the seconds until it will have prefilled, or fetched, a prompt that it is sent."""
+        speed = self.speed(now)
+        seconds = item.reference_seconds * speed.scale + speed.response_seconds
+        return seconds + self.prefill_wait(now, item.rank)
+
     def overtaken_seconds(self, now: float, rank: int) -> float:
         """Return the wait for more urgent prompts that arrive while a prompt waits its turn."""
         share_left = self.work.share_left(now, rank, self.speed(now))
@@ -195,15 +228,35 @@
         covered = 0
         for key, tokens in chain:
             seen = self._prefixes.get(key)
-            if seen is None or now - seen > PREFIX_LIFETIME_SECONDS:
+            if seen is None or now - seen.used_at > PREFIX_LIFETIME_SECONDS:
                 break
             covered += tokens
         return covered
 
-    def record_prefixes(self, keys: Iterable[str], now: float) -> None:
-        """Record prefixes that the endpoint prefills and then caches."""
+    def kept_tokens(self, chain: PrefixChain, now: float) -> int:
+        """Return the number of leading prompt tokens that other engines can probably fetch."""
+        kept = []
+        for key, tokens in chain:
+            seen = self._prefixes.get(key)
+            if seen is None or seen.kept_from > now:
+                break
+            kept.append((key, tokens))
+        return self.cached_tokens(kept, now)
+
+    def record_prefixes(
+        self, keys: Iterable[str], now: float, kept_from: float | None = None
+    ) -> None:
+        """Record prefixes that the endpoint prefills and then caches.
+
+        ``kept_from``: time at which their prefill will probably have ended.
+        """
+        kept_from = now if kept_from is None else kept_from
         for key in keys:
-            self._prefixes[key] = now
+            seen = self._prefixes.get(key)
+            known = seen is not None and now - seen.used_at <= PREFIX_LIFETIME_SECONDS
+            self._prefixes[key] = CachedPrefix(
+                now, min(seen.kept_from, kept_from) if known else kept_from
+            )
             self._prefixes.move_to_end(key)
         while len(self._prefixes) > MAX_PREFIXES:
             self._prefixes.popitem(last=False)
--- a/chivewall/events.py
+++ b/chivewall/events.py
@@ -107,6 +107,7 @@
     KEY_REVOKED = (732, "info", "call ended before its next attempt: its key is no longer valid")
     WORKSPACE_YIELDS = (733, "info", "call yields: its workspace uses more than its share")
     SPEED_LEARNED = (710, "info", "learned speeds of a service changed")
+    ENGINE_SPEED_LEARNED = (740, "info", "learned speed of one engine changed")
     PEER_UNREACHABLE = (708, "warning", "datagram to another gateway not sent")
 
     def __init__(self, number: int, level: str, text: str) -> None:
--- a/chivewall/gateway/forwarded_request.py
+++ b/chivewall/gateway/forwarded_request.py
@@ -556,9 +556,14 @@
             priority=self._priority(),
             **self._workspace_fields(),
             stage=Stage.PREFILL,
+            prefix_source=self._prefix_source(),
         )
         self._start_exchange(placement.prefill_engine, sent, prefill=True)
 
+    def _prefix_source(self) -> tuple[str, int] | None:
+        source = self.placement.prefix_source
+        return None if source is None else source.address
+
     async def _send_request(self, endpoint: EndpointInfo, kv_source: str | None) -> None:
         repeat_spent, self.repeat_spent = self.repeat_spent, False
         if (
@@ -578,6 +583,7 @@
             priority=self._priority(),
             **self._workspace_fields(),
             kv_source=kv_source,
+            prefix_source=None if kv_source else self._prefix_source(),
             last_event_id=self.response.stream.last_id,
         )
         self.arrivals += 1
