Decode the ranges of services' endpoints and the memory of their engines

The manifest names a range for the number of a service's endpoints (scale) and the tokens that an engine's memory holds (engine.kvCapTokens); neither was decoded.

A part that can't be read is left out, so that it costs no route.

--- a/chivewall/gateway/routing_configuration.py
+++ b/chivewall/gateway/routing_configuration.py
@@ -84,6 +84,14 @@
     start_seconds: float  # from the order of an endpoint until it serves
 
 
+@frozen
+class EngineMemory:
+    """The memory of each engine of a service, which its requests and cached prompts share."""
+
+    service: str
+    tokens: int
+
+
 @frozen
 class RoutingConfiguration:
     """One version of the routing configuration.
@@ -97,6 +105,7 @@
     limits: IngressLimits
     workspaces: tuple[Workspace, ...] = ()
     scales: tuple[EndpointScale, ...] = ()
+    engine_memory: tuple[EngineMemory, ...] = ()
 
 
 @frozen
--- a/chivewall/platform/routing_configuration.py
+++ b/chivewall/platform/routing_configuration.py
@@ -1,9 +1,12 @@
 """Decodes the routing configuration (object ``config/main``) into a ``RoutingConfiguration``."""
 
-from typing import Any
+from collections.abc import Callable
+from typing import Any, TypeVar
 
 from chivewall.errors import DecodeError
 from chivewall.gateway.routing_configuration import (
+    EndpointScale,
+    EngineMemory,
     IngressLimits,
     Route,
     RouteKind,
@@ -21,10 +24,13 @@
 )
 
 DEFAULT_PAUSE_MS = 300.0  # of routes that declare none
+DEFAULT_START_SECONDS = 10.0  # of endpoints whose service names no time
+MAX_START_SECONDS = 3_600.0
 MAX_MS = 86_400_000.0  # a day
 MAX_BYTES = 2**40
 KIND = "config"
 NAME = "main"
+Part = TypeVar("Part")
 
 
 def decode_object(name: str, spec: object) -> RoutingConfiguration:
@@ -41,9 +47,49 @@
         version=integer(document, "version"),
         routes=tuple(_route(json_object(one, "routes")) for one in list_items(document, "routes")),
         limits=_limits(json_object(document.get("limits", {}), "limits")),
+        scales=_parts(document, _scale),
+        engine_memory=_parts(document, _engine_memory),
     )
 
 
+def _parts(
+    document: dict[str, Any], decode: Callable[[dict[str, Any]], Part | None]
+) -> tuple[Part, ...]:
+    """Decode one optional part of each service.
+
+    A part that can't be read is left out, since no part is worth the loss of all routes.
+    """
+    services = document.get("services")
+    found = []
+    for one in services if isinstance(services, list) else ():
+        try:
+            found.append(decode(json_object(one, "services")))
+        except DecodeError:
+            continue
+    return tuple(one for one in found if one is not None)
+
+
+def _scale(service: dict[str, Any]) -> EndpointScale | None:
+    if service.get("scale") is None:
+        return None
+    scale = json_object(service["scale"], "scale")
+    minimum = max(0, integer(scale, "min", 1))
+    return EndpointScale(
+        service=string(service, "name"),
+        minimum=minimum,
+        maximum=max(minimum, integer(scale, "max")),
+        start_seconds=bounded(
+            number(scale, "bootS", DEFAULT_START_SECONDS), MAX_START_SECONDS, "bootS"
+        ),
+    )
+
+
+def _engine_memory(service: dict[str, Any]) -> EngineMemory | None:
+    engine = json_object(service.get("engine") or {}, "engine")
+    tokens = integer(engine, "kvCapTokens", 0)
+    return EngineMemory(string(service, "name"), tokens) if tokens > 0 else None
+
+
 def _route(document: dict[str, Any]) -> Route:
     return Route(
         name=string(document, "name", ""),
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -20,7 +20,12 @@
     decode,
     encode,
 )
-from chivewall.gateway.routing_configuration import RouteKind, Stage
+from chivewall.gateway.routing_configuration import (
+    EndpointScale,
+    EngineMemory,
+    RouteKind,
+    Stage,
+)
 from chivewall.platform.endpoint_entries import decode_endpoint
 from chivewall.platform.headers import PlatformDialect
 from chivewall.platform.routing_configuration import decode_routing_configuration
@@ -80,6 +85,28 @@
     assert found.limits.header_bytes == 100
 
 
+def test_ranges_and_memory_of_services_are_decoded():
+    """Guards against a service whose number of endpoints is never ordered, or beyond its range.
+
+    A part that can't be read must not hide those of other services, or the routes.
+    """
+    services = [
+        {"name": "a", "scale": {"min": 2, "max": 9, "bootS": 4}, "engine": {"kvCapTokens": 900}},
+        {"name": "b", "scale": {"max": 3}},
+        {"name": "c", "scale": {"min": 2}, "engine": {"kvCapTokens": "many"}},
+        {"name": "d", "scale": "none", "engine": None},
+        7,
+        {"name": "e"},
+    ]
+    found = decode_routing_configuration(MANIFEST | {"services": services})
+    assert found.scales == (
+        EndpointScale("a", 2, 9, start_seconds=4.0),
+        EndpointScale("b", 1, 3, start_seconds=10.0),
+    )
+    assert found.engine_memory == (EngineMemory("a", 900),)
+    assert decode_routing_configuration(MANIFEST | {"services": 7}).scales == ()
+
+
 def test_endpoint_is_decoded():
     """Guards against fields of an endpoint document that are lost or misread."""
     found = decode_endpoint("i-1", ENDPOINT)
