--- a/chivewall/decisions/stages.py
+++ b/chivewall/decisions/stages.py
@@ -59,6 +59,7 @@
     queued_samples: int = 0  # consecutive samples in which every prefill engine had a queue
     no_decoder_samples: int = 0  # consecutive samples in which no decode engine was usable
     limited_samples: int = 0  # consecutive samples in which requests waited for permits to decode
+    endpoints_settled: bool = True  # no engine starts or leaves because of an order
 
 
 @frozen
@@ -86,6 +87,8 @@
     if any(one.limited for one in decoders):
         # A limited engine serves most by whole requests, and a free one must remain for the rest.
         decoders = [one for one in decoders if not one.limited]
+    if not load.endpoints_settled and decoders:
+        return None  # the load will be spread over other engines in a moment
     if _needs_prefill_engine(load, len(prefill_engines), len(decoders), running):
         return _change(decoders, Stage.PREFILL, f"prefill busy {load.prefill_load:.2f} engines")
     if _needs_decoder(load, len(prefill_engines), len(decoders), running):
@@ -147,11 +150,13 @@
         *,
         permit_wait: float = 0.0,
         settling: bool = False,
+        endpoints_settled: bool = True,
     ) -> StageLoad:
         """Record a sample of the engines and their shortest queue; return the load.
 
         ``permit_wait``: shortest wait for a permit of a decode engine, in seconds;
-        ``settling``: the queues may still be those of before the latest change.
+        ``settling``: the queues may still be those of before the latest change;
+        ``endpoints_settled``: no engine starts or leaves because of an order.
         """
         if not settling:
             no_decoder = not any(one.usable and one.stage is Stage.DECODE for one in engines)
@@ -166,6 +171,7 @@
             queued_samples=self._queued_samples,
             no_decoder_samples=self._no_decoder_samples,
             limited_samples=self._limited_samples,
+            endpoints_settled=endpoints_settled,
         )
 
     def average(self, now: float) -> float:
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -12,6 +12,7 @@
 from chivewall.decisions.placement import MAX_RANK, PlacementContext, choose
 from chivewall.decisions.repeat_budget import RepeatBudget
 from chivewall.decisions.sent_work import WorkItem, WorkKey
+from chivewall.decisions.service_demands import ServiceDemands
 from chivewall.decisions.speed_samples import SpeedSamples
 from chivewall.decisions.speeds import SETTLED_SAMPLES, ServiceSpeed, ServiceSpeeds
 from chivewall.decisions.stages import EngineView, PrefillLoad
@@ -36,8 +37,10 @@
     EndpointCrashed,
     EngineCooldown,
     EngineLoads,
+    ExpectEndpoints,
     FindPlacement,
     FirstBytesReceived,
+    FollowDemands,
     KvCacheLost,
     LearnedSpeeds,
     LiveGateways,
@@ -46,6 +49,7 @@
     PeerSpeeds,
     PeerWork,
     RequestReceived,
+    ServiceDemandQuery,
     ServiceLoad,
     SpendRepeat,
     SubscribeToWork,
@@ -108,6 +112,7 @@
         self.connections: Inbox | None = None  # of the task that reports what endpoints announce
         self.limited: frozenset[str] = frozenset()  # endpoints whose limits are followed there
         self.waits = EndpointWaits()
+        self.demands = ServiceDemands()
 
     def reload(self, cfg: FleetSettings) -> None:
         """Apply changed settings; earlier requests and repeats stay counted."""
@@ -218,6 +223,7 @@
             message.exchange, state, message.reference_seconds, self.env.now
         )
         self._add_work(state, ("", message.exchange), item, keys)
+        self.demands.add_prompt(state, message.fields, message.reference_seconds, self.env.now)
         self._share(
             SharedWork(
                 number=message.exchange,
@@ -400,6 +406,19 @@
         services = sorted({one.service for one in engines})
         message.reply([self._service_load(one, settling=message.settling) for one in services])
 
+    @receive.register
+    async def _(self, message: FollowDemands) -> None:
+        self.demands.follow(message.windows)
+
+    @receive.register
+    async def _(self, message: ExpectEndpoints) -> None:
+        self.demands.expect_change(message.service, message.until)
+
+    @receive.register
+    async def _(self, message: ServiceDemandQuery) -> None:
+        self.endpoints.expire()
+        message.reply(self.demands.measure(self.states.values(), self.env.now))
+
     def _service_load(self, service: str, *, settling: bool) -> ServiceLoad:
         now = self.env.now
         states = [one for one in self.states.values() if one.info.service == service]
@@ -432,6 +451,7 @@
             now,
             permit_wait=min(permit_waits, default=0.0),
             settling=settling,
+            endpoints_settled=self.demands.endpoints_settled(service, states, now),
         )
         return ServiceLoad(service, load, {one.info.id: one.info for one in states})
 
@@ -485,7 +505,9 @@
         prefill_load = self.prefill_loads.setdefault(state.info.service, PrefillLoad())
         slowdown = 1.0 if state.info.stage is Stage.PREFILL else DECODE_PREFILL_FACTOR
         work = item.reference_seconds * item.weight
-        prefill_load.add(work * state.speed(now).scale / slowdown, now)
+        engine_seconds = work * state.speed(now).scale / slowdown
+        prefill_load.add(engine_seconds, now)
+        self.demands.add_work(state, item, engine_seconds, now)
 
     def _record_prefilled(self, state: EndpointRecord, key: WorkKey) -> None:
         throughput = state.record_prefilled(key, self.env.now)
--- a/chivewall/gateway/fleet_messages.py
+++ b/chivewall/gateway/fleet_messages.py
@@ -192,3 +192,23 @@
     """Ask for the load of all engines; the reply is a list of ``ServiceLoad``."""
 
     settling: bool = False  # an engine has changed its stage a moment ago
+
+
+@frozen
+class FollowDemands:
+    """Measure the demand for the endpoints of these services only."""
+
+    windows: dict[str, float]  # seconds over which the demand is averaged, by service
+
+
+@frozen
+class ExpectEndpoints:
+    """An order changes the number of a service's endpoints; its engines keep their stages."""
+
+    service: str
+    until: float
+
+
+@define(eq=False)
+class ServiceDemandQuery(Query):
+    """Ask for the demand; the reply is a list of ``ServiceDemand``, one a followed service."""
