Count the bodies of requests in progress against a limit

The limit covered bodies only while they arrived. It now counts each body from its announced length to the end of its request, leaves an eighth to small bodies, and refuses above it with 503 and Retry-After at the head. A body goes to an endpoint in pieces of 64 KiB as it reads, so the transport holds no second copy. The limits of bodies, of unread and of kept responses follow the memory of the instance (gateway.memory_mb), because they added up to 134 MB of the 160 MB that some have.

--- a/chivewall/gateway/gateway.py
+++ b/chivewall/gateway/gateway.py
@@ -13,7 +13,7 @@
 from chivewall.decisions.shutdown import ShutdownSchedule, schedule_shutdown
 from chivewall.environment import Environment
 from chivewall.events import Event
-from chivewall.gateway.byte_budget import MAX_TOTAL_UNREAD_BYTES
+from chivewall.gateway.byte_budget import BodyBudget, ByteBudget, MemoryLimits
 from chivewall.gateway.caller_messages import EndBy
 from chivewall.gateway.caller_response import error_response
 from chivewall.gateway.channels import ConnectionPool
@@ -46,9 +46,6 @@
 LAST_RESPONSES_SECONDS = 0.1
 POLL_SECONDS = 0.1  # interval between checks for open connections while draining
 BACKLOG = 512  # connections that wait for accept()
-# Limit on the sum of all request bodies being received; a quarter of the smallest instance's
-# memory.
-MAX_TOTAL_BODY_BYTES = 67_108_864
 
 
 @frozen
@@ -72,6 +69,18 @@
         validator=validators.gt(0),
         metadata={"help": "Maximum number of open connections from callers."},
     )
+    memory_mb: float | None = field(
+        default=None,
+        validator=validators.optional(validators.gt(0)),
+        metadata={"help": "Memory of the instance, MB; bounds what is kept for requests."},
+    )
+
+    @property
+    def memory_limits(self) -> MemoryLimits:
+        """Return the limits on what is kept for requests."""
+        return (
+            MemoryLimits() if self.memory_mb is None else MemoryLimits.of_instance(self.memory_mb)
+        )
 
 
 @frozen
@@ -116,7 +125,7 @@
         self.shutdown: ShutdownSchedule | None = None
         self.connections: set[IngressConnection] = set()
         self.unread_bytes = 0  # bytes of all responses that callers have not read
-        self.pending_body_bytes = 0  # bytes of all request bodies being received
+        self.bodies = BodyBudget(cfg.memory_limits.bodies)
 
     def start(self) -> None:
         """Start the task and the watch of the routing configuration."""
@@ -214,24 +223,18 @@
         task.start()
         return task.inbox
 
-    def reserve_body_bytes(self, size: int) -> bool:
-        """Count bytes of request bodies; return whether they fit (``RequestHandler``)."""
-        if size > 0 and self.pending_body_bytes + size > MAX_TOTAL_BODY_BYTES:
-            return False
-        self.pending_body_bytes += size
-        return True
-
     def add_unread_bytes(self, size: int) -> None:
         """Count bytes that callers have not read yet (``RequestHandler``).
 
         Beyond the limit, the connection that was blocked longest is cut.
         """
         self.unread_bytes += size
-        if self.unread_bytes <= MAX_TOTAL_UNREAD_BYTES:
+        limit = self.cfg.memory_limits.unread
+        if self.unread_bytes <= limit:
             return
         blocked = (one for one in self.connections if one.blocked_since is not None)
         for slowest in sorted(blocked, key=lambda one: one.blocked_since):
-            if self.unread_bytes <= MAX_TOTAL_UNREAD_BYTES:
+            if self.unread_bytes <= limit:
                 return
             self.env.log.emit(
                 Event.SLOW_READER_CUT,
@@ -317,6 +320,7 @@
             limits=self.env.require(RateLimits),
             connections=self.env.require(ConnectionPool),
             dialect=self.env.require(HttpDialect),
+            response_bytes=ByteBudget(self.cfg.memory_limits.responses),
         )
         self.gateway = Gateway(self.env, self.cfg, context, self.env.require(CollectionSources))
         self.env.provide(Gateway, self.gateway)
@@ -370,6 +374,8 @@
         """Apply changed settings; a changed address takes effect at the next start."""
         self.cfg = cfg
         self.gateway.cfg = cfg
+        self.gateway.bodies.limit = cfg.memory_limits.bodies
+        self.gateway.context.response_bytes.limit = cfg.memory_limits.responses
 
     def ready(self) -> bool:
         """Return whether the routing configuration is known."""
--- a/chivewall/gateway/ingress_connection.py
+++ b/chivewall/gateway/ingress_connection.py
@@ -16,6 +16,7 @@
 from chivewall.environment import Environment
 from chivewall.errors import RequestError
 from chivewall.events import Event
+from chivewall.gateway.byte_budget import BodyBudget
 from chivewall.gateway.caller_messages import (
     AbortResponse,
     CallerDisconnected,
@@ -68,11 +69,7 @@
     def accept(self, request: CallerRequest, connection: "IngressConnection") -> Inbox:
         """Start the task of a request and return its inbox."""
 
-    def reserve_body_bytes(self, size: int) -> bool:
-        """Count bytes of request bodies being received; return ``False`` if over the limit.
-
-        A negative size releases bytes.
-        """
+    bodies: BodyBudget  # of all requests that are arriving or in progress
 
     def add_unread_bytes(self, size: int) -> None:
         """Count bytes that callers have not read yet; a negative size releases bytes."""
@@ -97,6 +94,7 @@
         self._arrived_head_bytes = 0  # of a head that isn't complete yet
         self._head: h11.Request | None = None
         self._body = bytearray()
+        self._reserved_bytes = 0  # counted for the body until the end of its request
         self._task: Inbox | None = None
         self._timer: Any = None
         self._phase_began = 0.0
@@ -144,7 +142,7 @@
     def connectionLost(self, reason: Failure) -> None:  # noqa: N802 - Twisted's name
         """Tell the task of the request in progress that the caller has disconnected."""
         self._stop_timer()
-        self._drop_body()
+        self._release_body()
         self.resumeProducing()
         task, self._task = self._task, None
         if task is not None:
@@ -247,6 +245,7 @@
         # Bytes already written still reach a caller who reads them at once; the missing last chunk
         # shows that the response is incomplete.
         self._task = None
+        self._release_body()
         self._close(delivery_seconds=0.0)
 
     def _read_events(self) -> None:
@@ -271,18 +270,29 @@
         return False
 
     def _handle_data(self, data: bytes) -> bool:
-        if not self.handler.reserve_body_bytes(len(data)):
-            self._reject(ResultCode.QUEUE_FULL, "too many request bodies are being received")
-            return False
         self._body += data
-        if len(self._body) <= self.handler.limits.body_bytes:
+        if len(self._body) > self.handler.limits.body_bytes:
+            self._reject(ResultCode.BODY_TOO_LARGE, "the request body exceeds the limit")
+            return False
+        return self._reserve_body(len(self._body))
+
+    def _reserve_body(self, size: int) -> bool:
+        """Count a body of this size, or refuse the request if the bodies of all are too many."""
+        more = size - self._reserved_bytes
+        if more <= 0:
             return True
-        self._reject(ResultCode.BODY_TOO_LARGE, "the request body exceeds the limit")
-        return False
+        if not self.handler.bodies.reserve_body(more, size):
+            self._reject(
+                ResultCode.QUEUE_FULL, "the bodies of the requests in progress are too large"
+            )
+            return False
+        self._reserved_bytes = size
+        return True
 
-    def _drop_body(self) -> None:
-        self.handler.reserve_body_bytes(-len(self._body))
-        self._body.clear()
+    def _release_body(self) -> None:
+        self.handler.bodies.release(self._reserved_bytes)
+        self._reserved_bytes = 0
+        self._body = bytearray()
 
     def _send_continue(self) -> None:
         if self._http.they_are_waiting_for_100_continue:
@@ -291,7 +301,7 @@
 
     def _handle_head(self, event: h11.Request) -> bool:
         self._head = event
-        self._drop_body()
+        self._release_body()
         self._enter_phase(Phase.BODY)
         if head_bytes(event) > self.handler.limits.header_bytes:
             self._reject(ResultCode.HEAD_TOO_LARGE, "the request headers exceed the limit")
@@ -305,7 +315,7 @@
         if length is not None and int(length) > self.handler.limits.body_bytes:
             self._reject(ResultCode.BODY_TOO_LARGE, "the request body exceeds the limit")
             return False
-        return True
+        return length is None or self._reserve_body(int(length))
 
     def _start_request(self) -> None:
         head = self._head
@@ -328,7 +338,7 @@
             received_at=self.env.now,
             fields=fields,
         )
-        self._drop_body()
+        self._body = bytearray()  # the request has it now
         self._stop_timer()
         self.phase = Phase.RESPONSE
         self._pipelined_bytes = 0
@@ -340,6 +350,7 @@
 
     def _finish_response(self) -> None:
         self._task = None
+        self._release_body()
         self.transport.resumeProducing()
         if self._http.our_state is h11.MUST_CLOSE or self._http.their_state is not h11.DONE:
             self._linger()
@@ -382,7 +393,7 @@
 
     def _reject(self, code: ResultCode, reason: str) -> None:
         self.env.log.emit(Event.INGRESS_REJECTED, code=code.number, reason=reason)
-        self._drop_body()
+        self._release_body()
         if self._task is None and self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             body = reason.encode("utf-8", "replace")
             headers = ((b"Content-Type", b"text/plain"), (b"Connection", b"close"))
--- a/chivewall/gateway/outgoing_connection.py
+++ b/chivewall/gateway/outgoing_connection.py
@@ -31,6 +31,9 @@
 # requests. An endpoint in trouble may send them without an end.
 MAX_FOREIGN_BYTES = 1_048_576
 BODILESS_STATUSES = (204, 304)  # HTTP statuses of responses that have no body
+# A body is handed to the transport in pieces of this size, as the endpoint reads it, so that the
+# transport does not hold a copy of the whole.
+PIECE_BYTES = 65_536
 MAX_REQUEST_IDS = 256  # latest requests of a connection whose ids are kept
 # Keep-alive time, in seconds, if the endpoint names none; such endpoints close later than this.
 DEFAULT_IDLE_SECONDS = 4.0
@@ -66,7 +69,8 @@
         self._foreign_bytes = 0  # of the current exchange
         self._response_started = False  # the head of the response was received
         self._until_closed = False  # the response has neither a length nor chunks
-        self._request_written = True  # the transport has written all bytes of the request
+        self._unwritten = memoryview(b"")  # rest of the body, which the transport has not got yet
+        self._paused = False  # the transport has bytes that the endpoint has not read yet
 
     def connectionMade(self) -> None:  # noqa: N802 - Twisted's name
         """Set the socket options and register for backpressure."""
@@ -83,12 +87,19 @@
         self._foreign_bytes = 0
         self._response_started = False
         try:
-            data = self._serialize(request)
+            head = self._serialize(request)
         except h11.LocalProtocolError as exc:
             self._fail(f"request can't be written: {exc}", sent=False)
             return
         request.reply_to.put(RequestWritten(request.exchange, reused=self.completed_exchanges > 0))
-        self.transport.write(data)
+        self._unwritten = memoryview(request.body)
+        self.transport.write(head)
+        self._write_body()
+
+    def _write_body(self) -> None:
+        while self._unwritten and not self._paused and self.is_open:
+            piece, self._unwritten = self._unwritten[:PIECE_BYTES], self._unwritten[PIECE_BYTES:]
+            self.transport.write(bytes(piece))
 
     def has_carried(self, request_id: str | None) -> bool:
         """Return whether it carried an attempt of this request.
@@ -121,6 +132,7 @@
     def connectionLost(self, reason: Failure) -> None:  # noqa: N802 - Twisted's name
         """End the exchange; it is complete only if an orderly close delimits the body."""
         self.is_open = False
+        self._unwritten = memoryview(b"")
         if self.request is not None and reason.check(ConnectionDone):
             try:
                 self._http.receive_data(b"")
@@ -132,26 +144,32 @@
         self.on_closed(self)
 
     def pauseProducing(self) -> None:  # noqa: N802 - Twisted's name
-        """Record that the request isn't written completely yet."""
-        self._request_written = False
+        """Wait with the rest of the request until the endpoint has read more of it."""
+        self._paused = True
 
     def resumeProducing(self) -> None:  # noqa: N802 - Twisted's name
-        """Record that the request is written completely."""
-        self._request_written = True
+        """Write more of the request."""
+        self._paused = False
+        self._write_body()
 
     def stopProducing(self) -> None:  # noqa: N802 - Twisted's name
         """Do nothing; ``connectionLost`` handles the end of the connection."""
 
     def _serialize(self, request: OutgoingRequest) -> bytes:
+        """Return the head of a request, and let the parser expect its response.
+
+        A body has a length, so it goes over the connection as it is.
+        """
         headers = list(request.headers)
         if request.has_body:
             headers.append((b"Content-Length", str(len(request.body)).encode()))
-        head = h11.Request(method=request.method, target=request.target, headers=headers)
-        parts = [self._http.send(head)]
+        head = self._http.send(
+            h11.Request(method=request.method, target=request.target, headers=headers)
+        )
         if request.body:
-            parts.append(self._http.send(h11.Data(data=request.body)))
-        parts.append(self._http.send(h11.EndOfMessage()))
-        return b"".join(parts)
+            self._http.send_with_data_passthrough(h11.Data(data=request.body))
+        self._http.send(h11.EndOfMessage())
+        return head
 
     def _read_events(self) -> None:
         while self.request is not None:
@@ -198,7 +216,8 @@
         request, self.request = self.request, None
         self.completed_exchanges += 1
         rest, _ = self._http.trailing_data
-        reusable = self._request_written and not rest and self.is_open and self._start_next_cycle()
+        written = not (self._unwritten or self._paused)
+        reusable = written and not rest and self.is_open and self._start_next_cycle()
         if reusable:
             self.on_idle(self)
         else:
@@ -230,6 +249,7 @@
             request.reply_to.put(ExchangeFailed(request.exchange, sent=sent, reason=reason))
 
     def _close(self) -> None:
+        self._unwritten = memoryview(b"")
         if self.is_open:
             self.is_open = False
             self.transport.abortConnection()
--- a/chivewall/standins/template.py
+++ b/chivewall/standins/template.py
@@ -45,6 +45,7 @@
             "ready": f"{ip}:{ports['ready']}",
         },
         "heartbeatMs": 1200,
+        "limits": {"memoryMb": 552},
         "bounds": {
             "graceS": 8,
             "drainMs": 2000,
--- a/tests/test_ingress_delivery.py
+++ b/tests/test_ingress_delivery.py
@@ -6,8 +6,9 @@
 
 from chivewall.decisions.shutdown import ShutdownSchedule
 from chivewall.gateway import ingress_connection
+from chivewall.gateway.byte_budget import MAX_TOTAL_UNREAD_BYTES
 from chivewall.gateway.caller_messages import AbortResponse, SendChunk, SendResponse, StartResponse
-from chivewall.gateway.gateway import MAX_TOTAL_UNREAD_BYTES, BeginShutdown
+from chivewall.gateway.gateway import BeginShutdown
 from chivewall.gateway.ingress_connection import IngressConnection
 from chivewall.task import Inbox
 from tests.utils.ingress import SHORT, SocketTransport, apply, make_gateway
--- a/tests/test_ingress_limits.py
+++ b/tests/test_ingress_limits.py
@@ -66,3 +66,42 @@
     for _ in range(4):
         connection.dataReceived(b"x" * 1000)
     assert connection.transport.value().startswith(b"HTTP/1.1 431 ")
+
+
+def announce(gateway, size):
+    """Return a connection whose caller has announced a body of this size."""
+    connection = connect(gateway)
+    connection.dataReceived(b"POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % size)
+    return connection
+
+
+def test_announced_bodies_count_until_their_requests_end(gateway):
+    """Guards against bodies that are taken in part, and against a limit that leaks.
+
+    Small requests must not be refused because of a few large ones.
+    """
+    apply(gateway, SHORT)
+    gateway.bodies.limit = 10_000_000
+    first, second = announce(gateway, 4_000_000), announce(gateway, 4_000_000)
+    refused = announce(gateway, 4_000_000)
+    assert refused.transport.value().startswith(b"HTTP/1.1 503 ")
+    assert b"Retry-After" in refused.transport.value()
+    small = announce(gateway, 2)
+    small.dataReceived(b"xx")
+    assert small.transport.value().startswith(b"HTTP/1.1 404 ")
+    first.connectionLost(None)
+    assert announce(gateway, 4_000_000).transport.value() == b""
+    second.dataReceived(b"x" * 4_000_000)
+    assert second.transport.value().startswith(b"HTTP/1.1 404 ")
+    assert gateway.bodies.used == 4_000_000
+
+
+def test_body_of_unknown_length_is_refused_once_it_is_too_large(gateway):
+    """Guards against chunked bodies that count against no limit."""
+    apply(gateway, SHORT)
+    gateway.bodies.limit = 1_000_000
+    connection = connect(gateway)
+    connection.dataReceived(b"POST /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n")
+    connection.dataReceived(b"%x\r\n%s\r\n" % (900_000, b"x" * 900_000))
+    assert connection.transport.value().startswith(b"HTTP/1.1 503 ")
+    assert gateway.bodies.used == 0
