--- a/chivewall/events.py
+++ b/chivewall/events.py
@@ -71,6 +71,12 @@
     PLAN_REJECTED = (606, "warning", "plan object rejected")
     SLOT_TAKEN = (607, "warning", "another process holds the exclusive lock of the endpoint")
 
+    DUTY_CALLED = (608, "info", "call made that is the duty of one gateway at a time")
+    DUTY_HELD = (609, "info", "call of a duty postponed")
+    DUTY_RELEASED = (610, "info", "lock of a duty released for another gateway")
+    USAGE_INCOMPLETE = (611, "warning", "usage reported without the counts of some gateways")
+    USAGE_SKIPPED = (612, "warning", "usage of some windows is not reported")
+
     CALL_ENDED = (700, "info", "forwarded call ended")
     CALL_ATTEMPT = (701, "info", "attempt of a call sent to an endpoint")
     CALL_ATTEMPT_FAILED = (702, "warning", "attempt of a call failed")
@@ -96,6 +102,9 @@
     PERMIT_KEEPER_SILENT = (724, "warning", "gateway that grants permits does not answer")
     ENDPOINT_PAUSED = (725, "info", "endpoint asks this gateway for a pause")
     CALL_PAUSED = (726, "info", "call waits for the end of a pause that endpoints asked for")
+    WORKSPACES_IN_FORCE = (730, "info", "keys of workspaces in force")
+    WORKSPACE_ENTRY_ODD = (731, "warning", "part of the workspaces can't be read or is ambiguous")
+    KEY_REVOKED = (732, "info", "call ended before its next attempt: its key is no longer valid")
     SPEED_LEARNED = (710, "info", "learned speeds of a service changed")
     PEER_UNREACHABLE = (708, "warning", "datagram to another gateway not sent")
 
--- a/chivewall/gateway/metrics.py
+++ b/chivewall/gateway/metrics.py
@@ -41,6 +41,9 @@
             "Documents that can't be decoded, by collection; once for each of their revisions.",
         )
         self.orders = self._counter("orders_total", "Orders to engines by stage.")
+        self.duty_calls = self._counter(
+            "duty_calls_total", "Calls that are the duty of one gateway, by outcome."
+        )
         self.engine_crashes = self._counter(
             "engine_crashes_total", "Calls that were starting at an engine when it crashed."
         )
@@ -86,6 +89,14 @@
         self.silent_keepers = self._counter(
             "silent_permit_keepers_total", "Gateways that did not answer an ask for a permit."
         )
+        self.revoked_keys = self._counter(
+            "revoked_keys_total", "Calls that ended since their key was revoked, by route."
+        )
+        self.workspace_keys = Gauge(
+            "chivewall_gateway_workspace_keys",
+            "Keys of workspaces in force.",
+            registry=self.registry,
+        )
         self.blocked_parts = Gauge(
             "chivewall_gateway_blocked_prompt_parts",
             "Prompt parts that are blocked now.",
@@ -103,6 +114,7 @@
             Event.STORE_UNAVAILABLE: (self.outages, "collection", "key"),
             Event.DOCUMENT_REJECTED: (self.rejected, "collection", "collection"),
             Event.ORDER_SENT: (self.orders, "stage", "stage"),
+            Event.DUTY_CALLED: (self.duty_calls, "outcome", "outcome"),
             Event.ENGINE_CRASHED: (self.engine_crashes, "service", "service"),
             Event.ENDPOINT_ENTRY_IGNORED: (self.ignored_entries, "reason", "reason"),
             Event.PROMPT_PART_CHECKED: (self.part_checks, "verdict", "verdict"),
@@ -111,6 +123,7 @@
             Event.ENDPOINT_PAUSED: (self.pauses, "source", "source"),
             Event.PERMIT_DECIDED: (self.permits, "outcome", "outcome"),
             Event.PERMIT_KEEPER_SILENT: (self.silent_keepers, "peer", "peer"),
+            Event.KEY_REVOKED: (self.revoked_keys, "route", "route"),
         }
 
     def observe(self, event: Event, fields: dict[str, Any]) -> None:
@@ -146,6 +159,8 @@
     def _observe_store(self, event: Event, fields: dict[str, Any]) -> None:
         if event is Event.CATALOGUE_IN_FORCE and "peer" in fields:
             self.peer_configurations.inc({})
+        elif event is Event.WORKSPACES_IN_FORCE:
+            self.workspace_keys.set({}, fields["keys"])
         elif event is Event.STORE_ERA_BEGAN:
             self.store_era.set({}, fields["era"])
             if fields["previous"] is not None:
--- a/chivewall/gateway/peers.py
+++ b/chivewall/gateway/peers.py
@@ -81,6 +81,11 @@
     """Ask whether this gateway has the lowest address of the live ones; the reply is a ``bool``."""
 
 
+@define(eq=False)
+class ListGateways(Query):
+    """Ask for the addresses of the live gateways with this one, the lowest first."""
+
+
 @define(eq=False)
 class SayGoodbye(Query):
     """Ask to tell the other gateways that this one ends."""
@@ -109,7 +114,7 @@
         self.eras = eras  # of the ``StoreEras`` task
         self.configuration_version = 0  # in force at this gateway; 0: none
         self.store_era = 0  # newest one seen; 0: none
-        self.version_subscriber: Inbox | None = None  # receives the others' versions
+        self.version_subscribers: list[Inbox] = []  # receive the others' versions
         self.unsent: list[SharedWork | WorkProgress] = []
         self.new_hellos = NEW_HELLOS  # left to send
         self.unsent_limits: dict[str, LimitNews] = {}  # by endpoint id
@@ -198,6 +203,10 @@
     async def _(self, message: IsFirstGateway) -> None:
         message.reply(self.table.has_lowest_address(self.env.now))
 
+    @receive.register
+    async def _(self, message: ListGateways) -> None:
+        message.reply(tuple(sorted(self.table.live_gateways(self.env.now))))
+
     @receive.register
     async def _(self, message: EraBegan) -> None:
         self.store_era = message.era
@@ -212,7 +221,7 @@
 
     @receive.register
     async def _(self, message: SubscribeToPeerVersions) -> None:
-        self.version_subscriber = message.inbox
+        self.version_subscribers.append(message.inbox)
 
     @receive.register
     async def _(self, message: DatagramReceived) -> None:
@@ -301,8 +310,9 @@
         self._send_limits(await self.fleet.query(CurrentLimits()), [host])
 
     def _pass_on_versions(self, found: PeerMessage, host: str) -> None:
-        if found.configuration_version and self.version_subscriber is not None:
-            self.version_subscriber.put(PeerConfigurationVersion(host, found.configuration_version))
+        if found.configuration_version:
+            for inbox in self.version_subscribers:
+                inbox.put(PeerConfigurationVersion(host, found.configuration_version))
         if found.store_era:
             self.eras.put(EraTold(found.store_era))
 
--- a/chivewall/gateway/routing_configuration.py
+++ b/chivewall/gateway/routing_configuration.py
@@ -96,8 +96,8 @@
 class RoutingConfiguration:
     """One version of the routing configuration.
 
-    Without ``workspaces``, requests need no key. A service without an ``EndpointScale`` has a fixed
-    number of endpoints.
+    Unless ``keys_required``, requests need no key. A service without an ``EndpointScale`` has a
+    fixed number of endpoints.
     """
 
     version: int
@@ -106,6 +106,8 @@
     workspaces: tuple[Workspace, ...] = ()
     scales: tuple[EndpointScale, ...] = ()
     engine_memory: tuple[EngineMemory, ...] = ()
+    keys_required: bool = False  # it has a list of workspaces, which may be empty
+    odd_workspaces: int = 0  # entries of workspaces that can't be read, or not all of them
 
 
 @frozen
