--- a/chivewall/events.py
+++ b/chivewall/events.py
@@ -74,6 +74,7 @@
     DUTY_CALLED = (608, "info", "call made that is the duty of one gateway at a time")
     DUTY_HELD = (609, "info", "call of a duty postponed")
     DUTY_RELEASED = (610, "info", "lock of a duty released for another gateway")
+    ENDPOINTS_ORDERED = (620, "info", "number of a service's endpoints ordered")
     USAGE_INCOMPLETE = (611, "warning", "usage reported without the counts of some gateways")
     USAGE_SKIPPED = (612, "warning", "usage of some windows is not reported")
 
--- a/chivewall/gateway/configuration_messages.py
+++ b/chivewall/gateway/configuration_messages.py
@@ -14,6 +14,7 @@
 
     version: int
     document: Any = field(repr=False)
+    configuration: RoutingConfiguration | None = field(default=None, repr=False)
 
 
 @frozen
--- a/chivewall/gateway/gateway.py
+++ b/chivewall/gateway/gateway.py
@@ -322,7 +322,7 @@
             routes=len(configuration.routes),
             **origin,
         )
-        self.in_force = ConfigurationInForce(configuration.version, document)
+        self.in_force = ConfigurationInForce(configuration.version, document, configuration)
         for inbox in self.subscribers:
             inbox.put(self.in_force)
 
--- a/chivewall/gateway/metrics.py
+++ b/chivewall/gateway/metrics.py
@@ -44,6 +44,9 @@
         self.duty_calls = self._counter(
             "duty_calls_total", "Calls that are the duty of one gateway, by outcome."
         )
+        self.count_orders = self._counter(
+            "endpoint_orders_total", "Orders of the number of endpoints by outcome."
+        )
         self.engine_crashes = self._counter(
             "engine_crashes_total", "Calls that were starting at an engine when it crashed."
         )
@@ -114,6 +117,7 @@
             Event.STORE_UNAVAILABLE: (self.outages, "collection", "key"),
             Event.DOCUMENT_REJECTED: (self.rejected, "collection", "collection"),
             Event.ORDER_SENT: (self.orders, "stage", "stage"),
+            Event.ENDPOINTS_ORDERED: (self.count_orders, "outcome", "outcome"),
             Event.DUTY_CALLED: (self.duty_calls, "outcome", "outcome"),
             Event.ENGINE_CRASHED: (self.engine_crashes, "service", "service"),
             Event.ENDPOINT_ENTRY_IGNORED: (self.ignored_entries, "reason", "reason"),
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,9 +6,12 @@
 from chivewall.gateway.fleet_messages import (
     EngineCooldown,
     EngineLoads,
+    ExpectEndpoints,
+    FollowDemands,
     PeerEngineCooldown,
     PeerProgress,
     PeerWork,
+    ServiceDemandQuery,
     SubscribeToWork,
     WorkEnded,
     WorkSent,
@@ -111,3 +114,32 @@
     # The removal was up to a pause between watches old when it was read.
     clock.advance(fleet.cfg.drain_ms / 1000 - fleet.watcher.pause_seconds)
     assert query_placement(fleet) is None
+
+
+def test_demand_counts_the_work_of_all_gateways_for_followed_services():
+    """Guards against endpoints that are ordered by the load of one gateway only.
+
+    While endpoints come or leave, no engine changes its stage.
+    """
+    clock = Clock()
+    fleet = make_fleet(clock, p1=Stage.PREFILL, d1=Stage.DECODE)
+    found = []
+    fleet.query(ServiceDemandQuery()).addCallback(found.append)
+    assert found == [[]]  # nothing is measured where no number is ordered
+    fleet.send(FollowDemands({"engines": 4.0}))
+    fields = RequestFields(prompt_tokens=20_000)
+    fleet.send(work_sent("p1", 1, fields, rank=2))
+    shared = SharedWork(1, "p1", 0.5, counted_seconds=5.0, rank=0, prefixes=())
+    fleet.send(PeerWork("10.0.0.2", shared))
+    fleet.send(work_sent("d1", 2, RequestFields(prompt_tokens=0)))
+    fleet.query(ServiceDemandQuery()).addCallback(found.append)
+    ((demand,),) = found[1:]
+    (north,) = demand.data_centres
+    assert (north.endpoints, north.usable, north.prefill_engines) == (2, 2, 1)
+    assert dict(north.prefill).keys() >= {0, 2}
+    assert dict(north.prefill)[0] > 0.5 / 4.0 * 0.9
+    assert (north.running, demand.requests_per_endpoint) == (1, 4)
+    fleet.query(EngineLoads()).addCallback(found.extend)
+    fleet.send(ExpectEndpoints("engines", clock.seconds() + 3.0))
+    fleet.query(EngineLoads()).addCallback(found.extend)
+    assert [one.load.endpoints_settled for one in found[2:]] == [True, False]
