Bound the tokens of the requests that engines hold

The manifest states each engine's memory in tokens, and nothing kept the requests in flight within it: an engine crashes with all that it holds. The fleet counts the tokens of this gateway's requests at each engine, and those of other gateways by the mean (their records have no tokens, and the datagrams stay as they were), and leaves out engines beyond 0.9 of their memory; a request that no engine has room for is refused, and one larger than an engine is never sent. Requests that can't be refused any more are placed as before. Without a stated memory nothing changes.

--- a/chivewall/events.py
+++ b/chivewall/events.py
@@ -106,6 +106,7 @@
     WORKSPACES_IN_FORCE = (730, "info", "keys of workspaces in force")
     WORKSPACE_ENTRY_ODD = (731, "warning", "part of the workspaces can't be read or is ambiguous")
     KEY_REVOKED = (732, "info", "call ended before its next attempt: its key is no longer valid")
+    ENGINE_MEMORY_FULL = (740, "info", "call not placed: the engines have no memory for it")
     SPEED_LEARNED = (710, "info", "learned speeds of a service changed")
     PEER_UNREACHABLE = (708, "warning", "datagram to another gateway not sent")
 
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -8,6 +8,13 @@
     EndpointRecord,
     prefix_chain,
 )
+from chivewall.decisions.engine_memory import (
+    RETRY_SECONDS,
+    EngineMemories,
+    MemoryVerdict,
+    must_be_placed,
+)
+from chivewall.decisions.overload import Overloaded
 from chivewall.decisions.peers import record_weight
 from chivewall.decisions.placement import MAX_RANK, PlacementContext, choose
 from chivewall.decisions.repeat_budget import RepeatBudget
@@ -37,6 +44,7 @@
     EndpointCrashed,
     EngineCooldown,
     EngineLoads,
+    EngineMemoryStated,
     ExpectEndpoints,
     FindPlacement,
     FirstBytesReceived,
@@ -113,6 +121,7 @@
         self.limited: frozenset[str] = frozenset()  # endpoints whose limits are followed there
         self.waits = EndpointWaits()
         self.demands = ServiceDemands()
+        self.memories = EngineMemories()
 
     def reload(self, cfg: FleetSettings) -> None:
         """Apply changed settings; earlier requests and repeats stay counted."""
@@ -186,6 +195,11 @@
             if one.info.service == message.service
             and (message.allowed is None or one.info.id in message.allowed)
         ]
+        if not must_be_placed(message.prompt, committed=message.committed):
+            states, verdict = self.memories.fitting(states, message.fields)
+            if verdict is not MemoryVerdict.FITS:
+                self._refuse_for_memory(message, verdict)
+                return
         context = PlacementContext(
             data_centre=self.env.settings.core.data_centre,
             now=self.env.now,
@@ -222,6 +236,7 @@
         self.speed_samples.record_sent(
             message.exchange, state, message.reference_seconds, self.env.now
         )
+        self.memories.record_sent(state, message.exchange, message.fields)
         self._add_work(state, ("", message.exchange), item, keys)
         self.demands.add_prompt(state, message.fields, message.reference_seconds, self.env.now)
         self._share(
@@ -306,6 +321,7 @@
 
     @receive.register
     async def _(self, message: WorkEnded) -> None:
+        self.memories.record_ended(message.endpoint, message.exchange)
         self.speed_samples.record_ended(message.exchange)
         state = self.states.get(message.endpoint)
         if state is None:
@@ -406,6 +422,10 @@
         services = sorted({one.service for one in engines})
         message.reply([self._service_load(one, settling=message.settling) for one in services])
 
+    @receive.register
+    async def _(self, message: EngineMemoryStated) -> None:
+        self.memories.capacity = message.tokens
+
     @receive.register
     async def _(self, message: FollowDemands) -> None:
         self.demands.follow(message.windows)
@@ -419,6 +439,16 @@
         self.endpoints.expire()
         message.reply(self.demands.measure(self.states.values(), self.env.now))
 
+    def _refuse_for_memory(self, message: FindPlacement, verdict: MemoryVerdict) -> None:
+        self.env.log.emit(
+            Event.ENGINE_MEMORY_FULL,
+            request=message.fields.request_id,
+            service=message.service,
+            verdict=verdict.value,
+        )
+        full = verdict is MemoryVerdict.FULL
+        message.reply(Overloaded(RETRY_SECONDS, RETRY_SECONDS) if full else None)
+
     def _service_load(self, service: str, *, settling: bool) -> ServiceLoad:
         now = self.env.now
         states = [one for one in self.states.values() if one.info.service == service]
--- a/chivewall/gateway/fleet_messages.py
+++ b/chivewall/gateway/fleet_messages.py
@@ -194,6 +194,13 @@
     settling: bool = False  # an engine has changed its stage a moment ago
 
 
+@frozen
+class EngineMemoryStated:
+    """The routing configuration states the memory of each engine of these services."""
+
+    tokens: dict[str, int]  # by service
+
+
 @frozen
 class FollowDemands:
     """Measure the demand for the endpoints of these services only."""
--- a/chivewall/gateway/gateway.py
+++ b/chivewall/gateway/gateway.py
@@ -25,6 +25,7 @@
 )
 from chivewall.gateway.exchange import RequestContext, request_deadline
 from chivewall.gateway.fleet import Fleet
+from chivewall.gateway.fleet_messages import EngineMemoryStated
 from chivewall.gateway.forwarded_request import ForwardedRequest
 from chivewall.gateway.http_dialect import CallerRequest, HttpDialect
 from chivewall.gateway.ingress_connection import IngressConnection
@@ -312,6 +313,8 @@
             return
         self.table = RouteTable(configuration)
         self.limits = configuration.limits
+        memory = {one.service: one.tokens for one in configuration.engine_memory}
+        self.context.fleet.send(EngineMemoryStated(memory))
         keys = self.access.apply(configuration)
         for connection in self.connections:
             connection.extend_idle_time()
--- a/chivewall/gateway/metrics.py
+++ b/chivewall/gateway/metrics.py
@@ -44,6 +44,9 @@
         self.duty_calls = self._counter(
             "duty_calls_total", "Calls that are the duty of one gateway, by outcome."
         )
+        self.memory_refusals = self._counter(
+            "memory_refusals_total", "Calls for which no engine had memory, by verdict."
+        )
         self.count_orders = self._counter(
             "endpoint_orders_total", "Orders of the number of endpoints by outcome."
         )
@@ -117,6 +120,7 @@
             Event.STORE_UNAVAILABLE: (self.outages, "collection", "key"),
             Event.DOCUMENT_REJECTED: (self.rejected, "collection", "collection"),
             Event.ORDER_SENT: (self.orders, "stage", "stage"),
+            Event.ENGINE_MEMORY_FULL: (self.memory_refusals, "verdict", "verdict"),
             Event.ENDPOINTS_ORDERED: (self.count_orders, "outcome", "outcome"),
             Event.DUTY_CALLED: (self.duty_calls, "outcome", "outcome"),
             Event.ENGINE_CRASHED: (self.engine_crashes, "service", "service"),
--- /dev/null
+++ b/tests/test_engine_memory.py
@@ -0,0 +1,75 @@
+"""Requests that engines have no memory for."""
+
+import pytest
+from twisted.internet.task import Clock
+
+from chivewall.decisions.overload import Overloaded
+from chivewall.decisions.placement import Placement, PromptState
+from chivewall.gateway.fleet_messages import EngineMemoryStated, PeerWork, WorkEnded, WorkSent
+from chivewall.gateway.http_dialect import RequestFields
+from chivewall.gateway.peer_codec import SharedWork
+from chivewall.gateway.routing_configuration import Stage
+from tests.utils.fleets import make_fleet, query_placement
+
+CAPACITY = 100_000
+TOKENS = 30_000  # of a request; three of them fill an engine
+
+
+@pytest.fixture
+def fleet():
+    fleet = make_fleet(Clock(), d1=Stage.DECODE, d2=Stage.DECODE)
+    fleet.send(EngineMemoryStated({"engines": CAPACITY}))
+    return fleet
+
+
+def send(fleet, endpoint, exchange, tokens=TOKENS):
+    fields = RequestFields(prompt_tokens=tokens - 10, max_output_tokens=10)
+    fleet.send(WorkSent(endpoint, 0.01, fields, 0.05, seconds_left=60.0, exchange=exchange))
+
+
+def find(fleet, tokens=TOKENS, **fields):
+    return query_placement(fleet, prompt_tokens=tokens, **fields)
+
+
+def test_engines_hold_no_more_than_their_memory(fleet):
+    """Guards against an engine that crashes with all requests that it holds."""
+    for exchange in range(3):
+        send(fleet, "d1", exchange)
+    assert {find(fleet).endpoint.id for _ in range(20)} == {"d2"}
+    for exchange in range(3, 6):
+        send(fleet, "d2", exchange)
+    assert isinstance(find(fleet), Overloaded)
+    fleet.send(WorkEnded("d1", 1, "answered"))
+    assert find(fleet).endpoint.id == "d1"
+
+
+def test_requests_of_other_gateways_count_by_the_mean(fleet):
+    """Guards against two gateways that each fill the same engine."""
+    send(fleet, "d2", 1)
+    for number in range(3):
+        work = SharedWork(number, "d1", 0.01, counted_seconds=60.0, rank=0, prefixes=())
+        fleet.send(PeerWork("10.0.0.2", work))
+    assert {find(fleet).endpoint.id for _ in range(20)} == {"d2"}
+
+
+@pytest.mark.parametrize(("tokens", "found"), [(CAPACITY, True), (CAPACITY + 1, False)])
+def test_request_larger_than_an_engine_is_not_sent(fleet, tokens, found):
+    """Guards against a request that each engine in turn rejects."""
+    assert isinstance(find(fleet, tokens=tokens), Placement) is found
+
+
+@pytest.mark.parametrize("fields", [{"committed": True}, {"prompt": PromptState.PREFILLED}])
+def test_request_that_can_not_be_refused_goes_to_a_full_engine(fleet, fields):
+    """Guards against a stream that is cut, or a refusal of what may have run."""
+    for exchange in range(3):
+        send(fleet, "d1", exchange)
+        send(fleet, "d2", 10 + exchange)
+    assert isinstance(find(fleet, **fields), Placement)
+
+
+def test_engines_without_a_stated_memory_are_not_limited(fleet):
+    """Guards against refusals where earlier deployments served."""
+    fleet.send(EngineMemoryStated({}))
+    for exchange in range(20):
+        send(fleet, "d1", exchange)
+    assert isinstance(find(fleet, tokens=CAPACITY + 1), Placement)
