Let callers pause for seconds while they read

A caller that did not read for 3 s was reset: the acknowledgement timeout of 2.5 s also counts the time in which the peer's window is closed, though it answers the kernel's probes. Connections of callers now have 30 s, as a complete response has to be read; what they hold stays bounded (the longest blocked one is cut above the limit), and silent idle ones are still closed by keepalive probes.

--- a/chivewall/gateway/ingress_connection.py
+++ b/chivewall/gateway/ingress_connection.py
@@ -35,7 +35,7 @@
     without_quoted_bytes,
 )
 from chivewall.gateway.routing_configuration import IngressLimits
-from chivewall.gateway.sockets import set_tcp_options, unsent_bytes
+from chivewall.gateway.sockets import READ_TIMEOUT_MS, set_tcp_options, unsent_bytes
 from chivewall.results import ResultCode
 from chivewall.task import Inbox
 
@@ -114,7 +114,7 @@
         if not self.handler.add_connection(self):
             self.transport.abortConnection()
             return
-        set_tcp_options(self.transport)
+        set_tcp_options(self.transport, READ_TIMEOUT_MS)
         self.transport.registerProducer(self, streaming=True)
         self._enter_phase(Phase.IDLE)
 
--- a/chivewall/gateway/sockets.py
+++ b/chivewall/gateway/sockets.py
@@ -14,7 +14,12 @@
 ACK_TIMEOUT_MS = 2_500
 
 
-def set_tcp_options(transport: Any) -> None:
+# The same for a peer that may stop reading: while its window is closed, the kernel counts the time
+# as one without an answer, although the peer acknowledges each probe.
+READ_TIMEOUT_MS = 30_000
+
+
+def set_tcp_options(transport: Any, ack_timeout_ms: int = ACK_TIMEOUT_MS) -> None:
     """Enable keepalive probes, the acknowledgement timeout, and ``TCP_NODELAY``."""
     transport.setTcpNoDelay(True)
     transport.setTcpKeepAlive(True)
@@ -23,7 +28,7 @@
         (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS),
         (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
         (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.TCP_USER_TIMEOUT, ACK_TIMEOUT_MS),
+        (socket.TCP_USER_TIMEOUT, ack_timeout_ms),
     ):
         handle.setsockopt(socket.IPPROTO_TCP, option, value)
 
