--- a/chivewall/gateway/usage_reporter.py
+++ b/chivewall/gateway/usage_reporter.py
@@ -10,6 +10,7 @@
 from twisted.internet.defer import Deferred
 
 from chivewall.backoff import exponential_delay
+from chivewall.decisions.steady_time import SteadyTime
 from chivewall.decisions.usage import (
     COLLECTORS,
     Recorded,
@@ -95,6 +96,7 @@
         peers: Task,
         counter: Task,
         holder: Task,
+        time: SteadyTime,
     ) -> None:
         super().__init__()
         self.env = env
@@ -102,8 +104,9 @@
         self.times = times
         self.peers = peers
         self.counter = counter
+        self.time = time
         self.holder = holder  # of the lock of the reports
-        self.started_at = env.unix_time()
+        self.started_at = time.now()
         self.state: DutyState | None = None  # as it was read last
         self.done = -1  # latest window that was reported, as far as known
         self.observed = -1  # latest window after whose end the lock was read
@@ -140,7 +143,7 @@
         if message.state is None:
             self._retry_later()
             return
-        now = self.env.unix_time()
+        now = self.time.now()
         self.observed = self.times.last_ended(now)
         recorded = recorded_report(message.state)
         self._record_done(recorded)
@@ -159,14 +162,16 @@
         if message.outcome is DutyOutcome.ACCEPTED:
             self.failures = 0
             self.done = max(self.done, message.report.window)
-            if self.done < self.times.last_ended(self.env.unix_time()):
+            if self._started_after(message.report.window + 1):
+                await self._release()
+            elif self.done < self.times.last_ended(self.time.now()):
                 self._read()
             return
         self._retry_later()
 
     async def _is_due(self) -> bool:
         """Return whether to read the lock now, to report a window or to see whether it was."""
-        now = self.env.unix_time()
+        now = self.time.now()
         window = self.times.last_ended(now)
         if self.done >= window or now < self.next_try_at:
             return False
@@ -183,7 +188,7 @@
         """Return whether the process before this one held the duty when it ended."""
         lock = None if self.state is None else self.state.lock
         own = self.env.settings.core.instance
-        return lock is not None and lock.holder == own and not self.state.is_own
+        return lock is not None and lock.holder == own and not (self.state.is_own or lock.released)
 
     def _may_report(self, now: float) -> bool:
         """Return whether this gateway may report now, if the lock allows it."""
@@ -192,18 +197,24 @@
             return True
         if self.state is not None and self.state.lock is None and self.rank == 0:
             return now >= self.times.closes_at(window)
-        # A gateway that started inside a window doesn't know what its former process counted.
-        starts_at = self.times.ends_at(window) - self.times.window_seconds
-        rank = self.rank if self.started_at <= starts_at else COLLECTORS
+        rank = COLLECTORS if self._started_after(window) else self.rank
         return now >= self.times.taken_over_at(window, rank)
 
+    def _started_after(self, window: int) -> bool:
+        """Return whether this process started after the beginning of a window.
+
+        It doesn't know what processes counted that had ended by then, such as the one before it, so
+        the other collectors report that window.
+        """
+        return self.started_at > self.times.ends_at(window) - self.times.window_seconds
+
     async def _is_closed(self, window: int, now: float) -> bool:
         if now >= self.times.closes_at(window):
             return True
         return self.times.is_settled(window, now) and not (await self._usage(window)).missing
 
     async def _report(self, state: DutyState, recorded: Recorded) -> None:
-        now = self.env.unix_time()
+        now = self.time.now()
         if not state.may_take:
             self._retry_later()
             return
@@ -245,8 +256,11 @@
     async def _step_down(self) -> None:
         """Let a collector take the lock, as this gateway isn't told the counts any more."""
         if self._is_holder() and not self.busy:
-            self.state = None
-            await self.holder.query(ReleaseDuty())
+            await self._release()
+
+    async def _release(self) -> None:
+        self.state = None
+        await self.holder.query(ReleaseDuty())
 
     def _record_done(self, recorded: Recorded) -> None:
         """Another holder's report counts as made, one of this instance when it was accepted."""
@@ -266,7 +280,7 @@
         self.failures += 1
         if self.unanswered >= MAX_UNANSWERED:
             delay, self.unanswered = YIELD_SECONDS, 0
-        self.next_try_at = self.env.unix_time() + delay
+        self.next_try_at = self.time.now() + delay
 
     def _schedule_check(self) -> None:
         self.env.clock.callLater(CHECK_SECONDS, self.send, Tick())
