--- a/chivewall/gateway/endpoint_scaler.py
+++ b/chivewall/gateway/endpoint_scaler.py
@@ -45,7 +45,7 @@
 
 def subject(service: str, data_centre: str) -> str:
     """Return the subject of the lock for orders of a service's endpoints in a data centre."""
-    return f"{service} {data_centre}"
+    return f"{service}--{data_centre}"
 
 
 @frozen
@@ -141,7 +141,11 @@
             return
         if not state.may_take:
             counts.record_held(place, self.env.now)
-            self._log(call, DutyOutcome.HELD, "the lock of another holder is too recent")
+            self._log(
+                call,
+                DutyOutcome.HELD,
+                "the lock of another holder or of the store's era is too recent",
+            )
             return
         began_at = self.env.now
         until = began_at + counts.scale.start_seconds + LIST_SECONDS
@@ -178,7 +182,7 @@
         self.env.log.emit(
             Event.ENDPOINTS_ORDERED,
             service=call.service,
-            data_centre=call.order.data_centre,
+            place=call.order.data_centre,  # the line's own data centre is that of the gateway
             count=call.order.count,
             outcome=outcome.value,
             reason=reason,
--- a/chivewall/standins/platform_store.py
+++ b/chivewall/standins/platform_store.py
@@ -8,7 +8,7 @@
 from contextlib import suppress
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import parse_qs, unquote, urlsplit
 
 from attrs import define, field, frozen
 
@@ -110,6 +110,23 @@
             self.era += 1
             self._changed.notify_all()
 
+    def write(self, target: str, document: dict) -> tuple[int, dict]:
+        """Create or replace an object under a condition; return status and JSON document.
+
+        A document without a revision creates an object; a replaced one must have this revision.
+        """
+        self.request_count += 1
+        kind = target.split("/")[2]
+        if self.down or kind in self.unavailable_kinds:
+            return 503, {}
+        name, revision = document["metadata"]["name"], document["metadata"].get("rev")
+        with self._changed:
+            found = self._objects.get((kind, name))
+            if revision != (None if found is None else found["metadata"]["rev"]):
+                return 409, {}
+            self.put(kind, name, document["spec"])
+            return 200, self._objects[kind, name]
+
     def serve(self) -> "ThreadedServer":
         """Return a context manager that serves the store on a free loopback port."""
         return ThreadedServer(_handler_class(self))
@@ -123,9 +140,13 @@
             return 503, {}
         parts = urlsplit(target)
         query = {key: values[0] for key, values in parse_qs(parts.query).items()}
-        kind = parts.path.split("/")[2]
+        kind, *names = parts.path.split("/")[2:]
         if kind in self.unavailable_kinds:
             return 503, {}
+        if names:
+            with self._changed:
+                found = self._objects.get((kind, unquote(names[0])))
+            return (404, {}) if found is None else (200, found)
         if "watch" in query:
             return self._watch(kind, int(query["watch"]), int(query["waitMs"]) / 1000)
         return self._list(kind, query.get("after", ""))
@@ -269,4 +290,11 @@
             status, document = store.respond(self.path)
             self.send_document(status, document, {"Store-Era": str(store.era)})
 
+        def do_PUT(self) -> None:
+            body = self.rfile.read(int(self.headers["Content-Length"]))
+            status, document = store.write(self.path, json.loads(body))
+            self.send_document(status, document, {"Store-Era": str(store.era)})
+
+        do_POST = do_PUT  # noqa: N815 - inherited name
+
     return StoreHandler
--- a/tests/test_endpoint_scaler.py
+++ b/tests/test_endpoint_scaler.py
@@ -60,7 +60,7 @@
         eras.send(EraSeen(1))
         holder = DutyHolder(
             env,
-            "engines north",
+            "engines--north",
             LEASE_SECONDS,
             self.platform,
             self.store,
@@ -128,7 +128,7 @@
     first = site.start("a")
     second = site.start("b", first=False)
     site.run(EFFECT_SECONDS)
-    assert site.store.locks["engines north"][0].content == {"count": 5}
+    assert site.store.locks["engines--north"][0].content == {"count": 5}
     assert site.platform.orders == []
     first.first, second.first = False, True  # the process of ``a`` has ended
     site.tasks["a"].stop()
--- a/tests/utils/gateways.py
+++ b/tests/utils/gateways.py
@@ -67,6 +67,7 @@
     exit_stack: ExitStack = field(factory=ExitStack)
     addresses: dict[str, tuple[str, int]] = field(factory=dict)
     store_address: tuple[str, int] | None = None
+    more_fields: dict = field(factory=dict)  # of the instance, beside those of every one
 
     def __enter__(self):
         taken = set()
@@ -93,6 +94,7 @@
     def write_settings(self, **bounds):
         fields = instance_fields("gateway-1", self.ports, self.store_address)
         fields["bounds"] |= bounds
+        fields |= self.more_fields
         self.settings.write_text(render_settings(fields))
 
     def start(self, *, wait_ready=True):
