Test what a revocation ends while a request waits

Cause: two guards of the revocation could be taken out without a failing test: forwarding an endpoint's own error after it, and keeping a silent attempt.

Change: tests for both, for pauses, permits and trials, and for the way from the configuration in force to the requests in progress.

--- a/tests/test_workspace_keys.py
+++ b/tests/test_workspace_keys.py
@@ -8,21 +8,33 @@
 from twisted.internet.task import Clock
 
 from chivewall.decisions.configuration_age import NEWER_NAMED_SECONDS, ConfigurationAge
+from chivewall.decisions.crash_evidence import PartCheck, Verdict
 from chivewall.decisions.workspace_keys import MAX_KEY_CHARS, KeyVerdict, WorkspaceKeys
 from chivewall.errors import DecodeError
+from chivewall.gateway.announcement_messages import EndpointLimit, EndpointPause
 from chivewall.gateway.caller_messages import SendResponse
 from chivewall.gateway.configuration_messages import PeerConfigurationVersion
+from chivewall.gateway.exchange_messages import (
+    ExchangeFailed,
+    Reachability,
+    RequestWritten,
+    ResponseStarted,
+)
 from chivewall.gateway.gateway import Gateway
-from chivewall.gateway.http_dialect import CallerRequest, ForwardedFields
+from chivewall.gateway.http_dialect import CallerRequest, ForwardedFields, StatedLimit
 from chivewall.gateway.ingress_connection import IngressConnection
 from chivewall.gateway.routing_configuration import RouteKind, Stage
-from chivewall.gateway.store_collections import CollectionSnapshot, CollectionUnavailable
+from chivewall.gateway.store_collections import (
+    CollectionItem,
+    CollectionSnapshot,
+    CollectionUnavailable,
+)
 from chivewall.gateway.workspace_messages import KeysInForce
 from chivewall.platform.headers import PlatformDialect
 from chivewall.platform.routing_configuration import decode_routing_configuration
-from tests.utils.gateways import manifest, route
+from tests.utils.gateways import engine_info, manifest, route
 from tests.utils.ingress import SocketTransport, apply, make_gateway
-from tests.utils.requests import RequestBench, make_stream_route
+from tests.utils.requests import PLAIN_HEAD, RequestBench, make_stream_route
 
 ALPHA = {"name": "alpha", "apiKeys": ["alpha-key"], "priority": 1}
 BETA = {"name": "beta", "apiKeys": ["beta-key", "beta-2"], "priority": 3}
@@ -300,15 +312,96 @@
     assert bench.outcomes() == []
     put_in_force(bench, BETA)
     assert bench.outcomes() == ["AbortResponse"]
-    assert ("KEY_REVOKED") in [event for event, _ in bench.events]
+    assert "KEY_REVOKED" in [event for event, _ in bench.events]
+
+
+class PendingQueries:
+    """Task whose replies the test gives."""
+
+    def __init__(self):
+        self.queries, self.messages = [], []
+
+    def query(self, message):
+        self.queries.append(message)
+        return message.deferred
+
+    def send(self, message):
+        self.messages.append(message)
+
 
+def pause_all(bench):
+    for one in DECODERS:
+        bench.fleet.send(EndpointPause(engine_info(one, Stage.DECODE), 1.0))
 
-def test_own_response_of_an_endpoint_is_forwarded_after_a_revocation():
+
+def hold_permits(bench):
+    bench.task.permits.limits = PendingQueries()
+    for one in DECODERS:
+        info = engine_info(one, Stage.DECODE)
+        bench.fleet.send(EndpointLimit(info, StatedLimit(1.0, "1"), bench.env.now))
+
+
+def hold_checks(bench):
+    bench.task.prompt.guard = PendingQueries()
+
+
+@pytest.mark.parametrize("hold", [pause_all, hold_permits, hold_checks])
+def test_revoked_key_ends_each_wait(hold):
+    """Guards against an attempt after the revocation, once a pause, permit or trial has ended."""
+    clock = Clock()
+    bench = RequestBench(clock, keys=("alpha-key",), parts=("a1", "5c1e", "01"), **DECODERS)
+    hold(bench)
+    bench.fail_to_connect()
+    assert statuses(bench) == []
+    put_in_force(bench, BETA)
+    if hold is hold_checks:
+        bench.task.prompt.guard.queries[-1].reply(PartCheck(Verdict.WAIT))
+    assert statuses(bench) == [401]
+    if hold is hold_permits:
+        (asked,) = bench.task.permits.limits.queries
+        assert asked.deferred.called  # the ask was withdrawn
+    clock.advance(2.0)
+    assert len(bench.connections.sent) == 1
+
+
+def test_gateway_tells_the_requests_in_progress(caller):
+    """Guards against requests that don't hear of a revocation."""
+    gateway = caller.gateway
+    engine = engine_info("d1", Stage.DECODE)
+    items = (CollectionItem("d1", evolve(engine, service="s1"), 1),)
+    gateway.context.fleet.send(CollectionSnapshot("servers", items, 1))
+    apply(gateway, decode(ALPHA))
+    assert caller.status("X-Key: alpha-key") == 0  # at the endpoint
+    apply(gateway, decode(BETA, version=2))
+    (sent,) = gateway.context.connections.sent
+    sent.reply_to.put(ExchangeFailed(sent.exchange, sent=False, reason="refused"))
+    assert caller.transport.value().startswith(b"HTTP/1.1 401 ")
+    assert len(gateway.context.connections.sent) == 1
+
+
+@pytest.mark.parametrize("status", [200, 500])
+def test_own_response_of_an_endpoint_is_forwarded_after_a_revocation(status):
     """Guards against an error of the gateway in place of what the endpoint has answered."""
     bench = begun(Clock(), kind=RouteKind.SAFE)
     put_in_force(bench, BETA)
-    bench.answer_plainly(b"{}")
-    assert statuses(bench) == [200]
+    bench.task.send(RequestWritten(bench.exchange, reused=False))
+    bench.task.send(ResponseStarted(bench.exchange, evolve(PLAIN_HEAD, status=status)))
+    bench.finish()
+    assert statuses(bench) == [status]
+    assert len(bench.connections.sent) == 1
+
+
+def test_silent_endpoint_of_a_revoked_key_is_kept():
+    """Guards against a live attempt that is ended although no other one may follow."""
+    clock = Clock()
+    bench = begun(clock).begin(events=0)
+    put_in_force(bench, BETA)
+    bench.connections.reachability = Reachability.SILENT
+    clock.advance(0.6)
+    assert bench.connections.cancelled == []
+    bench.send_event(1)
+    bench.finish()
+    assert bench.outcomes() == ["FinishResponse"]
 
 
 def test_key_that_moves_names_its_new_workspace():
