--- a/chivewall/decisions/stages.py
+++ b/chivewall/decisions/stages.py
@@ -64,6 +64,7 @@
     # The same as ``prefill_load``, but also known in the first seconds of load.
     recent_load: float = 0.0
     moved_requests: int = 0  # of engines that begin to change; others decode their followers
+    endpoints_settled: bool = True  # no engine starts or leaves because of an order
 
 
 @frozen
@@ -94,6 +95,8 @@
     if any(one.limited for one in decoders):
         # A limited engine serves most by whole requests, and a free one must remain for the rest.
         decoders = [one for one in decoders if not one.limited]
+    if not load.endpoints_settled and decoders:
+        return None  # the load will be spread over other engines in a moment
     if _needs_prefill_engine(load, len(prefill_engines), len(decoders), running, busy_share):
         reason = f"prefill busy {max(load.prefill_load, load.recent_load):.2f} engines"
         return _change(_spare(_fast(decoders)), Stage.PREFILL, reason)
@@ -206,11 +209,13 @@
         *,
         permit_wait: float = 0.0,
         settling: bool = False,
+        endpoints_settled: bool = True,
     ) -> StageLoad:
         """Record a sample of the engines and their shortest queue; return the load.
 
         ``permit_wait``: shortest wait for a permit of a decode engine, in seconds;
-        ``settling``: the queues may still be those of before the latest change.
+        ``settling``: the queues may still be those of before the latest change;
+        ``endpoints_settled``: no engine starts or leaves because of an order.
         """
         if not settling:
             no_decoder = not any(one.usable and one.stage is Stage.DECODE for one in engines)
@@ -226,6 +231,7 @@
             no_decoder_samples=self._no_decoder_samples,
             limited_samples=self._limited_samples,
             recent_load=self._recent(now),
+            endpoints_settled=endpoints_settled,
         )
 
     def average(self, now: float) -> float:
--- a/chivewall/events.py
+++ b/chivewall/events.py
@@ -74,6 +74,7 @@
     DUTY_CALLED = (608, "info", "call made that is the duty of one gateway at a time")
     DUTY_HELD = (609, "info", "call of a duty postponed")
     DUTY_RELEASED = (610, "info", "lock of a duty released for another gateway")
+    ENDPOINTS_ORDERED = (620, "info", "number of a service's endpoints ordered")
     USAGE_INCOMPLETE = (611, "warning", "usage reported without the counts of some gateways")
     USAGE_SKIPPED = (612, "warning", "usage of some windows is not reported")
 
@@ -105,6 +106,7 @@
     WORKSPACES_IN_FORCE = (730, "info", "keys of workspaces in force")
     WORKSPACE_ENTRY_ODD = (731, "warning", "part of the workspaces can't be read or is ambiguous")
     KEY_REVOKED = (732, "info", "call ended before its next attempt: its key is no longer valid")
+    ENGINE_MEMORY_FULL = (740, "info", "call not placed: the engines have no memory for it")
     WORKSPACE_YIELDS = (733, "info", "call yields: its workspace uses more than its share")
     SPEED_LEARNED = (710, "info", "learned speeds of a service changed")
     ENGINE_SPEED_LEARNED = (740, "info", "learned speed of one engine changed")
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -8,10 +8,18 @@
     EndpointRecord,
     prefix_chain,
 )
+from chivewall.decisions.engine_memory import (
+    RETRY_SECONDS,
+    EngineMemories,
+    MemoryVerdict,
+    must_be_placed,
+)
+from chivewall.decisions.overload import Overloaded
 from chivewall.decisions.peers import record_weight
 from chivewall.decisions.placement import MAX_RANK, PlacementContext, choose
 from chivewall.decisions.repeat_budget import RepeatBudget
 from chivewall.decisions.sent_work import WorkItem, WorkKey
+from chivewall.decisions.service_demands import ServiceDemands
 from chivewall.decisions.speed_samples import SpeedSamples
 from chivewall.decisions.speeds import SETTLED_SAMPLES, ServiceSpeed, ServiceSpeeds
 from chivewall.decisions.stages import EngineView, PrefillLoad
@@ -36,8 +44,11 @@
     EndpointCrashed,
     EngineCooldown,
     EngineLoads,
+    EngineMemoryStated,
+    ExpectEndpoints,
     FindPlacement,
     FirstBytesReceived,
+    FollowDemands,
     KvCacheLost,
     LearnedSpeeds,
     LiveGateways,
@@ -47,6 +58,7 @@
     PeerSpeeds,
     PeerWork,
     RequestReceived,
+    ServiceDemandQuery,
     ServiceLoad,
     ShareReports,
     SpendRepeat,
@@ -111,6 +123,8 @@
         self.connections: Inbox | None = None  # of the task that reports what endpoints announce
         self.limited: frozenset[str] = frozenset()  # endpoints whose limits are followed there
         self.waits = EndpointWaits()
+        self.demands = ServiceDemands()
+        self.memories = EngineMemories()
         self.fairness = WorkspaceFairness(env, self.inbox)
 
     def reload(self, cfg: FleetSettings) -> None:
@@ -185,6 +199,11 @@
             if one.info.service == message.service
             and (message.allowed is None or one.info.id in message.allowed)
         ]
+        if not must_be_placed(message.prompt, committed=message.committed):
+            states, verdict = self.memories.fitting(states, message.fields)
+            if verdict is not MemoryVerdict.FITS:
+                self._refuse_for_memory(message, verdict)
+                return
         context = PlacementContext(
             data_centre=self.env.settings.core.data_centre,
             now=self.env.now,
@@ -238,7 +257,9 @@
         self.speed_samples.record_sent(
             message.exchange, state, message.reference_seconds, self.env.now
         )
+        self.memories.record_sent(state, message.exchange, message.fields)
         self._add_work(state, ("", message.exchange), item, keys)
+        self.demands.add_prompt(state, message.fields, message.reference_seconds, self.env.now)
         self._share(
             SharedWork(
                 number=message.exchange,
@@ -321,6 +342,7 @@
 
     @receive.register
     async def _(self, message: WorkEnded) -> None:
+        self.memories.record_ended(message.endpoint, message.exchange)
         self.speed_samples.record_ended(message.exchange)
         state = self.states.get(message.endpoint)
         if state is None:
@@ -421,6 +443,33 @@
         services = sorted({one.service for one in engines})
         message.reply([self._service_load(one, settling=message.settling) for one in services])
 
+    @receive.register
+    async def _(self, message: EngineMemoryStated) -> None:
+        self.memories.capacity = message.tokens
+
+    @receive.register
+    async def _(self, message: FollowDemands) -> None:
+        self.demands.follow(message.windows)
+
+    @receive.register
+    async def _(self, message: ExpectEndpoints) -> None:
+        self.demands.expect_change(message.service, message.until)
+
+    @receive.register
+    async def _(self, message: ServiceDemandQuery) -> None:
+        self.endpoints.expire()
+        message.reply(self.demands.measure(self.states.values(), self.env.now))
+
+    def _refuse_for_memory(self, message: FindPlacement, verdict: MemoryVerdict) -> None:
+        self.env.log.emit(
+            Event.ENGINE_MEMORY_FULL,
+            request=message.fields.request_id,
+            service=message.service,
+            verdict=verdict.value,
+        )
+        full = verdict is MemoryVerdict.FULL
+        message.reply(Overloaded(RETRY_SECONDS, RETRY_SECONDS) if full else None)
+
     def _service_load(self, service: str, *, settling: bool) -> ServiceLoad:
         now = self.env.now
         states = [one for one in self.states.values() if one.info.service == service]
@@ -455,6 +504,7 @@
             now,
             permit_wait=min(permit_waits, default=0.0),
             settling=settling,
+            endpoints_settled=self.demands.endpoints_settled(service, states, now),
         )
         return ServiceLoad(service, load, {one.info.id: one.info for one in states})
 
@@ -509,7 +559,9 @@
         prefill_load = self.prefill_loads.setdefault(state.info.service, PrefillLoad())
         slowdown = 1.0 if state.info.stage is Stage.PREFILL else DECODE_PREFILL_FACTOR
         work = item.reference_seconds * item.weight
-        prefill_load.add(work * state.speed(now).scale / slowdown, now)
+        engine_seconds = work * state.speed(now).scale / slowdown
+        prefill_load.add(engine_seconds, now)
+        self.demands.add_work(state, item, engine_seconds, now)
 
     def _record_prefilled(self, state: EndpointRecord, key: WorkKey) -> None:
         throughput = state.record_prefilled(key, self.env.now)
