Count an early response as complete only if the request was received

Cause: a response without a length ends with its connection. An endpoint that answers an upload at once, ends its side and resets the connection, or just stops reading, ended it orderly before the reset arrived; its part of the body passed for the whole one, since the process behind the address still ran. The end counted although bytes of the request were unsent. The parser accepts statuses of three digits, so 600 and 999 reached callers.

Change: when the endpoint closes its side, the response without a length counts only if the transport has written the whole request, the kernel has no unacknowledged bytes and reports no error. Statuses above 599 are malformed.

--- a/chivewall/gateway/outgoing_connection.py
+++ b/chivewall/gateway/outgoing_connection.py
@@ -9,9 +9,10 @@
 from collections.abc import Callable
 
 import h11
-from twisted.internet.error import ConnectionDone
+from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
+from zope.interface import implementer
 
 from chivewall.gateway.exchange_messages import (
     ExchangeFailed,
@@ -23,7 +24,7 @@
 )
 from chivewall.gateway.http_dialect import Headers, ResponseFields, ResponseHead
 from chivewall.gateway.routing_configuration import EndpointInfo
-from chivewall.gateway.sockets import set_tcp_options
+from chivewall.gateway.sockets import is_delivered, set_tcp_options
 from chivewall.integers import parse_digits
 
 MAX_HEAD_BYTES = 65_536
@@ -31,6 +32,8 @@
 # requests. An endpoint in trouble may send them without an end.
 MAX_FOREIGN_BYTES = 1_048_576
 BODILESS_STATUSES = (204, 304)  # HTTP statuses of responses that have no body
+# The parser accepts statuses of three digits; HTTP has none beyond this one.
+MAX_STATUS = 599
 MAX_REQUEST_IDS = 256  # latest requests of a connection whose ids are kept
 # Keep-alive time, in seconds, if the endpoint names none; such endpoints close later than this.
 DEFAULT_IDLE_SECONDS = 4.0
@@ -41,6 +44,7 @@
 ResponseCallback = Callable[[EndpointInfo, int, ResponseFields, float], None]
 
 
+@implementer(IHalfCloseableProtocol)
 class OutgoingConnection(Protocol):
     """An outgoing connection that carries one request at a time."""
 
@@ -81,7 +85,7 @@
         self.endpoint = request.endpoint or self.endpoint
         self._request_ids.append(request.request_id)
         self._foreign_bytes = 0
-        self._response_started = False
+        self._response_started = self._until_closed = False
         try:
             data = self._serialize(request)
         except h11.LocalProtocolError as exc:
@@ -118,15 +122,30 @@
         if self._foreign_bytes > MAX_FOREIGN_BYTES and not self._response_started:
             self._fail(f"{self._foreign_bytes} bytes without a response to the request")
 
+    def readConnectionLost(self) -> None:  # noqa: N802 - Twisted's name
+        """End the exchange, as the endpoint has closed its side orderly, and close the connection.
+
+        That completes a body without a length only if the endpoint has received the whole request:
+        one that has not is about to reset the connection, or was ended inside its response.
+        """
+        self.is_open = False
+        delivered = self._request_written and is_delivered(self.transport)
+        if self._until_closed and not delivered:
+            self._fail("connection closed before the request was received")
+        elif self.request is not None:
+            self._read_end()
+        if delivered:
+            self.transport.loseConnection()
+        else:
+            self.transport.abortConnection()
+        self.on_closed(self)  # before anyone takes it for an idle one
+
+    def writeConnectionLost(self) -> None:  # noqa: N802 - Twisted's name
+        """Do nothing; the gateway never closes its side alone."""
+
     def connectionLost(self, reason: Failure) -> None:  # noqa: N802 - Twisted's name
-        """End the exchange; it is complete only if an orderly close delimits the body."""
+        """End an exchange whose connection was reset or aborted, which completes no body."""
         self.is_open = False
-        if self.request is not None and reason.check(ConnectionDone):
-            try:
-                self._http.receive_data(b"")
-                self._read_events()
-            except h11.RemoteProtocolError as exc:
-                self._fail(f"connection closed before the response was complete: {exc}")
         if self.request is not None:
             self._fail(f"connection lost: {reason.getErrorMessage()}")
         self.on_closed(self)
@@ -167,7 +186,19 @@
             elif isinstance(event, h11.ConnectionClosed):
                 self._fail("connection closed before a response")
 
+    def _read_end(self) -> None:
+        try:
+            self._http.receive_data(b"")
+            self._read_events()
+        except h11.RemoteProtocolError as exc:
+            self._fail(f"connection closed before the response was complete: {exc}")
+        if self.request is not None:
+            self._fail("connection closed before the response was complete")
+
     def _handle_head(self, event: h11.Response) -> None:
+        if event.status_code > MAX_STATUS:
+            self._fail(f"malformed HTTP response: status {event.status_code}")
+            return
         headers = tuple(event.headers.raw_items())
         fields = self.decode_fields(event.status_code, headers)
         expected = self.request.request_id
--- a/chivewall/gateway/sockets.py
+++ b/chivewall/gateway/sockets.py
@@ -28,6 +28,14 @@
         handle.setsockopt(socket.IPPROTO_TCP, option, value)
 
 
+def is_delivered(transport: Any) -> bool:
+    """Return whether the peer has received all that the kernel holds, and reported no error."""
+    handle = transport.getHandle()
+    if handle is not None and handle.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+        return False
+    return unsent_bytes(transport) == 0
+
+
 def unsent_bytes(transport: Any) -> int:
     """Return how many bytes of a connection its peer has not acknowledged; 0 if it can't be told.
 
