Take only complete responses with a valid status from a plain service

Cause: Twisted's HTTP client reports the end of a body without a length in the same way for an orderly close and for a reset, and takes any number as a status. An agent passed a part of a body on as a whole response, also when the connection was reset during the upload, and statuses such as 000.

Change: a body without length and chunks is an error, as is a status outside of 200 to 599. The attempt may have run in both cases.

--- a/chivewall/plugins/builtin/service_http.py
+++ b/chivewall/plugins/builtin/service_http.py
@@ -2,13 +2,15 @@
 
 from io import BytesIO
 
-import treq
 from attrs import field, frozen, validators
 from twisted.internet.defer import CancelledError, Deferred, ensureDeferred, fail, succeed
 from twisted.internet.error import ConnectError
+from twisted.internet.protocol import Protocol
 from twisted.internet.task import Cooperator
-from twisted.web.client import Agent, FileBodyProducer, HTTPConnectionPool
+from twisted.python.failure import Failure
+from twisted.web.client import Agent, FileBodyProducer, HTTPConnectionPool, ResponseDone
 from twisted.web.http_headers import Headers
+from twisted.web.iweb import IResponse
 
 from chivewall.environment import Environment
 from chivewall.errors import EndpointError, OrderRefusedError
@@ -26,6 +28,7 @@
 from chivewall.work import Answer, Attempt, Call, EngineRole, Header
 
 CONNECT_TIMEOUT_SECONDS = 2.0
+FINAL_STATUSES = range(200, 600)  # Twisted's client accepts any number
 # Response headers of the service that are not forwarded, because the entry sets its own.
 UNFORWARDED_HEADERS = frozenset(
     {"connection", "transfer-encoding", "content-length", "keep-alive", "server", "date"}
@@ -116,7 +119,9 @@
             headers,
             FileBodyProducer(BytesIO(work.body), cooperator=self.cooperator),
         )
-        body = await treq.content(response)
+        if response.code not in FINAL_STATUSES:
+            raise EndpointError(f"the service responded with status {response.code}")
+        body = await _complete_body(response)
         response_headers = tuple(
             Header(name=name.decode("latin-1"), value=value.decode("latin-1"))
             for name, values in response.headers.getAllRawHeaders()
@@ -129,6 +134,36 @@
         self.runs.pop(key, None)
 
 
+class BodyCollector(Protocol):
+    """Collects a body whose end its length or its chunks show.
+
+    Twisted's client reports a reset and an orderly end alike for a body without either, so such a
+    body may be a part of the response, and is an error here.
+    """
+
+    def __init__(self, collected: Deferred) -> None:
+        self._collected = collected
+        self._body = bytearray()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
+        """Keep the bytes."""
+        self._body += data
+
+    def connectionLost(self, reason: Failure) -> None:  # noqa: N802 - Twisted's name
+        """Return the body if it is complete."""
+        if reason.check(ResponseDone):
+            self._collected.callback(bytes(self._body))
+        else:
+            self._collected.errback(EndpointError("the response may be incomplete"))
+
+
+def _complete_body(response: IResponse) -> Deferred:
+    """Return the body; fails with ``EndpointError`` if it isn't known to be complete."""
+    collected: Deferred = Deferred()
+    response.deliverBody(BodyCollector(collected))
+    return collected
+
+
 class ServiceHttpPlugin(Plugin):
     """Provides the ``Endpoint`` of a plain service."""
 
--- a/tests/utils/raw_endpoints.py
+++ b/tests/utils/raw_endpoints.py
@@ -83,7 +83,7 @@
                 return
             lines = received.decode("latin-1").split("\r\n")
             fields = dict(one.lower().split(": ", 1) for one in lines[1:] if ": " in one)
-            self.script(conn, fields["x-request-id"])
+            self.script(conn, fields.get("x-request-id", ""))
 
 
 def answer_early(part, *headers, end):
