Give slow requests that may be repeated an extra attempt within limits

Cause: a few slow answers of plain services spoil the slowest percentiles, though another endpoint is free.

Change: the task extra_attempts learns the times of recent answers by route, and by service where a route has too few. A safe request to a plain service whose answer takes longer than the quantile gets one attempt at another endpoint. The first head of a successful response wins, and the other exchange is cancelled at once. There is none beside a shortage (refusals, cooldowns, pauses, rate limits, more than half of the slots taken), beyond the operator's shares of requests and of endpoint time, or beyond half of the repeat budget. Off unless the plug-in and its limits are in the settings.

--- a/chivewall/decisions/repeat_budget.py
+++ b/chivewall/decisions/repeat_budget.py
@@ -33,11 +33,15 @@
         self._requests.append(now)
         self._expire(now)
 
-    def spend(self, now: float) -> bool:
-        """Count a repeat and return ``True``, or return ``False`` if none is left in the window."""
+    def spend(self, now: float, share: float = 1.0) -> bool:
+        """Count a repeat and return ``True``, or return ``False`` if none is left in the window.
+
+        ``share``: the part of the budget that may be used; a repeat that can be done without
+        leaves the rest to others.
+        """
         self._expire(now)
         allowed = self.policy.ratio * len(self._requests) + self.policy.burst
-        if len(self._repeats) + 1 > allowed:
+        if len(self._repeats) + 1 > share * allowed:
             return False
         self._repeats.append(now)
         return True
--- a/chivewall/events.py
+++ b/chivewall/events.py
@@ -96,6 +96,8 @@
     PERMIT_KEEPER_SILENT = (724, "warning", "gateway that grants permits does not answer")
     ENDPOINT_PAUSED = (725, "info", "endpoint asks this gateway for a pause")
     CALL_PAUSED = (726, "info", "call waits for the end of a pause that endpoints asked for")
+    EXTRA_ATTEMPT = (760, "info", "extra attempt of a call sent beside a slow one")
+    EXTRA_ATTEMPT_ENDED = (761, "info", "extra attempt of a call won, failed or was cancelled")
     SPEED_LEARNED = (710, "info", "learned speeds of a service changed")
     PEER_UNREACHABLE = (708, "warning", "datagram to another gateway not sent")
 
--- a/chivewall/gateway/exchange.py
+++ b/chivewall/gateway/exchange.py
@@ -2,14 +2,17 @@
 
 from attrs import define, field, frozen
 
+from chivewall.decisions.placement import Placement
 from chivewall.environment import Environment
 from chivewall.errors import StoreUnavailableError
 from chivewall.events import Event
 from chivewall.gateway.byte_budget import MAX_TOTAL_RESPONSE_BYTES, ByteBudget
 from chivewall.gateway.caller_response import NOT_RUN_STATUSES
 from chivewall.gateway.channels import ConnectionPool
-from chivewall.gateway.exchange_messages import OutgoingRequest
+from chivewall.gateway.exchange_messages import OutgoingRequest, SendRequest
+from chivewall.gateway.extra_attempts import ExtraAttempts
 from chivewall.gateway.fleet import Fleet
+from chivewall.gateway.fleet_messages import WorkSent
 from chivewall.gateway.http_dialect import CallerRequest, ForwardedFields, HttpDialect, ResponseHead
 from chivewall.gateway.part_guard import PartGuard
 from chivewall.gateway.rate_limits import RateLimits
@@ -39,6 +42,7 @@
     limits: RateLimits
     connections: ConnectionPool
     dialect: HttpDialect
+    extra_attempts: ExtraAttempts | None = None  # unset: there are no extra attempts
     response_bytes: ByteBudget = field(factory=lambda: ByteBudget(MAX_TOTAL_RESPONSE_BYTES))
 
 
@@ -51,6 +55,7 @@
     prefill: bool  # asks the engine only to compute and keep the KV cache of the prompt
     fetches_kv_cache: bool  # asks the engine to fetch the KV cache from a prefill engine
     events_before: int = 0  # events that the caller had received when the exchange began
+    extra: bool = False  # it began beside a slow one
 
 
 @frozen
@@ -127,6 +132,34 @@
     )
 
 
+def send_exchange(
+    context: RequestContext,
+    exchange: Exchange,
+    placement: Placement,
+    request: CallerRequest,
+    route: Route,
+    *,
+    sent: ForwardedFields,
+    deadline: float,
+    reply_to: Inbox,
+) -> None:
+    """Send an exchange to its endpoint, and count it as work there."""
+    seconds_left = deadline - context.env.now
+    context.fleet.send(
+        WorkSent(
+            endpoint=exchange.endpoint.id,
+            reference_seconds=0.0 if exchange.fetches_kv_cache else placement.reference_seconds,
+            fields=request.fields,
+            counted_seconds=shared_work_seconds(route, seconds_left),
+            seconds_left=seconds_left,
+            exchange=exchange.number,
+            rank=placement.rank,
+        )
+    )
+    outgoing = outgoing_request(exchange, request, route, sent, context.dialect, reply_to)
+    context.connections.send(SendRequest(outgoing))
+
+
 def response_problem(head: ResponseHead) -> str | None:
     """Return why a response can't be the endpoint's complete response, or ``None``."""
     if head.fields.stamp is None:
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -8,6 +8,7 @@
     EndpointRecord,
     prefix_chain,
 )
+from chivewall.decisions.extra_attempts import spare_endpoints
 from chivewall.decisions.peers import record_weight
 from chivewall.decisions.placement import MAX_RANK, PlacementContext, choose
 from chivewall.decisions.repeat_budget import RepeatBudget
@@ -196,6 +197,8 @@
             permit_rank=message.rank,
             last_resort=message.last_resort,
         )
+        if message.spare:
+            states = spare_endpoints(states, self.env.now)
         message.reply(choose(message.fields, states, context, message.prompt))
 
     @receive.register
@@ -204,7 +207,7 @@
 
     @receive.register
     async def _(self, message: SpendRepeat) -> None:
-        message.reply(self._repeat_budget(message.service).spend(self.env.now))
+        message.reply(self._repeat_budget(message.service).spend(self.env.now, message.share))
 
     @receive.register
     async def _(self, message: WorkSent) -> None:
--- a/chivewall/gateway/fleet_messages.py
+++ b/chivewall/gateway/fleet_messages.py
@@ -29,6 +29,7 @@
     pause_seconds: float = 0.3  # longest pause between events that the objective allows
     kv_data_centre: str | None = None  # data centre of the engine that keeps the KV cache
     last_resort: bool = True  # endpoints that had better get no work are chosen as a last resort
+    spare: bool = False  # only endpoints with room for an extra attempt
     permits: frozenset[str] = frozenset()  # ids of endpoints for which the request has a permit
     workspace: str | None = None  # name of the caller's workspace
 
@@ -56,6 +57,7 @@
     """Ask for one repeat from the service's repeat budget; the reply is a ``bool``."""
 
     service: str
+    share: float = 1.0  # of the budget that repeats of this sort may use
 
 
 @frozen
--- a/chivewall/gateway/forwarded_request.py
+++ b/chivewall/gateway/forwarded_request.py
@@ -31,11 +31,10 @@
     WaitEnded,
     is_event_stream,
     is_same_process,
-    outgoing_request,
     release_kv_cache,
     request_deadline,
     response_problem,
-    shared_work_seconds,
+    send_exchange,
 )
 from chivewall.gateway.exchange_messages import (
     CancelExchange,
@@ -46,8 +45,9 @@
     ResponseData,
     ResponseEnded,
     ResponseStarted,
-    SendRequest,
 )
+from chivewall.gateway.extra_attempt import ExtraAttempt
+from chivewall.gateway.extra_attempt_messages import AnswerSlow
 from chivewall.gateway.fleet_messages import (
     AwaitEndpoint,
     FindPlacement,
@@ -56,7 +56,6 @@
     RequestReceived,
     SpendRepeat,
     WorkEnded,
-    WorkSent,
 )
 from chivewall.gateway.guarded_prompt import GuardedPrompt
 from chivewall.gateway.http_dialect import CallerRequest, ForwardedFields
@@ -152,6 +151,16 @@
             request_id=request.fields.request_id,
             sender=self.inbox,
         )
+        self.extra = ExtraAttempt(
+            context=context,
+            request=request,
+            route=route,
+            service=service,
+            log=self.log,
+            history=self.history,
+            failed_endpoints=self.failed_endpoints,
+            sender=self.inbox,
+        )
         self._timers: list = []
 
     def start(self) -> None:
@@ -189,6 +198,12 @@
         elif self.exchange is not None and message.purpose == f"withdraw {self.exchange.number}":
             self._withdraw()
 
+    @receive.register
+    async def _(self, message: AnswerSlow) -> None:
+        if self._is_current(message.exchange) and self.received.head is None:
+            began = await self.extra.begin(self.exchange, self.response_deadline, self._find_spare)
+            self.arrivals += began
+
     @receive.register
     async def _(self, message: EndBy) -> None:
         if not self.ended and message.deadline < self.deadline:
@@ -199,6 +214,7 @@
     @receive.register
     async def _(self, message: RequestWritten) -> None:
         if not self._is_current(message.exchange):
+            self.extra.record_written(message)
             return
         # The first prefill doesn't count as an attempt, a second one does.
         if not self.exchange.prefill or self.prefill.reached > 1:
@@ -208,11 +224,18 @@
         self.last_data_at = self.written_at = self.env.now
         if self.exchange.prefill or self.route.idempotent:
             self._schedule(SILENCE_SECONDS, Tick(f"silence {message.exchange}"))
+        if self.extra.may_follow(self.exchange):
+            self.spawn(self.extra.await_slowness(self.exchange))
 
     @receive.register
     async def _(self, message: ResponseStarted) -> None:
-        if self._is_current(message.exchange):
+        if self.extra.wins_with(message):
+            self._take_extra("won")
+        elif self._is_current(message.exchange):
             self.received.start(message.head)
+            if message.head.status in SUCCESS_STATUSES and response_problem(message.head) is None:
+                self.extra.report_answer(self.exchange, self.written_at)
+                self.extra.cancel()
 
     @receive.register
     async def _(self, message: ResponseData) -> None:
@@ -234,6 +257,7 @@
     @receive.register
     async def _(self, message: ExchangeFailed) -> None:
         if not self._is_current(message.exchange):
+            self.extra.record_failed(message)
             return
         if self.exchange.prefill:
             await self._prefill_failed(message.reason, missed=not message.sent)
@@ -357,6 +381,8 @@
 
         Otherwise the exchange goes on: an endpoint that has fallen silent may still answer.
         """
+        if self.extra.running:
+            return True
         if not may_hand_over(self._situation(AttemptOutcome.BROKEN), self.history):
             return False
         found = await self._find_placement(
@@ -382,6 +408,7 @@
         *,
         excluded: frozenset[str] | None = None,
         last_resort: bool = True,
+        spare: bool = False,
     ) -> Placement | Overloaded | None:
         allowed = self._allowed_endpoints()
         if excluded is None:
@@ -404,6 +431,7 @@
                 pause_seconds=self.route.pause_ms / MS_PER_SECOND,
                 kv_data_centre=self.prefill.kv_data_centre,
                 last_resort=last_resort,
+                spare=spare,
                 permits=self.permits.endpoints,
             )
         )
@@ -561,26 +589,16 @@
         self.response.stream.begin_run()
         self.first_bytes_reported = self.stall_checked = False
         self.log.log_attempt(self.exchange, self.placement, sent)
-        self.context.fleet.send(
-            WorkSent(
-                endpoint=endpoint.id,
-                reference_seconds=0.0 if fetches_kv_cache else self.placement.reference_seconds,
-                fields=self.request.fields,
-                counted_seconds=shared_work_seconds(self.route, self.deadline - self.env.now),
-                seconds_left=self.deadline - self.env.now,
-                exchange=number,
-                rank=self.placement.rank,
-            )
-        )
-        outgoing = outgoing_request(
-            exchange=self.exchange,
-            request=self.request,
-            route=self.route,
+        send_exchange(
+            self.context,
+            self.exchange,
+            self.placement,
+            self.request,
+            self.route,
             sent=sent,
-            dialect=self.context.dialect,
+            deadline=self.deadline,
             reply_to=self.inbox,
         )
-        self.context.connections.send(SendRequest(outgoing))
 
     async def _handle_response(self, *, until_closed: bool) -> None:
         if self.exchange.prefill:
@@ -723,11 +741,38 @@
             self._end_exchange(work_outcome or _work_outcome(outcome))
         if outcome is AttemptOutcome.NOT_SENT:
             self.arrivals -= 1
-        if broken is not None and (broken.is_evidence or self._allowed_endpoints()):
+        if self.extra.running:
+            self._take_extra("took over")
+        elif broken is not None and (broken.is_evidence or self._allowed_endpoints()):
             self.spawn(self._probe_broken_endpoint(broken))
         else:
             await self._continue_after(outcome, reason, next_step=next_step)
 
+    async def _find_spare(self, excluded: frozenset[str]) -> Placement | None:
+        found = await self._find_placement(
+            PromptState.NOT_PREFILLED, excluded=excluded, last_resort=False, spare=True
+        )
+        return found if isinstance(found, Placement) else None
+
+    def _take_extra(self, outcome: str) -> None:
+        """Go on with the extra attempt alone."""
+        if self.exchange is not None:
+            self.history.may_have_run = True
+            self.extra.report_answer(self.exchange, self.written_at)
+            self._end_exchange("left")
+        self.exchange = self.extra.take(outcome)
+        self.placement = self.extra.placement
+        self.received.start(self.extra.head)
+        self.response.stream.begin_run()
+        self.first_sent_to = True
+        self.first_bytes_reported = self.stall_checked = False
+        self.last_data_at = self.env.now
+        if self.extra.written_at is not None:
+            self.written_at = self.extra.written_at
+            if self.extra.head is not None:
+                self.extra.report_answer(self.exchange, self.written_at)
+            self._schedule(SILENCE_SECONDS, Tick(f"silence {self.exchange.number}"))
+
     async def _continue_after(
         self, outcome: AttemptOutcome, reason: str, *, next_step: str = "place"
     ) -> None:
@@ -865,11 +910,13 @@
             return
         self.context.connections.send(CancelExchange(exchange.number))
         self.context.fleet.send(WorkEnded(exchange.endpoint.id, exchange.number, outcome))
+        self.extra.report(exchange, outcome, self.written_at)
         if exchange.fetches_kv_cache and outcome in ("answered", "failed"):
             self.prefill.release()
 
     def _finish(self, outcome: str, **fields: object) -> None:
         self.ended = True
+        self.extra.cancel()
         self.prompt.end()
         self.permits.release()
         self.received.start(None)
--- a/chivewall/gateway/gateway.py
+++ b/chivewall/gateway/gateway.py
@@ -19,6 +19,7 @@
 from chivewall.gateway.channels import ConnectionPool
 from chivewall.gateway.configuration_messages import ConfigurationInForce, PeerConfiguration
 from chivewall.gateway.exchange import RequestContext, request_deadline
+from chivewall.gateway.extra_attempts import ExtraAttempts
 from chivewall.gateway.fleet import Fleet
 from chivewall.gateway.forwarded_request import ForwardedRequest
 from chivewall.gateway.http_dialect import CallerRequest, HttpDialect
@@ -317,6 +318,7 @@
             limits=self.env.require(RateLimits),
             connections=self.env.require(ConnectionPool),
             dialect=self.env.require(HttpDialect),
+            extra_attempts=self.env.find(ExtraAttempts),
         )
         self.gateway = Gateway(self.env, self.cfg, context, self.env.require(CollectionSources))
         self.env.provide(Gateway, self.gateway)
--- a/chivewall/gateway/metrics.py
+++ b/chivewall/gateway/metrics.py
@@ -83,6 +83,15 @@
         self.permits = self._counter(
             "permits_total", "Permits for endpoints with a rate limit, by outcome."
         )
+        self.extra_attempts = self._counter(
+            "extra_attempts_total", "Extra attempts sent beside slow ones, by route."
+        )
+        self.extra_outcomes = self._counter(
+            "extra_attempts_ended_total", "Ended extra attempts by outcome."
+        )
+        self.doubled_seconds = self._counter(
+            "extra_attempt_seconds_total", "Time for which two endpoints worked on one call."
+        )
         self.silent_keepers = self._counter(
             "silent_permit_keepers_total", "Gateways that did not answer an ask for a permit."
         )
@@ -109,15 +118,15 @@
             Event.PROMPT_PART_BLOCKED: (self.parts_blocked, "service", "service"),
             Event.ENDPOINT_LEAVING: (self.leaving, "source", "source"),
             Event.ENDPOINT_PAUSED: (self.pauses, "source", "source"),
+            Event.EXTRA_ATTEMPT: (self.extra_attempts, "route", "route"),
+            Event.EXTRA_ATTEMPT_ENDED: (self.extra_outcomes, "outcome", "outcome"),
             Event.PERMIT_DECIDED: (self.permits, "outcome", "outcome"),
             Event.PERMIT_KEEPER_SILENT: (self.silent_keepers, "peer", "peer"),
         }
 
     def observe(self, event: Event, fields: dict[str, Any]) -> None:
         """Update the metrics with one log event."""
-        if event in self._labelled:
-            counter, label, source = self._labelled[event]
-            counter.inc({label: str(fields[source])})
+        self._count(event, fields)
         if event is Event.CALL_ENDED:
             route = {"route": fields["route"]}
             self.requests.inc(route | {"outcome": fields["outcome"]})
@@ -136,6 +145,13 @@
         else:
             self._observe_store(event, fields)
 
+    def _count(self, event: Event, fields: dict[str, Any]) -> None:
+        if event in self._labelled:
+            counter, label, source = self._labelled[event]
+            counter.inc({label: str(fields[source])})
+        if event is Event.EXTRA_ATTEMPT_ENDED:
+            self.doubled_seconds.add({}, fields["doubled_seconds"])
+
     def _observe_limit(self, fields: dict[str, Any]) -> None:
         self.limited_endpoints.set({}, fields["limited_endpoints"])
         if fields["rate"] is None:
--- a/chivewall/gateway/request_log.py
+++ b/chivewall/gateway/request_log.py
@@ -61,6 +61,27 @@
             prompt_parts=[one.id for one in self.request.fields.prompt_parts[:MAX_LOGGED_PARTS]],
         )
 
+    def log_extra_attempt(self, exchange: Exchange, delay: float) -> None:
+        """Log an extra attempt, and the seconds without an answer after which it began."""
+        self.env.log.emit(
+            Event.EXTRA_ATTEMPT,
+            request=self.request.fields.request_id,
+            route=self.route.name,
+            endpoint=exchange.endpoint.id,
+            delay=round(delay, 4),
+        )
+
+    def log_extra_attempt_ended(self, exchange: Exchange, outcome: str, seconds: float) -> None:
+        """Log how an extra attempt ended, and for how long two endpoints worked."""
+        self.env.log.emit(
+            Event.EXTRA_ATTEMPT_ENDED,
+            request=self.request.fields.request_id,
+            route=self.route.name,
+            endpoint=exchange.endpoint.id,
+            outcome=outcome,
+            doubled_seconds=round(seconds, 4),
+        )
+
     def log_waiting(self, reason: str, seconds_left: float) -> None:
         """Log that the request waits until an endpoint can take it, and its time left."""
         self.env.log.emit(
--- a/extras/reference.py
+++ b/extras/reference.py
@@ -26,6 +26,7 @@
     "chivewall.gateway.rate_limits",
     "chivewall.gateway.peers",
     "chivewall.gateway.stage_changer",
+    "chivewall.gateway.extra_attempts",
     "chivewall.gateway.gateway",
     "chivewall.gateway.configuration_exchange",
 )
--- a/tests/utils/requests.py
+++ b/tests/utils/requests.py
@@ -16,6 +16,7 @@
     ResponseStarted,
     SendRequest,
 )
+from chivewall.gateway.extra_attempts import ExtraAttempts
 from chivewall.gateway.forwarded_request import ForwardedRequest
 from chivewall.gateway.http_dialect import (
     CallerRequest,
@@ -103,10 +104,12 @@
 class RequestBench:
     """One request at a gateway that knows the given engines.
 
+    ``policy``: the limits of extra attempts; ``None``: there are none.
+
     Example: ``RequestBench(clock, d1=Stage.DECODE).begin()`` starts its stream at ``d1``.
     """
 
-    def __init__(self, clock, route=None, parts=(), **stages):
+    def __init__(self, clock, route=None, parts=(), policy=None, **stages):
         self.clock = clock
         self.fleet = make_fleet(clock, **stages)
         self.env = self.fleet.env
@@ -116,6 +119,10 @@
         self.guard.start()
         self.limits = RateLimits(self.env, self.fleet)
         self.limits.start()
+        self.extra_attempts = None
+        if policy is not None:
+            self.extra_attempts = ExtraAttempts(self.env, policy)
+            self.extra_attempts.start()
         self.connections = FakeConnections()
         self.caller = RecordingSink()
         context = RequestContext(
@@ -125,6 +132,7 @@
             limits=self.limits,
             connections=self.connections,
             dialect=PlatformDialect(),
+            extra_attempts=self.extra_attempts,
         )
         fields = RequestFields(
             request_id="r1",
@@ -140,10 +148,14 @@
             received_at=self.env.now,
             fields=fields,
         )
-        self.task = ForwardedRequest(
-            context, request, route or make_stream_route(), SERVICE, self.caller, 1
-        )
-        self.task.start()
+        self.context, self.request, self.route = context, request, route or make_stream_route()
+        self.task = self.start_request()
+
+    def start_request(self):
+        """Start the task of one more request like the first, and return it."""
+        task = ForwardedRequest(self.context, self.request, self.route, SERVICE, self.caller, 1)
+        task.start()
+        return task
 
     @property
     def exchange(self):
