Tell where a request would go now, and why

Cause: operators could see after the event where a request went, but not where one would go.

Change: chivewall route asks a gateway's HTTP API; the fleet answers with the code that places requests, on a copy of the random state, and compares each other endpoint by what would be chosen if it were the only one of its stage. Nothing is sent, counted or drawn. The check of the operator token moves to the plug-in credentials, so that gateways don't load the members' modules.

--- a/chivewall/cli/root.py
+++ b/chivewall/cli/root.py
@@ -9,6 +9,7 @@
 from chivewall.cli.config import config
 from chivewall.cli.exceptions import exceptions
 from chivewall.cli.explain import explain
+from chivewall.cli.route import route
 from chivewall.cli.status import status
 from chivewall.exits import ExitStatus
 
@@ -40,4 +41,5 @@
 main.add_command(config)
 main.add_command(exceptions)
 main.add_command(explain)
+main.add_command(route)
 main.add_command(status)
--- a/chivewall/decisions/placement.py
+++ b/chivewall/decisions/placement.py
@@ -102,7 +102,7 @@
 
     ``None``: no endpoint can take it. ``Overloaded``: it would be answered too late.
     """
-    usable = _usable(states, context)
+    usable = usable_endpoints(states, context)
     if not usable:
         return None
     found = _choose(fields, usable, context, prompt)
@@ -225,7 +225,10 @@
     return _choose_engine(fields, decoders, prefill_engines, context)
 
 
-def _usable(states: list[EndpointRecord], context: PlacementContext) -> list[EndpointRecord]:
+def usable_endpoints(
+    states: list[EndpointRecord], context: PlacementContext
+) -> list[EndpointRecord]:
+    """Return the endpoints among which the choice is made."""
     staying = [
         one
         for one in states
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -11,6 +11,7 @@
 from chivewall.decisions.extra_attempts import spare_endpoints
 from chivewall.decisions.peers import record_weight
 from chivewall.decisions.placement import MAX_RANK, PlacementContext, choose
+from chivewall.decisions.placement_explanation import explain_choice
 from chivewall.decisions.repeat_budget import RepeatBudget
 from chivewall.decisions.sent_work import WorkItem, WorkKey
 from chivewall.decisions.speed_samples import SpeedSamples
@@ -37,6 +38,7 @@
     EndpointCrashed,
     EngineCooldown,
     EngineLoads,
+    ExplainPlacement,
     FindPlacement,
     FirstBytesReceived,
     KvCacheLost,
@@ -173,6 +175,17 @@
 
     @receive.register
     async def _(self, message: FindPlacement) -> None:
+        states, context = self._choice(message)
+        message.reply(choose(message.fields, states, context, message.prompt))
+
+    @receive.register
+    async def _(self, message: ExplainPlacement) -> None:
+        request = message.request
+        states, context = self._choice(request)
+        message.reply(explain_choice(request.fields, states, context, request.prompt))
+
+    def _choice(self, message: FindPlacement) -> tuple[list[EndpointRecord], PlacementContext]:
+        """Return the endpoints to choose from, and the circumstances of the choice."""
         self.endpoints.expire()
         for one in self.states.values():
             one.work.expire(self.env.now)
@@ -199,7 +212,7 @@
         )
         if message.spare:
             states = spare_endpoints(states, self.env.now)
-        message.reply(choose(message.fields, states, context, message.prompt))
+        return states, context
 
     @receive.register
     async def _(self, message: RequestReceived) -> None:
--- a/chivewall/gateway/fleet_messages.py
+++ b/chivewall/gateway/fleet_messages.py
@@ -34,6 +34,13 @@
     workspace: str | None = None  # name of the caller's workspace
 
 
+@define(eq=False)
+class ExplainPlacement(Query):
+    """Ask where a request would go; the reply is a ``PlacementExplanation``."""
+
+    request: FindPlacement  # not sent; what the request's task would ask
+
+
 @define(eq=False)
 class AwaitEndpoint(Query):
     """Ask to be told when an endpoint of a service can answer requests.
--- a/chivewall/plugins/builtin/credentials.py
+++ b/chivewall/plugins/builtin/credentials.py
@@ -4,10 +4,14 @@
 from pathlib import Path
 
 from attrs import field, frozen
+from twisted.web.server import Request as HttpRequest
 
-from chivewall.errors import SettingsError
+from chivewall.errors import RequestError, SettingsError
 from chivewall.plugins.base import Plugin
 from chivewall.plugins.registry import Registry
+from chivewall.results import ResultCode
+
+BEARER = "Bearer "
 
 
 @frozen
@@ -74,6 +78,14 @@
     registry.add(CredentialsPlugin)
 
 
+def authenticate(credentials: Credentials, http: HttpRequest) -> None:
+    """Check the operator token; raises ``RequestError``."""
+    header = http.getHeader("Authorization") or ""
+    token = header.removeprefix(BEARER) if header.startswith(BEARER) else None
+    if not credentials.operator_allowed(token):
+        raise RequestError(ResultCode.UNAUTHENTICATED, "the operator token is missing or wrong")
+
+
 def _read_token(path: Path) -> str:
     try:
         token = path.read_text(encoding="utf-8").strip()
--- a/chivewall/plugins/builtin/explain.py
+++ b/chivewall/plugins/builtin/explain.py
@@ -15,9 +15,8 @@
 from chivewall.messages import ConfigurationReceived
 from chivewall.plugins.base import Plugin
 from chivewall.plugins.builtin.configuration import ConfigurationKeeper, Subscribe
-from chivewall.plugins.builtin.credentials import Credentials
+from chivewall.plugins.builtin.credentials import Credentials, authenticate
 from chivewall.plugins.builtin.http_api import HttpApi, write_json
-from chivewall.plugins.builtin.operator_http import authenticate
 from chivewall.plugins.registry import Registry
 from chivewall.results import ResultCode
 from chivewall.task import Query, Task
--- a/chivewall/plugins/builtin/operator_config.py
+++ b/chivewall/plugins/builtin/operator_config.py
@@ -23,10 +23,9 @@
 from chivewall.messages import ConfigurationReceived
 from chivewall.plugins.base import Plugin
 from chivewall.plugins.builtin.configuration import ConfigurationKeeper, CurrentConfiguration
-from chivewall.plugins.builtin.credentials import Credentials
+from chivewall.plugins.builtin.credentials import Credentials, authenticate
 from chivewall.plugins.builtin.directory import Directory, ListMembers, ProbeLagging
 from chivewall.plugins.builtin.http_api import HttpApi, write_json
-from chivewall.plugins.builtin.operator_http import authenticate
 from chivewall.plugins.registry import Registry
 from chivewall.results import ResultCode, RunState
 
--- a/chivewall/plugins/builtin/operator_http.py
+++ b/chivewall/plugins/builtin/operator_http.py
@@ -12,16 +12,12 @@
 from chivewall.decisions.membership import Member
 from chivewall.decisions.rollout import summarise
 from chivewall.environment import Environment
-from chivewall.errors import RequestError
 from chivewall.plugins.base import Plugin
 from chivewall.plugins.builtin.configuration import ConfigurationKeeper, CurrentConfiguration
-from chivewall.plugins.builtin.credentials import Credentials
+from chivewall.plugins.builtin.credentials import Credentials, authenticate
 from chivewall.plugins.builtin.directory import Directory, ListMembers
 from chivewall.plugins.builtin.http_api import HttpApi, write_json
 from chivewall.plugins.registry import Registry
-from chivewall.results import ResultCode
-
-BEARER = "Bearer "
 
 
 class OperatorHttp:
@@ -96,14 +92,6 @@
     registry.add(OperatorHttpPlugin)
 
 
-def authenticate(credentials: Credentials, http: HttpRequest) -> None:
-    """Check the operator token; raises ``RequestError``."""
-    header = http.getHeader("Authorization") or ""
-    token = header.removeprefix(BEARER) if header.startswith(BEARER) else None
-    if not credentials.operator_allowed(token):
-        raise RequestError(ResultCode.UNAUTHENTICATED, "the operator token is missing or wrong")
-
-
 def _describe_configuration(configuration: Configuration | None) -> dict[str, Any] | None:
     if configuration is None:
         return None
--- a/extras/reference.py
+++ b/extras/reference.py
@@ -28,6 +28,7 @@
     "chivewall.gateway.stage_changer",
     "chivewall.gateway.extra_attempts",
     "chivewall.gateway.gateway",
+    "chivewall.gateway.route_explanation",
     "chivewall.gateway.configuration_exchange",
 )
 
--- /dev/null
+++ b/tests/test_placement_explanation.py
@@ -0,0 +1,130 @@
+"""Where a request would go now, and why."""
+
+import pytest
+from twisted.internet.task import Clock
+
+from chivewall.decisions.overload import Overloaded
+from chivewall.gateway.announcement_messages import EndpointLeaving, EndpointLimit, EndpointPause
+from chivewall.gateway.fleet_messages import (
+    EndpointCrashed,
+    EngineCooldown,
+    ExplainPlacement,
+    FindPlacement,
+    WorkSent,
+)
+from chivewall.gateway.http_dialect import RequestFields, StatedLimit
+from chivewall.gateway.route_explanation import find_workspace
+from chivewall.gateway.routing_configuration import (
+    IngressLimits,
+    RoutingConfiguration,
+    Stage,
+    Workspace,
+)
+from tests.utils.fleets import make_fleet
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+def question(tokens=20_000, **fields):
+    prompt = RequestFields(prompt_tokens=tokens)
+    return FindPlacement("engines", prompt, frozenset(), None, **fields)
+
+
+def explain(fleet, **fields):
+    found = []
+    fleet.query(ExplainPlacement(question(**fields))).addCallback(found.append)
+    return found[0]
+
+
+def reasons(explanation):
+    return {one.endpoint: one.reason for one in explanation.candidates}
+
+
+def info(fleet, name):
+    return fleet.states[name].info
+
+
+ENGINES = {"p1": Stage.PREFILL, "p2": Stage.PREFILL, "d1": Stage.DECODE, "d2": Stage.DECODE}
+
+
+@pytest.mark.parametrize("tokens", [0, 100, 20_000])
+@pytest.mark.parametrize("stages", [ENGINES, {"s1": Stage.NONE, "s2": Stage.NONE}])
+def test_explanation_is_what_the_next_request_gets(clock, stages, tokens):
+    """Guards against an explanation that differs from the placement, or changes it."""
+    fleet = make_fleet(clock, **stages)
+    for number in range(12):
+        explained = explain(fleet, tokens=tokens).found
+        assert explain(fleet, tokens=tokens).found == explained
+        found = []
+        fleet.query(question(tokens)).addCallback(found.append)
+        assert found == [explained]
+        work = WorkSent(explained.endpoint.id, 0.3, RequestFields(), 9.0, 9.0, number)
+        fleet.send(work)
+
+
+def test_each_endpoint_has_a_reason(clock):
+    fleet = make_fleet(clock, **ENGINES)
+    explanation = explain(fleet)
+    found = explanation.found
+    chosen = {found.endpoint.id, found.prefill_engine.id}
+    assert {one.endpoint for one in explanation.candidates if one.chosen} == chosen
+    for name, reason in reasons(explanation).items():
+        assert (reason == "chosen") == (name in chosen)
+        assert name in chosen or "slower" in reason
+
+
+def test_slower_endpoint_is_compared_in_seconds(clock):
+    fleet = make_fleet(clock, s1=Stage.NONE, s2=Stage.NONE)
+    for number in range(8):
+        fleet.send(WorkSent("s1", 0.0, RequestFields(), 9.0, 9.0, number))
+    (busy,) = [one for one in explain(fleet).candidates if one.endpoint == "s1"]
+    assert busy.slower_seconds > 0
+    assert busy.reason == f"slower by {busy.slower_seconds:.3f} s"
+
+
+@pytest.mark.parametrize(
+    ("message", "reason"),
+    [
+        (lambda _: EngineCooldown("d1", 2.0), "cooldown for 2.00 s"),
+        (lambda _: EndpointCrashed("d1", 0), "avoided for 1.00 s after failed connections"),
+        (lambda fleet: EndpointLeaving(info(fleet, "d1")), "leaving"),
+        (lambda fleet: EndpointPause(info(fleet, "d1"), 3.0), "; pauses for 3.00 s"),
+        (
+            lambda fleet: EndpointLimit(info(fleet, "d1"), StatedLimit(5.0, "5"), 0.0),
+            "; limit 5/s, permit expected in 0.00 s",
+        ),
+    ],
+)
+def test_rejected_endpoint_has_its_reason(clock, message, reason):
+    fleet = make_fleet(clock, **ENGINES)
+    fleet.send(message(fleet))
+    assert reasons(explain(fleet))["d1"].endswith(reason)
+
+
+def test_overloaded_service_shows_where_the_request_would_wait(clock):
+    fleet = make_fleet(clock, d1=Stage.DECODE)
+    for number in range(50):
+        fleet.send(WorkSent("d1", 1.0, RequestFields(), 60.0, 60.0, number))
+    explanation = explain(fleet, slack_seconds=0.3, time_left_seconds=1.0)
+    assert isinstance(explanation.found, Overloaded)
+    assert reasons(explanation) == {"d1": "the best one, but too late"}
+
+
+def test_service_without_endpoints(clock):
+    explanation = explain(make_fleet(clock))
+    assert (explanation.found, explanation.candidates) == (None, ())
+
+
+@pytest.mark.parametrize(
+    ("keys", "name"), [(("k1",), "w1"), (("k9",), None), ((), None), (("k1", "k1"), None)]
+)
+def test_workspace_has_the_only_key(keys, name):
+    """Guards against a request that counts for a workspace though it would be refused."""
+    configuration = RoutingConfiguration(
+        1, (), IngressLimits(), workspaces=(Workspace("w1", ("k1", "k2")),)
+    )
+    found = find_workspace(configuration, keys)
+    assert (None if found is None else found.name) == name
