--- /dev/null
+++ b/tests/test_extra_attempts_process.py
@@ -0,0 +1,55 @@
+"""Extra attempts at a gateway process, over loopback sockets."""
+
+import json
+import time
+
+import httpx
+import pytest
+
+from chivewall.standins import platform_endpoint as behaviours
+from chivewall.standins.platform_endpoint import PlatformEndpoint
+from tests.utils.gateways import GatewaySite, manifest, route
+from tests.utils.sites import wait_until
+
+PLUGIN = "chivewall.gateway.extra_attempts"
+TAUGHT_REQUESTS = 30
+
+
+class LimitedSite(GatewaySite):
+    """Gateway whose settings allow extra attempts."""
+
+    def write_settings(self, **bounds):
+        super().write_settings(**bounds)
+        lines = self.settings.read_text().splitlines()
+        settings = json.loads("\n".join(one for one in lines if not one.startswith("//")))
+        plugins = settings["plugins"]
+        plugins.insert(plugins.index("chivewall.gateway.gateway"), PLUGIN)
+        settings["extra_attempts"] = {"max_share": 0.2, "max_time_share": 1.0}
+        self.settings.write_text(json.dumps(settings))
+
+
+@pytest.fixture
+def site(tmp_path):
+    with LimitedSite(tmp_path) as one:
+        one.store.put("config", "main", manifest(3, route("read", "desk")))
+        yield one
+
+
+def test_hanging_endpoint_is_answered_for_by_another(site):
+    """Guards against an answer that waits for its deadline while another endpoint is free."""
+    endpoints = [site.add(PlatformEndpoint(f"i-{number}", "desk")) for number in (1, 2)]
+    site.start()
+    for number in range(TAUGHT_REQUESTS):
+        assert site.send("GET", f"/read/{number}", request_id=f"t{number}").status_code == 200
+    shared = [behaviours.hang]  # for the first of the two that is asked
+    for one in endpoints:
+        one.behaviours = shared
+    began = time.monotonic()
+    response = site.send("GET", "/read/slow", request_id="slow")
+    assert response.status_code == 200
+    assert time.monotonic() - began < 2.0
+    (ended,) = site.events("EXTRA_ATTEMPT_ENDED", request="slow")
+    assert ended["outcome"] == "won"
+    page = httpx.get(f"http://127.0.0.1:{site.ports['metrics']}/metrics").text
+    assert 'chivewall_gateway_extra_attempts_ended_total{outcome="won"} 1' in page
+    wait_until(lambda: site.events("CALL_ENDED", request="slow"), "the request is logged")
