Abort a connection whose endpoint closed its side without an answer

Seen on rereading: after an end without an answer the transport still flushed what it held of the request. The endpoint could run a request that had been reported as broken. The connection is aborted there now, and closed orderly only after a complete response. An extra attempt also names the caller's workspace.

--- a/chivewall/gateway/extra_attempt.py
+++ b/chivewall/gateway/extra_attempt.py
@@ -56,6 +56,7 @@
     history: AttemptHistory  # of the request
     failed_endpoints: set[str]  # ids of endpoints that failed to serve the request
     sender: Inbox  # of the request's task
+    workspace: str | None = None  # name of the caller's workspace
     exchange: Exchange | None = None  # while it runs
     placement: Placement | None = None
     head: ResponseHead | None = None  # of a response that makes it win
@@ -109,7 +110,9 @@
             number, placement.endpoint, prefill=False, fetches_kv_cache=False, extra=True
         )
         sent = ForwardedFields(
-            time_left_ms=(deadline - now) * MS_PER_SECOND, endpoint=placement.endpoint.id
+            time_left_ms=(deadline - now) * MS_PER_SECOND,
+            endpoint=placement.endpoint.id,
+            workspace=self.workspace,
         )
         self.log.log_attempt(self.exchange, self.placement, sent)
         self.log.log_extra_attempt(self.exchange, self._delay)
--- a/chivewall/gateway/forwarded_request.py
+++ b/chivewall/gateway/forwarded_request.py
@@ -160,6 +160,7 @@
             history=self.history,
             failed_endpoints=self.failed_endpoints,
             sender=self.inbox,
+            workspace=None if workspace is None else workspace.name,
         )
         self._timers: list = []
 
--- a/chivewall/gateway/outgoing_connection.py
+++ b/chivewall/gateway/outgoing_connection.py
@@ -129,15 +129,17 @@
         one that has not is about to reset the connection, or was ended inside its response.
         """
         self.is_open = False
-        delivered = self._request_written and is_delivered(self.transport)
-        if self._until_closed and not delivered:
+        unanswered = self.request is not None
+        if self._until_closed and not (self._request_written and is_delivered(self.transport)):
             self._fail("connection closed before the request was received")
-        elif self.request is not None:
+        elif unanswered:
+            completed = self.completed_exchanges
             self._read_end()
-        if delivered:
-            self.transport.loseConnection()
+            unanswered = self.completed_exchanges == completed
+        if unanswered:
+            self.transport.abortConnection()  # nothing of the request is sent any more
         else:
-            self.transport.abortConnection()
+            self.transport.loseConnection()
         self.on_closed(self)  # before anyone takes it for an idle one
 
     def writeConnectionLost(self) -> None:  # noqa: N802 - Twisted's name
