Begin extra attempts only where they are expected to save more than they add

Change: the delay is used only if another attempt would, over recent answers, save more waiting than the endpoint time that it adds. It is worked out once a second.

--- a/chivewall/decisions/extra_attempts.py
+++ b/chivewall/decisions/extra_attempts.py
@@ -1,8 +1,9 @@
 """Decides when a request that is answered slowly gets a second attempt beside the first.
 
-The delay is learned from recent answers, so that only the slowest requests get one. Two limits hold
-for each service: extra attempts by request, and the time for which two endpoints worked on one
-request by the time of all attempts.
+The delay is learned from recent answers, so that only the slowest requests get one, and only where
+another attempt is likely to be faster than the rest of the first. Two limits hold for each service:
+extra attempts by request, and the time for which two endpoints worked on one request by the time of
+all attempts.
 """
 
 import math
@@ -16,6 +17,9 @@
 
 ANSWER_AGE_SECONDS = 60.0  # older answers no longer count
 MAX_ANSWERS = 512  # latest answers that are kept of one kind
+DELAY_AGE_SECONDS = 1.0  # the delay is worked out again after this time
+COMPARED_ANSWERS = 10  # evenly spaced ones that stand for the time of another attempt
+ROUNDING = 1e-9
 LIMIT_WINDOW_SECONDS = 60.0  # window of the limits
 REFUSAL_SECONDS = 2.0  # no extra attempt for so long after a refusal of the service
 # Share of the slots of a service that may be taken when an extra attempt begins. Beyond it, the
@@ -37,29 +41,46 @@
     """Times from the send of a request to its answer, of one kind of request."""
 
     _answers: deque = field(factory=deque, init=False)  # pairs of time and seconds
+    _delay: float | None = field(default=None, init=False)
+    _delay_until: float = field(default=-math.inf, init=False)  # until then it isn't worked out
 
     def record(self, seconds: float, now: float) -> None:
         """Record an answer, or for how long none came from an attempt that was given up."""
         self._answers.append((now, seconds))
         if len(self._answers) > MAX_ANSWERS:
             self._answers.popleft()
-        self._expire(now)
 
-    def quantile(self, share: float, now: float) -> float | None:
-        """Return the seconds in which this share of the answers came; ``None``: too few of them.
+    def is_settled(self, share: float, now: float) -> bool:
+        """Return whether there are enough answers for the quantile of this share.
 
         Example: a share of 0.95 needs 10 answers.
         """
-        self._expire(now)
-        count = len(self._answers)
-        if count * (1 - share) < 0.5 - 1e-9:
-            return None
-        ordered = sorted(seconds for _, seconds in self._answers)
-        return ordered[math.ceil(share * count - 1e-9) - 1]
-
-    def _expire(self, now: float) -> None:
         while self._answers and self._answers[0][0] <= now - ANSWER_AGE_SECONDS:
             self._answers.popleft()
+        return len(self._answers) * (1 - share) >= 0.5 - ROUNDING
+
+    def delay(self, share: float, now: float) -> float | None:
+        """Return the seconds in which this share of the answers came.
+
+        ``None``: there are too few answers, or another attempt after this time would on average
+        save less waiting than the endpoint time that it adds.
+        """
+        if now >= self._delay_until:
+            self._delay_until = now + DELAY_AGE_SECONDS
+            self._delay = self._work_out(share) if self.is_settled(share, now) else None
+        return self._delay
+
+    def _work_out(self, share: float) -> float | None:
+        ordered = sorted(seconds for _, seconds in self._answers)
+        rank = math.ceil(share * len(ordered) - ROUNDING) - 1
+        delay = ordered[rank]
+        # Slower than usual because of the request itself, the next endpoint needs as long again.
+        left = [seconds - delay for seconds in ordered[rank:]]
+        step = max(1, len(ordered) // COMPARED_ANSWERS)
+        fresh = ordered[step // 2 :: step]
+        saved = sum(max(0.0, one - other) for one in left for other in fresh)
+        added = sum(min(one, other) for one in left for other in fresh)
+        return delay if saved > added else None
 
 
 @define
--- a/chivewall/gateway/extra_attempts.py
+++ b/chivewall/gateway/extra_attempts.py
@@ -95,11 +95,10 @@
     def _delay(self, service: str, route: str) -> float | None:
         if not self._limits(service).allow(self.policy, self.env.now):
             return None
-        for times in (self.route_times.get((service, route)), self.service_times.get(service)):
-            delay = None if times is None else times.quantile(self.policy.quantile, self.env.now)
-            if delay is not None:
-                return delay
-        return None
+        times = self.route_times.get((service, route))
+        if times is None or not times.is_settled(self.policy.quantile, self.env.now):
+            times = self.service_times.get(service, AnswerTimes())
+        return times.delay(self.policy.quantile, self.env.now)
 
     def _limits(self, service: str) -> ExtraAttemptLimits:
         return self.limits.setdefault(service, ExtraAttemptLimits())
--- a/chivewall/gateway/forwarded_request.py
+++ b/chivewall/gateway/forwarded_request.py
@@ -887,6 +887,8 @@
 
     async def _handle_timeout(self) -> None:
         may_have_run = self.exchange is not None and not self.exchange.prefill
+        if may_have_run and self.received.head is None:
+            self.extra.report_answer(self.exchange, self.written_at)
         self._end_exchange("left")
         if self.response.started:
             self.response.abort()
--- a/tests/test_extra_attempts.py
+++ b/tests/test_extra_attempts.py
@@ -29,6 +29,7 @@
 
 POLICY = ExtraAttemptPolicy(max_share=0.1, max_time_share=0.2, quantile=0.95)
 USUAL_SECONDS = 0.1
+SLOW_SECONDS = 10.0  # of each fortieth answer
 ERROR_HEAD = evolve(PLAIN_HEAD, status=500)
 UNSTAMPED_HEAD = evolve(PLAIN_HEAD, fields=ResponseFields(request_id="r1"))
 SERVICES = {"d1": Stage.NONE, "d2": Stage.NONE}
@@ -45,8 +46,9 @@
     bench = RequestBench(
         clock, route=make_stream_route(**fields), policy=policy, **(stages or SERVICES)
     )
-    for _ in range(answers):
-        bench.extra_attempts.send(AnswerTime(SERVICE, bench.route.name, USUAL_SECONDS))
+    for number in range(answers):
+        seconds = SLOW_SECONDS if number % 40 == 39 else USUAL_SECONDS
+        bench.extra_attempts.send(AnswerTime(SERVICE, bench.route.name, seconds))
         bench.extra_attempts.send(EndpointTime(SERVICE, USUAL_SECONDS))
     bench.task.send(RequestWritten(1, reused=False))
     return bench
@@ -293,15 +295,37 @@
     assert len(bench.connections.sent) - 21 == POLICY.max_share * 40
 
 
-def test_quantile_is_that_of_recent_answers():
+def make_times(*seconds):
     times = AnswerTimes()
-    for seconds in range(1, 10):
-        times.record(seconds, 0.0)
-    assert times.quantile(0.95, 0.0) is None
-    times.record(10, 0.0)
-    assert times.quantile(0.95, 0.0) == 10
-    assert times.quantile(0.5, 0.0) == 5
-    assert times.quantile(0.95, 100.0) is None
+    for one in seconds:
+        times.record(one, 0.0)
+    return times
+
+
+def test_delay_is_the_quantile_of_recent_answers():
+    """Guards against a delay from too few or old answers."""
+    assert make_times(*[0.1] * 8, 1.0).delay(0.95, 0.0) is None
+    times = make_times(*[0.1] * 18, 1.0, 2.0)
+    assert times.delay(0.9, 0.0) == 0.1
+    assert times.delay(0.9, 100.0) is None
+
+
+def test_delay_is_kept_for_a_moment():
+    """Guards against answers that are sorted anew for each request."""
+    times = make_times(*[0.1] * 18, 1.0, 2.0)
+    assert times.delay(0.9, 0.0) == 0.1
+    for _ in range(200):
+        times.record(0.05, 0.5)
+    assert times.delay(0.9, 0.5) == 0.1
+    assert times.delay(0.9, 1.5) != 0.1
+
+
+def test_no_delay_where_another_attempt_would_take_as_long():
+    """Guards against endpoint time for requests that are slow at any endpoint."""
+    light_tail = [0.03 + 0.002 * number for number in range(100)]
+    assert make_times(*light_tail).delay(0.9, 0.0) is None
+    heavy_tail = [*light_tail[:92], *[2.0] * 8]
+    assert make_times(*heavy_tail).delay(0.9, 0.0) == pytest.approx(light_tail[89])
 
 
 def test_limits_hold_within_their_window():
--- a/tests/test_extra_attempts_process.py
+++ b/tests/test_extra_attempts_process.py
@@ -13,6 +13,13 @@
 
 PLUGIN = "chivewall.gateway.extra_attempts"
 TAUGHT_REQUESTS = 30
+LATE_SECONDS = 1.0
+
+
+def answer_late(handler):
+    """Answer late enough to teach that some answers are slow."""
+    time.sleep(LATE_SECONDS)
+    behaviours.answer(handler)
 
 
 class LimitedSite(GatewaySite):
@@ -39,6 +46,7 @@
     """Guards against an answer that waits for its deadline while another endpoint is free."""
     endpoints = [site.add(PlatformEndpoint(f"i-{number}", "desk")) for number in (1, 2)]
     site.start()
+    endpoints[0].behaviours = [answer_late]
     for number in range(TAUGHT_REQUESTS):
         assert site.send("GET", f"/read/{number}", request_id=f"t{number}").status_code == 200
     shared = [behaviours.hang]  # for the first of the two that is asked
