--- a/chivewall/events.py
+++ b/chivewall/events.py
@@ -108,8 +108,10 @@
     KEY_REVOKED = (732, "info", "call ended before its next attempt: its key is no longer valid")
     ENGINE_MEMORY_FULL = (740, "info", "call not placed: the engines have no memory for it")
     WORKSPACE_YIELDS = (733, "info", "call yields: its workspace uses more than its share")
+    EXTRA_ATTEMPT = (760, "info", "extra attempt of a call sent beside a slow one")
+    EXTRA_ATTEMPT_ENDED = (761, "info", "extra attempt of a call won, failed or was cancelled")
     SPEED_LEARNED = (710, "info", "learned speeds of a service changed")
-    ENGINE_SPEED_LEARNED = (740, "info", "learned speed of one engine changed")
+    ENGINE_SPEED_LEARNED = (741, "info", "learned speed of one engine changed")
     PEER_UNREACHABLE = (708, "warning", "datagram to another gateway not sent")
 
     def __init__(self, number: int, level: str, text: str) -> None:
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -14,9 +14,11 @@
     MemoryVerdict,
     must_be_placed,
 )
+from chivewall.decisions.extra_attempts import spare_endpoints
 from chivewall.decisions.overload import Overloaded
 from chivewall.decisions.peers import record_weight
 from chivewall.decisions.placement import MAX_RANK, PlacementContext, choose
+from chivewall.decisions.placement_explanation import explain_choice
 from chivewall.decisions.repeat_budget import RepeatBudget
 from chivewall.decisions.sent_work import WorkItem, WorkKey
 from chivewall.decisions.service_demands import ServiceDemands
@@ -46,6 +48,7 @@
     EngineLoads,
     EngineMemoryStated,
     ExpectEndpoints,
+    ExplainPlacement,
     FindPlacement,
     FirstBytesReceived,
     FollowDemands,
@@ -190,6 +193,24 @@
 
     @receive.register
     async def _(self, message: FindPlacement) -> None:
+        states, context = self._choice(message)
+        if not must_be_placed(message.prompt, committed=message.committed):
+            states, verdict = self.memories.fitting(states, message.fields)
+            if verdict is not MemoryVerdict.FITS:
+                self._refuse_for_memory(message, verdict)
+                return
+        found = choose(message.fields, states, context, message.prompt)
+        self.fairness.record_choice(message, found, context.queue_weight)
+        message.reply(found)
+
+    @receive.register
+    async def _(self, message: ExplainPlacement) -> None:
+        request = message.request
+        states, context = self._choice(request)
+        message.reply(explain_choice(request.fields, states, context, request.prompt))
+
+    def _choice(self, message: FindPlacement) -> tuple[list[EndpointRecord], PlacementContext]:
+        """Return the endpoints to choose from, and the circumstances of the choice."""
         self.endpoints.expire()
         for one in self.states.values():
             one.work.expire(self.env.now)
@@ -199,11 +220,6 @@
             if one.info.service == message.service
             and (message.allowed is None or one.info.id in message.allowed)
         ]
-        if not must_be_placed(message.prompt, committed=message.committed):
-            states, verdict = self.memories.fitting(states, message.fields)
-            if verdict is not MemoryVerdict.FITS:
-                self._refuse_for_memory(message, verdict)
-                return
         context = PlacementContext(
             data_centre=self.env.settings.core.data_centre,
             now=self.env.now,
@@ -220,9 +236,9 @@
             last_resort=message.last_resort,
             queue_weight=self.fairness.queue_weight(message),
         )
-        found = choose(message.fields, states, context, message.prompt)
-        self.fairness.record_choice(message, found, context.queue_weight)
-        message.reply(found)
+        if message.spare:
+            states = spare_endpoints(states, self.env.now)
+        return states, context
 
     @receive.register
     async def _(self, message: RequestReceived) -> None:
@@ -242,7 +258,7 @@
 
     @receive.register
     async def _(self, message: SpendRepeat) -> None:
-        message.reply(self._repeat_budget(message.service).spend(self.env.now))
+        message.reply(self._repeat_budget(message.service).spend(self.env.now, message.share))
 
     @receive.register
     async def _(self, message: WorkSent) -> None:
--- a/chivewall/gateway/fleet_messages.py
+++ b/chivewall/gateway/fleet_messages.py
@@ -30,10 +30,18 @@
     pause_seconds: float = 0.3  # longest pause between events that the objective allows
     kv_data_centre: str | None = None  # data centre of the engine that keeps the KV cache
     last_resort: bool = True  # endpoints that had better get no work are chosen as a last resort
+    spare: bool = False  # only endpoints with room for an extra attempt
     permits: frozenset[str] = frozenset()  # ids of endpoints for which the request has a permit
     workspace: str | None = None  # name of the caller's workspace
 
 
+@define(eq=False)
+class ExplainPlacement(Query):
+    """Ask where a request would go; the reply is a ``PlacementExplanation``."""
+
+    request: FindPlacement  # not sent; what the request's task would ask
+
+
 @define(eq=False)
 class AwaitEndpoint(Query):
     """Ask to be told when an endpoint of a service can answer requests.
@@ -58,6 +66,7 @@
     """Ask for one repeat from the service's repeat budget; the reply is a ``bool``."""
 
     service: str
+    share: float = 1.0  # of the budget that repeats of this sort may use
 
 
 @frozen
--- a/chivewall/gateway/gateway.py
+++ b/chivewall/gateway/gateway.py
@@ -24,6 +24,7 @@
     SubscribeToPeerVersions,
 )
 from chivewall.gateway.exchange import RequestContext, request_deadline
+from chivewall.gateway.extra_attempts import ExtraAttempts
 from chivewall.gateway.fleet import Fleet
 from chivewall.gateway.fleet_messages import EngineMemoryStated
 from chivewall.gateway.forwarded_request import ForwardedRequest
@@ -360,6 +361,7 @@
             connections=self.env.require(ConnectionPool),
             dialect=self.env.require(HttpDialect),
             response_bytes=ByteBudget(self.cfg.memory_limits.responses),
+            extra_attempts=self.env.find(ExtraAttempts),
         )
         if (counter := self.env.find(UsageCounter)) is not None:
             context.usage = counter.inbox
--- a/extras/reference.py
+++ b/extras/reference.py
@@ -29,7 +29,9 @@
     "chivewall.gateway.duties",
     "chivewall.gateway.usage",
     "chivewall.gateway.stage_changer",
+    "chivewall.gateway.extra_attempts",
     "chivewall.gateway.gateway",
+    "chivewall.gateway.route_explanation",
     "chivewall.gateway.configuration_exchange",
 )
 
