--- a/chivewall/decisions/placement_explanation.py
+++ b/chivewall/decisions/placement_explanation.py
@@ -47,11 +47,15 @@
     states: list[EndpointRecord],
     context: PlacementContext,
     prompt: PromptState = PromptState.NOT_PREFILLED,
+    full: frozenset[str] = frozenset(),
 ) -> PlacementExplanation:
     """Return the choice that ``choose`` would make now, with its reasons.
 
+    ``full``: ids of engines that have no memory for the request.
+
     Example: ``explain_choice(fields, states, context).found``.
     """
+    context = evolve(context, excluded=context.excluded | full)
     found = choose(fields, states, _with_same_draws(context), prompt)
     # Where an overloaded service would serve the request, if it had to.
     forced = evolve(context, committed=True)
@@ -61,7 +65,7 @@
     candidates = []
     for one in sorted(states, key=lambda state: state.info.id):
         if one not in usable:
-            reason, slower = _exclusion(one, context), None
+            reason, slower = _exclusion(one, context, full), None
         elif _is_chosen(one, best):
             reason, slower = "chosen" if placed else "the best one, but too late", 0.0
         else:
@@ -90,9 +94,11 @@
     return placement is not None and state.info in (placement.endpoint, placement.prefill_engine)
 
 
-def _exclusion(state: EndpointRecord, context: PlacementContext) -> str:
+def _exclusion(state: EndpointRecord, context: PlacementContext, full: frozenset[str]) -> str:
     """Return why an endpoint isn't among those that may be chosen."""
     now = context.now
+    if state.info.id in full:
+        return "no memory for the request beside those that it holds"
     if state.info.id in context.excluded:
         return "excluded: an attempt failed there"
     if state.availability is Availability.LEAVING:
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -207,7 +207,9 @@
     async def _(self, message: ExplainPlacement) -> None:
         request = message.request
         states, context = self._choice(request)
-        message.reply(explain_choice(request.fields, states, context, request.prompt))
+        fitting, _ = self.memories.fitting(states, request.fields)
+        full = frozenset(one.info.id for one in states) - {one.info.id for one in fitting}
+        message.reply(explain_choice(request.fields, states, context, request.prompt, full))
 
     def _choice(self, message: FindPlacement) -> tuple[list[EndpointRecord], PlacementContext]:
         """Return the endpoints to choose from, and the circumstances of the choice."""
--- a/tests/test_extra_attempts.py
+++ b/tests/test_extra_attempts.py
@@ -125,7 +125,7 @@
     answer(bench, winner)
     loser = record(bench, names[2 - winner])
     assert loser.failure_share == 0.0
-    assert loser.slowness.factor(clock.seconds()) == 1.0
+    assert loser.slowness.factor(clock.seconds(), loser.service_speeds.current) == 1.0
     assert (loser.failed_connections, loser.in_flight) == (0, 0)
 
 
