--- a/chivewall/decisions/workspace_shares.py
+++ b/chivewall/decisions/workspace_shares.py
@@ -136,7 +136,8 @@
     told_until: float = -math.inf  # the same, as seen by others
     totals: dict[str, Tally] = field(factory=dict)  # of all gateways, by workspace
     untold: dict[str, Tally] = field(factory=dict)  # the part that the others don't know
-    _allotted: dict[str, float] = field(factory=dict, init=False)
+    # Part and use of each workspace when the parts were worked out.
+    _allotted: dict[str, tuple[float, float]] = field(factory=dict, init=False)
     _allotted_at: float = field(default=-math.inf, init=False)
 
     def is_short(self, now: float) -> bool:
@@ -148,16 +149,20 @@
         if workspace in self.totals or len(self.totals) < MAX_WORKSPACES:
             self.totals.setdefault(workspace, Tally()).add(demand, use, now)
 
-    def allotment(self, workspace: str, now: float) -> float:
-        """Return the part of the room for a workspace, as a decayed sum of use."""
+    def allotment(self, workspace: str, now: float) -> tuple[float, float]:
+        """Return the part of the room for a workspace and its use, both as decayed sums of use.
+
+        Both are of the same moment: requests sent since then would pass for an excess.
+        """
         if now - self._allotted_at >= REFRESH_SECONDS:
             self._allotted_at = now
             self.forget(now)
             for one in self.totals.values():
                 one.decay(now)
             demands = {name: max(one.demand, one.use) for name, one in self.totals.items()}
-            self._allotted = allotments(demands, sum(one.use for one in self.totals.values()))
-        return self._allotted.get(workspace, 0.0)
+            parts = allotments(demands, sum(one.use for one in self.totals.values()))
+            self._allotted = {name: (part, self.totals[name].use) for name, part in parts.items()}
+        return self._allotted.get(workspace, (0.0, 0.0))
 
     def forget(self, now: float) -> None:
         """Drop workspaces that have sent nothing for a long time."""
@@ -229,10 +234,8 @@
         group = self._groups.get(use.group)
         if group is None or not group.is_short(now) or use.workspace not in group.totals:
             return 1.0
-        part = group.allotment(use.workspace, now)
-        tally = group.totals.get(use.workspace, Tally())
-        tally.decay(now)
-        excess = max(1.0, tally.use / (part + use.cost))
+        part, used = group.allotment(use.workspace, now)
+        excess = max(1.0, used / (part + use.cost))
         return min(MAX_QUEUE_WEIGHT, excess**EXCESS_POWER)
 
     def _record(
