Rank requests by the priorities of workspace and route

The priority of the workspace replaced that of the route, so requests with an objective of 0.3 s waited behind long prompts of workspaces with the same priority.

Change: the priority of the workspace decides first and that of the route second; the ranks are the places of the pairs, without gaps.

Conclusion: the order of the routes has to be kept inside a workspace's.

--- a/chivewall/gateway/forwarded_request.py
+++ b/chivewall/gateway/forwarded_request.py
@@ -19,6 +19,7 @@
 )
 from chivewall.decisions.overload import Overloaded
 from chivewall.decisions.placement import Placement, PromptState
+from chivewall.decisions.request_ranks import RequestRanks
 from chivewall.decisions.workspace_shares import WorkspaceUse
 from chivewall.errors import DecodeError, EndpointError
 from chivewall.gateway.caller_messages import CallerDisconnected, EndBy
@@ -77,7 +78,7 @@
 )
 from chivewall.gateway.workspace_access import KeyRefusal, key_refusal
 from chivewall.gateway.workspace_fairness import workspace_use
-from chivewall.gateway.workspace_messages import KeysInForce
+from chivewall.gateway.workspace_messages import WorkspacesInForce
 from chivewall.messages import Tick
 from chivewall.results import ResultCode
 from chivewall.task import Inbox, Task
@@ -110,10 +111,12 @@
         workspace: Workspace | None = None,
         *,
         workspaces_in_use: bool = False,
+        ranks: RequestRanks | None = None,
     ) -> None:
         super().__init__()
         self.workspace = workspace  # None: the route is public, or there are no workspaces
         self.workspaces_in_use = workspaces_in_use
+        self.ranks = ranks  # None: the route's priority alone counts
         self.key_refusal: KeyRefusal | None = None  # why no further attempt may be sent
         self.context = context
         self.env = context.env
@@ -207,12 +210,13 @@
             self._schedule(self.response_deadline - self.env.now, Tick("answer_by"))
 
     @receive.register
-    async def _(self, message: KeysInForce) -> None:
+    async def _(self, message: WorkspacesInForce) -> None:
         if self.ended:
             return
         ruling = message.keys.rule(self.request.fields.workspace_keys, self.route)
         self.workspace = ruling.workspace
         self.workspaces_in_use = ruling.workspaces_in_use
+        self.ranks = message.ranks
         self.key_refusal = key_refusal(ruling)
         if self.key_refusal is not None and self.exchange is None:
             await self._end_without_key(AttemptOutcome.NOT_RUN)
@@ -923,10 +927,10 @@
 
     @property
     def _rank(self) -> int:
-        """Return the rank of the request: its workspace's goes before its route's."""
-        if self.workspace is None or self.workspace.priority is None:
+        """Return the rank of the request by the priorities of its workspace and its route."""
+        if self.ranks is None:
             return self.route.priority
-        return self.workspace.priority
+        return self.ranks.rank(self.workspace, self.route)
 
     def _workspace_fields(self) -> dict[str, Any]:
         """Return the fields of ``ForwardedFields`` that tell an endpoint the workspace."""
--- a/chivewall/gateway/gateway.py
+++ b/chivewall/gateway/gateway.py
@@ -41,7 +41,6 @@
     CollectionWatcher,
 )
 from chivewall.gateway.workspace_access import WorkspaceAccess, key_refusal
-from chivewall.gateway.workspace_messages import KeysInForce
 from chivewall.plugins.base import Plugin
 from chivewall.plugins.registry import Registry
 from chivewall.results import ResultCode
@@ -238,6 +237,7 @@
             connection.request_number,
             ruling.workspace,
             workspaces_in_use=ruling.workspaces_in_use,
+            ranks=self.access.in_force.ranks,
         )
         if self.shutdown is not None:
             task.send(EndBy(self.shutdown.end_by))
@@ -308,10 +308,10 @@
             return
         self.table = RouteTable(configuration)
         self.limits = configuration.limits
-        keys = self.access.apply(configuration)
+        self.access.apply(configuration)
         for connection in self.connections:
             connection.extend_idle_time()
-            connection.tell_request(KeysInForce(keys))
+            connection.tell_request(self.access.in_force)
         self.env.log.emit(
             Event.CATALOGUE_IN_FORCE,
             version=configuration.version,
--- a/chivewall/gateway/workspace_access.py
+++ b/chivewall/gateway/workspace_access.py
@@ -1,13 +1,15 @@
-"""The keys of the routing configuration in force, and what the log says of them."""
+"""The keys and ranks of the routing configuration in force, and what the log says of them."""
 
 from attrs import define, field, frozen
 
 from chivewall.decisions.configuration_age import ConfigurationAge
+from chivewall.decisions.request_ranks import RequestRanks
 from chivewall.decisions.workspace_keys import KeyRuling, KeyVerdict, WorkspaceKeys
 from chivewall.environment import Environment
 from chivewall.events import Event
 from chivewall.gateway.http_dialect import CallerRequest
 from chivewall.gateway.routing_configuration import Route, RoutingConfiguration
+from chivewall.gateway.workspace_messages import WorkspacesInForce
 from chivewall.results import ResultCode
 
 MAX_LOGGED_PAIRS = 8  # pairs of workspaces with a common key that one line names
@@ -35,29 +37,30 @@
 
     env: Environment
     age: ConfigurationAge = field(factory=ConfigurationAge, init=False)
-    keys: WorkspaceKeys | None = field(default=None, init=False)
+    in_force: WorkspacesInForce | None = field(default=None, init=False)
 
-    def apply(self, configuration: RoutingConfiguration) -> WorkspaceKeys:
-        """Put the keys of a configuration in force, and return them."""
-        self.keys = WorkspaceKeys(configuration)
+    def apply(self, configuration: RoutingConfiguration) -> None:
+        """Put the keys and ranks of a configuration in force."""
+        keys = WorkspaceKeys(configuration)
+        self.in_force = WorkspacesInForce(keys, RequestRanks(configuration))
         self.age.record_applied()
         if configuration.keys_required:
             self.env.log.emit(
                 Event.WORKSPACES_IN_FORCE,
                 version=configuration.version,
                 workspaces=len(configuration.workspaces),
-                keys=self.keys.count,
+                keys=keys.count,
             )
-        if configuration.odd_workspaces or self.keys.shared:
+        if configuration.odd_workspaces or keys.shared:
             self.env.log.emit(
                 Event.WORKSPACE_ENTRY_ODD,
                 version=configuration.version,
                 odd_entries=configuration.odd_workspaces,
-                common_keys=sorted(self.keys.shared)[:MAX_LOGGED_PAIRS],
+                common_keys=sorted(keys.shared)[:MAX_LOGGED_PAIRS],
             )
-        return self.keys
 
     def rule(self, request: CallerRequest, route: Route) -> KeyRuling:
         """Return what holds for a request that has arrived."""
         may_be_old = self.age.may_be_old(self.env.now)
-        return self.keys.rule(request.fields.workspace_keys, route, may_be_old=may_be_old)
+        sent = request.fields.workspace_keys
+        return self.in_force.keys.rule(sent, route, may_be_old=may_be_old)
--- a/chivewall/gateway/workspace_messages.py
+++ b/chivewall/gateway/workspace_messages.py
@@ -1,12 +1,14 @@
-"""Messages about the keys of workspaces."""
+"""Messages about workspaces."""
 
 from attrs import frozen
 
+from chivewall.decisions.request_ranks import RequestRanks
 from chivewall.decisions.workspace_keys import WorkspaceKeys
 
 
 @frozen
-class KeysInForce:
-    """A new routing configuration is in force; its keys hold for attempts not yet sent."""
+class WorkspacesInForce:
+    """A new routing configuration is in force; this holds for attempts that are not yet sent."""
 
     keys: WorkspaceKeys
+    ranks: RequestRanks
