Forget workspaces that no longer ask for anything

Cause: each allotment brought all sums up to date, so that none was ever old enough to be forgotten; after 2,000 names, new workspaces were not counted.

Change: a workspace is forgotten once its sums are negligible, looked for every five seconds, whether or not room is short.

--- a/chivewall/decisions/workspace_shares.py
+++ b/chivewall/decisions/workspace_shares.py
@@ -22,7 +22,8 @@
 EXCESS_POWER = 2.0
 MAX_QUEUE_WEIGHT = 8.0  # the queue counts at most this many times
 REFRESH_SECONDS = 0.1  # age at which allotments are worked out again
-FORGET_SECONDS = 10 * AVERAGE_SECONDS  # age at which what is left of an average is negligible
+NEGLIGIBLE = 1e-4  # sum at which a workspace is forgotten; one request counts 1 or more
+FORGET_SECONDS = 5.0  # between two looks for workspaces to forget
 MAX_WORKSPACES = 2_000  # tracked in one group; more are errors of a sender
 MAX_GROUPS = 200
 OUTPUT_TOKEN_COST = 10.0  # prompt tokens for which an output token counts
@@ -136,6 +137,7 @@
     told_until: float = -math.inf  # the same, as seen by others
     totals: dict[str, Tally] = field(factory=dict)  # of all gateways, by workspace
     untold: dict[str, Tally] = field(factory=dict)  # the part that the others don't know
+    _forgotten_at: float = field(default=0.0, init=False)
     _allotted: dict[str, float] = field(factory=dict, init=False)
     _allotted_at: float = field(default=-math.inf, init=False)
 
@@ -145,6 +147,7 @@
 
     def add(self, workspace: str, demand: float, use: float, now: float) -> None:
         """Add to the sums of all gateways."""
+        self.forget(now)
         if workspace in self.totals or len(self.totals) < MAX_WORKSPACES:
             self.totals.setdefault(workspace, Tally()).add(demand, use, now)
 
@@ -152,7 +155,6 @@
         """Return the part of the room for a workspace, as a decayed sum of use."""
         if now - self._allotted_at >= REFRESH_SECONDS:
             self._allotted_at = now
-            self.forget(now)
             for one in self.totals.values():
                 one.decay(now)
             demands = {name: max(one.demand, one.use) for name, one in self.totals.items()}
@@ -160,10 +162,15 @@
         return self._allotted.get(workspace, 0.0)
 
     def forget(self, now: float) -> None:
-        """Drop workspaces that have sent nothing for a long time."""
+        """Drop workspaces that have asked for nothing for a long time, now and then."""
+        if now - self._forgotten_at < FORGET_SECONDS:
+            return
+        self._forgotten_at = now
         for tallies in (self.totals, self.untold):
-            for name in [one for one, it in tallies.items() if now - it.at > FORGET_SECONDS]:
-                del tallies[name]
+            for name, tally in list(tallies.items()):
+                tally.decay(now)
+                if tally.demand + tally.use < NEGLIGIBLE:
+                    del tallies[name]
 
 
 @define
--- a/tests/test_workspace_shares.py
+++ b/tests/test_workspace_shares.py
@@ -215,7 +215,13 @@
     shares = WorkspaceShares()
     for number in range(2 * MAX_WORKSPACES):
         shares.record_demand(use(f"w{number}"), 1.0)
-    assert len(shares._groups[GROUP].totals) == MAX_WORKSPACES
+    group = shares._groups[GROUP]
+    assert len(group.totals) == MAX_WORKSPACES
+    for second in range(2, 60):
+        shares.record_short(GROUP, second)
+        shares.record_demand(use("late", 5.0), second)
+        shares.queue_weight(use("late"), second)
+    assert set(group.totals) == set(group.untold) == {"late"}
 
 
 class TestFleet:
