--- a/chivewall/gateway/gateway.py
+++ b/chivewall/gateway/gateway.py
@@ -44,7 +44,6 @@
 )
 from chivewall.gateway.usage import UsageCounter
 from chivewall.gateway.workspace_access import WorkspaceAccess, key_refusal
-from chivewall.gateway.workspace_messages import KeysInForce
 from chivewall.plugins.base import Plugin
 from chivewall.plugins.registry import Registry
 from chivewall.results import ResultCode
@@ -250,6 +249,7 @@
             connection.request_number,
             ruling.workspace,
             workspaces_in_use=ruling.workspaces_in_use,
+            ranks=self.access.in_force.ranks,
         )
         if self.shutdown is not None:
             task.send(EndBy(self.shutdown.end_by))
@@ -316,10 +316,10 @@
         self.limits = configuration.limits
         memory = {one.service: one.tokens for one in configuration.engine_memory}
         self.context.fleet.send(EngineMemoryStated(memory))
-        keys = self.access.apply(configuration)
+        self.access.apply(configuration)
         for connection in self.connections:
             connection.extend_idle_time()
-            connection.tell_request(KeysInForce(keys))
+            connection.tell_request(self.access.in_force)
         self.env.log.emit(
             Event.CATALOGUE_IN_FORCE,
             version=configuration.version,
