Choose the collectors of usage by a hash of their addresses

Cause: the three lowest addresses are in one data centre of the users' installations, so its failure would lose all counts of a window and leave nobody to report it.

--- a/chivewall/decisions/usage.py
+++ b/chivewall/decisions/usage.py
@@ -9,7 +9,9 @@
 
 from attrs import define, field, frozen
 
-COLLECTORS = 3  # gateways that collect the counts: the first live ones by address
+from chivewall.decisions.permits import keeper_order
+
+COLLECTORS = 3  # gateways that collect the counts
 # Shares of the time that a report may take. The holder waits so long for the counts of all
 # gateways, the others then look whether it has reported, and take over one after the other.
 CLOSE_SHARE = 0.2
@@ -23,6 +25,15 @@
 MAX_CLOCK_DIFFERENCE_SECONDS = 1.0
 
 
+def choose_collectors(gateways: Iterable[str]) -> tuple[str, ...]:
+    """Return the addresses of the live gateways that collect the counts, the first one first.
+
+    They are chosen by a hash, as neighbouring addresses are often in one data centre, which may
+    fail as a whole.
+    """
+    return tuple(keeper_order("usage", gateways)[:COLLECTORS])
+
+
 @frozen
 class UsageTimes:
     """Times of the windows; all times are Unix times in seconds."""
--- a/chivewall/gateway/usage.py
+++ b/chivewall/gateway/usage.py
@@ -1,7 +1,7 @@
 """Counts the requests that began to run, and collects the counts of all gateways.
 
-Each gateway tells the first live ones its counts several times a second. Counts grow only and each
-datagram has all of a window's, so that lost and late ones do no harm.
+Each gateway tells some of the live ones its counts several times a second. Counts grow only and
+each datagram has all of a window's, so that lost and late ones do no harm.
 """
 
 from collections import Counter
@@ -11,7 +11,13 @@
 from twisted.internet.interfaces import IListeningPort
 
 from chivewall.decisions.steady_time import SteadyTime
-from chivewall.decisions.usage import COLLECTORS, GatewayCounts, OwnCounts, UsageTable, UsageTimes
+from chivewall.decisions.usage import (
+    GatewayCounts,
+    OwnCounts,
+    UsageTable,
+    UsageTimes,
+    choose_collectors,
+)
 from chivewall.environment import Environment
 from chivewall.errors import DecodeError
 from chivewall.events import MAX_ERROR_CHARS, Event
@@ -78,7 +84,7 @@
         self.started_ms = int(env.unix_time() * MS_PER_SECOND)
         self.own = OwnCounts(self.times, self.times.window_at(env.unix_time()))
         self.table = UsageTable()
-        self.gateways: tuple[str, ...] = (cfg.host,)  # live ones, by address
+        self.gateways: tuple[str, ...] = (cfg.host,)  # live ones
         self.shared: dict[int, GatewayCounts] = {}  # what was told last, by window
         self.rounds = env.random.randrange(MAX_PHASE)  # of datagrams
         self.complete_shares: Counter[int] = Counter()  # by window
@@ -160,7 +166,7 @@
 
     def _send(self, counts: GatewayCounts) -> None:
         for data in encode(self.started_ms, counts):
-            for host in self.gateways[:COLLECTORS]:
+            for host in choose_collectors(self.gateways):
                 if host == self.cfg.host:
                     continue
                 try:
--- a/chivewall/gateway/usage_reporter.py
+++ b/chivewall/gateway/usage_reporter.py
@@ -16,6 +16,7 @@
     Recorded,
     UsageReport,
     UsageTimes,
+    choose_collectors,
     next_window,
     report_to_repeat,
 )
@@ -128,8 +129,9 @@
 
     @receive.register
     async def _(self, message: Tick) -> None:
-        gateways = await self.peers.query(ListGateways())
-        self.rank = gateways.index(self.own_address)
+        collectors = choose_collectors(await self.peers.query(ListGateways()))
+        is_collector = self.own_address in collectors
+        self.rank = collectors.index(self.own_address) if is_collector else COLLECTORS
         if self.rank >= COLLECTORS:
             await self._step_down()
         elif not self.busy and await self._is_due():
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -14,6 +14,7 @@
     UsageReport,
     UsageTable,
     UsageTimes,
+    choose_collectors,
     next_window,
     report_to_repeat,
 )
@@ -156,6 +157,14 @@
     assert {site.error(one) for one in calm_windows(site, since=12)} == {0.0}
 
 
+def test_collectors_are_not_all_neighbours():
+    """Guards against the loss of all counts with one data centre, whose addresses are alike."""
+    gateways = [f"10.{place}.0.{one}" for place in (1, 2, 3, 4) for one in range(20, 26)]
+    collectors = choose_collectors(gateways)
+    assert len({one.split(".")[1] for one in collectors}) > 1
+    assert choose_collectors(reversed(gateways)) == collectors
+
+
 @pytest.mark.parametrize("before_call", [True, False])
 @pytest.mark.parametrize("restarts", [True, False])
 def test_report_of_a_killed_holder_is_repeated_in_time(site, before_call, restarts):
