Change several engines to prefill at the same time

In bursts the prompts need 12 to 13 engines' time.

A lasting queue or load now changes as many decode engines as bring the prefill engines to 0.6 of their time, at most a third of the decode engines, and only as far as the rest has room for all streams. A service with few engines changes one at a time, as before. The fastest engines are chosen, then the data centre that has most decode engines. Each change has an order lock of its own.

--- a/chivewall/decisions/stages.py
+++ b/chivewall/decisions/stages.py
@@ -6,11 +6,18 @@
 it is used once and immediately.
 """
 
+from collections import Counter
+
 from attrs import define, evolve, field, frozen
 
 from chivewall.gateway.routing_configuration import Stage
 
 BUSY_PREFILL_SHARE = 0.85  # share of time in use above which prefill engines are nearly saturated
+# Share of time in use that changes to prefill aim at. At the share that calls for a change prompts
+# wait for each other already, and the next change is seconds away.
+AIMED_PREFILL_SHARE = 0.6
+EVEN_SCALES = 1.4  # engines whose scales differ by less than this factor count as equally fast
+MAX_CHANGED_SHARE = 1 / 3  # largest share of the decode engines that change at the same time
 QUEUED_PREFILL_SECONDS = 0.6  # seconds of wait at the least loaded prefill engine that mean a queue
 QUEUED_SAMPLES = 3  # consecutive samples, one per second, before a queue counts as lasting
 # Consecutive samples, one per second, without a usable decode engine before a prefill engine
@@ -26,6 +33,7 @@
 CROWDED_DECODE_REQUESTS = 40  # requests per decode engine, above which decode steps become slow
 ROOMY_DECODE_REQUESTS = 12  # largest number of requests per remaining decode engine after a change
 MIN_DECODERS = 2  # a single decode engine would have to serve all streams
+MIN_RECENT_SECONDS = 1.0  # shortest time over which the load is averaged
 WINDOW_SECONDS = 5.0  # seconds over which the load is averaged
 SETTLE_SECONDS = 8.0  # pause between changes, for draining, switching and measuring the effect
 # Longest time from the start of an order lock's write to the sending of its order.
@@ -48,6 +56,8 @@
     in_flight: int
     usable: bool  # whether it is reachable, not leaving and not changing
     limited: bool = False  # whether it names a rate limit
+    data_centre: str = ""
+    scale: float = 1.0  # time that it takes for a second of prefill at the reference speed
 
 
 @frozen
@@ -59,6 +69,9 @@
     queued_samples: int = 0  # consecutive samples in which every prefill engine had a queue
     no_decoder_samples: int = 0  # consecutive samples in which no decode engine was usable
     limited_samples: int = 0  # consecutive samples in which requests waited for permits to decode
+    # The same as ``prefill_load``, but also known in the first seconds of load.
+    recent_load: float = 0.0
+    moved_requests: int = 0  # of engines that begin to change; others decode their followers
 
 
 @frozen
@@ -73,12 +86,15 @@
     urgent: bool = False
 
 
-def propose(load: StageLoad) -> StageChange | None:
-    """Return the stage change that the load requires, or ``None``."""
+def propose(load: StageLoad, busy_share: float = BUSY_PREFILL_SHARE) -> StageChange | None:
+    """Return the first stage change that the load requires, or ``None``.
+
+    ``busy_share``: share of time in use above which the prefill engines are too few.
+    """
     usable = [one for one in load.engines if one.usable]
     prefill_engines = [one for one in usable if one.stage is Stage.PREFILL]
     decoders = [one for one in usable if one.stage is Stage.DECODE]
-    running = sum(one.in_flight for one in decoders)
+    running = load.moved_requests + sum(one.in_flight for one in decoders)
     free = [one for one in prefill_engines if not one.limited]
     if load.limited_samples >= LIMITED_SAMPLES and free:
         change = _change(free, Stage.DECODE, "the decode engines limit their requests")
@@ -86,8 +102,9 @@
     if any(one.limited for one in decoders):
         # A limited engine serves most by whole requests, and a free one must remain for the rest.
         decoders = [one for one in decoders if not one.limited]
-    if _needs_prefill_engine(load, len(prefill_engines), len(decoders), running):
-        return _change(decoders, Stage.PREFILL, f"prefill busy {load.prefill_load:.2f} engines")
+    if _needs_prefill_engine(load, len(prefill_engines), len(decoders), running, busy_share):
+        reason = f"prefill busy {max(load.prefill_load, load.recent_load):.2f} engines"
+        return _change(_spare(_fast(decoders)), Stage.PREFILL, reason)
     if _needs_decoder(load, len(prefill_engines), len(decoders), running):
         return _change(
             prefill_engines, Stage.DECODE, f"{running} requests on {len(decoders)} decoders"
@@ -95,14 +112,44 @@
     return None
 
 
+def propose_all(load: StageLoad) -> tuple[StageChange, ...]:
+    """Return the stage changes that the load requires at the same time.
+
+    A service with many engines may lack several prefill engines when its load grows. One change at
+    a time, with a pause after each, would follow a burst long after its end.
+    """
+    first = propose(load)
+    if first is None or first.stage is not Stage.PREFILL:
+        return () if first is None else (first,)
+    decoders = [one for one in load.engines if one.usable and one.stage is Stage.DECODE]
+    most = max(1, int(MAX_CHANGED_SHARE * len(decoders)))
+    changes = [first]
+    aimed = evolve(load, prefill_load=load.recent_load, queued_samples=0)
+    while len(changes) < most:
+        changed = {one.engine for one in changes}
+        aimed = evolve(
+            aimed,
+            engines=tuple(
+                evolve(one, stage=Stage.PREFILL) if one.id in changed else one
+                for one in load.engines
+            ),
+            moved_requests=sum(one.in_flight for one in decoders if one.id in changed),
+        )
+        following = propose(aimed, AIMED_PREFILL_SHARE)
+        if following is None or following.stage is not Stage.PREFILL:
+            break
+        changes.append(following)
+    return tuple(changes)
+
+
 def _needs_prefill_engine(
-    load: StageLoad, prefill_engines: int, decoders: int, running: int
+    load: StageLoad, prefill_engines: int, decoders: int, running: int, busy_share: float
 ) -> bool:
     if decoders <= MIN_DECODERS:
         return False
     has_room = running <= ROOMY_DECODE_REQUESTS * (decoders - 1)
     queued = load.queued_samples >= QUEUED_SAMPLES
-    return has_room and (queued or load.prefill_load > BUSY_PREFILL_SHARE * prefill_engines)
+    return has_room and (queued or load.prefill_load > busy_share * prefill_engines)
 
 
 def _needs_decoder(load: StageLoad, prefill_engines: int, decoders: int, running: int) -> bool:
@@ -118,6 +165,26 @@
     )
 
 
+def _fast(decoders: list[EngineView]) -> list[EngineView]:
+    """Return the fastest decode engines.
+
+    A prompt waits for its whole prefill, but a stream only for its steps, which are fast enough
+    for its pauses at a slow engine too.
+    """
+    least = min(one.scale for one in decoders)
+    return [one for one in decoders if one.scale <= EVEN_SCALES * least]
+
+
+def _spare(decoders: list[EngineView]) -> list[EngineView]:
+    """Return the decode engines of the data centre that has most of them.
+
+    KV caches that are moved to another data centre take longer and use its links.
+    """
+    counts = Counter(one.data_centre for one in decoders)
+    most = max(counts.values())
+    return [one for one in decoders if counts[one.data_centre] == most]
+
+
 def _change(engines: list[EngineView], stage: Stage, reason: str) -> StageChange:
     least = min(engines, key=lambda one: (one.in_flight, one.id))
     return StageChange(least.id, stage, reason)
@@ -166,14 +233,21 @@
             queued_samples=self._queued_samples,
             no_decoder_samples=self._no_decoder_samples,
             limited_samples=self._limited_samples,
+            recent_load=self._recent(now),
         )
 
     def average(self, now: float) -> float:
         """Return the prefill sent, in engine seconds per second; 0 before the first full window."""
-        self._sent = [pair for pair in self._sent if pair[0] > now - WINDOW_SECONDS]
         if self._first_sent_at is None or now - self._first_sent_at < WINDOW_SECONDS:
             return 0.0
-        return sum(seconds for _, seconds in self._sent) / WINDOW_SECONDS
+        return self._recent(now)
+
+    def _recent(self, now: float) -> float:
+        """Return the same over the time since the first prompt, if that is shorter."""
+        self._sent = [pair for pair in self._sent if pair[0] > now - WINDOW_SECONDS]
+        since = WINDOW_SECONDS if self._first_sent_at is None else now - self._first_sent_at
+        elapsed = min(WINDOW_SECONDS, max(MIN_RECENT_SECONDS, since))
+        return sum(seconds for _, seconds in self._sent) / elapsed
 
 
 @frozen
--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -412,6 +412,8 @@
                 in_flight=one.in_flight,
                 usable=one.is_usable(now),
                 limited=one.rate_limit is not None,
+                data_centre=one.info.data_centre,
+                scale=one.learned_scale(now),
             )
             for one in states
         )
--- a/chivewall/gateway/stage_changer.py
+++ b/chivewall/gateway/stage_changer.py
@@ -15,7 +15,7 @@
     LockEra,
     OrderLockView,
     StageChange,
-    propose,
+    propose_all,
 )
 from chivewall.environment import Environment
 from chivewall.errors import EndpointError, OrderRefusedError, StoreError, VersionConflictError
@@ -104,11 +104,14 @@
         """Wait until the era is read; each order reads its lock before it is sent."""
 
     async def _check_service(self, load: ServiceLoad) -> None:
-        change = propose(load.load)
-        if change is None or self.env.now < (
-            self.next_urgent_change_at if change.urgent else self.next_change_at
-        ):
+        changes = propose_all(load.load)
+        urgent = any(one.urgent for one in changes)
+        if self.env.now < (self.next_urgent_change_at if urgent else self.next_change_at):
             return
+        for change in changes:
+            await self._try_change(load, change)
+
+    async def _try_change(self, load: ServiceLoad, change: StageChange) -> None:
         try:
             await self._order_change(load, change)
         except VersionConflictError as exc:
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -12,6 +12,7 @@
     StageChange,
     StageLoad,
     propose,
+    propose_all,
 )
 from chivewall.gateway.routing_configuration import Stage
 
@@ -98,6 +99,60 @@
         assert load.average(5.5) == pytest.approx(2.0 / 5.0)
 
 
+class TestSeveralChanges:
+    """Changes to prefill at the same time, in a service with many engines."""
+
+    PREFILL_ENGINES = tuple(view(f"p{one}", Stage.PREFILL) for one in range(4))
+
+    def decoders(self, count=12, **fields):
+        return tuple(view(f"d{one:02}", Stage.DECODE, **fields) for one in range(count))
+
+    def test_large_load_gets_several_engines_at_once(self):
+        """Guards against a burst that is over before the second engine has changed."""
+        engines = self.PREFILL_ENGINES + self.decoders()
+        found = propose_all(StageLoad(engines, prefill_load=3.9, recent_load=3.9))
+        assert len(found) == 3  # 3.9 engines' time is 0.56 of seven engines'
+        assert len({one.engine for one in found}) == 3
+
+    def test_queue_in_the_first_seconds_counts_by_its_load(self):
+        """Guards against a start at which one engine changes though several are missing."""
+        engines = self.PREFILL_ENGINES + self.decoders()
+        load = StageLoad(engines, prefill_load=0.0, queued_samples=3, recent_load=4.0)
+        assert len(propose_all(load)) == 3
+
+    def test_a_third_of_the_decode_engines_change_at_most(self):
+        """Guards against streams without engines while many of them change."""
+        engines = self.PREFILL_ENGINES + self.decoders()
+        assert len(propose_all(StageLoad(engines, prefill_load=50.0, recent_load=50.0))) == 4
+
+    def test_small_service_changes_one_engine_at_a_time(self):
+        """Guards against several changes where one engine is a large part of the service."""
+        engines = self.PREFILL_ENGINES[:2] + self.decoders(4)
+        assert len(propose_all(StageLoad(engines, prefill_load=9.0, recent_load=9.0))) == 1
+
+    def test_decode_engines_keep_room_for_what_runs(self):
+        """Guards against changes that leave too few engines for the running streams."""
+        engines = self.PREFILL_ENGINES + self.decoders(in_flight=10)
+        found = propose_all(StageLoad(engines, prefill_load=9.0, recent_load=9.0))
+        assert len(found) == 2
+
+    def test_fast_engines_prefill(self):
+        """Guards against long prompts at slow engines while fast ones only decode."""
+        slow = self.decoders(6, scale=1.4)
+        fast = tuple(view(f"f{one}", Stage.DECODE, in_flight=9, scale=0.6) for one in range(2))
+        engines = self.PREFILL_ENGINES + slow + fast
+        found = propose_all(StageLoad(engines, prefill_load=9.0, recent_load=9.0))
+        assert [one.engine for one in found] == ["f0", "f1"]
+
+    def test_each_data_centre_keeps_decode_engines(self):
+        """Guards against a data centre whose KV caches all go to another one."""
+        north = self.decoders(4, in_flight=0, data_centre="north")
+        south = tuple(view(f"s{one}", Stage.DECODE, data_centre="south") for one in range(8))
+        engines = self.PREFILL_ENGINES + north + south
+        found = propose_all(StageLoad(engines, prefill_load=50.0, recent_load=50.0))
+        assert all(one.engine.startswith("s") for one in found)
+
+
 class TestOrderLocks:
     """Which gateway may give the next order."""
 
