Let urgent requests with time left wait their turn among others

Engines read prompts by rank, so headlines and summaries, answered after 0.15 and 0.3 s where 1.2 and 1.0 s are aimed at, overtook checks that were then late: the first event came after 1.2 times the estimate at the median.

A request whose estimate among rank 2 is at most 0.35 of its time to the objective is sent with that rank. Where the queue is longer it keeps its own rank, so the urgent ones lose nothing.

--- a/chivewall/decisions/placement.py
+++ b/chivewall/decisions/placement.py
@@ -40,6 +40,9 @@
 # A request whose estimate takes more than this share of the slack yields to others: with queues
 # at the full slack, half of the requests would miss their objective by a little.
 ON_TIME_SHARE = 0.7
+# A request whose estimate at this rank takes at most this share of its slack is sent with the rank.
+PATIENT_RANK = 2  # the least urgent rank of requests that meet their objective
+PATIENT_SHARE = 0.35
 MAX_RANK = 9  # the least urgent rank
 LATE_RANK_INCREASE = 3  # added to the rank of a request that misses its objective anyway
 # Largest extra cost accepted at the endpoint that the prefix hashes to, in seconds at the reference
@@ -127,6 +130,10 @@
     if all(one.info.stage is Stage.NONE for one in usable):
         placement = _choose_service_endpoint(usable, context)
         return _admitted(placement, usable, context)
+    if prompt is not PromptState.PREFILLED:
+        patient = _choose_patiently(fields, usable, context, prompt)
+        if patient is not None:
+            return patient
     placement = _choose_at_rank(fields, usable, context, prompt)
     if placement is None or prompt is PromptState.PREFILLED:
         return placement  # once its prompt is prefilled, a request is finished soon
@@ -139,6 +146,23 @@
     return _admitted(placement, usable, context)
 
 
+def _choose_patiently(
+    fields: RequestFields,
+    usable: list[EndpointRecord],
+    context: PlacementContext,
+    prompt: PromptState,
+) -> Placement | None:
+    """Return the placement of a request that can wait its turn among less urgent ones, or ``None``.
+
+    Without this, urgent requests that have seconds left overtake others that have not.
+    """
+    if context.rank >= PATIENT_RANK:
+        return None
+    found = _choose_at_rank(fields, usable, evolve(context, rank=PATIENT_RANK), prompt)
+    in_time = found is not None and found.estimate <= PATIENT_SHARE * context.slack_seconds
+    return found if in_time else None
+
+
 def _chosen(placement: Placement, usable: list[EndpointRecord]) -> list[EndpointRecord]:
     """Return the records of a placement's endpoints, the one that runs the request first."""
     infos = (placement.endpoint, placement.prefill_engine)
