--- a/tests/test_early_responses.py
+++ b/tests/test_early_responses.py
@@ -94,4 +94,4 @@
 def test_response_without_a_valid_status_is_no_response(site, path, status_line):
     """Guards against an endpoint's bytes passed on under a status that HTTP doesn't have."""
     add_endpoints(site, raw.answer_status(status_line))
-    assert receive(site, path) == (502, True)
+    assert receive(site, path) == (502, True), site.last_log_lines()
