Bound the memory of engines only where they crash beyond it

The bound now depends on the platform's contracts in force, and a prefix that requests share counts once, as the engine keeps it once.

--- a/chivewall/decisions/endpoint_counts.py
+++ b/chivewall/decisions/endpoint_counts.py
@@ -8,7 +8,6 @@
 
 import math
 from collections import deque
-from collections.abc import Iterable
 
 from attrs import define, evolve, field, frozen
 
@@ -32,6 +31,9 @@
 REMOVAL_SECONDS = 10.0
 LIST_SECONDS = 4.0  # from the start of an endpoint until the gateways know it, at most
 RETRY_SECONDS = 2.0  # pause after an order that the platform did not accept
+# Consecutive samples with a queue before an endpoint is ordered for it: a change of stage, which
+# takes effect earlier, is proposed after fewer.
+LASTING_QUEUE_SAMPLES = 2 * QUEUED_SAMPLES
 SPARE_MARGIN = 0.25  # endpoints by which the remaining ones must exceed the demand
 
 
@@ -130,10 +132,10 @@
     def sample(self, demand: ServiceDemand, now: float) -> CountOrder | None:
         """Record the load; return the next order, if there is one to make."""
         self._record(demand, now)
-        if demand.stage_changing:
-            return None  # the load is being moved between the engines that there are
         more = self._more(demand, now)
-        return self._fewer(demand, now) if more is None else more
+        if more is not None or demand.stage_changing:
+            return more
+        return self._fewer(demand, now)
 
     def _record(self, demand: ServiceDemand, now: float) -> None:
         if self._began_at is None:
@@ -145,7 +147,8 @@
         self._samples.append((now, need, unusable))
         while self._samples[0][0] < now - holding_seconds(self.scale):
             self._samples.popleft()
-        queued = demand.queue_seconds > QUEUED_PREFILL_SECONDS
+        # During a change of stage, a queue says nothing about the number of engines.
+        queued = demand.queue_seconds > QUEUED_PREFILL_SECONDS and not demand.stage_changing
         self._queued_samples = self._queued_samples + 1 if queued else 0
 
     def _more(self, demand: ServiceDemand, now: float) -> CountOrder | None:
@@ -154,7 +157,7 @@
         need = self._average(now)
         has = self._serving(demand, now)
         wanted = math.ceil(need.total - SPARE_MARGIN)
-        if self._queued_samples >= QUEUED_SAMPLES and not self._awaited(demand, now):
+        if self._queued_samples >= LASTING_QUEUE_SAMPLES and not self._awaited(demand, now):
             wanted = max(wanted, has + 1)  # the estimates of the engines' speed are too good
         if wanted <= has:
             return None
@@ -168,8 +171,9 @@
         # The place with the most demand for each endpoint, of those where one may be ordered.
         place = max(open_places, key=lambda one: (self._load(one, demand, now), one.data_centre))
         count = self._count(place, now)
-        room = self.scale.maximum - count
-        added = min(room, self._share(place, demand, wanted - has))
+        # The others follow with the next samples, where each endpoint then has the most demand.
+        part = math.ceil((wanted - has) / len(demand.data_centres))
+        added = min(self.scale.maximum - count, part)
         reason = f"{need.total:.1f} endpoints needed, {has} serve or start"
         return CountOrder(place.data_centre, count + added, reason)
 
@@ -255,14 +259,3 @@
     def _load(self, place: DataCentreLoad, demand: ServiceDemand, now: float) -> float:
         need = needed(place, demand.requests_per_endpoint).total
         return need / max(1, self._count(place, now))
-
-    def _share(self, place: DataCentreLoad, demand: ServiceDemand, missing: int) -> int:
-        """Return the part of the missing endpoints to order in one data centre.
-
-        The others follow with the next samples, where the demand for each endpoint is then highest.
-        """
-        return max(1, math.ceil(missing / len(_places(demand.data_centres))))
-
-
-def _places(loads: Iterable[DataCentreLoad]) -> list[str]:
-    return [one.data_centre for one in loads]
--- a/chivewall/decisions/engine_memory.py
+++ b/chivewall/decisions/engine_memory.py
@@ -2,16 +2,17 @@
 
 An engine rejects a request that is larger than its memory, and crashes if those that it holds are.
 The tokens of this gateway's own requests are known. Other gateways report their requests without
-tokens, so those count by the mean of this gateway's requests to the same service.
+tokens, so those count by what this gateway's requests to the same service add on average.
 """
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
 from enum import Enum
 from typing import TypeVar
 
-from attrs import define, field
+from attrs import define, field, frozen
 
-from chivewall.decisions.endpoint_record import EndpointRecord
+from chivewall.decisions.endpoint_record import EndpointRecord, PrefixChain, prefix_chain
 from chivewall.decisions.placement import PromptState
 from chivewall.gateway.http_dialect import RequestFields
 
@@ -32,27 +33,57 @@
     TOO_LARGE = "too large"  # for every engine
 
 
-def request_tokens(fields: RequestFields) -> int:
-    """Return the most tokens that a request can take of an engine's memory."""
-    return fields.prompt_tokens + fields.max_output_tokens
+@frozen
+class RequestMemory:
+    """The most tokens that a request takes of an engine's memory."""
+
+    shared: PrefixChain  # prefixes that other requests may share, and the tokens of each
+    own: int  # the last part of the prompt and the output
+
+    @classmethod
+    def of(cls, fields: RequestFields) -> "RequestMemory":
+        """Return the memory of a request."""
+        shared = prefix_chain(fields)[:-1]
+        whole = fields.prompt_tokens + fields.max_output_tokens
+        return cls(shared, max(0, whole - sum(tokens for _, tokens in shared)))
+
+    @property
+    def whole(self) -> int:
+        """Return the tokens of the request alone."""
+        return self.own + sum(tokens for _, tokens in self.shared)
 
 
 @define
 class HeldTokens:
-    """The tokens of this gateway's requests at one engine, by exchange."""
+    """The tokens of this gateway's requests at one engine; a shared prefix counts once."""
 
-    tokens: dict[int, int] = field(factory=dict)
+    requests: dict[int, RequestMemory] = field(factory=dict)  # by exchange
     total: int = 0
+    _users: Counter = field(factory=Counter)  # requests in flight by prefix
 
-    def add(self, exchange: int, tokens: int) -> None:
-        """Count a request."""
+    def missing(self, request: RequestMemory) -> int:
+        """Return the tokens that a request would add."""
+        return request.own + sum(tokens for key, tokens in request.shared if not self._users[key])
+
+    def add(self, exchange: int, request: RequestMemory) -> int:
+        """Count a request; return the tokens that it adds."""
         self.remove(exchange)
-        self.tokens[exchange] = tokens
-        self.total += tokens
+        added = self.missing(request)
+        self.requests[exchange] = request
+        self._users.update(key for key, _ in request.shared)
+        self.total += added
+        return added
 
     def remove(self, exchange: int) -> None:
         """Stop counting a request."""
-        self.total -= self.tokens.pop(exchange, 0)
+        request = self.requests.pop(exchange, None)
+        if request is None:
+            return
+        for key, _ in request.shared:
+            self._users[key] -= 1
+            if not self._users[key]:
+                del self._users[key]
+        self.total -= self.missing(request)
 
 
 @define
@@ -61,32 +92,27 @@
 
     capacity: Mapping[str, int] = field(factory=dict)  # tokens of each engine, by service
     _held: dict[str, HeldTokens] = field(factory=dict, init=False)  # by endpoint id
-    _means: dict[str, float] = field(factory=dict, init=False)  # tokens of a request, by service
+    # Tokens that a request adds to an engine, by service.
+    _means: dict[str, float] = field(factory=dict, init=False)
 
     def record_sent(self, record: EndpointRecord, exchange: int, fields: RequestFields) -> None:
         """Count a request that was sent to an engine."""
         service = record.info.service
         if service not in self.capacity:
             return
-        tokens = request_tokens(fields)
-        self._held.setdefault(record.info.id, HeldTokens()).add(exchange, tokens)
-        mean = self._means.setdefault(service, float(tokens))
-        self._means[service] = mean + MEAN_WEIGHT * (tokens - mean)
+        held = self._held.setdefault(record.info.id, HeldTokens())
+        added = held.add(exchange, RequestMemory.of(fields))
+        mean = self._means.setdefault(service, float(added))
+        self._means[service] = mean + MEAN_WEIGHT * (added - mean)
 
     def record_ended(self, endpoint: str, exchange: int) -> None:
         """Stop counting a request."""
         held = self._held.get(endpoint)
         if held is not None:
             held.remove(exchange)
-            if not held.tokens:
+            if not held.requests:
                 del self._held[endpoint]
 
-    def held(self, record: EndpointRecord) -> float:
-        """Return the tokens of all gateways' requests at an engine."""
-        own = self._held.get(record.info.id) or HeldTokens()
-        others = max(0, record.in_flight - len(own.tokens))
-        return own.total + others * self._means.get(record.info.service, 0.0)
-
     def fitting(
         self, records: Iterable[Record], fields: RequestFields
     ) -> tuple[list[Record], MemoryVerdict]:
@@ -95,17 +121,19 @@
         capacity = self.capacity.get(records[0].info.service) if records else None
         if capacity is None:
             return records, MemoryVerdict.FITS
-        tokens = request_tokens(fields)
-        if tokens > capacity:
+        request = RequestMemory.of(fields)
+        if request.whole > capacity:
             return [], MemoryVerdict.TOO_LARGE
-        # An engine without other requests takes any that it has the memory for.
-        found = [
-            one
-            for one in records
-            if not (held := self.held(one)) or held + tokens <= USABLE_SHARE * capacity
-        ]
+        found = [one for one in records if self._fits(one, request, capacity)]
         return found, MemoryVerdict.FITS if found else MemoryVerdict.FULL
 
+    def _fits(self, record: EndpointRecord, request: RequestMemory, capacity: int) -> bool:
+        own = self._held.get(record.info.id) or HeldTokens()
+        others = max(0, record.in_flight - len(own.requests))
+        held = own.total + others * self._means.get(record.info.service, 0.0)
+        # An engine without other requests takes any that it has the memory for.
+        return not held or held + own.missing(request) <= USABLE_SHARE * capacity
+
 
 def must_be_placed(prompt: PromptState, *, committed: bool) -> bool:
     """Return whether a request can't be refused any more, so that full engines must take it.
--- a/chivewall/platform/routing_configuration.py
+++ b/chivewall/platform/routing_configuration.py
@@ -34,15 +34,22 @@
 Part = TypeVar("Part")
 
 
-def decode_object(name: str, spec: object) -> RoutingConfiguration:
+def decode_object(
+    name: str, spec: object, *, bounds_engine_memory: bool = False
+) -> RoutingConfiguration:
     """Decode an object of the kind; only one of them is the routing configuration."""
     if name != NAME:
         raise DecodeError(f"name: not {NAME!r}")
-    return decode_routing_configuration(spec)
+    return decode_routing_configuration(spec, bounds_engine_memory=bounds_engine_memory)
 
 
-def decode_routing_configuration(spec: object) -> RoutingConfiguration:
-    """Decode the document; raise a ``DecodeError`` that names the invalid field."""
+def decode_routing_configuration(
+    spec: object, *, bounds_engine_memory: bool = False
+) -> RoutingConfiguration:
+    """Decode the document; raise a ``DecodeError`` that names the invalid field.
+
+    ``bounds_engine_memory``: the requests at an engine must fit into its memory.
+    """
     document = json_object(spec, "manifest")
     decoded = decode_workspaces(document)
     return RoutingConfiguration(
@@ -50,7 +57,7 @@
         routes=tuple(_route(json_object(one, "routes")) for one in list_items(document, "routes")),
         limits=_limits(json_object(document.get("limits", {}), "limits")),
         scales=_parts(document, _scale),
-        engine_memory=_parts(document, _engine_memory),
+        engine_memory=_parts(document, _engine_memory) if bounds_engine_memory else (),
         workspaces=decoded.workspaces,
         keys_required=decoded.required,
         odd_workspaces=decoded.odd,
--- a/tests/test_endpoint_counts.py
+++ b/tests/test_endpoint_counts.py
@@ -187,3 +187,14 @@
     engines = tuple(EngineView(name, stage, 1, usable=True) for name, stage in stages.items())
     assert propose(StageLoad(engines, prefill_load=3.0)) is not None
     assert propose(StageLoad(engines, prefill_load=3.0, endpoints_settled=False)) is None
+
+
+@pytest.mark.parametrize(("stage_changing", "count"), [(False, 5), (True, None)])
+def test_lasting_queue_orders_an_endpoint(stage_changing, count):
+    """Guards against callers that wait at engines which are slower than they were learned to be.
+
+    During a change of stage the queue is that of before.
+    """
+    load = place("north", 4, 1.0, prefill_engines=2)
+    found = decide(load, seconds=12, queue_seconds=2.0, stage_changing=stage_changing)
+    assert getattr(found, "count", None) == count
--- a/tests/test_engine_memory.py
+++ b/tests/test_engine_memory.py
@@ -3,10 +3,11 @@
 import pytest
 from twisted.internet.task import Clock
 
+from chivewall.decisions.engine_memory import MemoryVerdict
 from chivewall.decisions.overload import Overloaded
 from chivewall.decisions.placement import Placement, PromptState
 from chivewall.gateway.fleet_messages import EngineMemoryStated, PeerWork, WorkEnded, WorkSent
-from chivewall.gateway.http_dialect import RequestFields
+from chivewall.gateway.http_dialect import PromptPart, RequestFields
 from chivewall.gateway.peer_codec import SharedWork
 from chivewall.gateway.routing_configuration import Stage
 from tests.utils.fleets import make_fleet, query_placement
@@ -27,6 +28,23 @@
     fleet.send(WorkSent(endpoint, 0.01, fields, 0.05, seconds_left=60.0, exchange=exchange))
 
 
+def test_shared_part_of_a_prompt_counts_once(fleet):
+    """Guards against refusals while the requests at an engine share most of their memory."""
+    for exchange in range(8):
+        parts = (PromptPart("a1", 20_000), PromptPart(f"b{exchange}", 5_000))
+        fields = RequestFields(prompt_tokens=25_000, prompt_parts=parts)
+        fleet.send(WorkSent("d1", 0.01, fields, 0.05, seconds_left=60.0, exchange=exchange))
+    sent = RequestFields(prompt_tokens=25_000, prompt_parts=parts)
+    memories, record = fleet.memories, fleet.states["d1"]
+    assert memories.fitting([record], sent) == ([record], MemoryVerdict.FITS)  # 60 + 5 thousand
+    alone = RequestFields(prompt_tokens=30_001)
+    assert memories.fitting([record], alone) == ([], MemoryVerdict.FULL)
+    for exchange in range(8):
+        fleet.send(WorkEnded("d1", exchange, "answered"))
+    whole = RequestFields(prompt_tokens=CAPACITY)
+    assert memories.fitting([record], whole) == ([record], MemoryVerdict.FITS)
+
+
 def find(fleet, tokens=TOKENS, **fields):
     return query_placement(fleet, prompt_tokens=tokens, **fields)
 
