--- a/chivewall/daemon.py
+++ b/chivewall/daemon.py
@@ -1,5 +1,6 @@
 """``chivewalld``: runs one process from its settings file until a signal ends it."""
 
+import gc
 import signal
 import sys
 from pathlib import Path
@@ -32,6 +33,9 @@
     SIGTERM or Ctrl-C shuts it down gracefully; Ctrl-C during a shutdown stops it at once.
     SIGHUP reloads the settings file.
     """
+    # Importing the plug-ins allocates much and frees little. Collections in between take a fifth of
+    # the time until a restarted process serves.
+    gc.disable()
     reactor = install_reactor()
     try:
         cfg = load(settings)
@@ -73,6 +77,7 @@
     def _start(self) -> None:
         started = ensureDeferred(self.app.start())
         started.addErrback(self._fail)
+        started.addBoth(lambda _: collect_garbage_again())
 
     def _on_signal(self, number: int, frame: object) -> None:
         self.reactor.callFromThread(self.shut_down, at_once=number == signal.SIGINT)
@@ -132,5 +137,11 @@
             self.reactor.stop()
 
 
+def collect_garbage_again() -> None:
+    """Enable collections, which from now on leave out what was loaded at the start."""
+    gc.freeze()
+    gc.enable()
+
+
 if __name__ == "__main__":
     main()
