--- a/chivewall/gateway/metrics.py
+++ b/chivewall/gateway/metrics.py
@@ -202,17 +202,19 @@
     async def setup(self) -> None:
         """Create the metrics and subscribe them to the event log."""
         self.metrics = GatewayMetrics()
+        self.listener: IListeningPort | None = None  # none before the start, or if it fails
         self.env.log.subscribe(self.metrics.observe)
 
     async def start(self) -> None:
         """Listen on the port."""
         host, port = parse_address(self.cfg.address)
         site = Site(MetricsResource(self.metrics))
-        self.listener: IListeningPort = self.env.reactor.listenTCP(port, site, interface=host)
+        self.listener = self.env.reactor.listenTCP(port, site, interface=host)
 
     async def stop(self) -> None:
         """Stop listening."""
-        await self.listener.stopListening()
+        if self.listener is not None:
+            await self.listener.stopListening()
 
 
 def register(registry: PluginRegistry) -> None:
