Send extra attempts with the workspace that is in force

Cause: an extra attempt took the workspace from the start of its request and left out whether workspaces are in use. On a public route of a deployment with workspaces the endpoint got the X-Key and X-Tenant of the caller as sent; after a change of the keys it got the workspace of the older configuration, or a run although the key had been revoked.

Before, the endpoint of the public route got X-Tenant: forged, and the revoked request was sent twice.

Conclusion: an extra attempt asks for the fields at its start, as each retry does, and none begins once the key is refused.

--- a/chivewall/gateway/extra_attempt.py
+++ b/chivewall/gateway/extra_attempt.py
@@ -5,7 +5,8 @@
 that nothing of two responses can be mixed.
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any
 
 from attrs import define, evolve, field
 
@@ -56,7 +57,6 @@
     history: AttemptHistory  # of the request
     failed_endpoints: set[str]  # ids of endpoints that failed to serve the request
     sender: Inbox  # of the request's task
-    workspace: str | None = None  # name of the caller's workspace
     exchange: Exchange | None = None  # while it runs
     placement: Placement | None = None
     head: ResponseHead | None = None  # of a response that makes it win
@@ -91,8 +91,13 @@
             self._delay = delay
             self.context.env.clock.callLater(delay, self.sender.put, AnswerSlow(first.number))
 
-    async def begin(self, first: Exchange, deadline: float, find: FindSpare) -> bool:
-        """Begin beside the first attempt, and return whether limits and endpoints allowed it."""
+    async def begin(
+        self, first: Exchange, deadline: float, find: FindSpare, fields: Mapping[str, Any]
+    ) -> bool:
+        """Begin beside the first attempt, and return whether limits and endpoints allowed it.
+
+        ``fields``: those of ``ForwardedFields`` that hold for every attempt of the request now.
+        """
         now = self.context.env.now
         if not self.may_follow(first) or deadline - now < self._delay:
             return False
@@ -112,7 +117,7 @@
         sent = ForwardedFields(
             time_left_ms=(deadline - now) * MS_PER_SECOND,
             endpoint=placement.endpoint.id,
-            workspace=self.workspace,
+            **fields,
         )
         self.log.log_attempt(self.exchange, self.placement, sent)
         self.log.log_extra_attempt(self.exchange, self._delay)
--- a/chivewall/gateway/forwarded_request.py
+++ b/chivewall/gateway/forwarded_request.py
@@ -176,7 +176,6 @@
             history=self.history,
             failed_endpoints=self.failed_endpoints,
             sender=self.inbox,
-            workspace=None if workspace is None else workspace.name,
         )
         self._timers: list = []
 
@@ -217,9 +216,14 @@
 
     @receive.register
     async def _(self, message: AnswerSlow) -> None:
-        if self._is_current(message.exchange) and self.received.head is None:
-            began = await self.extra.begin(self.exchange, self.response_deadline, self._find_spare)
-            self.arrivals += began
+        waits = self._is_current(message.exchange) and self.received.head is None
+        if waits and self.key_refusal is None:
+            self.arrivals += await self.extra.begin(
+                self.exchange,
+                self.response_deadline,
+                self._find_spare,
+                self._workspace_fields(),
+            )
 
     @receive.register
     async def _(self, message: EndBy) -> None:
--- a/tests/test_extra_attempts.py
+++ b/tests/test_extra_attempts.py
@@ -12,6 +12,8 @@
     ExtraAttemptPolicy,
 )
 from chivewall.decisions.repeat_budget import RepeatBudget, RepeatBudgetPolicy
+from chivewall.decisions.request_ranks import RequestRanks
+from chivewall.decisions.workspace_keys import WorkspaceKeys
 from chivewall.gateway.announcement_messages import EndpointLimit, EndpointPause
 from chivewall.gateway.caller_messages import CallerDisconnected
 from chivewall.gateway.exchange_messages import (
@@ -24,7 +26,14 @@
 from chivewall.gateway.extra_attempt_messages import AnswerTime, EndpointTime
 from chivewall.gateway.fleet_messages import EngineCooldown, WorkSent
 from chivewall.gateway.http_dialect import RequestFields, ResponseFields, StatedLimit
-from chivewall.gateway.routing_configuration import RouteKind, Stage
+from chivewall.gateway.routing_configuration import (
+    IngressLimits,
+    RouteKind,
+    RoutingConfiguration,
+    Stage,
+    Workspace,
+)
+from chivewall.gateway.workspace_messages import WorkspacesInForce
 from tests.utils.requests import PLAIN_HEAD, REFUSAL_HEAD, SERVICE, RequestBench, make_stream_route
 
 POLICY = ExtraAttemptPolicy(max_share=0.1, max_time_share=0.2, quantile=0.95)
@@ -40,11 +49,15 @@
     return Clock()
 
 
-def make_bench(clock, policy=POLICY, answers=40, stages=None, **route):
+def make_bench(clock, policy=POLICY, answers=40, stages=None, caller=None, **route):
     """Return a request that was sent, at a gateway that knows when its answer is slow."""
     fields = {"kind": RouteKind.SAFE, "resumable": False} | route
     bench = RequestBench(
-        clock, route=make_stream_route(**fields), policy=policy, **(stages or SERVICES)
+        clock,
+        route=make_stream_route(**fields),
+        policy=policy,
+        **(caller or {}),
+        **(stages or SERVICES),
     )
     for number in range(answers):
         seconds = SLOW_SECONDS if number % 40 == 39 else USUAL_SECONDS
@@ -295,6 +308,37 @@
     assert len(bench.connections.sent) - 21 == POLICY.max_share * 40
 
 
+def begin_with_key(clock, *workspaces, public=False):
+    """Return a slow request with the key and a forged name, and put workspaces in force for it."""
+    caller = {"keys": ("key",), "headers": ((b"X-Key", b"key"), (b"X-Tenant", b"forged"))}
+    bench = make_bench(clock, caller=caller, public=public)
+    configuration = RoutingConfiguration(
+        2, (bench.route,), IngressLimits(), workspaces=workspaces, keys_required=True
+    )
+    message = WorkspacesInForce(WorkspaceKeys(configuration), RequestRanks(configuration))
+    bench.task.send(message)
+    clock.advance(USUAL_SECONDS)
+    return bench
+
+
+@pytest.mark.parametrize(("public", "expected"), [(False, [b"w"]), (True, [])])
+def test_extra_attempt_names_the_workspace_now_in_force(clock, public, expected):
+    """Guards against an endpoint that gets the caller's key or a workspace that isn't the key's."""
+    bench = begin_with_key(clock, Workspace("w", ("key",)), public=public)
+    assert len(bench.connections.sent) == 2
+    headers = bench.connections.sent[1].headers
+    assert [value for name, value in headers if name.lower() == b"x-tenant"] == expected
+    assert b"x-key" not in {name.lower() for name, _ in headers}
+
+
+def test_no_extra_attempt_after_the_key_was_revoked(clock):
+    """Guards against a run of a request whose key no longer holds."""
+    bench = begin_with_key(clock, Workspace("w", ("other key",)))
+    assert len(bench.connections.sent) == 1
+    answer(bench, 1, body=b"first")
+    assert answers(bench) == [(200, b"first")]
+
+
 def make_times(*seconds):
     times = AnswerTimes()
     for one in seconds:
--- a/tests/utils/requests.py
+++ b/tests/utils/requests.py
@@ -104,12 +104,13 @@
 class RequestBench:
     """One request at a gateway that knows the given engines.
 
-    ``policy``: the limits of extra attempts; ``None``: there are none.
+    ``policy``: the limits of extra attempts; ``None``: there are none. ``headers``: those that the
+    caller sends beside ``Host``.
 
     Example: ``RequestBench(clock, d1=Stage.DECODE).begin()`` starts its stream at ``d1``.
     """
 
-    def __init__(self, clock, route=None, parts=(), keys=(), policy=None, **stages):
+    def __init__(self, clock, route=None, parts=(), keys=(), policy=None, headers=(), **stages):
         self.clock = clock
         self.fleet = make_fleet(clock, **stages)
         self.env = self.fleet.env
@@ -143,7 +144,7 @@
         request = CallerRequest(
             method=b"POST",
             target=b"/1",
-            headers=((b"Host", b"a.example"),),
+            headers=((b"Host", b"a.example"), *headers),
             body=b"{}",
             has_body=True,
             received_at=self.env.now,
