Test the rank of a request that can't wait

The objective is now 0.2 s, where the request is on time and can't wait. What is asked is unchanged.

Conclusion: the ranks were right; the test's request was one that may wait.

--- a/tests/test_workspace_keys.py
+++ b/tests/test_workspace_keys.py
@@ -425,7 +425,8 @@
 
 def test_priority_of_the_workspace_goes_before_that_of_the_route():
     """Guards against urgent workspaces that wait behind others."""
-    bench = begun(Clock(), prefix_affinity=True, priority=1)
+    # With this objective the request is on time at its rank, but can't wait among less urgent ones.
+    bench = begun(Clock(), prefix_affinity=True, priority=1, objective_ms=200)
     put_in_force(bench, ALPHA | {"priority": 4}, BETA)
     bench.fail_to_connect()
     ranks = [dict(one.headers)[b"X-Request-Priority"] for one in bench.connections.sent]
