Let patient requests over their share yield too

A request of ranks 0 and 1 that can wait is placed before the rule by which workspaces over their fair share yield, so a large workspace whose requests have time left took up to 0.35 of their slack of each queue, whatever its weight.

A request whose queue counts more is patient only if its estimate with the yielded time still fits; otherwise it is judged at its own rank. tests/test_placement.py: with a queue of 0.4 s, 5 s of slack and a weight of 8 the request did not yield before and does after. The other tests of placement, shares, uneven engines and prefix sources pass as before.

Conclusion: with a weight of 1 nothing changes.

--- a/chivewall/decisions/placement.py
+++ b/chivewall/decisions/placement.py
@@ -103,13 +103,17 @@
 ) -> Placement | None:
     """Return the placement of a request that can wait its turn among less urgent ones, or ``None``.
 
-    Without this, urgent requests that have seconds left overtake others that have not.
+    Without this, urgent requests that have seconds left overtake others that have not. A request
+    whose workspace is over its fair share yields as it would with its own rank.
     """
     if context.rank >= PATIENT_RANK:
         return None
-    found = _choose_at_rank(fields, usable, evolve(context, rank=PATIENT_RANK), prompt)
-    in_time = found is not None and found.estimate <= PATIENT_SHARE * context.slack_seconds
-    return found if in_time else None
+    patient = evolve(context, rank=PATIENT_RANK)
+    found = _choose_at_rank(fields, usable, patient, prompt)
+    if found is None:
+        return None
+    seconds = found.estimate + _yielded_seconds(found, usable, patient)
+    return found if seconds <= PATIENT_SHARE * context.slack_seconds else None
 
 
 def _chosen(placement: Placement, usable: list[EndpointRecord]) -> list[EndpointRecord]:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -184,6 +184,16 @@
             add_prompt(one, 2.0, number=2, rank=PATIENT_RANK)  # its turn would come late
         assert choose(PROMPT, states, make_context(rank=0, slack_seconds=5.0)).rank == 0
 
+    def test_request_over_its_share_yields_though_it_could_wait(self):
+        """Guards against a workspace that keeps the room of others since its requests have time."""
+        states = self.engines()
+        for one in states:
+            add_prompt(one, 0.4)
+        patient = choose(PROMPT, states, make_context(slack_seconds=5.0))
+        assert (patient.rank, patient.yields) == (PATIENT_RANK, False)
+        over = choose(PROMPT, states, make_context(slack_seconds=5.0, queue_weight=8.0))
+        assert over.yields
+
     def test_kv_cache_stays_in_its_data_centre_while_engines_there_have_room(self):
         """Guards against KV caches that are moved between data centres without a gain."""
         states = self.engines()
