Ignore bytes after a caller's last request

Cause: after a request with Connection: close the parser rejects whatever else comes, such as an empty line. The connection then began to close with the request still at an endpoint: its answer was dropped, the request was sent for nothing, and its body no longer counted as in progress.

tests/test_ingress_limits.py, before: no answer and 0 bytes counted of a body of 2; after: the answer, and 2 bytes until it is sent.

Conclusion: bytes that can't be a request say nothing about the one before them.

--- a/chivewall/gateway/ingress_connection.py
+++ b/chivewall/gateway/ingress_connection.py
@@ -120,7 +120,7 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
         """Parse bytes received from the caller."""
-        if self.phase is Phase.CLOSING:
+        if self.phase is Phase.CLOSING or self._got_last_request:
             return
         if self.phase is Phase.IDLE:
             self._enter_phase(Phase.HEAD)
@@ -138,6 +138,14 @@
         if self.phase is Phase.HEAD:
             self._check_arrived_head(len(data))
 
+    @property
+    def _got_last_request(self) -> bool:
+        """Return whether the caller has sent a request after which it sends no other one.
+
+        The parser rejects what still comes, such as an empty line, and the answer would be lost.
+        """
+        return self.phase is Phase.RESPONSE and self._http.their_state is h11.MUST_CLOSE
+
     def _check_arrived_head(self, size: int) -> None:
         """Reject a head that exceeds the limit before it is complete."""
         self._arrived_head_bytes += size
--- a/tests/test_ingress_limits.py
+++ b/tests/test_ingress_limits.py
@@ -4,8 +4,10 @@
 from attrs import evolve
 from twisted.internet.task import Clock
 
+from chivewall.gateway.caller_messages import SendResponse
 from chivewall.gateway.ingress_connection import IDLE_MARGIN_SECONDS, IngressConnection
 from chivewall.gateway.routing_configuration import IngressLimits
+from chivewall.task import Inbox
 from tests.utils.ingress import SHORT, SocketTransport, apply, make_gateway
 
 LONG = evolve(SHORT, version=2, limits=IngressLimits(idle_timeout_ms=8000))
@@ -105,3 +107,17 @@
     connection.dataReceived(b"%x\r\n%s\r\n" % (900_000, b"x" * 900_000))
     assert connection.transport.value().startswith(b"HTTP/1.1 503 ")
     assert gateway.bodies.used == 0
+
+
+def test_bytes_after_the_last_request_leave_it_alone(gateway):
+    """Guards against a request in progress that gets no answer, and whose body isn't counted."""
+    apply(gateway, SHORT)
+    gateway.accept = lambda *_: Inbox()
+    connection = connect(gateway)
+    head = b"POST /1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 2\r\n\r\n"
+    connection.dataReceived(head + b"xx")
+    connection.dataReceived(b"\r\n")
+    assert gateway.bodies.used == 2
+    connection.put(SendResponse(1, 200, (), b"ok"))
+    assert connection.transport.value().endswith(b"\r\n\r\nok")
+    assert gateway.bodies.used == 0
