Bound the ranks of work that other gateways tell

Cause: the rank of shared work was the only number of a datagram without bounds. One datagram with a negative rank puts work before all other at an engine until it expires, and each new number leaves a record of its arrivals that is never dropped.

Conclusion: no sender that keeps the format notices.

--- a/chivewall/gateway/peer_codec.py
+++ b/chivewall/gateway/peer_codec.py
@@ -161,7 +161,7 @@
         endpoint=str(endpoint),
         reference_seconds=_bounded_seconds(reference_seconds),
         counted_seconds=_bounded_seconds(counted_seconds),
-        rank=int(rank),
+        rank=min(permit_codec.MAX_RANK, max(0, int(rank))),
         prefixes=tuple(str(one) for one in prefixes),
     )
 
