Keep late requests behind others beyond rank 9

Cause: without workspaces the rank of a request is its route's priority, which has no upper bound. A late request of rank 12 was given rank 9, so it overtook those on time; and engines, which know priorities 0 to 9, got X-Request-Priority: 12.

A late request keeps its rank if that is the larger one, and what engines get is 9 at most. Ranks 0 to 9 are treated as before.

Conclusion: the order among requests holds for all priorities that a manifest may name.

--- a/chivewall/decisions/placement.py
+++ b/chivewall/decisions/placement.py
@@ -85,7 +85,7 @@
     yielded_seconds = _yielded_seconds(placement, usable, context)
     if placement.estimate + yielded_seconds > ON_TIME_SHARE * context.slack_seconds:
         # It misses its objective anyway, so it yields to requests that can meet theirs.
-        late_rank = min(MAX_RANK, context.rank + LATE_RANK_INCREASE)
+        late_rank = max(context.rank, min(MAX_RANK, context.rank + LATE_RANK_INCREASE))
         late = evolve(context, rank=late_rank)
         yields = placement.estimate <= ON_TIME_SHARE * context.slack_seconds
         placement = _choose_at_rank(fields, usable, late, prompt)
--- a/chivewall/platform/headers.py
+++ b/chivewall/platform/headers.py
@@ -31,6 +31,7 @@
 LEAVING = b"server-leaving"
 LIMIT = b"server-limit"  # requests a second from all gateways together
 DECIMAL = re.compile(r"[0-9]{1,20}(\.[0-9]{0,20})?|\.[0-9]{1,20}")
+LEAST_PRIORITY = 9  # the least urgent one that engines know
 MAX_LOGGED_VALUE = 64  # characters of a value that can't be read
 HOP_BY_HOP = frozenset(
     {
@@ -95,7 +96,7 @@
         set_here = (
             (b"X-Deadline-Ms", str(max(1, int(sent.time_left_ms)))),
             (b"X-Expect-Instance", sent.endpoint),
-            (b"X-Request-Priority", None if sent.priority is None else str(sent.priority)),
+            (b"X-Request-Priority", _priority(sent.priority)),
             (b"X-Stage", sent.stage and sent.stage.value),
             (b"X-Kv-From", sent.kv_source),
             (b"Kv-Fetch", sent.prefix_source and "{}:{}".format(*sent.prefix_source)),
@@ -175,6 +176,10 @@
     return None
 
 
+def _priority(rank: int | None) -> str | None:
+    return None if rank is None else str(min(LEAST_PRIORITY, rank))
+
+
 def _connection_options(headers: Headers) -> frozenset[bytes]:
     named = {
         one.strip().lower()
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -174,6 +174,11 @@
         )
         assert choose(PROMPT, states, make_context(rank=8, slack_seconds=0.1)).rank == MAX_RANK
 
+    def test_late_request_does_not_overtake_beyond_the_least_urgent_rank(self):
+        """Guards against late requests that go first where routes have priorities beyond 9."""
+        found = choose(PROMPT, self.engines(), make_context(rank=12, slack_seconds=0.1))
+        assert found.rank == 12
+
     def test_request_that_can_wait_takes_no_turn_before_others(self):
         """Guards against urgent requests with seconds left that overtake others without."""
         states = self.engines()
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -20,6 +20,7 @@
     decode,
     encode,
 )
+from chivewall.gateway.permit_codec import MAX_RANK
 from chivewall.gateway.routing_configuration import (
     EndpointScale,
     EngineMemory,
@@ -234,6 +235,16 @@
     assert not dialect.decode_response(503, ()).not_run
 
 
+@pytest.mark.parametrize(("rank", "expected"), [(0, b"0"), (9, b"9"), (12, b"9")])
+def test_priority_is_one_that_engines_know(rank, expected):
+    """Guards against a value of which the platform doesn't say what engines make of it."""
+    fields = RequestFields(request_id="r1")
+    request = CallerRequest(b"POST", b"/1", (), b"", False, 0.0, fields)
+    sent = ForwardedFields(time_left_ms=100.0, endpoint="e", priority=rank)
+    headers = dict(PlatformDialect().request_headers(request, sent))
+    assert headers[b"X-Request-Priority"] == expected
+
+
 WORK = st.builds(
     SharedWork,
     number=st.integers(0, 10**9),
@@ -287,6 +298,14 @@
         decode(datagram)
 
 
+@pytest.mark.parametrize(("rank", "expected"), [(-5, 0), (12, 12), (10**30, MAX_RANK)])
+def test_rank_of_a_datagram_is_bounded(rank, expected):
+    """Guards against work that goes before all other for ever, and a record for each number."""
+    work = SharedWork(1, "e", 0.1, 1.0, rank, ())
+    (found,) = decode(encode(PeerMessage(work=(work,)))).work
+    assert found.rank == expected
+
+
 @pytest.mark.parametrize("address", ["gateway-2", "", "10.0.0.300", "::1", "\ud800", "<broadcast>"])
 def test_datagram_that_names_no_address_is_rejected(address):
     """Guards against hellos that end for good, as the socket refuses to send to such a name."""
