Leave searches for spare endpoints out of fairness

tests/test_workspace_shares.py: short after such a search before, not short after; a late request itself still declares it.

Conclusion: only what a request needs to be answered says something about room.

--- a/chivewall/gateway/workspace_fairness.py
+++ b/chivewall/gateway/workspace_fairness.py
@@ -55,9 +55,12 @@
     def record_choice(
         self, query: FindPlacement, found: Placement | Overloaded | None, queue_weight: float
     ) -> None:
-        """Record what became of a request: whether room is short, and who yields."""
+        """Record what became of a request: whether room is short, and who yields.
+
+        A search for a spare endpoint says nothing: the request is answered without one.
+        """
         use = self._use(query)
-        if use is None or found is None or query.committed:
+        if use is None or found is None or query.committed or query.spare:
             return
         refused = isinstance(found, Overloaded)
         if refused or found.estimate > ON_TIME_SHARE * query.slack_seconds:
--- a/tests/test_workspace_shares.py
+++ b/tests/test_workspace_shares.py
@@ -21,7 +21,12 @@
     workspace_tag,
 )
 from chivewall.errors import DecodeError
-from chivewall.gateway.fleet_messages import PeerShares, RequestReceived, ShareReports, WorkSent
+from chivewall.gateway.fleet_messages import (
+    PeerShares,
+    RequestReceived,
+    ShareReports,
+    WorkSent,
+)
 from chivewall.gateway.http_dialect import RequestFields
 from chivewall.gateway.peer_codec import (
     MAX_DATAGRAM_BYTES,
@@ -270,6 +275,14 @@
         (line,) = [fields for name, fields in self.lines if name == "WORKSPACE_YIELDS"]
         assert (line["workspace"], line["queue_weight"] > 1) == ("big", True)
 
+    def test_search_for_a_spare_endpoint_says_nothing_about_room(self, fleet):
+        """Guards against datagrams and yielding on quiet days because of one slow answer."""
+        self.count(fleet, "big", asked=1, sent=1)
+        query_placement(fleet, 100, workspace="big", slack_seconds=0.0, spare=True)
+        assert not fleet.fairness.shares.is_short(fleet.env.now)
+        query_placement(fleet, 100, workspace="big", slack_seconds=0.0)
+        assert fleet.fairness.shares.is_short(fleet.env.now)
+
     def test_empty_queue_refuses_nobody(self, fleet):
         """Guards against room that stays idle while a heavy workspace asks for it."""
         self.count(fleet, "big", asked=90, sent=40)
