Count refusals for engine memory as a shortage

Cause: a request for which no engine has memory is refused before the placement, so fairness between workspaces never learned of it, and other gateways weren't told who uses the room.

tests/test_workspace_shares.py: not short after such a refusal before, short after.

Conclusion: the weights act on queues only; they don't keep a workspace from filling the memory of engines that have no queue.

--- a/chivewall/gateway/fleet.py
+++ b/chivewall/gateway/fleet.py
@@ -486,7 +486,9 @@
             verdict=verdict.value,
         )
         full = verdict is MemoryVerdict.FULL
-        message.reply(Overloaded(RETRY_SECONDS, RETRY_SECONDS) if full else None)
+        found = Overloaded(RETRY_SECONDS, RETRY_SECONDS) if full else None
+        self.fairness.record_choice(message, found, queue_weight=1.0)
+        message.reply(found)
 
     def _service_load(self, service: str, *, settling: bool) -> ServiceLoad:
         now = self.env.now
--- a/tests/test_workspace_shares.py
+++ b/tests/test_workspace_shares.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 from twisted.internet.task import Clock
 
+from chivewall.decisions.overload import Overloaded
 from chivewall.decisions.placement import Placement
 from chivewall.decisions.workspace_shares import (
     AVERAGE_SECONDS,
@@ -22,6 +23,7 @@
 )
 from chivewall.errors import DecodeError
 from chivewall.gateway.fleet_messages import (
+    EngineMemoryStated,
     PeerShares,
     RequestReceived,
     ShareReports,
@@ -283,6 +285,14 @@
         query_placement(fleet, 100, workspace="big", slack_seconds=0.0)
         assert fleet.fairness.shares.is_short(fleet.env.now)
 
+    def test_engines_without_memory_are_a_shortage(self, fleet):
+        """Guards against a workspace that fills the engines' memory, unseen by the shares."""
+        fleet.send(EngineMemoryStated({"engines": 1000}))
+        held = RequestFields(prompt_tokens=900)
+        fleet.send(WorkSent("d1", 0.0, held, 9.0, 9.0, exchange=9999))
+        assert isinstance(self.ask(fleet, "small"), Overloaded)
+        assert fleet.fairness.shares.is_short(fleet.env.now)
+
     def test_empty_queue_refuses_nobody(self, fleet):
         """Guards against room that stays idle while a heavy workspace asks for it."""
         self.count(fleet, "big", asked=90, sent=40)
