Explain a route with the key and rank of the request

Cause: two features met. The operator's question found the workspace and the rank by rules of its own: the priority of the workspace in place of the rank by both priorities, and a workspace also on public routes. Its answer was about another request than the one that the gateway serves.

tests/test_placement_explanation.py: rank 4 before and 1 after, as sent; a request without a known key is refused with UNKNOWN_KEY as by the gateway (before UNAUTHENTICATED, which is about the operator's token). The test of the former look-up is replaced by its cases at the question itself.

Conclusion: the question asks the same rule as an arriving request.

--- a/chivewall/gateway/route_explanation.py
+++ b/chivewall/gateway/route_explanation.py
@@ -3,7 +3,7 @@
 import json
 from typing import Any
 
-from attrs import asdict, evolve
+from attrs import asdict
 from twisted.web.server import Request as HttpRequest
 
 from chivewall.decisions.overload import Overloaded
@@ -16,7 +16,8 @@
 from chivewall.gateway.fleet_messages import ExplainPlacement, FindPlacement
 from chivewall.gateway.gateway import Gateway
 from chivewall.gateway.http_dialect import CallerRequest, HttpDialect
-from chivewall.gateway.routing_configuration import Route, RoutingConfiguration, Workspace
+from chivewall.gateway.routing_configuration import Route, Workspace
+from chivewall.gateway.workspace_access import key_refusal
 from chivewall.plugins.base import Plugin
 from chivewall.plugins.builtin.credentials import Credentials, authenticate
 from chivewall.plugins.builtin.http_api import HttpApi, write_json
@@ -47,9 +48,11 @@
         if route is None:
             raise RequestError(ResultCode.NOT_FOUND, "no route matches host and path")
         configuration = self.gateway.table.configuration
-        workspace = find_workspace(configuration, request.fields.workspace_keys)
-        if configuration.workspaces and workspace is None and not route.public:
-            raise RequestError(ResultCode.UNAUTHENTICATED, "no workspace has the key, or no key")
+        ruling = self.gateway.access.rule(request, route)
+        refusal = key_refusal(ruling)
+        if refusal is not None:
+            raise RequestError(refusal.code, refusal.reason)
+        workspace = ruling.workspace
         weights = {one.service: max(0.0, one.weight) for one in route.services}
         services = [
             await self._explain_service(request, route, service, workspace) for service in weights
@@ -71,14 +74,12 @@
     async def _explain_service(
         self, request: CallerRequest, route: Route, service: str, workspace: Workspace | None
     ) -> dict[str, Any]:
-        if workspace is not None and workspace.priority is not None:
-            route = evolve(route, priority=workspace.priority)
         question = FindPlacement(
             service=service,
             fields=request.fields,
             excluded=frozenset(),
             allowed=None,
-            rank=route.priority,
+            rank=self.gateway.access.in_force.ranks.rank(workspace, route),
             slack_seconds=route.objective_ms / MS_PER_SECOND,
             time_left_seconds=request_deadline(request, route) - request.received_at,
             pause_seconds=route.pause_ms / MS_PER_SECOND,
@@ -120,13 +121,6 @@
         )
 
 
-def find_workspace(configuration: RoutingConfiguration, keys: tuple[str, ...]) -> Workspace | None:
-    """Return the workspace that has the one key of a request, or ``None``."""
-    if len(keys) != 1:
-        return None
-    return next((one for one in configuration.workspaces if keys[0] in one.keys), None)
-
-
 def describe(explanation: PlacementExplanation) -> dict[str, Any]:
     """Return the choice in a service and its reasons, as JSON."""
     found = explanation.found
--- a/tests/test_placement_explanation.py
+++ b/tests/test_placement_explanation.py
@@ -1,10 +1,15 @@
 """Where a request would go now, and why."""
 
+import json
+from unittest.mock import Mock
+
 import pytest
+from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import Clock
 
 from chivewall.decisions.overload import Overloaded
 from chivewall.gateway.announcement_messages import EndpointLeaving, EndpointLimit, EndpointPause
+from chivewall.gateway.fleet import Fleet
 from chivewall.gateway.fleet_messages import (
     EndpointCrashed,
     EngineCooldown,
@@ -12,15 +17,20 @@
     FindPlacement,
     WorkSent,
 )
-from chivewall.gateway.http_dialect import RequestFields, StatedLimit
-from chivewall.gateway.route_explanation import find_workspace
+from chivewall.gateway.gateway import Gateway
+from chivewall.gateway.http_dialect import HttpDialect, RequestFields, StatedLimit
+from chivewall.gateway.route_explanation import LOOPBACK, RouteExplainer
 from chivewall.gateway.routing_configuration import (
     IngressLimits,
     RoutingConfiguration,
     Stage,
     Workspace,
 )
+from chivewall.plugins.builtin.http_api import HttpApi
+from chivewall.results import ResultCode
 from tests.utils.fleets import make_fleet
+from tests.utils.ingress import apply, make_gateway
+from tests.utils.requests import make_stream_route
 
 
 @pytest.fixture
@@ -118,13 +128,46 @@
     assert (explanation.found, explanation.candidates) == (None, ())
 
 
-@pytest.mark.parametrize(
-    ("keys", "name"), [(("k1",), "w1"), (("k9",), None), ((), None), (("k1", "k1"), None)]
-)
-def test_workspace_has_the_only_key(keys, name):
-    """Guards against a request that counts for a workspace though it would be refused."""
-    configuration = RoutingConfiguration(
-        1, (), IngressLimits(), workspaces=(Workspace("w1", ("k1", "k2")),)
+def explained(*headers, public=False):
+    """Return what the operator is told about a request of two workspaces' deployment."""
+    gateway = make_gateway(Clock())
+    route = make_stream_route(priority=1, public=public)
+    workspaces = (Workspace("w1", ("k1",), 4), Workspace("w2", ("k2",), 3))
+    apply(
+        gateway,
+        RoutingConfiguration(
+            1, (route,), IngressLimits(), workspaces=workspaces, keys_required=True
+        ),
     )
-    found = find_workspace(configuration, keys)
-    assert (None if found is None else found.name) == name
+    api, http = Mock(), Mock()
+    question = {"path": "/1", "headers": [["Host", route.host], *headers]}
+    api.read_body.return_value = json.dumps(question).encode()
+    http.getClientAddress.return_value.host = LOOPBACK
+    env = gateway.env
+    for kind, one in (
+        (HttpApi, api),
+        (Gateway, gateway),
+        (Fleet, gateway.context.fleet),
+        (HttpDialect, gateway.context.dialect),
+    ):
+        env.provide(kind, one)
+    gateway.context.fleet.query = Mock(wraps=gateway.context.fleet.query)
+    found = []
+    ensureDeferred(RouteExplainer(env).explain_route(http)).addBoth(found.append)
+    query = gateway.context.fleet.query.call_args
+    return found[0], query and query.args[0].request
+
+
+def test_explained_rank_is_that_of_the_request():
+    """Guards against an explanation of another request than the one that the gateway serves."""
+    _, query = explained(["X-Key", "k1"])
+    assert (query.workspace, query.rank) == ("w1", 1)
+    _, query = explained(["X-Key", "k1"], public=True)
+    assert (query.workspace, query.rank) == (None, 0)
+
+
+@pytest.mark.parametrize("keys", [("k9",), (), ("k1", "k1")])
+def test_request_without_one_known_key_is_not_explained(keys):
+    """Guards against a request that counts for a workspace though it would be refused."""
+    failure, query = explained(*(["X-Key", one] for one in keys))
+    assert (failure.value.code, query) == (ResultCode.UNKNOWN_KEY, None)
