Cut many slow readers without recursion

Cause: each cut releases the caller's unread bytes, which began the search for the next cut inside the first one, four calls deeper. With a lowered memory limit in force several hundred callers have to go at once: RecursionError, raised into the write of another caller's response.

Only bytes that are added begin cuts now. tests/test_ingress_limits.py, 500 blocked callers and a limit lowered from 33.6 to 8.4 MB: RecursionError before; after, those blocked longest are cut and the sum is below the limit.

--- a/chivewall/gateway/gateway.py
+++ b/chivewall/gateway/gateway.py
@@ -263,8 +263,8 @@
         """
         self.unread_bytes += size
         limit = self.cfg.memory_limits.unread
-        if self.unread_bytes <= limit:
-            return
+        if size <= 0 or self.unread_bytes <= limit:
+            return  # each cut below releases bytes, and must not begin further ones
         blocked = (one for one in self.connections if one.blocked_since is not None)
         for slowest in sorted(blocked, key=lambda one: one.blocked_since):
             if self.unread_bytes <= limit:
--- a/tests/test_ingress_limits.py
+++ b/tests/test_ingress_limits.py
@@ -121,3 +121,18 @@
     connection.put(SendResponse(1, 200, (), b"ok"))
     assert connection.transport.value().endswith(b"\r\n\r\nok")
     assert gateway.bodies.used == 0
+
+
+def test_many_slow_readers_are_cut_after_a_lowered_limit(clock, gateway):
+    """Guards against an error in place of the cuts when hundreds of callers have to go at once."""
+    connections = [connect(gateway) for _ in range(500)]
+    for one in connections:
+        clock.advance(0.001)
+        one.pauseProducing()
+    gateway.cfg = evolve(gateway.cfg, memory_mb=100.0)
+    limit = gateway.cfg.memory_limits.unread
+    assert gateway.unread_bytes > 3 * limit
+    connect(gateway).pauseProducing()
+    assert limit / 2 < gateway.unread_bytes <= limit
+    left = [one for one in connections if one.blocked_since is not None]
+    assert left == connections[-len(left) :]
