Release an engine's memory as it was counted

Cause: a shared prefix was counted with the tokens that its first request names and released with those of its last one. An engine would seem full with nothing in it, or have room that it doesn't have.

tests/test_engine_memory.py: 60 tokens left of a request of 10 before, 10 after.

Conclusion: the tokens of a prefix are kept with the count of its users.

--- a/chivewall/decisions/engine_memory.py
+++ b/chivewall/decisions/engine_memory.py
@@ -60,6 +60,8 @@
     requests: dict[int, RequestMemory] = field(factory=dict)  # by exchange
     total: int = 0
     _users: Counter = field(factory=Counter)  # requests in flight by prefix
+    # Tokens of each prefix as they were counted; callers may name other numbers for the same one.
+    _counted: dict[str, int] = field(factory=dict)
 
     def missing(self, request: RequestMemory) -> int:
         """Return the tokens that a request would add."""
@@ -70,7 +72,9 @@
         self.remove(exchange)
         added = self.missing(request)
         self.requests[exchange] = request
-        self._users.update(key for key, _ in request.shared)
+        for key, tokens in request.shared:
+            self._users[key] += 1
+            self._counted.setdefault(key, tokens)
         self.total += added
         return added
 
@@ -79,11 +83,12 @@
         request = self.requests.pop(exchange, None)
         if request is None:
             return
+        self.total -= request.own
         for key, _ in request.shared:
             self._users[key] -= 1
             if not self._users[key]:
                 del self._users[key]
-        self.total -= self.missing(request)
+                self.total -= self._counted.pop(key)
 
 
 @define
--- a/tests/test_engine_memory.py
+++ b/tests/test_engine_memory.py
@@ -3,7 +3,7 @@
 import pytest
 from twisted.internet.task import Clock
 
-from chivewall.decisions.engine_memory import MemoryVerdict
+from chivewall.decisions.engine_memory import HeldTokens, MemoryVerdict, RequestMemory
 from chivewall.decisions.overload import Overloaded
 from chivewall.decisions.placement import Placement, PromptState
 from chivewall.gateway.fleet_messages import EngineMemoryStated, PeerWork, WorkEnded, WorkSent
@@ -91,3 +91,14 @@
     for exchange in range(20):
         send(fleet, "d1", exchange)
     assert isinstance(find(fleet, tokens=CAPACITY + 1), Placement)
+
+
+def test_prefix_of_which_callers_name_different_sizes_leaves_nothing():
+    """Guards against engines that seem full for ever, while they always have some request."""
+    held = HeldTokens()
+    held.add(0, RequestMemory((), 10))
+    for exchange, tokens in ((1, 100), (2, 50)):
+        held.add(exchange, RequestMemory((("k", tokens),), 10))
+    for exchange in (1, 2):
+        held.remove(exchange)
+    assert held.total == 10
