Order several changes of stage only while their load is new

Cause: all changes of one check were ordered one after the other, however long the store took and also after a suspension in between: the next lock is free to the instance that holds the last one. Engines may have left since, so that fewer than two decode engines would remain.

tests/test_stage_changer.py, four changes, orders given: with reads of 1.5 s 4 before and 2 after, with a suspension of 30 s 4 and 1, with a store that answers at once 4 and 4.

Conclusion: what was not ordered is proposed again after the settling time, if still needed.

--- a/chivewall/gateway/stage_changer.py
+++ b/chivewall/gateway/stage_changer.py
@@ -26,6 +26,9 @@
 from chivewall.task import Inbox, Task
 
 CHECK_SECONDS = 1.0  # interval between checks of the load
+# Age of the load up to which a further order is given for it. The store answers in some ms; when it
+# is slow, or the process was suspended, several orders in a row take many seconds.
+MAX_LOAD_AGE_SECONDS = 2.0
 ORDER_COOLDOWN_SECONDS = 2.0  # cooldown of the engine while its order is awaiting a response
 CHANGE_COOLDOWN_SECONDS = 12.0  # maximum cooldown of the engine after it has accepted the order
 
@@ -102,7 +105,10 @@
         urgent = any(one.urgent for one in changes)
         if self.env.now < (self.next_urgent_change_at if urgent else self.next_change_at):
             return
+        began_at = self.clock()
         for change in changes:
+            if self.clock() - began_at > MAX_LOAD_AGE_SECONDS:
+                return  # by now, other engines may have left or changed
             await self._try_change(load, change)
 
     async def _try_change(self, load: ServiceLoad, change: StageChange) -> None:
--- a/tests/test_stage_changer.py
+++ b/tests/test_stage_changer.py
@@ -70,6 +70,7 @@
     messages: list = field(factory=list)
     order_result: Exception | None = None
     write_seconds: float = 0.0
+    read_seconds: float = 0.0
     conflict: bool = False
     messages_before_order: list = field(factory=list)
 
@@ -82,6 +83,7 @@
         self.messages.append(message)
 
     def read(self, service):
+        self.now += self.read_seconds
         return succeed(StoredOrderLock(self.lock, self.revision, self.era))
 
     def acquire(self, service, lock, revision):
@@ -316,3 +318,22 @@
     fakes.lock = evolve(fakes.lock, number=5)
     clock.advance(1.0)
     assert len(fakes.orders) == 1
+
+
+def many_decoders():
+    """Return the load of a service that lacks several prefill engines."""
+    names = {"p1": Stage.PREFILL} | {f"d{one:02}": Stage.DECODE for one in range(12)}
+    engines = tuple(EngineView(name, stage, 1, usable=True) for name, stage in names.items())
+    load = StageLoad(engines, prefill_load=9.0, recent_load=9.0)
+    return ServiceLoad("engines", load, {one: engine_info(one, names[one]) for one in names})
+
+
+@pytest.mark.parametrize(("read_seconds", "expected"), [(0.0, 4), (1.5, 2), (30.0, 1)])
+def test_several_orders_are_given_while_their_load_is_new(fakes, clock, read_seconds, expected):
+    """Guards against orders for a load of long ago: by a slow store, or by a suspended process."""
+    fakes.load = many_decoders()
+    fakes.read_seconds = read_seconds
+    clock.advance(1.0)
+    numbers = [number for *_, number, _ in fakes.orders]
+    assert len({engine for engine, *_ in fakes.orders}) == len(numbers) == expected
+    assert numbers == sorted(set(numbers))
