Let requests go on whose route has become public

Cause: a request in progress is judged again by each new configuration, but with its route of the older one. If a version makes the route public and takes the key away, the request got a 401 although both versions allow it.

tests/test_workspace_keys.py: one attempt and 401 before, a second attempt without X-Tenant after.

Conclusion: a route counts as public if the configuration in force has it so.

--- a/chivewall/decisions/workspace_keys.py
+++ b/chivewall/decisions/workspace_keys.py
@@ -54,6 +54,7 @@
     configuration: RoutingConfiguration = field(repr=False)
     shared: frozenset[tuple[str, str]] = field(factory=frozenset, init=False)
     _by_digest: dict[bytes, tuple[bytes, Workspace]] = field(factory=dict, init=False, repr=False)
+    _public: frozenset[tuple[str, str]] = field(factory=frozenset, init=False, repr=False)
 
     def __attrs_post_init__(self) -> None:
         shared = set()
@@ -63,6 +64,9 @@
                 holder = self._by_digest.setdefault(digest, (digest, workspace))[1]
                 if holder.name != workspace.name:
                     shared.add((holder.name, workspace.name))
+        self._public = frozenset(
+            (one.host, one.path_prefix) for one in self.configuration.routes if one.public
+        )
         self.shared = frozenset(shared)  # names of workspaces with a common key, the holder first
 
     @property
@@ -77,7 +81,9 @@
         No request is denied then, as a newer one may allow it.
         """
         in_use = self.configuration.keys_required
-        if not in_use or route.public:
+        # The route of a request in progress may be that of an earlier configuration.
+        became_public = (route.host, route.path_prefix) in self._public
+        if not in_use or route.public or became_public:
             return KeyRuling(KeyVerdict.NOT_NEEDED, workspaces_in_use=in_use)
         workspace, reason = self._find(sent)
         if workspace is not None:
--- a/tests/test_workspace_keys.py
+++ b/tests/test_workspace_keys.py
@@ -24,7 +24,12 @@
 from chivewall.gateway.gateway import Gateway
 from chivewall.gateway.http_dialect import CallerRequest, ForwardedFields, StatedLimit
 from chivewall.gateway.ingress_connection import IngressConnection
-from chivewall.gateway.routing_configuration import RouteKind, Stage
+from chivewall.gateway.routing_configuration import (
+    IngressLimits,
+    RouteKind,
+    RoutingConfiguration,
+    Stage,
+)
 from chivewall.gateway.store_collections import (
     CollectionItem,
     CollectionSnapshot,
@@ -423,6 +428,19 @@
     assert bench.task.workspace.priority == 3
 
 
+def test_request_of_a_route_that_became_public_needs_no_key():
+    """Guards against a 401 for a request that the versions before and after both allow."""
+    bench = begun(Clock())
+    put_in_force(bench, ALPHA)
+    opened = RoutingConfiguration(
+        2, (evolve(bench.route, public=True),), IngressLimits(), keys_required=True
+    )
+    bench.task.send(WorkspacesInForce(WorkspaceKeys(opened), RequestRanks(opened)))
+    bench.fail_to_connect()
+    assert len(bench.connections.sent) == 2
+    assert b"X-Tenant" not in dict(bench.connections.sent[1].headers)
+
+
 def test_priority_of_the_workspace_goes_before_that_of_the_route():
     """Guards against urgent workspaces that wait behind others."""
     # With this objective the request is on time at its rank, but can't wait among less urgent ones.
