Make room in the table of fairness groups

Cause: groups of a service and a rank were never forgotten, and at most 200 are kept. After a sender with odd names, or many services and ranks over the life of a process, new groups were refused, so that workspaces of those services were no longer weighed.

tests/test_workspace_shares.py: after 200 groups of other senders, 198 s later, no report on the own group before, one after.

Conclusion: a full table drops the groups in which nobody has asked for anything for long.

--- a/chivewall/decisions/workspace_shares.py
+++ b/chivewall/decisions/workspace_shares.py
@@ -146,6 +146,11 @@
         """Return whether there is too little room."""
         return now < max(self.seen_until, self.told_until)
 
+    def is_idle(self, now: float) -> bool:
+        """Return whether nobody has asked for anything for a long time."""
+        self.forget(now)
+        return not (self.totals or self.is_short(now))
+
     def add(self, workspace: str, demand: float, use: float, now: float) -> None:
         """Add to the sums of all gateways."""
         self.forget(now)
@@ -198,13 +203,13 @@
 
     def record_short(self, group: ShareGroup, now: float) -> None:
         """Record that a request was refused or is late."""
-        found = self._group(group)
+        found = self._group(group, now)
         if found is not None:
             found.seen_until = now + SHORT_SECONDS
 
     def record_report(self, report: ShareReport, weight: float, now: float) -> None:
         """Record what another gateway tells; it stands for ``weight`` gateways."""
-        found = self._group(report.group)
+        found = self._group(report.group, now)
         if found is None:
             return
         if report.short:
@@ -248,13 +253,16 @@
     def _record(
         self, asked: WorkspaceUse, now: float, demand: float = 0.0, use: float = 0.0
     ) -> None:
-        group = self._group(asked.group)
+        group = self._group(asked.group, now)
         if group is not None:
             group.add(asked.workspace, demand, use, now)
             if asked.workspace in group.totals:
                 group.untold.setdefault(asked.workspace, Tally()).add(demand, use, now)
 
-    def _group(self, key: ShareGroup) -> GroupShares | None:
+    def _group(self, key: ShareGroup, now: float) -> GroupShares | None:
         if key not in self._groups and len(self._groups) >= MAX_GROUPS:
-            return None
+            for one in [one for one, group in self._groups.items() if group.is_idle(now)]:
+                del self._groups[one]
+            if len(self._groups) >= MAX_GROUPS:
+                return None
         return self._groups.setdefault(key, GroupShares())
--- a/tests/test_workspace_shares.py
+++ b/tests/test_workspace_shares.py
@@ -10,6 +10,7 @@
 from chivewall.decisions.workspace_shares import (
     AVERAGE_SECONDS,
     FLOOR_SHARE,
+    MAX_GROUPS,
     MAX_QUEUE_WEIGHT,
     MAX_WORKSPACES,
     SHORT_SECONDS,
@@ -231,6 +232,18 @@
     assert set(group.totals) == set(group.untold) == {"late"}
 
 
+def test_groups_of_the_past_make_room_for_others():
+    """Guards against fairness that ends once a sender's or earlier services fill the table."""
+    shares = WorkspaceShares()
+    for number in range(MAX_GROUPS):
+        entries = (ShareEntry("w", 1.0, 1.0),)
+        shares.record_report(ShareReport(ShareGroup(f"s{number}", 0), True, entries), 1.0, 1.0)
+    shares.record_short(GROUP, 2.0)
+    assert len(shares.reports(2.0)) == MAX_GROUPS  # all are in use
+    shares.record_short(GROUP, 200.0)
+    assert [one.group for one in shares.reports(200.0)] == [GROUP]
+
+
 class TestFleet:
     """The task that places requests."""
 
