--- a/chivewall/decisions/placement.py
+++ b/chivewall/decisions/placement.py
@@ -32,7 +32,8 @@
 # at the full slack, half of the requests would miss their objective by a little.
 ON_TIME_SHARE = 0.7
 # A request whose estimate at this rank takes at most this share of its slack is sent with the rank.
-PATIENT_RANK = 2  # the least urgent rank of requests that meet their objective
+# It is the least urgent one where only routes have priorities, of 0 to 2; workspaces add others.
+PATIENT_RANK = 2
 PATIENT_SHARE = 0.35
 MAX_RANK = 9  # the least urgent rank
 LATE_RANK_INCREASE = 3  # added to the rank of a request that misses its objective anyway
@@ -85,7 +86,7 @@
     yielded_seconds = _yielded_seconds(placement, usable, context)
     if placement.estimate + yielded_seconds > ON_TIME_SHARE * context.slack_seconds:
         # It misses its objective anyway, so it yields to requests that can meet theirs.
-        late_rank = min(MAX_RANK, context.rank + LATE_RANK_INCREASE)
+        late_rank = max(context.rank, min(MAX_RANK, context.rank + LATE_RANK_INCREASE))
         late = evolve(context, rank=late_rank)
         yields = placement.estimate <= ON_TIME_SHARE * context.slack_seconds
         placement = _choose_at_rank(fields, usable, late, prompt)
@@ -103,13 +104,17 @@
 ) -> Placement | None:
     """Return the placement of a request that can wait its turn among less urgent ones, or ``None``.
 
-    Without this, urgent requests that have seconds left overtake others that have not.
+    Without this, urgent requests that have seconds left overtake others that have not. A request
+    whose workspace is over its fair share yields as it would with its own rank.
     """
     if context.rank >= PATIENT_RANK:
         return None
-    found = _choose_at_rank(fields, usable, evolve(context, rank=PATIENT_RANK), prompt)
-    in_time = found is not None and found.estimate <= PATIENT_SHARE * context.slack_seconds
-    return found if in_time else None
+    patient = evolve(context, rank=PATIENT_RANK)
+    found = _choose_at_rank(fields, usable, patient, prompt)
+    if found is None:
+        return None
+    seconds = found.estimate + _yielded_seconds(found, usable, patient)
+    return found if seconds <= PATIENT_SHARE * context.slack_seconds else None
 
 
 def _chosen(placement: Placement, usable: list[EndpointRecord]) -> list[EndpointRecord]:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -174,6 +174,11 @@
         )
         assert choose(PROMPT, states, make_context(rank=8, slack_seconds=0.1)).rank == MAX_RANK
 
+    def test_late_request_does_not_overtake_beyond_the_least_urgent_rank(self):
+        """Guards against late requests that go first where routes have priorities beyond 9."""
+        found = choose(PROMPT, self.engines(), make_context(rank=12, slack_seconds=0.1))
+        assert found.rank == 12
+
     def test_request_that_can_wait_takes_no_turn_before_others(self):
         """Guards against urgent requests with seconds left that overtake others without."""
         states = self.engines()
@@ -184,6 +189,16 @@
             add_prompt(one, 2.0, number=2, rank=PATIENT_RANK)  # its turn would come late
         assert choose(PROMPT, states, make_context(rank=0, slack_seconds=5.0)).rank == 0
 
+    def test_request_over_its_share_yields_though_it_could_wait(self):
+        """Guards against a workspace that keeps the room of others since its requests have time."""
+        states = self.engines()
+        for one in states:
+            add_prompt(one, 0.4)
+        patient = choose(PROMPT, states, make_context(slack_seconds=5.0))
+        assert (patient.rank, patient.yields) == (PATIENT_RANK, False)
+        over = choose(PROMPT, states, make_context(slack_seconds=5.0, queue_weight=8.0))
+        assert over.yields
+
     def test_kv_cache_stays_in_its_data_centre_while_engines_there_have_room(self):
         """Guards against KV caches that are moved between data centres without a gain."""
         states = self.engines()
--- a/tests/test_workspace_shares.py
+++ b/tests/test_workspace_shares.py
@@ -5,10 +5,12 @@
 from hypothesis import strategies as st
 from twisted.internet.task import Clock
 
+from chivewall.decisions.overload import Overloaded
 from chivewall.decisions.placement import Placement
 from chivewall.decisions.workspace_shares import (
     AVERAGE_SECONDS,
     FLOOR_SHARE,
+    MAX_GROUPS,
     MAX_QUEUE_WEIGHT,
     MAX_WORKSPACES,
     SHORT_SECONDS,
@@ -21,7 +23,13 @@
     workspace_tag,
 )
 from chivewall.errors import DecodeError
-from chivewall.gateway.fleet_messages import PeerShares, RequestReceived, ShareReports, WorkSent
+from chivewall.gateway.fleet_messages import (
+    EngineMemoryStated,
+    PeerShares,
+    RequestReceived,
+    ShareReports,
+    WorkSent,
+)
 from chivewall.gateway.http_dialect import RequestFields
 from chivewall.gateway.peer_codec import (
     MAX_DATAGRAM_BYTES,
@@ -224,6 +232,18 @@
     assert set(group.totals) == set(group.untold) == {"late"}
 
 
+def test_groups_of_the_past_make_room_for_others():
+    """Guards against fairness that ends once a sender's or earlier services fill the table."""
+    shares = WorkspaceShares()
+    for number in range(MAX_GROUPS):
+        entries = (ShareEntry("w", 1.0, 1.0),)
+        shares.record_report(ShareReport(ShareGroup(f"s{number}", 0), True, entries), 1.0, 1.0)
+    shares.record_short(GROUP, 2.0)
+    assert len(shares.reports(2.0)) == MAX_GROUPS  # all are in use
+    shares.record_short(GROUP, 200.0)
+    assert [one.group for one in shares.reports(200.0)] == [GROUP]
+
+
 class TestFleet:
     """The task that places requests."""
 
@@ -270,6 +290,22 @@
         (line,) = [fields for name, fields in self.lines if name == "WORKSPACE_YIELDS"]
         assert (line["workspace"], line["queue_weight"] > 1) == ("big", True)
 
+    def test_search_for_a_spare_endpoint_says_nothing_about_room(self, fleet):
+        """Guards against datagrams and yielding on quiet days because of one slow answer."""
+        self.count(fleet, "big", asked=1, sent=1)
+        query_placement(fleet, 100, workspace="big", slack_seconds=0.0, spare=True)
+        assert not fleet.fairness.shares.is_short(fleet.env.now)
+        query_placement(fleet, 100, workspace="big", slack_seconds=0.0)
+        assert fleet.fairness.shares.is_short(fleet.env.now)
+
+    def test_engines_without_memory_are_a_shortage(self, fleet):
+        """Guards against a workspace that fills the engines' memory, unseen by the shares."""
+        fleet.send(EngineMemoryStated({"engines": 1000}))
+        held = RequestFields(prompt_tokens=900)
+        fleet.send(WorkSent("d1", 0.0, held, 9.0, 9.0, exchange=9999))
+        assert isinstance(self.ask(fleet, "small"), Overloaded)
+        assert fleet.fairness.shares.is_short(fleet.env.now)
+
     def test_empty_queue_refuses_nobody(self, fleet):
         """Guards against room that stays idle while a heavy workspace asks for it."""
         self.count(fleet, "big", asked=90, sent=40)
