Move the terms and timers of a request out of its task

Cause: forwarded_request.py has 1,039 lines and one class for all states of a request, so the path of a request can't be read from top to bottom.

Moved: the deadlines, the workspace, its rank and the refusal of its key to RequestTerms (request_terms.py); the timers to RequestTimers (request_timers.py). The soak variant in_time and two tests follow the names (task.workspace is task.terms.workspace).

Tests: the seven files that use RequestBench, and test_soak.py. Before: 167 passed, one failed: test_priority_of_the_workspace_goes_before_that_of_the_route (test_workspace_keys.py, [b'2', b'2'] == [b'1', b'2']). It failed in each of seven runs on the unchanged. After: 167 passed, the same one failed with the same output.

Conclusion: no behaviour changes; the failure is older than the move.

--- a/chivewall/gateway/forwarded_request.py
+++ b/chivewall/gateway/forwarded_request.py
@@ -1,7 +1,6 @@
 """The task of one caller's request: places it, sends it, and forwards the response."""
 
 from functools import singledispatchmethod
-from typing import Any
 
 from chivewall.backoff import exponential_delay
 from chivewall.decisions.crash_evidence import Verdict
@@ -20,7 +19,6 @@
 from chivewall.decisions.overload import Overloaded
 from chivewall.decisions.placement import Placement, PromptState
 from chivewall.decisions.request_ranks import RequestRanks
-from chivewall.decisions.workspace_shares import WorkspaceUse
 from chivewall.errors import DecodeError, EndpointError
 from chivewall.gateway.caller_messages import CallerDisconnected, EndBy
 from chivewall.gateway.caller_response import CallerResponse
@@ -35,7 +33,6 @@
     is_event_stream,
     is_same_process,
     release_kv_cache,
-    request_deadline,
     response_problem,
     run_began_at,
     send_exchange,
@@ -69,6 +66,8 @@
 from chivewall.gateway.received_response import ReceivedResponse
 from chivewall.gateway.request_log import RequestLog
 from chivewall.gateway.request_permits import MAX_DENIED, PermitsAcquired, RequestPermits
+from chivewall.gateway.request_terms import RequestTerms
+from chivewall.gateway.request_timers import RequestTimers
 from chivewall.gateway.routing_configuration import (
     EndpointInfo,
     Route,
@@ -77,15 +76,12 @@
     Workspace,
 )
 from chivewall.gateway.usage_messages import RequestBegan
-from chivewall.gateway.workspace_access import KeyRefusal, key_refusal
-from chivewall.gateway.workspace_fairness import workspace_use
 from chivewall.gateway.workspace_messages import WorkspacesInForce
 from chivewall.messages import Tick
 from chivewall.results import ResultCode
 from chivewall.task import Inbox, Task
 
 MS_PER_SECOND = 1000.0
-RESPONSE_MARGIN_SECONDS = 0.03  # the gateway's own error is sent this long before the deadline
 SILENCE_SECONDS = 0.5  # time without a byte after which the endpoint's reachability is tested
 TRIAL_CHECK_SECONDS = 0.1  # interval between checks for the outcome of another request's trial
 # Shortest delay of a request that waits for an endpoint, doubled with each further wait. Endpoints
@@ -115,17 +111,21 @@
         ranks: RequestRanks | None = None,
     ) -> None:
         super().__init__()
-        self.workspace = workspace  # None: the route is public, or there are no workspaces
-        self.workspaces_in_use = workspaces_in_use
-        self.ranks = ranks  # None: the route's priority alone counts
-        self.key_refusal: KeyRefusal | None = None  # why no further attempt may be sent
         self.context = context
         self.env = context.env
         self.request = request
         self.route = route
         self.service = service
-        self.deadline = request_deadline(request, route)
-        self.response_deadline = max(self.deadline - RESPONSE_MARGIN_SECONDS, request.received_at)
+        self.terms = RequestTerms(
+            env=context.env,
+            request=request,
+            route=route,
+            service=service,
+            workspace=workspace,
+            workspaces_in_use=workspaces_in_use,
+            ranks=ranks,
+        )
+        self.timers = RequestTimers(context.env, self.inbox)
         self.log = RequestLog(context.env, request, route)
         self.history = AttemptHistory()
         self.response = CallerResponse(
@@ -176,22 +176,19 @@
             history=self.history,
             failed_endpoints=self.failed_endpoints,
             sender=self.inbox,
-            workspace=None if workspace is None else workspace.name,
+            workspace=self.terms.workspace_name,
         )
-        self._timers: list = []
 
     def start(self) -> None:
         """Start the task and place the request."""
         super().start()
-        self.context.fleet.send(RequestReceived(self.service, self._workspace_use()))
-        self._schedule(self.response_deadline - self.env.now, Tick("answer_by"))
+        self.context.fleet.send(RequestReceived(self.service, self.terms.workspace_use()))
+        self.timers.schedule(self.terms.seconds_to_answer(), Tick("answer_by"))
         self.send(Tick("place"))
 
     async def on_stop(self) -> None:
         """Cancel the timers."""
-        for timer in self._timers:
-            if timer.active():
-                timer.cancel()
+        self.timers.cancel()
 
     @singledispatchmethod
     async def receive(self, message: object) -> None:
@@ -218,26 +215,22 @@
     @receive.register
     async def _(self, message: AnswerSlow) -> None:
         if self._is_current(message.exchange) and self.received.head is None:
-            began = await self.extra.begin(self.exchange, self.response_deadline, self._find_spare)
+            began = await self.extra.begin(
+                self.exchange, self.terms.response_deadline, self._find_spare
+            )
             self.arrivals += began
 
     @receive.register
     async def _(self, message: EndBy) -> None:
-        if not self.ended and message.deadline < self.deadline:
-            self.deadline = message.deadline
-            self.response_deadline = self.deadline - RESPONSE_MARGIN_SECONDS
-            self._schedule(self.response_deadline - self.env.now, Tick("answer_by"))
+        if not self.ended and self.terms.end_by(message.deadline):
+            self.timers.schedule(self.terms.seconds_to_answer(), Tick("answer_by"))
 
     @receive.register
     async def _(self, message: WorkspacesInForce) -> None:
         if self.ended:
             return
-        ruling = message.keys.rule(self.request.fields.workspace_keys, self.route)
-        self.workspace = ruling.workspace
-        self.workspaces_in_use = ruling.workspaces_in_use
-        self.ranks = message.ranks
-        self.key_refusal = key_refusal(ruling)
-        if self.key_refusal is not None and self.exchange is None:
+        self.terms.apply(message)
+        if self.terms.key_refusal is not None and self.exchange is None:
             await self._end_without_key(AttemptOutcome.NOT_RUN)
 
     @receive.register
@@ -252,7 +245,7 @@
             self.history.record_sent(endpoint)
         self.last_data_at = self.written_at = self.env.now
         if self.exchange.prefill or self.route.idempotent:
-            self._schedule(SILENCE_SECONDS, Tick(f"silence {message.exchange}"))
+            self.timers.schedule(SILENCE_SECONDS, Tick(f"silence {message.exchange}"))
         if self.extra.may_follow(self.exchange):
             self.spawn(self.extra.await_slowness(self.exchange))
 
@@ -317,7 +310,7 @@
                 AttemptOutcome.BROKEN, "endpoint is not reachable", work_outcome="missed"
             )
         else:
-            self._schedule(SILENCE_SECONDS, Tick(f"silence {message.exchange}"))
+            self.timers.schedule(SILENCE_SECONDS, Tick(f"silence {message.exchange}"))
 
     @receive.register
     async def _(self, message: BrokenEndpointProbed) -> None:
@@ -346,7 +339,7 @@
         if self.ended:
             return
         if message.endpoint_left:
-            self._schedule(message.not_before - self.env.now, Tick(message.step))
+            self.timers.schedule(message.not_before - self.env.now, Tick(message.step))
         else:
             await self._give_up(AttemptOutcome.NO_ENDPOINT, "no endpoint is left that may run it")
 
@@ -397,26 +390,26 @@
         self.next_event_by = self.env.now + stall_seconds(self.route)
         if not self.stall_checked:
             self.stall_checked = True
-            self._schedule(stall_seconds(self.route), Tick(f"stall {self.exchange.number}"))
+            self.timers.schedule(stall_seconds(self.route), Tick(f"stall {self.exchange.number}"))
 
     async def _check_stall(self) -> None:
         if self.env.now < self.next_event_by:
             left = self.next_event_by - self.env.now
-            self._schedule(left, Tick(f"stall {self.exchange.number}"))
+            self.timers.schedule(left, Tick(f"stall {self.exchange.number}"))
         elif self.route.resumable:
             if await self._begin_hand_over():
                 await self._attempt_failed(
                     AttemptOutcome.BROKEN, "the stream makes no progress", work_outcome="failed"
                 )
             else:
-                self._schedule(SILENCE_SECONDS, Tick(f"stall {self.exchange.number}"))
+                self.timers.schedule(SILENCE_SECONDS, Tick(f"stall {self.exchange.number}"))
 
     async def _begin_hand_over(self) -> bool:
         """Return whether a sound endpoint takes over from that of the current exchange.
 
         Otherwise the exchange goes on: an endpoint that has fallen silent may still answer.
         """
-        if self.key_refusal is not None:
+        if self.terms.key_refusal is not None:
             return False
         if self.extra.running:
             return True
@@ -461,16 +454,16 @@
                 excluded=excluded,
                 allowed=allowed,
                 prompt=prompt,
-                rank=self._rank,
-                slack_seconds=self._slack_seconds(),
-                time_left_seconds=self.response_deadline - self.env.now,
+                rank=self.terms.rank,
+                slack_seconds=self.terms.slack_seconds(),
+                time_left_seconds=self.terms.seconds_to_answer(),
                 committed=self._committed,
                 pause_seconds=self.route.pause_ms / MS_PER_SECOND,
                 kv_data_centre=self.prefill.kv_data_centre,
                 last_resort=last_resort,
                 spare=spare,
                 permits=self.permits.endpoints,
-                workspace=self._workspace_fields()["workspace"],
+                workspace=self.terms.workspace_name,
             )
         )
 
@@ -484,14 +477,14 @@
 
         If not, the request has ended, or its ``step`` is taken again soon.
         """
-        if self.key_refusal is not None:
+        if self.terms.key_refusal is not None:
             await self._end_without_key(AttemptOutcome.NOT_RUN)
             return False
         if self.response.stream.data_events:
             return True  # an engine began to answer it and survived
         check = await self.prompt.check()
         if check.verdict is Verdict.WAIT:
-            self._schedule(TRIAL_CHECK_SECONDS, Tick(step))
+            self.timers.schedule(TRIAL_CHECK_SECONDS, Tick(step))
         elif check.verdict is Verdict.REFUSE:
             names = ", ".join(one.part for one in check.suspects)
             await self._give_up(
@@ -558,7 +551,7 @@
         elif placement.needs:
             self.spawn(
                 self.permits.acquire(
-                    step, placement, self.response_deadline, committed=self._committed
+                    step, placement, self.terms.response_deadline, committed=self._committed
                 )
             )
         else:
@@ -571,7 +564,7 @@
         The requests that wait are spread, so that they don't arrive at the same moment.
         """
         at = not_before + self.env.random.uniform(0, PAUSE_SPREAD_SECONDS)
-        if at >= self.response_deadline:
+        if at >= self.terms.response_deadline:
             await self._give_up(
                 AttemptOutcome.NOT_RUN,
                 "the endpoints pause",
@@ -579,16 +572,16 @@
             )
             return
         self.log.log_paused(at - self.env.now)
-        self._schedule(at - self.env.now, Tick(step))
+        self.timers.schedule(at - self.env.now, Tick(step))
 
     def _send_prefill(self, placement: Placement) -> None:
         self.prefill.sent += 1
         self.prefill_repeat_spent = False
         sent = ForwardedFields(
-            time_left_ms=self._time_left_ms(),
+            time_left_ms=self.terms.time_left_ms(),
             endpoint=placement.prefill_engine.id,
             priority=self._priority(),
-            **self._workspace_fields(),
+            **self.terms.workspace_fields(),
             stage=Stage.PREFILL,
             prefix_source=self._prefix_source(),
         )
@@ -612,10 +605,10 @@
                 await self._give_up(AttemptOutcome.NOT_RUN, reason)
             return
         sent = ForwardedFields(
-            time_left_ms=self._time_left_ms(),
+            time_left_ms=self.terms.time_left_ms(),
             endpoint=endpoint.id,
             priority=self._priority(),
-            **self._workspace_fields(),
+            **self.terms.workspace_fields(),
             kv_source=kv_source,
             prefix_source=None if kv_source else self._prefix_source(),
             last_event_id=self.response.stream.last_id,
@@ -649,9 +642,9 @@
             self.request,
             self.route,
             sent=sent,
-            deadline=self.deadline,
+            deadline=self.terms.deadline,
             reply_to=self.inbox,
-            use=self._workspace_use() if is_first else None,
+            use=self.terms.workspace_use() if is_first else None,
         )
 
     async def _handle_response(self, *, until_closed: bool) -> None:
@@ -712,12 +705,12 @@
     def _report_began(self) -> None:
         """Report that the request began to run, once."""
         fields = self.received.head.fields
-        if self.workspace is None or self.began or fields.not_run or fields.stamp is None:
+        if self.terms.workspace is None or self.began or fields.not_run or fields.stamp is None:
             return
         self.began = True
         if self.context.usage is not None:
             at = run_began_at(self.env, self.route, self.written_at)
-            self.context.usage.put(RequestBegan(self.workspace.name, at))
+            self.context.usage.put(RequestBegan(self.terms.workspace.name, at))
 
     def _is_streaming(self) -> bool:
         return (
@@ -835,14 +828,14 @@
             self.written_at = self.extra.written_at
             if self.extra.head is not None:
                 self.extra.report_answer(self.exchange, self.written_at)
-            self._schedule(SILENCE_SECONDS, Tick(f"silence {self.exchange.number}"))
+            self.timers.schedule(SILENCE_SECONDS, Tick(f"silence {self.exchange.number}"))
 
     async def _continue_after(
         self, outcome: AttemptOutcome, reason: str, *, next_step: str = "place"
     ) -> None:
         """Retry, wait or give up after a failed attempt."""
         at = self._situation(outcome)
-        if self.key_refusal is not None:
+        if self.terms.key_refusal is not None:
             await self._end_without_key(outcome)
         elif decide(at, self.history) is NextStep.RETRY and self._has_endpoint_left():
             await self._place()
@@ -853,8 +846,10 @@
 
     async def _end_without_key(self, outcome: AttemptOutcome) -> None:
         """End the request, whose key no longer holds, before another attempt."""
-        self.log.log_key_revoked(self.key_refusal.reason)
-        await self._give_up(outcome, self.key_refusal.reason, code=self.key_refusal.code)
+        self.log.log_key_revoked(self.terms.key_refusal.reason)
+        await self._give_up(
+            outcome, self.terms.key_refusal.reason, code=self.terms.key_refusal.code
+        )
 
     def _wait(self, step: str, reason: str) -> None:
         """Take a step again once an endpoint can answer the request."""
@@ -862,7 +857,7 @@
         self.permits.denied = 0
         not_before = self.env.now + exponential_delay(WAIT_SECONDS, MAX_WAIT_SECONDS, self.waits)
         self.waits += 1
-        self.log.log_waiting(reason, self.response_deadline - self.env.now)
+        self.log.log_waiting(reason, self.terms.seconds_to_answer())
         self.spawn(self._take_step_with_endpoint(step, not_before))
 
     async def _take_step_with_endpoint(self, step: str, not_before: float) -> None:
@@ -925,7 +920,7 @@
         if self.env.now - self.last_data_at >= SILENCE_SECONDS:
             self.spawn(self._test_endpoint(self.exchange))
         else:
-            self._schedule(SILENCE_SECONDS, Tick(f"silence {self.exchange.number}"))
+            self.timers.schedule(SILENCE_SECONDS, Tick(f"silence {self.exchange.number}"))
 
     async def _test_endpoint(self, exchange: Exchange) -> None:
         found = await self.context.connections.query(ProbeAddress(exchange.endpoint.address))
@@ -973,7 +968,7 @@
             route=self.route,
             outcome=outcome,
             now=self.env.now,
-            response_deadline=self.response_deadline,
+            response_deadline=self.terms.response_deadline,
             response_started=self.response.started,
         )
 
@@ -1000,38 +995,12 @@
         )
         self.stop()
 
-    @property
-    def _rank(self) -> int:
-        """Return the rank of the request by the priorities of its workspace and its route."""
-        if self.ranks is None:
-            return self.route.priority
-        return self.ranks.rank(self.workspace, self.route)
-
-    def _workspace_fields(self) -> dict[str, Any]:
-        """Return the fields of ``ForwardedFields`` that tell an endpoint the workspace."""
-        name = None if self.workspace is None else self.workspace.name
-        return {"workspace": name, "workspaces_in_use": self.workspaces_in_use}
-
-    def _workspace_use(self) -> WorkspaceUse | None:
-        name = None if self.workspace is None else self.workspace.name
-        return workspace_use(name, self.service, self._rank, self.request.fields)
-
     def _priority(self) -> int | None:
         return self.placement.rank if self.route.prefix_affinity else None
 
-    def _slack_seconds(self) -> float:
-        """Return the seconds that are left until the route's objective is missed."""
-        return self.route.objective_ms / MS_PER_SECOND - (self.env.now - self.request.received_at)
-
-    def _time_left_ms(self) -> float:
-        return (self.deadline - self.env.now) * MS_PER_SECOND
-
     def _is_current(self, exchange: int) -> bool:
         return not self.ended and self.exchange is not None and self.exchange.number == exchange
 
-    def _schedule(self, seconds: float, message: Tick) -> None:
-        self._timers.append(self.env.clock.callLater(max(0.0, seconds), self.send, message))
-
 
 def _work_outcome(outcome: AttemptOutcome) -> str:
     if outcome is AttemptOutcome.NOT_SENT:
--- a/soak/variants.py
+++ b/soak/variants.py
@@ -12,7 +12,7 @@
 
 from chivewall import daemon
 from chivewall.decisions import forwarding, placement
-from chivewall.gateway import caller_response, forwarded_request, gateway
+from chivewall.gateway import caller_response, forwarded_request, gateway, request_terms
 
 VARIANTS: dict[str, Callable[[], None]] = {"whole": lambda: None}
 MEGABYTE = 1024 * 1024  # bytes
@@ -111,7 +111,7 @@
 @variant
 def in_time() -> None:
     """Allow the final response to come long after the timeout."""
-    forwarded_request.RESPONSE_MARGIN_SECONDS = -6.0
+    request_terms.RESPONSE_MARGIN_SECONDS = -6.0
 
 
 @variant
--- a/tests/test_usage_requests.py
+++ b/tests/test_usage_requests.py
@@ -21,7 +21,7 @@
     """Return a request of a workspace."""
     bench = RequestBench(clock, route=make_stream_route(**route), **DECODERS)
     bench.env.unix_time = lambda: 1000.0 + clock.seconds()
-    bench.task.workspace = Workspace("w", ("key",))
+    bench.task.terms.workspace = Workspace("w", ("key",))
     bench.task.context.usage = RecordingSink()
     return bench
 
@@ -73,6 +73,6 @@
 def test_request_without_a_workspace_is_not_counted(clock):
     """Guards against a failure at a public route."""
     bench = make_bench(clock)
-    bench.task.workspace = None
+    bench.task.terms.workspace = None
     bench.begin()
     assert counted(bench) == []
--- a/tests/test_workspace_keys.py
+++ b/tests/test_workspace_keys.py
@@ -420,7 +420,7 @@
     bench.fail_to_connect()
     sent = dict(bench.connections.sent[-1].headers)
     assert sent[b"X-Tenant"] == b"beta"
-    assert bench.task.workspace.priority == 3
+    assert bench.task.terms.workspace.priority == 3
 
 
 def test_priority_of_the_workspace_goes_before_that_of_the_route():
