Move the exchanges of a request out of its task

Cause: the task sent exchanges, knew the one in progress and its times, and decided about everything else besides.

Moved: what sends a request or its prefill, the exchange in progress, its placement, when it was written and when its endpoint last sent bytes, and the counts of exchanges, to RequestExchanges (request_exchanges.py).

Tests: the seven files that use RequestBench, and test_soak.py.

Conclusion: no behaviour changes.

--- a/chivewall/gateway/forwarded_request.py
+++ b/chivewall/gateway/forwarded_request.py
@@ -35,10 +35,8 @@
     release_kv_cache,
     response_problem,
     run_began_at,
-    send_exchange,
 )
 from chivewall.gateway.exchange_messages import (
-    CancelExchange,
     ExchangeFailed,
     ProbeAddress,
     Reachability,
@@ -56,14 +54,14 @@
     KvCacheLost,
     RequestReceived,
     SpendRepeat,
-    WorkEnded,
 )
 from chivewall.gateway.guarded_prompt import GuardedPrompt
-from chivewall.gateway.http_dialect import CallerRequest, ForwardedFields
+from chivewall.gateway.http_dialect import CallerRequest
 from chivewall.gateway.part_guard import part_keys
 from chivewall.gateway.part_messages import PartsSuspected
 from chivewall.gateway.prefill_progress import PrefillProgress
 from chivewall.gateway.received_response import ReceivedResponse
+from chivewall.gateway.request_exchanges import SILENCE_SECONDS, RequestExchanges
 from chivewall.gateway.request_log import RequestLog
 from chivewall.gateway.request_permits import MAX_DENIED, PermitsAcquired, RequestPermits
 from chivewall.gateway.request_terms import RequestTerms
@@ -72,7 +70,6 @@
     EndpointInfo,
     Route,
     RouteKind,
-    Stage,
     Workspace,
 )
 from chivewall.gateway.usage_messages import RequestBegan
@@ -82,7 +79,6 @@
 from chivewall.task import Inbox, Task
 
 MS_PER_SECOND = 1000.0
-SILENCE_SECONDS = 0.5  # time without a byte after which the endpoint's reachability is tested
 TRIAL_CHECK_SECONDS = 0.1  # interval between checks for the outcome of another request's trial
 # Shortest delay of a request that waits for an endpoint, doubled with each further wait. Endpoints
 # that are usable again get their waiting requests one after the other.
@@ -136,23 +132,15 @@
             request_id=request.fields.request_id,
             stream=EventStream(last_id=request.fields.last_event_id),
         )
-        self.exchange: Exchange | None = None
-        self.placement: Placement | None = None
         self.received = ReceivedResponse(context.response_bytes)
-        self.first_sent_to = False  # the exchange is the first one with its endpoint
         self.repeat_spent = False  # the repeat of the next attempt was taken from the budget
         self.prefill_repeat_spent = False  # the same for a further prefill
         self.first_bytes_reported = False  # of the exchange
         self.stall_checked = False  # the progress of the exchange's stream is checked
         self.next_event_by = 0.0  # time by which the stream must have made progress
-        self.last_data_at = request.received_at  # time of the last byte, or of sending the request
-        self.written_at = request.received_at  # when the exchange's request was written
         self.ended = False
         self.began = False  # it is known to have begun to run
         self.failed_endpoints: set[str] = set()  # ids of endpoints that failed to serve it
-        # Exchanges that reached an endpoint, except a first prefill.
-        self.arrivals = 0
-        self.exchanges = 0  # begun
         self.waits = 0  # times that it had to wait for an endpoint
         self.prefill = PrefillProgress()
         self.prompt = GuardedPrompt(
@@ -178,6 +166,19 @@
             sender=self.inbox,
             workspace=self.terms.workspace_name,
         )
+        self.exchanges = RequestExchanges(
+            context=context,
+            request=request,
+            route=route,
+            terms=self.terms,
+            log=self.log,
+            history=self.history,
+            prefill=self.prefill,
+            permits=self.permits,
+            extra=self.extra,
+            stream=self.response.stream,
+            inbox=self.inbox,
+        )
 
     def start(self) -> None:
         """Start the task and place the request."""
@@ -201,24 +202,33 @@
             return
         if message.purpose == "answer_by":
             await self._handle_timeout()
-        elif message.purpose == "place" and self.exchange is None:
+        elif message.purpose == "place" and self.exchanges.current is None:
             await self._place()
-        elif message.purpose == "decode" and self.exchange is None:
+        elif message.purpose == "decode" and self.exchanges.current is None:
             await self._decode()
-        elif self.exchange is not None and message.purpose == f"silence {self.exchange.number}":
+        elif (
+            self.exchanges.current is not None
+            and message.purpose == f"silence {self.exchanges.current.number}"
+        ):
             self._check_silence()
-        elif self.exchange is not None and message.purpose == f"stall {self.exchange.number}":
+        elif (
+            self.exchanges.current is not None
+            and message.purpose == f"stall {self.exchanges.current.number}"
+        ):
             await self._check_stall()
-        elif self.exchange is not None and message.purpose == f"withdraw {self.exchange.number}":
+        elif (
+            self.exchanges.current is not None
+            and message.purpose == f"withdraw {self.exchanges.current.number}"
+        ):
             self._withdraw()
 
     @receive.register
     async def _(self, message: AnswerSlow) -> None:
         if self._is_current(message.exchange) and self.received.head is None:
             began = await self.extra.begin(
-                self.exchange, self.terms.response_deadline, self._find_spare
+                self.exchanges.current, self.terms.response_deadline, self._find_spare
             )
-            self.arrivals += began
+            self.exchanges.arrivals += began
 
     @receive.register
     async def _(self, message: EndBy) -> None:
@@ -230,7 +240,7 @@
         if self.ended:
             return
         self.terms.apply(message)
-        if self.terms.key_refusal is not None and self.exchange is None:
+        if self.terms.key_refusal is not None and self.exchanges.current is None:
             await self._end_without_key(AttemptOutcome.NOT_RUN)
 
     @receive.register
@@ -238,16 +248,11 @@
         if not self._is_current(message.exchange):
             self.extra.record_written(message)
             return
-        # The first prefill doesn't count as an attempt, a second one does.
-        if not self.exchange.prefill or self.prefill.reached > 1:
-            endpoint = self.exchange.endpoint.id
-            self.first_sent_to = endpoint not in self.history.tried_endpoints
-            self.history.record_sent(endpoint)
-        self.last_data_at = self.written_at = self.env.now
-        if self.exchange.prefill or self.route.idempotent:
+        self.exchanges.record_written()
+        if self.exchanges.current.prefill or self.route.idempotent:
             self.timers.schedule(SILENCE_SECONDS, Tick(f"silence {message.exchange}"))
-        if self.extra.may_follow(self.exchange):
-            self.spawn(self.extra.await_slowness(self.exchange))
+        if self.extra.may_follow(self.exchanges.current):
+            self.spawn(self.extra.await_slowness(self.exchanges.current))
 
     @receive.register
     async def _(self, message: ResponseStarted) -> None:
@@ -256,7 +261,7 @@
         elif self._is_current(message.exchange):
             self.received.start(message.head)
             if message.head.status in SUCCESS_STATUSES and response_problem(message.head) is None:
-                self.extra.report_answer(self.exchange, self.written_at)
+                self.exchanges.report_answer()
                 self.extra.cancel()
         else:
             return
@@ -267,9 +272,9 @@
     async def _(self, message: ResponseData) -> None:
         if not self._is_current(message.exchange):
             return
-        self.last_data_at = self.env.now
-        if not (self.exchange.prefill or self.first_bytes_reported):
-            self._report_first_bytes(prefilled=not self.exchange.fetches_kv_cache)
+        self.exchanges.record_data()
+        if not (self.exchanges.current.prefill or self.first_bytes_reported):
+            self._report_first_bytes(prefilled=not self.exchanges.current.fetches_kv_cache)
             if self._is_streaming():
                 self._report_began()
         try:
@@ -287,7 +292,7 @@
         if not self._is_current(message.exchange):
             self.extra.record_failed(message)
             return
-        if self.exchange.prefill:
+        if self.exchanges.current.prefill:
             await self._prefill_failed(message.reason, missed=not message.sent)
         elif not message.sent:
             await self._attempt_failed(AttemptOutcome.NOT_SENT, message.reason)
@@ -302,8 +307,8 @@
     async def _(self, message: EndpointProbed) -> None:
         if not self._is_current(message.exchange):
             return
-        silent = not message.reachable and self.env.now - self.last_data_at >= SILENCE_SECONDS
-        if silent and self.exchange.prefill:
+        silent = not message.reachable and self.exchanges.silent
+        if silent and self.exchanges.current.prefill:
             await self._prefill_failed("endpoint is not reachable", missed=True)
         elif silent and await self._begin_hand_over():
             await self._attempt_failed(
@@ -362,12 +367,12 @@
             check = await self.prompt.check()
             if check.verdict in (Verdict.WAIT, Verdict.REFUSE):
                 # Events that were received during the check come first.
-                self.send(Tick(f"withdraw {self.exchange.number}"))
+                self.send(Tick(f"withdraw {self.exchanges.current.number}"))
 
     @receive.register
     async def _(self, message: CallerDisconnected) -> None:
         if not self.ended:
-            self._end_exchange("left")
+            self.exchanges.end("left")
             self._finish("connection aborted" if message.by_gateway else "caller gone")
 
     def _take_data(self, data: bytes) -> None:
@@ -376,7 +381,7 @@
             events = self.response.stream.data_events
             self.response.send_events(self.received.head, data)
             if self.response.stream.data_events > events:
-                if events == self.exchange.events_before:
+                if events == self.exchanges.current.events_before:
                     self.prompt.record_served()
                 self._await_next_event()
             return
@@ -390,19 +395,23 @@
         self.next_event_by = self.env.now + stall_seconds(self.route)
         if not self.stall_checked:
             self.stall_checked = True
-            self.timers.schedule(stall_seconds(self.route), Tick(f"stall {self.exchange.number}"))
+            self.timers.schedule(
+                stall_seconds(self.route), Tick(f"stall {self.exchanges.current.number}")
+            )
 
     async def _check_stall(self) -> None:
         if self.env.now < self.next_event_by:
             left = self.next_event_by - self.env.now
-            self.timers.schedule(left, Tick(f"stall {self.exchange.number}"))
+            self.timers.schedule(left, Tick(f"stall {self.exchanges.current.number}"))
         elif self.route.resumable:
             if await self._begin_hand_over():
                 await self._attempt_failed(
                     AttemptOutcome.BROKEN, "the stream makes no progress", work_outcome="failed"
                 )
             else:
-                self.timers.schedule(SILENCE_SECONDS, Tick(f"stall {self.exchange.number}"))
+                self.timers.schedule(
+                    SILENCE_SECONDS, Tick(f"stall {self.exchanges.current.number}")
+                )
 
     async def _begin_hand_over(self) -> bool:
         """Return whether a sound endpoint takes over from that of the current exchange.
@@ -417,12 +426,12 @@
             return False
         found = await self._find_placement(
             PromptState.PREFILL_AT_DECODER,
-            excluded=frozenset({*self.failed_endpoints, self.exchange.endpoint.id}),
+            excluded=frozenset({*self.failed_endpoints, self.exchanges.current.endpoint.id}),
             last_resort=False,
         )
         if not isinstance(found, Placement):
             return False
-        if self.arrivals and not self.repeat_spent:
+        if self.exchanges.arrivals and not self.repeat_spent:
             self.repeat_spent = await self.context.fleet.query(SpendRepeat(self.service))
             return self.repeat_spent
         return True
@@ -526,11 +535,12 @@
             return
         if await self._must_wait("place", placement):
             return
-        self.placement = placement
         if placement.prefill_engine is not None:
-            self._send_prefill(placement)
+            self.prefill_repeat_spent = False
+            self._begin_exchange()
+            self.exchanges.send_prefill(placement)
         else:
-            await self._send_request(placement.endpoint, kv_source=None)
+            await self._send_request(placement, kv_source=None)
 
     async def _permits_denied(self, message: PermitsAcquired) -> None:
         """Refuse the request after too many denied permits, or wait if it can't be refused."""
@@ -574,27 +584,10 @@
         self.log.log_paused(at - self.env.now)
         self.timers.schedule(at - self.env.now, Tick(step))
 
-    def _send_prefill(self, placement: Placement) -> None:
-        self.prefill.sent += 1
-        self.prefill_repeat_spent = False
-        sent = ForwardedFields(
-            time_left_ms=self.terms.time_left_ms(),
-            endpoint=placement.prefill_engine.id,
-            priority=self._priority(),
-            **self.terms.workspace_fields(),
-            stage=Stage.PREFILL,
-            prefix_source=self._prefix_source(),
-        )
-        self._start_exchange(placement.prefill_engine, sent, prefill=True)
-
-    def _prefix_source(self) -> tuple[str, int] | None:
-        source = self.placement.prefix_source
-        return None if source is None else source.address
-
-    async def _send_request(self, endpoint: EndpointInfo, kv_source: str | None) -> None:
+    async def _send_request(self, placement: Placement, kv_source: str | None) -> None:
         repeat_spent, self.repeat_spent = self.repeat_spent, False
         if (
-            self.arrivals
+            self.exchanges.arrivals
             and not repeat_spent
             and not await self.context.fleet.query(SpendRepeat(self.service))
         ):
@@ -604,51 +597,16 @@
             else:
                 await self._give_up(AttemptOutcome.NOT_RUN, reason)
             return
-        sent = ForwardedFields(
-            time_left_ms=self.terms.time_left_ms(),
-            endpoint=endpoint.id,
-            priority=self._priority(),
-            **self.terms.workspace_fields(),
-            kv_source=kv_source,
-            prefix_source=None if kv_source else self._prefix_source(),
-            last_event_id=self.response.stream.last_id,
-        )
-        self.arrivals += 1
-        self._start_exchange(endpoint, sent, prefill=False)
+        self._begin_exchange()
+        self.exchanges.send_request(placement, kv_source)
 
-    def _start_exchange(
-        self, endpoint: EndpointInfo, sent: ForwardedFields, *, prefill: bool
-    ) -> None:
-        self.permits.use(endpoint.id)
-        is_first = self.exchanges == 0
-        self.exchanges += 1
-        number = self.context.connections.next_exchange()
-        fetches_kv_cache = sent.kv_source is not None
-        self.exchange = Exchange(
-            number,
-            endpoint,
-            prefill=prefill,
-            fetches_kv_cache=fetches_kv_cache,
-            events_before=self.response.stream.data_events,
-        )
+    def _begin_exchange(self) -> None:
         self.received.start(None)
         self.response.stream.begin_run()
         self.first_bytes_reported = self.stall_checked = False
-        self.log.log_attempt(self.exchange, self.placement, sent)
-        send_exchange(
-            self.context,
-            self.exchange,
-            self.placement,
-            self.request,
-            self.route,
-            sent=sent,
-            deadline=self.terms.deadline,
-            reply_to=self.inbox,
-            use=self.terms.workspace_use() if is_first else None,
-        )
 
     async def _handle_response(self, *, until_closed: bool) -> None:
-        if self.exchange.prefill:
+        if self.exchanges.current.prefill:
             await self._handle_prefill_response()
         elif self._refused_to_run():
             await self._attempt_failed(
@@ -662,7 +620,7 @@
             await self._attempt_failed(AttemptOutcome.FAILED, f"status {self.received.head.status}")
         elif until_closed:
             # A crash ends the connection too, where a response has neither a length nor chunks.
-            self.spawn(self._confirm_end(self.exchange))
+            self.spawn(self._confirm_end(self.exchanges.current))
         else:
             self._complete_response()
 
@@ -683,7 +641,7 @@
 
     def _complete_response(self) -> None:
         streaming = self._is_streaming()
-        self._end_exchange("answered")
+        self.exchanges.end("answered")
         if streaming:
             self.response.finish_stream(self.received.head)
         else:
@@ -694,9 +652,9 @@
         self.first_bytes_reported = True
         self.context.fleet.send(
             FirstBytesReceived(
-                endpoint=self.exchange.endpoint.id,
-                exchange=self.exchange.number,
-                seconds=self.env.now - self.written_at,
+                endpoint=self.exchanges.current.endpoint.id,
+                exchange=self.exchanges.current.number,
+                seconds=self.env.now - self.exchanges.written_at,
                 succeeded=self.received.head.status in SUCCESS_STATUSES,
                 prefilled=prefilled,
             )
@@ -709,7 +667,7 @@
             return
         self.began = True
         if self.context.usage is not None:
-            at = run_began_at(self.env, self.route, self.written_at)
+            at = run_began_at(self.env, self.route, self.exchanges.written_at)
             self.context.usage.put(RequestBegan(self.terms.workspace.name, at))
 
     def _is_streaming(self) -> bool:
@@ -717,7 +675,7 @@
             self.route.kind is RouteKind.STREAM
             and self.received.head is not None
             and self.received.head.status in SUCCESS_STATUSES
-            and not self.exchange.prefill
+            and not self.exchanges.current.prefill
             and response_problem(self.received.head) is None
             and is_event_stream(self.received.head)
         )
@@ -734,10 +692,10 @@
         except DecodeError as exc:
             await self._prefill_failed(str(exc))
             return
-        source = self.exchange.endpoint
+        source = self.exchanges.current.endpoint
         self.prefill.record_prefilled(source, kept.handle, self.env.now)
         self._report_first_bytes(prefilled=True)
-        self._end_exchange("answered")
+        self.exchanges.end("answered")
         await self._decode()
 
     async def _decode(self) -> None:
@@ -753,23 +711,22 @@
             return
         if await self._must_wait("decode", placement):
             return
-        self.placement = placement
         kv_source = self.context.dialect.kv_source(
             self.prefill.kv_source.address, self.prefill.kv_handle
         )
-        await self._send_request(placement.endpoint, kv_source=kv_source)
+        await self._send_request(placement, kv_source=kv_source)
 
     async def _prefill_failed(self, reason: str, *, missed: bool = False) -> None:
-        failed = self.exchange.endpoint
+        failed = self.exchanges.current.endpoint
         self._log_attempt_failed(
             AttemptOutcome.NOT_SENT if missed else AttemptOutcome.NOT_RUN, reason
         )
         refused = not missed and self._refused_to_run()
-        self._end_exchange("missed" if missed else "refused" if refused else "failed")
+        self.exchanges.end("missed" if missed else "refused" if refused else "failed")
         if missed:
             self.prefill.record_missed()
         else:
-            self.arrivals += 1  # only a prefill that succeeds costs no repeat
+            self.exchanges.arrivals += 1  # only a prefill that succeeds costs no repeat
             self.failed_endpoints.add(failed.id)
         await self._place()
 
@@ -783,21 +740,23 @@
     ) -> None:
         self.history.record_failure(outcome)
         self._log_attempt_failed(outcome, reason)
-        if outcome is AttemptOutcome.NOT_RUN and self._committed and self.first_sent_to:
-            self.history.forget_endpoint(self.exchange.endpoint.id)
+        if outcome is AttemptOutcome.NOT_RUN and self._committed and self.exchanges.first_sent_to:
+            self.history.forget_endpoint(self.exchanges.current.endpoint.id)
         broken = None
         if outcome is AttemptOutcome.BROKEN and work_outcome is None:
             broken = self._broken_attempt(reason)
-        fetches_kv_cache = self.exchange is not None and self.exchange.fetches_kv_cache
-        if self.exchange is not None:
+        fetches_kv_cache = (
+            self.exchanges.current is not None and self.exchanges.current.fetches_kv_cache
+        )
+        if self.exchanges.current is not None:
             if outcome is AttemptOutcome.NOT_RUN and fetches_kv_cache:
                 self.context.fleet.send(KvCacheLost(self.prefill.kv_source.id))
                 work_outcome = "left"
             else:
-                self.failed_endpoints.add(self.exchange.endpoint.id)
-            self._end_exchange(work_outcome or _work_outcome(outcome))
+                self.failed_endpoints.add(self.exchanges.current.endpoint.id)
+            self.exchanges.end(work_outcome or _work_outcome(outcome))
         if outcome is AttemptOutcome.NOT_SENT:
-            self.arrivals -= 1
+            self.exchanges.arrivals -= 1
         if self.extra.running:
             self._take_extra("took over")
         elif broken is not None and (broken.is_evidence or self._allowed_endpoints()):
@@ -813,22 +772,14 @@
 
     def _take_extra(self, outcome: str) -> None:
         """Go on with the extra attempt alone."""
-        if self.exchange is not None:
-            self.history.may_have_run = True
-            self.extra.report_answer(self.exchange, self.written_at)
-            self._end_exchange("left")
-        self.exchange = self.extra.take(outcome)
-        self.placement = self.extra.placement
+        self.exchanges.take_extra(outcome)
         self.received.start(self.extra.head)
         self.response.stream.begin_run()
-        self.first_sent_to = True
         self.first_bytes_reported = self.stall_checked = False
-        self.last_data_at = self.env.now
         if self.extra.written_at is not None:
-            self.written_at = self.extra.written_at
             if self.extra.head is not None:
-                self.extra.report_answer(self.exchange, self.written_at)
-            self.timers.schedule(SILENCE_SECONDS, Tick(f"silence {self.exchange.number}"))
+                self.exchanges.report_answer()
+            self.timers.schedule(SILENCE_SECONDS, Tick(f"silence {self.exchanges.current.number}"))
 
     async def _continue_after(
         self, outcome: AttemptOutcome, reason: str, *, next_step: str = "place"
@@ -868,25 +819,19 @@
 
     def _log_attempt_failed(self, outcome: AttemptOutcome, reason: str) -> None:
         self.log.log_attempt_failed(
-            self.exchange,
+            self.exchanges.current,
             outcome,
             reason,
             begun=self.received.head is not None,
-            events=self._exchange_events(),
+            events=self.exchanges.events,
         )
 
-    def _exchange_events(self) -> int:
-        """Return how many events the current exchange has brought."""
-        if self.exchange is None:
-            return 0
-        return self.response.stream.data_events - self.exchange.events_before
-
     def _broken_attempt(self, reason: str) -> BrokenAttempt:
         return BrokenAttempt(
-            exchange=self.exchange,
+            exchange=self.exchanges.current,
             reason=reason,
             begun=self.received.head is not None,
-            is_evidence=bool(self.prompt.keys) and not self._exchange_events(),
+            is_evidence=bool(self.prompt.keys) and not self.exchanges.events,
         )
 
     async def _probe_broken_endpoint(self, attempt: BrokenAttempt) -> None:
@@ -898,8 +843,8 @@
         """Return whether the request waits at an engine and may be sent again."""
         return (
             not self.ended
-            and self.exchange is not None
-            and not self.exchange.prefill
+            and self.exchanges.current is not None
+            and not self.exchanges.current.prefill
             and not self.response.stream.data_events
             and self.route.idempotent
         )
@@ -912,15 +857,15 @@
         self._log_attempt_failed(
             AttemptOutcome.BROKEN, "withdrawn: a part of its prompt is suspected"
         )
-        self._end_exchange("left")
+        self.exchanges.end("left")
         self.send(Tick("place"))
 
     def _check_silence(self) -> None:
         """Test the endpoint's reachability if it has sent no bytes for a while."""
-        if self.env.now - self.last_data_at >= SILENCE_SECONDS:
-            self.spawn(self._test_endpoint(self.exchange))
+        if self.exchanges.silent:
+            self.spawn(self._test_endpoint(self.exchanges.current))
         else:
-            self.timers.schedule(SILENCE_SECONDS, Tick(f"silence {self.exchange.number}"))
+            self.timers.schedule(SILENCE_SECONDS, Tick(f"silence {self.exchanges.current.number}"))
 
     async def _test_endpoint(self, exchange: Exchange) -> None:
         found = await self.context.connections.query(ProbeAddress(exchange.endpoint.address))
@@ -951,10 +896,10 @@
         self._finish(next_step.value, reason=reason)
 
     async def _handle_timeout(self) -> None:
-        may_have_run = self.exchange is not None and not self.exchange.prefill
+        may_have_run = self.exchanges.current is not None and not self.exchanges.current.prefill
         if may_have_run and self.received.head is None:
-            self.extra.report_answer(self.exchange, self.written_at)
-        self._end_exchange("left")
+            self.exchanges.report_answer()
+        self.exchanges.end("left")
         if self.response.started:
             self.response.abort()
         elif may_have_run or self.history.may_have_run:
@@ -972,16 +917,6 @@
             response_started=self.response.started,
         )
 
-    def _end_exchange(self, outcome: str) -> None:
-        exchange, self.exchange = self.exchange, None
-        if exchange is None:
-            return
-        self.context.connections.send(CancelExchange(exchange.number))
-        self.context.fleet.send(WorkEnded(exchange.endpoint.id, exchange.number, outcome))
-        self.extra.report(exchange, outcome, self.written_at)
-        if exchange.fetches_kv_cache and outcome in ("answered", "failed"):
-            self.prefill.release()
-
     def _finish(self, outcome: str, **fields: object) -> None:
         self.ended = True
         self.extra.cancel()
@@ -991,15 +926,12 @@
         if (kept := self.prefill.release()) is not None:
             self.context.fleet.spawn(release_kv_cache(self.context, *kept))
         self.log.log_ended(
-            outcome, self.response, self.arrivals, self.prefill.prefilled_at, **fields
+            outcome, self.response, self.exchanges.arrivals, self.prefill.prefilled_at, **fields
         )
         self.stop()
 
-    def _priority(self) -> int | None:
-        return self.placement.rank if self.route.prefix_affinity else None
-
     def _is_current(self, exchange: int) -> bool:
-        return not self.ended and self.exchange is not None and self.exchange.number == exchange
+        return not self.ended and self.exchanges.is_current(exchange)
 
 
 def _work_outcome(outcome: AttemptOutcome) -> str:
