Move the receiving of responses out of a request's task

Cause: whether a response is whole, is a stream, or has begun to run was decided in methods of the task between those that place and end the request.

Moved: the forwarding of a stream's events, the check of its progress, the judgement of what was received, and the reports of first bytes and of the run's begin, to ResponseReceiver (response_receiver.py).

Tests: the seven files that use RequestBench, and test_soak.py.

Conclusion: no behaviour changes.

--- a/chivewall/gateway/forwarded_request.py
+++ b/chivewall/gateway/forwarded_request.py
@@ -14,7 +14,6 @@
     final_step,
     may_hand_over,
     may_wait,
-    stall_seconds,
 )
 from chivewall.decisions.overload import Overloaded
 from chivewall.decisions.placement import Placement, PromptState
@@ -30,11 +29,8 @@
     Exchange,
     RequestContext,
     WaitEnded,
-    is_event_stream,
     is_same_process,
     release_kv_cache,
-    response_problem,
-    run_began_at,
 )
 from chivewall.gateway.exchange_messages import (
     ExchangeFailed,
@@ -50,7 +46,6 @@
 from chivewall.gateway.fleet_messages import (
     AwaitEndpoint,
     FindPlacement,
-    FirstBytesReceived,
     KvCacheLost,
     RequestReceived,
     SpendRepeat,
@@ -66,13 +61,13 @@
 from chivewall.gateway.request_permits import MAX_DENIED, PermitsAcquired, RequestPermits
 from chivewall.gateway.request_terms import RequestTerms
 from chivewall.gateway.request_timers import RequestTimers
+from chivewall.gateway.response_receiver import SUCCESS_STATUSES, ResponseReceiver
 from chivewall.gateway.routing_configuration import (
     EndpointInfo,
     Route,
     RouteKind,
     Workspace,
 )
-from chivewall.gateway.usage_messages import RequestBegan
 from chivewall.gateway.workspace_messages import WorkspacesInForce
 from chivewall.messages import Tick
 from chivewall.results import ResultCode
@@ -86,7 +81,6 @@
 MAX_WAIT_SECONDS = 0.8
 # Time over which the requests that wait for the end of a pause are spread.
 PAUSE_SPREAD_SECONDS = 0.5
-SUCCESS_STATUSES = range(200, 300)
 SERVER_ERROR_STATUSES = range(500, 600)
 
 
@@ -135,11 +129,7 @@
         self.received = ReceivedResponse(context.response_bytes)
         self.repeat_spent = False  # the repeat of the next attempt was taken from the budget
         self.prefill_repeat_spent = False  # the same for a further prefill
-        self.first_bytes_reported = False  # of the exchange
-        self.stall_checked = False  # the progress of the exchange's stream is checked
-        self.next_event_by = 0.0  # time by which the stream must have made progress
         self.ended = False
-        self.began = False  # it is known to have begun to run
         self.failed_endpoints: set[str] = set()  # ids of endpoints that failed to serve it
         self.waits = 0  # times that it had to wait for an endpoint
         self.prefill = PrefillProgress()
@@ -179,6 +169,16 @@
             stream=self.response.stream,
             inbox=self.inbox,
         )
+        self.receiver = ResponseReceiver(
+            context=context,
+            route=route,
+            terms=self.terms,
+            timers=self.timers,
+            exchanges=self.exchanges,
+            prompt=self.prompt,
+            response=self.response,
+            received=self.received,
+        )
 
     def start(self) -> None:
         """Start the task and place the request."""
@@ -260,25 +260,25 @@
             self._take_extra("won")
         elif self._is_current(message.exchange):
             self.received.start(message.head)
-            if message.head.status in SUCCESS_STATUSES and response_problem(message.head) is None:
+            if self.receiver.succeeded:
                 self.exchanges.report_answer()
                 self.extra.cancel()
         else:
             return
         if self.route.kind is not RouteKind.STREAM:
-            self._report_began()
+            self.receiver.report_began()
 
     @receive.register
     async def _(self, message: ResponseData) -> None:
         if not self._is_current(message.exchange):
             return
         self.exchanges.record_data()
-        if not (self.exchanges.current.prefill or self.first_bytes_reported):
-            self._report_first_bytes(prefilled=not self.exchanges.current.fetches_kv_cache)
-            if self._is_streaming():
-                self._report_began()
+        if not (self.exchanges.current.prefill or self.receiver.first_bytes_reported):
+            self.receiver.report_first_bytes(prefilled=not self.exchanges.current.fetches_kv_cache)
+            if self.receiver.streaming:
+                self.receiver.report_began()
         try:
-            self._take_data(message.data)
+            self.receiver.take_data(message.data)
         except EndpointError as exc:
             await self._attempt_failed(AttemptOutcome.BROKEN, str(exc))
 
@@ -296,7 +296,7 @@
             await self._prefill_failed(message.reason, missed=not message.sent)
         elif not message.sent:
             await self._attempt_failed(AttemptOutcome.NOT_SENT, message.reason)
-        elif self._refused_to_run():
+        elif self.receiver.refused_to_run:
             await self._attempt_failed(
                 AttemptOutcome.NOT_RUN, f"status {self.received.head.status}"
             )
@@ -375,43 +375,17 @@
             self.exchanges.end("left")
             self._finish("connection aborted" if message.by_gateway else "caller gone")
 
-    def _take_data(self, data: bytes) -> None:
-        """Forward the events of a stream, or keep the bytes of another response."""
-        if self._is_streaming():
-            events = self.response.stream.data_events
-            self.response.send_events(self.received.head, data)
-            if self.response.stream.data_events > events:
-                if events == self.exchanges.current.events_before:
-                    self.prompt.record_served()
-                self._await_next_event()
-            return
-        self.received.append(data)
-
-    def _await_next_event(self) -> None:
-        """Restart the time in which the stream must make progress.
-
-        Only events count, since a stalled endpoint may send a byte or a comment now and then.
-        """
-        self.next_event_by = self.env.now + stall_seconds(self.route)
-        if not self.stall_checked:
-            self.stall_checked = True
-            self.timers.schedule(
-                stall_seconds(self.route), Tick(f"stall {self.exchanges.current.number}")
-            )
-
     async def _check_stall(self) -> None:
-        if self.env.now < self.next_event_by:
-            left = self.next_event_by - self.env.now
-            self.timers.schedule(left, Tick(f"stall {self.exchanges.current.number}"))
+        if self.env.now < self.receiver.next_event_by:
+            left = self.receiver.next_event_by - self.env.now
+            self.receiver.schedule_stall_check(left)
         elif self.route.resumable:
             if await self._begin_hand_over():
                 await self._attempt_failed(
                     AttemptOutcome.BROKEN, "the stream makes no progress", work_outcome="failed"
                 )
             else:
-                self.timers.schedule(
-                    SILENCE_SECONDS, Tick(f"stall {self.exchanges.current.number}")
-                )
+                self.receiver.schedule_stall_check(SILENCE_SECONDS)
 
     async def _begin_hand_over(self) -> bool:
         """Return whether a sound endpoint takes over from that of the current exchange.
@@ -537,7 +511,7 @@
             return
         if placement.prefill_engine is not None:
             self.prefill_repeat_spent = False
-            self._begin_exchange()
+            self.receiver.begin_exchange()
             self.exchanges.send_prefill(placement)
         else:
             await self._send_request(placement, kv_source=None)
@@ -597,25 +571,20 @@
             else:
                 await self._give_up(AttemptOutcome.NOT_RUN, reason)
             return
-        self._begin_exchange()
+        self.receiver.begin_exchange()
         self.exchanges.send_request(placement, kv_source)
 
-    def _begin_exchange(self) -> None:
-        self.received.start(None)
-        self.response.stream.begin_run()
-        self.first_bytes_reported = self.stall_checked = False
-
     async def _handle_response(self, *, until_closed: bool) -> None:
         if self.exchanges.current.prefill:
             await self._handle_prefill_response()
-        elif self._refused_to_run():
+        elif self.receiver.refused_to_run:
             await self._attempt_failed(
                 AttemptOutcome.NOT_RUN, f"status {self.received.head.status}"
             )
-        elif (problem := self._problem()) is not None:
+        elif (problem := self.receiver.problem()) is not None:
             await self._attempt_failed(AttemptOutcome.BROKEN, problem)
         elif self.received.head.status in SERVER_ERROR_STATUSES or (
-            self.response.started and not self._is_streaming()
+            self.response.started and not self.receiver.streaming
         ):
             await self._attempt_failed(AttemptOutcome.FAILED, f"status {self.received.head.status}")
         elif until_closed:
@@ -633,56 +602,10 @@
         probe = ProbeAddress(endpoint.address, connect=True)
         return await self.context.connections.query(probe) is Reachability.REFUSED
 
-    def _problem(self) -> str | None:
-        """Return why what was received can't be the endpoint's complete response, or ``None``."""
-        if not self._is_streaming():
-            return response_problem(self.received.head)
-        return self.response.stream.problem_at_end()
-
     def _complete_response(self) -> None:
-        streaming = self._is_streaming()
-        self.exchanges.end("answered")
-        if streaming:
-            self.response.finish_stream(self.received.head)
-        else:
-            self.response.send_response(self.received.head, self.received.body)
+        self.receiver.complete()
         self._finish("answered", status=self.received.head.status)
 
-    def _report_first_bytes(self, *, prefilled: bool) -> None:
-        self.first_bytes_reported = True
-        self.context.fleet.send(
-            FirstBytesReceived(
-                endpoint=self.exchanges.current.endpoint.id,
-                exchange=self.exchanges.current.number,
-                seconds=self.env.now - self.exchanges.written_at,
-                succeeded=self.received.head.status in SUCCESS_STATUSES,
-                prefilled=prefilled,
-            )
-        )
-
-    def _report_began(self) -> None:
-        """Report that the request began to run, once."""
-        fields = self.received.head.fields
-        if self.terms.workspace is None or self.began or fields.not_run or fields.stamp is None:
-            return
-        self.began = True
-        if self.context.usage is not None:
-            at = run_began_at(self.env, self.route, self.exchanges.written_at)
-            self.context.usage.put(RequestBegan(self.terms.workspace.name, at))
-
-    def _is_streaming(self) -> bool:
-        return (
-            self.route.kind is RouteKind.STREAM
-            and self.received.head is not None
-            and self.received.head.status in SUCCESS_STATUSES
-            and not self.exchanges.current.prefill
-            and response_problem(self.received.head) is None
-            and is_event_stream(self.received.head)
-        )
-
-    def _refused_to_run(self) -> bool:
-        return self.received.head is not None and self.received.head.fields.not_run
-
     async def _handle_prefill_response(self) -> None:
         if self.received.head.status not in SUCCESS_STATUSES:
             await self._prefill_failed(f"status {self.received.head.status}")
@@ -694,7 +617,7 @@
             return
         source = self.exchanges.current.endpoint
         self.prefill.record_prefilled(source, kept.handle, self.env.now)
-        self._report_first_bytes(prefilled=True)
+        self.receiver.report_first_bytes(prefilled=True)
         self.exchanges.end("answered")
         await self._decode()
 
@@ -721,7 +644,7 @@
         self._log_attempt_failed(
             AttemptOutcome.NOT_SENT if missed else AttemptOutcome.NOT_RUN, reason
         )
-        refused = not missed and self._refused_to_run()
+        refused = not missed and self.receiver.refused_to_run
         self.exchanges.end("missed" if missed else "refused" if refused else "failed")
         if missed:
             self.prefill.record_missed()
@@ -773,9 +696,7 @@
     def _take_extra(self, outcome: str) -> None:
         """Go on with the extra attempt alone."""
         self.exchanges.take_extra(outcome)
-        self.received.start(self.extra.head)
-        self.response.stream.begin_run()
-        self.first_bytes_reported = self.stall_checked = False
+        self.receiver.begin_exchange(self.extra.head)
         if self.extra.written_at is not None:
             if self.extra.head is not None:
                 self.exchanges.report_answer()
@@ -822,7 +743,7 @@
             self.exchanges.current,
             outcome,
             reason,
-            begun=self.received.head is not None,
+            begun=self.receiver.begun,
             events=self.exchanges.events,
         )
 
@@ -830,7 +751,7 @@
         return BrokenAttempt(
             exchange=self.exchanges.current,
             reason=reason,
-            begun=self.received.head is not None,
+            begun=self.receiver.begun,
             is_evidence=bool(self.prompt.keys) and not self.exchanges.events,
         )
 
