Move the search for an endpoint and the waits out of a request's task

Cause: placements, pauses, waits and the repeat budget were asked for in methods spread over the task.

Moved: what the attempts so far allow, the queries for placements and the repeats taken from the budget to EndpointSearch (endpoint_search.py); the waits for endpoints, pauses and trials, with their constants, to RequestWaits (request_waits.py). The soak variant at_most_once patches EndpointSearch, and test_stated_pauses.py imports the constant from its new module.

Tests: the seven files that use RequestBench, and test_soak.py. The soak variant itself was not run.

Conclusion: no behaviour changes.

--- a/chivewall/gateway/forwarded_request.py
+++ b/chivewall/gateway/forwarded_request.py
@@ -2,7 +2,6 @@
 
 from functools import singledispatchmethod
 
-from chivewall.backoff import exponential_delay
 from chivewall.decisions.crash_evidence import Verdict
 from chivewall.decisions.event_stream import EventStream
 from chivewall.decisions.forwarding import (
@@ -21,6 +20,7 @@
 from chivewall.errors import DecodeError, EndpointError
 from chivewall.gateway.caller_messages import CallerDisconnected, EndBy
 from chivewall.gateway.caller_response import CallerResponse
+from chivewall.gateway.endpoint_search import EndpointSearch
 from chivewall.gateway.exchange import (
     BrokenAttempt,
     BrokenEndpointProbed,
@@ -44,11 +44,8 @@
 from chivewall.gateway.extra_attempt import ExtraAttempt
 from chivewall.gateway.extra_attempt_messages import AnswerSlow
 from chivewall.gateway.fleet_messages import (
-    AwaitEndpoint,
-    FindPlacement,
     KvCacheLost,
     RequestReceived,
-    SpendRepeat,
 )
 from chivewall.gateway.guarded_prompt import GuardedPrompt
 from chivewall.gateway.http_dialect import CallerRequest
@@ -61,6 +58,7 @@
 from chivewall.gateway.request_permits import MAX_DENIED, PermitsAcquired, RequestPermits
 from chivewall.gateway.request_terms import RequestTerms
 from chivewall.gateway.request_timers import RequestTimers
+from chivewall.gateway.request_waits import RequestWaits
 from chivewall.gateway.response_receiver import SUCCESS_STATUSES, ResponseReceiver
 from chivewall.gateway.routing_configuration import (
     EndpointInfo,
@@ -73,14 +71,6 @@
 from chivewall.results import ResultCode
 from chivewall.task import Inbox, Task
 
-MS_PER_SECOND = 1000.0
-TRIAL_CHECK_SECONDS = 0.1  # interval between checks for the outcome of another request's trial
-# Shortest delay of a request that waits for an endpoint, doubled with each further wait. Endpoints
-# that are usable again get their waiting requests one after the other.
-WAIT_SECONDS = 0.05
-MAX_WAIT_SECONDS = 0.8
-# Time over which the requests that wait for the end of a pause are spread.
-PAUSE_SPREAD_SECONDS = 0.5
 SERVER_ERROR_STATUSES = range(500, 600)
 
 
@@ -127,11 +117,8 @@
             stream=EventStream(last_id=request.fields.last_event_id),
         )
         self.received = ReceivedResponse(context.response_bytes)
-        self.repeat_spent = False  # the repeat of the next attempt was taken from the budget
-        self.prefill_repeat_spent = False  # the same for a further prefill
         self.ended = False
         self.failed_endpoints: set[str] = set()  # ids of endpoints that failed to serve it
-        self.waits = 0  # times that it had to wait for an endpoint
         self.prefill = PrefillProgress()
         self.prompt = GuardedPrompt(
             guard=context.guard,
@@ -179,6 +166,28 @@
             response=self.response,
             received=self.received,
         )
+        self.search = EndpointSearch(
+            context=context,
+            request=request,
+            route=route,
+            service=service,
+            terms=self.terms,
+            history=self.history,
+            prefill=self.prefill,
+            permits=self.permits,
+            response=self.response,
+            failed_endpoints=self.failed_endpoints,
+        )
+        self.waits = RequestWaits(
+            context=context,
+            service=service,
+            terms=self.terms,
+            timers=self.timers,
+            log=self.log,
+            permits=self.permits,
+            search=self.search,
+            inbox=self.inbox,
+        )
 
     def start(self) -> None:
         """Start the task and place the request."""
@@ -226,7 +235,7 @@
     async def _(self, message: AnswerSlow) -> None:
         if self._is_current(message.exchange) and self.received.head is None:
             began = await self.extra.begin(
-                self.exchanges.current, self.terms.response_deadline, self._find_spare
+                self.exchanges.current, self.terms.response_deadline, self.search.find_spare
             )
             self.exchanges.arrivals += began
 
@@ -398,62 +407,9 @@
             return True
         if not may_hand_over(self._situation(AttemptOutcome.BROKEN), self.history):
             return False
-        found = await self._find_placement(
-            PromptState.PREFILL_AT_DECODER,
-            excluded=frozenset({*self.failed_endpoints, self.exchanges.current.endpoint.id}),
-            last_resort=False,
+        return await self.search.reserve_successor(
+            self.exchanges.current.endpoint.id, repeat=self.exchanges.arrivals > 0
         )
-        if not isinstance(found, Placement):
-            return False
-        if self.exchanges.arrivals and not self.repeat_spent:
-            self.repeat_spent = await self.context.fleet.query(SpendRepeat(self.service))
-            return self.repeat_spent
-        return True
-
-    def _allowed_endpoints(self) -> frozenset[str] | None:
-        """Return the endpoints that may get the request, or ``None`` for every endpoint."""
-        tried = self.history.tried_endpoints
-        return frozenset(tried) if len(tried) >= self.route.attempts else None
-
-    async def _find_placement(
-        self,
-        prompt: PromptState,
-        *,
-        excluded: frozenset[str] | None = None,
-        last_resort: bool = True,
-        spare: bool = False,
-    ) -> Placement | Overloaded | None:
-        allowed = self._allowed_endpoints()
-        if excluded is None:
-            excluded = frozenset(
-                self.failed_endpoints - self.history.tried_endpoints
-                if allowed
-                else self.failed_endpoints
-            )
-        return await self.context.fleet.query(
-            FindPlacement(
-                service=self.service,
-                fields=self.request.fields,
-                excluded=excluded,
-                allowed=allowed,
-                prompt=prompt,
-                rank=self.terms.rank,
-                slack_seconds=self.terms.slack_seconds(),
-                time_left_seconds=self.terms.seconds_to_answer(),
-                committed=self._committed,
-                pause_seconds=self.route.pause_ms / MS_PER_SECOND,
-                kv_data_centre=self.prefill.kv_data_centre,
-                last_resort=last_resort,
-                spare=spare,
-                permits=self.permits.endpoints,
-                workspace=self.terms.workspace_name,
-            )
-        )
-
-    @property
-    def _committed(self) -> bool:
-        """Return whether the request can no longer be refused truthfully."""
-        return self.response.started or self.history.may_have_run
 
     async def _may_send(self, step: str) -> bool:
         """Return whether the parts of the prompt allow an attempt now.
@@ -467,7 +423,7 @@
             return True  # an engine began to answer it and survived
         check = await self.prompt.check()
         if check.verdict is Verdict.WAIT:
-            self.timers.schedule(TRIAL_CHECK_SECONDS, Tick(step))
+            self.waits.await_trial(step)
         elif check.verdict is Verdict.REFUSE:
             names = ", ".join(one.part for one in check.suspects)
             await self._give_up(
@@ -481,18 +437,7 @@
     async def _place(self) -> None:
         if not await self._may_send("place"):
             return
-        prefilled_before = self.prefill.reached > 0
-        attempts_left = self.route.attempts - len(self.history.tried_endpoints)
-        placement = await self._find_placement(self.prefill.next_prompt(attempts_left))
-        prefill_again = (
-            prefilled_before
-            and isinstance(placement, Placement)
-            and placement.prefill_engine is not None
-        )
-        if prefill_again and not self.prefill_repeat_spent:
-            self.prefill_repeat_spent = await self.context.fleet.query(SpendRepeat(self.service))
-            if not self.prefill_repeat_spent:
-                placement = await self._find_placement(PromptState.PREFILL_AT_DECODER)
+        placement = await self.search.find_next()
         if isinstance(placement, Overloaded):
             await self._give_up(
                 AttemptOutcome.NOT_RUN,
@@ -510,7 +455,7 @@
         if await self._must_wait("place", placement):
             return
         if placement.prefill_engine is not None:
-            self.prefill_repeat_spent = False
+            self.search.prefill_repeat_spent = False
             self.receiver.begin_exchange()
             self.exchanges.send_prefill(placement)
         else:
@@ -519,7 +464,7 @@
     async def _permits_denied(self, message: PermitsAcquired) -> None:
         """Refuse the request after too many denied permits, or wait if it can't be refused."""
         reason = "the endpoints take no more requests"
-        if self._committed:
+        if self.search.committed:
             await self._attempt_failed(AttemptOutcome.NO_ENDPOINT, reason, next_step=message.step)
         else:
             wait = message.denied.wait
@@ -531,40 +476,24 @@
         The step is taken again when a pause has ended or permits are decided, or the request ends.
         """
         if placement.not_before > self.env.now:
-            await self._wait_for_pause(step, placement.not_before)
+            if not self.waits.await_pause(step, placement.not_before):
+                await self._give_up(
+                    AttemptOutcome.NOT_RUN,
+                    "the endpoints pause",
+                    retry_after=placement.not_before - self.env.now,
+                )
         elif placement.needs:
             self.spawn(
                 self.permits.acquire(
-                    step, placement, self.terms.response_deadline, committed=self._committed
+                    step, placement, self.terms.response_deadline, committed=self.search.committed
                 )
             )
         else:
             return False
         return True
 
-    async def _wait_for_pause(self, step: str, not_before: float) -> None:
-        """Take a step again after a pause, or end the request if it can't wait that long.
-
-        The requests that wait are spread, so that they don't arrive at the same moment.
-        """
-        at = not_before + self.env.random.uniform(0, PAUSE_SPREAD_SECONDS)
-        if at >= self.terms.response_deadline:
-            await self._give_up(
-                AttemptOutcome.NOT_RUN,
-                "the endpoints pause",
-                retry_after=not_before - self.env.now,
-            )
-            return
-        self.log.log_paused(at - self.env.now)
-        self.timers.schedule(at - self.env.now, Tick(step))
-
     async def _send_request(self, placement: Placement, kv_source: str | None) -> None:
-        repeat_spent, self.repeat_spent = self.repeat_spent, False
-        if (
-            self.exchanges.arrivals
-            and not repeat_spent
-            and not await self.context.fleet.query(SpendRepeat(self.service))
-        ):
+        if not await self.search.may_attempt(repeat=self.exchanges.arrivals > 0):
             reason = "the repeat budget is spent"
             if may_wait(self._situation(AttemptOutcome.NOT_RUN), self.history):
                 self._wait("decode" if kv_source else "place", reason)
@@ -626,7 +555,7 @@
         if not await self._may_send("decode"):
             return
         # The prefill may have waited for seconds; the chosen decode engine may be leaving by now.
-        placement = await self._find_placement(PromptState.PREFILLED)
+        placement = await self.search.find(PromptState.PREFILLED)
         if placement is None:
             await self._attempt_failed(
                 AttemptOutcome.NO_ENDPOINT, "no engine can decode", next_step="decode"
@@ -663,7 +592,11 @@
     ) -> None:
         self.history.record_failure(outcome)
         self._log_attempt_failed(outcome, reason)
-        if outcome is AttemptOutcome.NOT_RUN and self._committed and self.exchanges.first_sent_to:
+        if (
+            outcome is AttemptOutcome.NOT_RUN
+            and self.search.committed
+            and self.exchanges.first_sent_to
+        ):
             self.history.forget_endpoint(self.exchanges.current.endpoint.id)
         broken = None
         if outcome is AttemptOutcome.BROKEN and work_outcome is None:
@@ -682,17 +615,11 @@
             self.exchanges.arrivals -= 1
         if self.extra.running:
             self._take_extra("took over")
-        elif broken is not None and (broken.is_evidence or self._allowed_endpoints()):
+        elif broken is not None and (broken.is_evidence or self.search.allowed_endpoints()):
             self.spawn(self._probe_broken_endpoint(broken))
         else:
             await self._continue_after(outcome, reason, next_step=next_step)
 
-    async def _find_spare(self, excluded: frozenset[str]) -> Placement | None:
-        found = await self._find_placement(
-            PromptState.NOT_PREFILLED, excluded=excluded, last_resort=False, spare=True
-        )
-        return found if isinstance(found, Placement) else None
-
     def _take_extra(self, outcome: str) -> None:
         """Go on with the extra attempt alone."""
         self.exchanges.take_extra(outcome)
@@ -709,7 +636,7 @@
         at = self._situation(outcome)
         if self.terms.key_refusal is not None:
             await self._end_without_key(outcome)
-        elif decide(at, self.history) is NextStep.RETRY and self._has_endpoint_left():
+        elif decide(at, self.history) is NextStep.RETRY and self.search.has_endpoint_left():
             await self._place()
         elif may_wait(at, self.history):
             self._wait(next_step, reason)
@@ -725,18 +652,8 @@
 
     def _wait(self, step: str, reason: str) -> None:
         """Take a step again once an endpoint can answer the request."""
-        self.failed_endpoints.clear()
-        self.permits.denied = 0
-        not_before = self.env.now + exponential_delay(WAIT_SECONDS, MAX_WAIT_SECONDS, self.waits)
-        self.waits += 1
-        self.log.log_waiting(reason, self.terms.seconds_to_answer())
-        self.spawn(self._take_step_with_endpoint(step, not_before))
-
-    async def _take_step_with_endpoint(self, step: str, not_before: float) -> None:
-        found = await self.context.fleet.query(
-            AwaitEndpoint(self.service, self._allowed_endpoints())
-        )
-        self.send(WaitEnded(step, not_before, endpoint_left=found))
+        not_before = self.waits.begin(reason)
+        self.spawn(self.waits.await_endpoint(step, not_before))
 
     def _log_attempt_failed(self, outcome: AttemptOutcome, reason: str) -> None:
         self.log.log_attempt_failed(
@@ -792,11 +709,6 @@
         found = await self.context.connections.query(ProbeAddress(exchange.endpoint.address))
         self.send(EndpointProbed(exchange.number, found is Reachability.REACHABLE))
 
-    def _has_endpoint_left(self) -> bool:
-        return len(self.history.tried_endpoints) < self.route.attempts or bool(
-            self.history.tried_endpoints - self.failed_endpoints
-        )
-
     async def _give_up(
         self,
         outcome: AttemptOutcome,
--- a/soak/variants.py
+++ b/soak/variants.py
@@ -12,7 +12,13 @@
 
 from chivewall import daemon
 from chivewall.decisions import forwarding, placement
-from chivewall.gateway import caller_response, forwarded_request, gateway, request_terms
+from chivewall.gateway import (
+    caller_response,
+    endpoint_search,
+    forwarded_request,
+    gateway,
+    request_terms,
+)
 
 VARIANTS: dict[str, Callable[[], None]] = {"whole": lambda: None}
 MEGABYTE = 1024 * 1024  # bytes
@@ -30,19 +36,19 @@
     forwarding.may_retry = lambda failed, history: (
         history.failed_attempts < forwarding.MAX_FAILED_ATTEMPTS
     )
-    forwarded_request.ForwardedRequest._has_endpoint_left = lambda self: True
-    forwarded_request.ForwardedRequest._find_placement = _query_any_placement
+    endpoint_search.EndpointSearch.has_endpoint_left = lambda self: True
+    endpoint_search.EndpointSearch.find = _query_any_placement
 
 
 async def _query_any_placement(
-    request_task: forwarded_request.ForwardedRequest,
+    search: endpoint_search.EndpointSearch,
     prompt: placement.PromptState,
     **_: object,
 ) -> object:
-    return await request_task.context.fleet.query(
-        forwarded_request.FindPlacement(
-            service=request_task.service,
-            fields=request_task.request.fields,
+    return await search.context.fleet.query(
+        endpoint_search.FindPlacement(
+            service=search.service,
+            fields=search.request.fields,
             excluded=frozenset(),
             allowed=None,
             prompt=prompt,
--- a/tests/test_stated_pauses.py
+++ b/tests/test_stated_pauses.py
@@ -14,7 +14,7 @@
 from chivewall.decisions.placement import Placement
 from chivewall.decisions.stated_pauses import MAX_PAUSE_SECONDS, MAX_PAUSES, StatedPauses
 from chivewall.gateway.announcement_messages import EndpointPause
-from chivewall.gateway.forwarded_request import PAUSE_SPREAD_SECONDS
+from chivewall.gateway.request_waits import PAUSE_SPREAD_SECONDS
 from chivewall.gateway.routing_configuration import Stage
 from chivewall.platform.headers import PlatformDialect
 from tests.utils.fleets import make_fleet, query_placement
