Move the judgement of attempts out of a request's task

Cause: whether an attempt failed, what that says of its endpoint and what may follow was decided between the messages of the task.

Moved: the judgement of ended and broken exchanges, the probes of their endpoints, the records of failures, the hand-over and the withdrawal, to AttemptJudge (attempt_judge.py). The soak variant true_refusals patches final_step there.

Tests: the seven files that use RequestBench, and test_soak.py. The soak variant itself was not run.

Conclusion: no behaviour changes.

--- a/chivewall/gateway/forwarded_request.py
+++ b/chivewall/gateway/forwarded_request.py
@@ -7,35 +7,26 @@
 from chivewall.decisions.forwarding import (
     AttemptHistory,
     AttemptOutcome,
-    FailedAttempt,
     NextStep,
-    decide,
-    final_step,
-    may_hand_over,
-    may_wait,
 )
 from chivewall.decisions.overload import Overloaded
 from chivewall.decisions.placement import Placement, PromptState
 from chivewall.decisions.request_ranks import RequestRanks
 from chivewall.errors import DecodeError, EndpointError
+from chivewall.gateway.attempt_judge import AttemptJudge
 from chivewall.gateway.caller_messages import CallerDisconnected, EndBy
 from chivewall.gateway.caller_response import CallerResponse
 from chivewall.gateway.endpoint_search import EndpointSearch
 from chivewall.gateway.exchange import (
-    BrokenAttempt,
     BrokenEndpointProbed,
     EndConfirmed,
     EndpointProbed,
-    Exchange,
     RequestContext,
     WaitEnded,
-    is_same_process,
     release_kv_cache,
 )
 from chivewall.gateway.exchange_messages import (
     ExchangeFailed,
-    ProbeAddress,
-    Reachability,
     RequestWritten,
     ResponseData,
     ResponseEnded,
@@ -44,7 +35,6 @@
 from chivewall.gateway.extra_attempt import ExtraAttempt
 from chivewall.gateway.extra_attempt_messages import AnswerSlow
 from chivewall.gateway.fleet_messages import (
-    KvCacheLost,
     RequestReceived,
 )
 from chivewall.gateway.guarded_prompt import GuardedPrompt
@@ -61,7 +51,6 @@
 from chivewall.gateway.request_waits import RequestWaits
 from chivewall.gateway.response_receiver import SUCCESS_STATUSES, ResponseReceiver
 from chivewall.gateway.routing_configuration import (
-    EndpointInfo,
     Route,
     RouteKind,
     Workspace,
@@ -71,8 +60,6 @@
 from chivewall.results import ResultCode
 from chivewall.task import Inbox, Task
 
-SERVER_ERROR_STATUSES = range(500, 600)
-
 
 class ForwardedRequest(Task):
     """Serves one request, from its arrival to the end of its response."""
@@ -188,6 +175,20 @@
             search=self.search,
             inbox=self.inbox,
         )
+        self.judge = AttemptJudge(
+            context=context,
+            route=route,
+            terms=self.terms,
+            log=self.log,
+            history=self.history,
+            prefill=self.prefill,
+            prompt=self.prompt,
+            extra=self.extra,
+            exchanges=self.exchanges,
+            receiver=self.receiver,
+            search=self.search,
+            inbox=self.inbox,
+        )
 
     def start(self) -> None:
         """Start the task and place the request."""
@@ -303,14 +304,8 @@
             return
         if self.exchanges.current.prefill:
             await self._prefill_failed(message.reason, missed=not message.sent)
-        elif not message.sent:
-            await self._attempt_failed(AttemptOutcome.NOT_SENT, message.reason)
-        elif self.receiver.refused_to_run:
-            await self._attempt_failed(
-                AttemptOutcome.NOT_RUN, f"status {self.received.head.status}"
-            )
         else:
-            await self._attempt_failed(AttemptOutcome.BROKEN, message.reason)
+            await self._attempt_failed(*self.judge.failure_of_exchange(message))
 
     @receive.register
     async def _(self, message: EndpointProbed) -> None:
@@ -319,7 +314,7 @@
         silent = not message.reachable and self.exchanges.silent
         if silent and self.exchanges.current.prefill:
             await self._prefill_failed("endpoint is not reachable", missed=True)
-        elif silent and await self._begin_hand_over():
+        elif silent and await self.judge.reserve_hand_over():
             await self._attempt_failed(
                 AttemptOutcome.BROKEN, "endpoint is not reachable", work_outcome="missed"
             )
@@ -330,12 +325,8 @@
     async def _(self, message: BrokenEndpointProbed) -> None:
         if self.ended:
             return
-        attempt = message.attempt
-        if message.endpoint_ended:
-            self.history.forget_endpoint(attempt.exchange.endpoint.id)
-            if attempt.is_evidence:
-                self.prompt.record_crash(attempt.exchange.endpoint, begun=attempt.begun)
-        await self._continue_after(AttemptOutcome.BROKEN, attempt.reason)
+        self.judge.record_probed(message)
+        await self._continue_after(AttemptOutcome.BROKEN, message.attempt.reason)
 
     @receive.register
     async def _(self, message: EndConfirmed) -> None:
@@ -372,7 +363,7 @@
 
     @receive.register
     async def _(self, message: PartsSuspected) -> None:
-        if self._may_withdraw():
+        if not self.ended and self.judge.may_withdraw():
             check = await self.prompt.check()
             if check.verdict in (Verdict.WAIT, Verdict.REFUSE):
                 # Events that were received during the check come first.
@@ -389,28 +380,13 @@
             left = self.receiver.next_event_by - self.env.now
             self.receiver.schedule_stall_check(left)
         elif self.route.resumable:
-            if await self._begin_hand_over():
+            if await self.judge.reserve_hand_over():
                 await self._attempt_failed(
                     AttemptOutcome.BROKEN, "the stream makes no progress", work_outcome="failed"
                 )
             else:
                 self.receiver.schedule_stall_check(SILENCE_SECONDS)
 
-    async def _begin_hand_over(self) -> bool:
-        """Return whether a sound endpoint takes over from that of the current exchange.
-
-        Otherwise the exchange goes on: an endpoint that has fallen silent may still answer.
-        """
-        if self.terms.key_refusal is not None:
-            return False
-        if self.extra.running:
-            return True
-        if not may_hand_over(self._situation(AttemptOutcome.BROKEN), self.history):
-            return False
-        return await self.search.reserve_successor(
-            self.exchanges.current.endpoint.id, repeat=self.exchanges.arrivals > 0
-        )
-
     async def _may_send(self, step: str) -> bool:
         """Return whether the parts of the prompt allow an attempt now.
 
@@ -495,7 +471,7 @@
     async def _send_request(self, placement: Placement, kv_source: str | None) -> None:
         if not await self.search.may_attempt(repeat=self.exchanges.arrivals > 0):
             reason = "the repeat budget is spent"
-            if may_wait(self._situation(AttemptOutcome.NOT_RUN), self.history):
+            if self.judge.may_wait(AttemptOutcome.NOT_RUN):
                 self._wait("decode" if kv_source else "place", reason)
             else:
                 await self._give_up(AttemptOutcome.NOT_RUN, reason)
@@ -506,31 +482,14 @@
     async def _handle_response(self, *, until_closed: bool) -> None:
         if self.exchanges.current.prefill:
             await self._handle_prefill_response()
-        elif self.receiver.refused_to_run:
-            await self._attempt_failed(
-                AttemptOutcome.NOT_RUN, f"status {self.received.head.status}"
-            )
-        elif (problem := self.receiver.problem()) is not None:
-            await self._attempt_failed(AttemptOutcome.BROKEN, problem)
-        elif self.received.head.status in SERVER_ERROR_STATUSES or (
-            self.response.started and not self.receiver.streaming
-        ):
-            await self._attempt_failed(AttemptOutcome.FAILED, f"status {self.received.head.status}")
+        elif (failure := self.judge.failure_of_response()) is not None:
+            await self._attempt_failed(*failure)
         elif until_closed:
             # A crash ends the connection too, where a response has neither a length nor chunks.
-            self.spawn(self._confirm_end(self.exchanges.current))
+            self.spawn(self.judge.confirm_end(self.exchanges.current))
         else:
             self._complete_response()
 
-    async def _confirm_end(self, exchange: Exchange) -> None:
-        same_process = await is_same_process(self.context, exchange.endpoint)
-        self.send(EndConfirmed(exchange.number, same_process))
-
-    async def _has_ended(self, endpoint: EndpointInfo) -> bool:
-        """Return whether nothing listens at the endpoint's address any more."""
-        probe = ProbeAddress(endpoint.address, connect=True)
-        return await self.context.connections.query(probe) is Reachability.REFUSED
-
     def _complete_response(self) -> None:
         self.receiver.complete()
         self._finish("answered", status=self.received.head.status)
@@ -569,17 +528,7 @@
         await self._send_request(placement, kv_source=kv_source)
 
     async def _prefill_failed(self, reason: str, *, missed: bool = False) -> None:
-        failed = self.exchanges.current.endpoint
-        self._log_attempt_failed(
-            AttemptOutcome.NOT_SENT if missed else AttemptOutcome.NOT_RUN, reason
-        )
-        refused = not missed and self.receiver.refused_to_run
-        self.exchanges.end("missed" if missed else "refused" if refused else "failed")
-        if missed:
-            self.prefill.record_missed()
-        else:
-            self.exchanges.arrivals += 1  # only a prefill that succeeds costs no repeat
-            self.failed_endpoints.add(failed.id)
+        self.judge.end_prefill(reason, missed=missed)
         await self._place()
 
     async def _attempt_failed(
@@ -590,33 +539,11 @@
         work_outcome: str | None = None,
         next_step: str = "place",
     ) -> None:
-        self.history.record_failure(outcome)
-        self._log_attempt_failed(outcome, reason)
-        if (
-            outcome is AttemptOutcome.NOT_RUN
-            and self.search.committed
-            and self.exchanges.first_sent_to
-        ):
-            self.history.forget_endpoint(self.exchanges.current.endpoint.id)
-        broken = None
-        if outcome is AttemptOutcome.BROKEN and work_outcome is None:
-            broken = self._broken_attempt(reason)
-        fetches_kv_cache = (
-            self.exchanges.current is not None and self.exchanges.current.fetches_kv_cache
-        )
-        if self.exchanges.current is not None:
-            if outcome is AttemptOutcome.NOT_RUN and fetches_kv_cache:
-                self.context.fleet.send(KvCacheLost(self.prefill.kv_source.id))
-                work_outcome = "left"
-            else:
-                self.failed_endpoints.add(self.exchanges.current.endpoint.id)
-            self.exchanges.end(work_outcome or _work_outcome(outcome))
-        if outcome is AttemptOutcome.NOT_SENT:
-            self.exchanges.arrivals -= 1
+        broken = self.judge.end_attempt(outcome, reason, work_outcome)
         if self.extra.running:
             self._take_extra("took over")
-        elif broken is not None and (broken.is_evidence or self.search.allowed_endpoints()):
-            self.spawn(self._probe_broken_endpoint(broken))
+        elif broken is not None:
+            self.spawn(self.judge.probe_broken_endpoint(broken))
         else:
             await self._continue_after(outcome, reason, next_step=next_step)
 
@@ -633,12 +560,11 @@
         self, outcome: AttemptOutcome, reason: str, *, next_step: str = "place"
     ) -> None:
         """Retry, wait or give up after a failed attempt."""
-        at = self._situation(outcome)
         if self.terms.key_refusal is not None:
             await self._end_without_key(outcome)
-        elif decide(at, self.history) is NextStep.RETRY and self.search.has_endpoint_left():
+        elif self.judge.may_retry(outcome):
             await self._place()
-        elif may_wait(at, self.history):
+        elif self.judge.may_wait(outcome):
             self._wait(next_step, reason)
         else:
             await self._give_up(outcome, reason)
@@ -655,60 +581,19 @@
         not_before = self.waits.begin(reason)
         self.spawn(self.waits.await_endpoint(step, not_before))
 
-    def _log_attempt_failed(self, outcome: AttemptOutcome, reason: str) -> None:
-        self.log.log_attempt_failed(
-            self.exchanges.current,
-            outcome,
-            reason,
-            begun=self.receiver.begun,
-            events=self.exchanges.events,
-        )
-
-    def _broken_attempt(self, reason: str) -> BrokenAttempt:
-        return BrokenAttempt(
-            exchange=self.exchanges.current,
-            reason=reason,
-            begun=self.receiver.begun,
-            is_evidence=bool(self.prompt.keys) and not self.exchanges.events,
-        )
-
-    async def _probe_broken_endpoint(self, attempt: BrokenAttempt) -> None:
-        """Find out whether the endpoint has ended, which then doesn't count as tried."""
-        ended = await self._has_ended(attempt.exchange.endpoint)
-        self.send(BrokenEndpointProbed(attempt, ended))
-
-    def _may_withdraw(self) -> bool:
-        """Return whether the request waits at an engine and may be sent again."""
-        return (
-            not self.ended
-            and self.exchanges.current is not None
-            and not self.exchanges.current.prefill
-            and not self.response.stream.data_events
-            and self.route.idempotent
-        )
-
     def _withdraw(self) -> None:
         """Take the request back from an engine that one of its parts may crash."""
-        if not self._may_withdraw():
-            return
-        self.history.may_have_run = True
-        self._log_attempt_failed(
-            AttemptOutcome.BROKEN, "withdrawn: a part of its prompt is suspected"
-        )
-        self.exchanges.end("left")
-        self.send(Tick("place"))
+        if self.judge.may_withdraw():
+            self.judge.withdraw()
+            self.send(Tick("place"))
 
     def _check_silence(self) -> None:
         """Test the endpoint's reachability if it has sent no bytes for a while."""
         if self.exchanges.silent:
-            self.spawn(self._test_endpoint(self.exchanges.current))
+            self.spawn(self.judge.test_endpoint(self.exchanges.current))
         else:
             self.timers.schedule(SILENCE_SECONDS, Tick(f"silence {self.exchanges.current.number}"))
 
-    async def _test_endpoint(self, exchange: Exchange) -> None:
-        found = await self.context.connections.query(ProbeAddress(exchange.endpoint.address))
-        self.send(EndpointProbed(exchange.number, found is Reachability.REACHABLE))
-
     async def _give_up(
         self,
         outcome: AttemptOutcome,
@@ -717,7 +602,7 @@
         code: ResultCode = ResultCode.NO_ENDPOINT,
         retry_after: float | None = None,
     ) -> None:
-        next_step = final_step(self._situation(outcome), self.history)
+        next_step = self.judge.final_step(outcome)
         if next_step is NextStep.CLOSE_CONNECTION:
             self.response.abort()
         elif next_step is NextStep.FORWARD:
@@ -741,15 +626,6 @@
             self.response.refuse(ResultCode.NO_ENDPOINT, "no endpoint within the time limit")
         self._finish("out of time")
 
-    def _situation(self, outcome: AttemptOutcome) -> FailedAttempt:
-        return FailedAttempt(
-            route=self.route,
-            outcome=outcome,
-            now=self.env.now,
-            response_deadline=self.terms.response_deadline,
-            response_started=self.response.started,
-        )
-
     def _finish(self, outcome: str, **fields: object) -> None:
         self.ended = True
         self.extra.cancel()
@@ -765,9 +641,3 @@
 
     def _is_current(self, exchange: int) -> bool:
         return not self.ended and self.exchanges.is_current(exchange)
-
-
-def _work_outcome(outcome: AttemptOutcome) -> str:
-    if outcome is AttemptOutcome.NOT_SENT:
-        return "missed"
-    return "refused" if outcome is AttemptOutcome.NOT_RUN else "failed"
--- a/soak/variants.py
+++ b/soak/variants.py
@@ -13,9 +13,9 @@
 from chivewall import daemon
 from chivewall.decisions import forwarding, placement
 from chivewall.gateway import (
+    attempt_judge,
     caller_response,
     endpoint_search,
-    forwarded_request,
     gateway,
     request_terms,
 )
@@ -59,7 +59,7 @@
 @variant
 def true_refusals() -> None:
     """Report every failed request as not run."""
-    forwarded_request.final_step = lambda failed, history: (
+    attempt_judge.final_step = lambda failed, history: (
         forwarding.NextStep.CLOSE_CONNECTION
         if failed.response_started
         else forwarding.NextStep.REFUSE
