Move the end of a request out of its task

Cause: the final responses, the time-out and the release of what a request holds were methods of the task between those of its attempts.

Moved: completing, giving up, the time-out, the caller's disconnection and the release of permits, KV cache and prompt parts, to RequestEnding (request_ending.py). The task is stopped by a Stop in its inbox, as Task.stop does. The ticks of an exchange have a method of their own.

Tests: the seven files that use RequestBench, and test_soak.py.

Conclusion: no behaviour changes.

--- a/chivewall/gateway/forwarded_request.py
+++ b/chivewall/gateway/forwarded_request.py
@@ -4,11 +4,7 @@
 
 from chivewall.decisions.crash_evidence import Verdict
 from chivewall.decisions.event_stream import EventStream
-from chivewall.decisions.forwarding import (
-    AttemptHistory,
-    AttemptOutcome,
-    NextStep,
-)
+from chivewall.decisions.forwarding import AttemptHistory, AttemptOutcome
 from chivewall.decisions.overload import Overloaded
 from chivewall.decisions.placement import Placement, PromptState
 from chivewall.decisions.request_ranks import RequestRanks
@@ -23,7 +19,6 @@
     EndpointProbed,
     RequestContext,
     WaitEnded,
-    release_kv_cache,
 )
 from chivewall.gateway.exchange_messages import (
     ExchangeFailed,
@@ -34,15 +29,14 @@
 )
 from chivewall.gateway.extra_attempt import ExtraAttempt
 from chivewall.gateway.extra_attempt_messages import AnswerSlow
-from chivewall.gateway.fleet_messages import (
-    RequestReceived,
-)
+from chivewall.gateway.fleet_messages import RequestReceived
 from chivewall.gateway.guarded_prompt import GuardedPrompt
 from chivewall.gateway.http_dialect import CallerRequest
 from chivewall.gateway.part_guard import part_keys
 from chivewall.gateway.part_messages import PartsSuspected
 from chivewall.gateway.prefill_progress import PrefillProgress
 from chivewall.gateway.received_response import ReceivedResponse
+from chivewall.gateway.request_ending import RequestEnding
 from chivewall.gateway.request_exchanges import SILENCE_SECONDS, RequestExchanges
 from chivewall.gateway.request_log import RequestLog
 from chivewall.gateway.request_permits import MAX_DENIED, PermitsAcquired, RequestPermits
@@ -50,11 +44,7 @@
 from chivewall.gateway.request_timers import RequestTimers
 from chivewall.gateway.request_waits import RequestWaits
 from chivewall.gateway.response_receiver import SUCCESS_STATUSES, ResponseReceiver
-from chivewall.gateway.routing_configuration import (
-    Route,
-    RouteKind,
-    Workspace,
-)
+from chivewall.gateway.routing_configuration import Route, RouteKind, Workspace
 from chivewall.gateway.workspace_messages import WorkspacesInForce
 from chivewall.messages import Tick
 from chivewall.results import ResultCode
@@ -104,7 +94,6 @@
             stream=EventStream(last_id=request.fields.last_event_id),
         )
         self.received = ReceivedResponse(context.response_bytes)
-        self.ended = False
         self.failed_endpoints: set[str] = set()  # ids of endpoints that failed to serve it
         self.prefill = PrefillProgress()
         self.prompt = GuardedPrompt(
@@ -189,6 +178,22 @@
             search=self.search,
             inbox=self.inbox,
         )
+        self.ending = RequestEnding(
+            context=context,
+            terms=self.terms,
+            log=self.log,
+            history=self.history,
+            prefill=self.prefill,
+            prompt=self.prompt,
+            permits=self.permits,
+            extra=self.extra,
+            response=self.response,
+            received=self.received,
+            exchanges=self.exchanges,
+            receiver=self.receiver,
+            judge=self.judge,
+            inbox=self.inbox,
+        )
 
     def start(self) -> None:
         """Start the task and place the request."""
@@ -208,29 +213,16 @@
 
     @receive.register
     async def _(self, message: Tick) -> None:
-        if self.ended:
+        if self.ending.ended:
             return
         if message.purpose == "answer_by":
-            await self._handle_timeout()
+            self.ending.time_out()
         elif message.purpose == "place" and self.exchanges.current is None:
             await self._place()
         elif message.purpose == "decode" and self.exchanges.current is None:
             await self._decode()
-        elif (
-            self.exchanges.current is not None
-            and message.purpose == f"silence {self.exchanges.current.number}"
-        ):
-            self._check_silence()
-        elif (
-            self.exchanges.current is not None
-            and message.purpose == f"stall {self.exchanges.current.number}"
-        ):
-            await self._check_stall()
-        elif (
-            self.exchanges.current is not None
-            and message.purpose == f"withdraw {self.exchanges.current.number}"
-        ):
-            self._withdraw()
+        elif self.exchanges.current is not None:
+            await self._check_exchange(message.purpose)
 
     @receive.register
     async def _(self, message: AnswerSlow) -> None:
@@ -242,16 +234,16 @@
 
     @receive.register
     async def _(self, message: EndBy) -> None:
-        if not self.ended and self.terms.end_by(message.deadline):
+        if not self.ending.ended and self.terms.end_by(message.deadline):
             self.timers.schedule(self.terms.seconds_to_answer(), Tick("answer_by"))
 
     @receive.register
     async def _(self, message: WorkspacesInForce) -> None:
-        if self.ended:
+        if self.ending.ended:
             return
         self.terms.apply(message)
         if self.terms.key_refusal is not None and self.exchanges.current is None:
-            await self._end_without_key(AttemptOutcome.NOT_RUN)
+            self.ending.end_without_key(AttemptOutcome.NOT_RUN)
 
     @receive.register
     async def _(self, message: RequestWritten) -> None:
@@ -323,7 +315,7 @@
 
     @receive.register
     async def _(self, message: BrokenEndpointProbed) -> None:
-        if self.ended:
+        if self.ending.ended:
             return
         self.judge.record_probed(message)
         await self._continue_after(AttemptOutcome.BROKEN, message.attempt.reason)
@@ -333,7 +325,7 @@
         if not self._is_current(message.exchange):
             return
         if message.same_process:
-            self._complete_response()
+            self.ending.complete()
         else:
             await self._attempt_failed(
                 AttemptOutcome.BROKEN, "the endpoint may have ended inside its response"
@@ -341,16 +333,16 @@
 
     @receive.register
     async def _(self, message: WaitEnded) -> None:
-        if self.ended:
+        if self.ending.ended:
             return
         if message.endpoint_left:
             self.timers.schedule(message.not_before - self.env.now, Tick(message.step))
         else:
-            await self._give_up(AttemptOutcome.NO_ENDPOINT, "no endpoint is left that may run it")
+            self.ending.give_up(AttemptOutcome.NO_ENDPOINT, "no endpoint is left that may run it")
 
     @receive.register
     async def _(self, message: PermitsAcquired) -> None:
-        if self.ended:
+        if self.ending.ended:
             self.permits.release(message.permits)
             return
         self.permits.record(message)
@@ -363,7 +355,7 @@
 
     @receive.register
     async def _(self, message: PartsSuspected) -> None:
-        if not self.ended and self.judge.may_withdraw():
+        if not self.ending.ended and self.judge.may_withdraw():
             check = await self.prompt.check()
             if check.verdict in (Verdict.WAIT, Verdict.REFUSE):
                 # Events that were received during the check come first.
@@ -371,9 +363,18 @@
 
     @receive.register
     async def _(self, message: CallerDisconnected) -> None:
-        if not self.ended:
-            self.exchanges.end("left")
-            self._finish("connection aborted" if message.by_gateway else "caller gone")
+        if not self.ending.ended:
+            self.ending.abandon(by_gateway=message.by_gateway)
+
+    async def _check_exchange(self, purpose: str) -> None:
+        """Take the step that a tick names, if it is for the exchange in progress."""
+        number = self.exchanges.current.number
+        if purpose == f"silence {number}":
+            self._check_silence()
+        elif purpose == f"stall {number}":
+            await self._check_stall()
+        elif purpose == f"withdraw {number}":
+            self._withdraw()
 
     async def _check_stall(self) -> None:
         if self.env.now < self.receiver.next_event_by:
@@ -393,7 +394,7 @@
         If not, the request has ended, or its ``step`` is taken again soon.
         """
         if self.terms.key_refusal is not None:
-            await self._end_without_key(AttemptOutcome.NOT_RUN)
+            self.ending.end_without_key(AttemptOutcome.NOT_RUN)
             return False
         if self.response.stream.data_events:
             return True  # an engine began to answer it and survived
@@ -402,7 +403,7 @@
             self.waits.await_trial(step)
         elif check.verdict is Verdict.REFUSE:
             names = ", ".join(one.part for one in check.suspects)
-            await self._give_up(
+            self.ending.give_up(
                 AttemptOutcome.NOT_RUN,
                 f"engines crashed on a part of the prompt: {names}",
                 code=ResultCode.PROMPT_PART_BLOCKED,
@@ -415,7 +416,7 @@
             return
         placement = await self.search.find_next()
         if isinstance(placement, Overloaded):
-            await self._give_up(
+            self.ending.give_up(
                 AttemptOutcome.NOT_RUN,
                 "its workspace uses more than its share of too little room"
                 if placement.yields
@@ -444,7 +445,7 @@
             await self._attempt_failed(AttemptOutcome.NO_ENDPOINT, reason, next_step=message.step)
         else:
             wait = message.denied.wait
-            await self._give_up(AttemptOutcome.NOT_RUN, reason, retry_after=wait)
+            self.ending.give_up(AttemptOutcome.NOT_RUN, reason, retry_after=wait)
 
     async def _must_wait(self, step: str, placement: Placement) -> bool:
         """Return whether the endpoints of a placement don't take the request now.
@@ -453,7 +454,7 @@
         """
         if placement.not_before > self.env.now:
             if not self.waits.await_pause(step, placement.not_before):
-                await self._give_up(
+                self.ending.give_up(
                     AttemptOutcome.NOT_RUN,
                     "the endpoints pause",
                     retry_after=placement.not_before - self.env.now,
@@ -474,7 +475,7 @@
             if self.judge.may_wait(AttemptOutcome.NOT_RUN):
                 self._wait("decode" if kv_source else "place", reason)
             else:
-                await self._give_up(AttemptOutcome.NOT_RUN, reason)
+                self.ending.give_up(AttemptOutcome.NOT_RUN, reason)
             return
         self.receiver.begin_exchange()
         self.exchanges.send_request(placement, kv_source)
@@ -488,11 +489,7 @@
             # A crash ends the connection too, where a response has neither a length nor chunks.
             self.spawn(self.judge.confirm_end(self.exchanges.current))
         else:
-            self._complete_response()
-
-    def _complete_response(self) -> None:
-        self.receiver.complete()
-        self._finish("answered", status=self.received.head.status)
+            self.ending.complete()
 
     async def _handle_prefill_response(self) -> None:
         if self.received.head.status not in SUCCESS_STATUSES:
@@ -561,20 +558,13 @@
     ) -> None:
         """Retry, wait or give up after a failed attempt."""
         if self.terms.key_refusal is not None:
-            await self._end_without_key(outcome)
+            self.ending.end_without_key(outcome)
         elif self.judge.may_retry(outcome):
             await self._place()
         elif self.judge.may_wait(outcome):
             self._wait(next_step, reason)
         else:
-            await self._give_up(outcome, reason)
-
-    async def _end_without_key(self, outcome: AttemptOutcome) -> None:
-        """End the request, whose key no longer holds, before another attempt."""
-        self.log.log_key_revoked(self.terms.key_refusal.reason)
-        await self._give_up(
-            outcome, self.terms.key_refusal.reason, code=self.terms.key_refusal.code
-        )
+            self.ending.give_up(outcome, reason)
 
     def _wait(self, step: str, reason: str) -> None:
         """Take a step again once an endpoint can answer the request."""
@@ -594,50 +584,5 @@
         else:
             self.timers.schedule(SILENCE_SECONDS, Tick(f"silence {self.exchanges.current.number}"))
 
-    async def _give_up(
-        self,
-        outcome: AttemptOutcome,
-        reason: str,
-        *,
-        code: ResultCode = ResultCode.NO_ENDPOINT,
-        retry_after: float | None = None,
-    ) -> None:
-        next_step = self.judge.final_step(outcome)
-        if next_step is NextStep.CLOSE_CONNECTION:
-            self.response.abort()
-        elif next_step is NextStep.FORWARD:
-            self.response.send_response(self.received.head, self.received.body)
-        elif next_step is NextStep.REFUSE:
-            self.response.refuse(code, reason, retry_after)
-        else:
-            self.response.refuse(ResultCode.ENDPOINT_FAILED, reason)
-        self._finish(next_step.value, reason=reason)
-
-    async def _handle_timeout(self) -> None:
-        may_have_run = self.exchanges.current is not None and not self.exchanges.current.prefill
-        if may_have_run and self.received.head is None:
-            self.exchanges.report_answer()
-        self.exchanges.end("left")
-        if self.response.started:
-            self.response.abort()
-        elif may_have_run or self.history.may_have_run:
-            self.response.refuse(ResultCode.DEADLINE_MISSED, "no response within the time limit")
-        else:
-            self.response.refuse(ResultCode.NO_ENDPOINT, "no endpoint within the time limit")
-        self._finish("out of time")
-
-    def _finish(self, outcome: str, **fields: object) -> None:
-        self.ended = True
-        self.extra.cancel()
-        self.prompt.end()
-        self.permits.release()
-        self.received.start(None)
-        if (kept := self.prefill.release()) is not None:
-            self.context.fleet.spawn(release_kv_cache(self.context, *kept))
-        self.log.log_ended(
-            outcome, self.response, self.exchanges.arrivals, self.prefill.prefilled_at, **fields
-        )
-        self.stop()
-
     def _is_current(self, exchange: int) -> bool:
-        return not self.ended and self.exchanges.is_current(exchange)
+        return not self.ending.ended and self.exchanges.is_current(exchange)
