Move the begin of an attempt out of a request's task

Cause: the check of the prompt, the placement, the waits for pauses and permits and the sending were methods of the task beside its message handlers.

Moved: the steps place and decode, up to the sending, to NextAttempt (next_attempt.py). It returns whether an endpoint could take the request; the task handles the failed attempt, as before.

Tests: the seven files that use RequestBench, and test_soak.py.

--- a/chivewall/gateway/forwarded_request.py
+++ b/chivewall/gateway/forwarded_request.py
@@ -5,8 +5,6 @@
 from chivewall.decisions.crash_evidence import Verdict
 from chivewall.decisions.event_stream import EventStream
 from chivewall.decisions.forwarding import AttemptHistory, AttemptOutcome
-from chivewall.decisions.overload import Overloaded
-from chivewall.decisions.placement import Placement, PromptState
 from chivewall.decisions.request_ranks import RequestRanks
 from chivewall.errors import DecodeError, EndpointError
 from chivewall.gateway.attempt_judge import AttemptJudge
@@ -32,6 +30,7 @@
 from chivewall.gateway.fleet_messages import RequestReceived
 from chivewall.gateway.guarded_prompt import GuardedPrompt
 from chivewall.gateway.http_dialect import CallerRequest
+from chivewall.gateway.next_attempt import NextAttempt
 from chivewall.gateway.part_guard import part_keys
 from chivewall.gateway.part_messages import PartsSuspected
 from chivewall.gateway.prefill_progress import PrefillProgress
@@ -47,7 +46,6 @@
 from chivewall.gateway.routing_configuration import Route, RouteKind, Workspace
 from chivewall.gateway.workspace_messages import WorkspacesInForce
 from chivewall.messages import Tick
-from chivewall.results import ResultCode
 from chivewall.task import Inbox, Task
 
 
@@ -194,6 +192,20 @@
             judge=self.judge,
             inbox=self.inbox,
         )
+        self.next_attempt = NextAttempt(
+            context=context,
+            terms=self.terms,
+            prefill=self.prefill,
+            prompt=self.prompt,
+            permits=self.permits,
+            exchanges=self.exchanges,
+            receiver=self.receiver,
+            search=self.search,
+            waits=self.waits,
+            judge=self.judge,
+            ending=self.ending,
+            spawn=self.spawn,
+        )
 
     def start(self) -> None:
         """Start the task and place the request."""
@@ -388,55 +400,17 @@
             else:
                 self.receiver.schedule_stall_check(SILENCE_SECONDS)
 
-    async def _may_send(self, step: str) -> bool:
-        """Return whether the parts of the prompt allow an attempt now.
-
-        If not, the request has ended, or its ``step`` is taken again soon.
-        """
-        if self.terms.key_refusal is not None:
-            self.ending.end_without_key(AttemptOutcome.NOT_RUN)
-            return False
-        if self.response.stream.data_events:
-            return True  # an engine began to answer it and survived
-        check = await self.prompt.check()
-        if check.verdict is Verdict.WAIT:
-            self.waits.await_trial(step)
-        elif check.verdict is Verdict.REFUSE:
-            names = ", ".join(one.part for one in check.suspects)
-            self.ending.give_up(
-                AttemptOutcome.NOT_RUN,
-                f"engines crashed on a part of the prompt: {names}",
-                code=ResultCode.PROMPT_PART_BLOCKED,
-                retry_after=check.until - self.env.now,
-            )
-        return check.verdict in (Verdict.PASS, Verdict.TRIAL)
-
     async def _place(self) -> None:
-        if not await self._may_send("place"):
-            return
-        placement = await self.search.find_next()
-        if isinstance(placement, Overloaded):
-            self.ending.give_up(
-                AttemptOutcome.NOT_RUN,
-                "its workspace uses more than its share of too little room"
-                if placement.yields
-                else f"its first event is expected after {placement.estimate:.2f} s",
-                retry_after=placement.retry_after,
-            )
-            return
-        if placement is None:
+        if not await self.next_attempt.place():
             await self._attempt_failed(
                 AttemptOutcome.NO_ENDPOINT, "no endpoint can take the request"
             )
-            return
-        if await self._must_wait("place", placement):
-            return
-        if placement.prefill_engine is not None:
-            self.search.prefill_repeat_spent = False
-            self.receiver.begin_exchange()
-            self.exchanges.send_prefill(placement)
-        else:
-            await self._send_request(placement, kv_source=None)
+
+    async def _decode(self) -> None:
+        if not await self.next_attempt.decode():
+            await self._attempt_failed(
+                AttemptOutcome.NO_ENDPOINT, "no engine can decode", next_step="decode"
+            )
 
     async def _permits_denied(self, message: PermitsAcquired) -> None:
         """Refuse the request after too many denied permits, or wait if it can't be refused."""
@@ -447,39 +421,6 @@
             wait = message.denied.wait
             self.ending.give_up(AttemptOutcome.NOT_RUN, reason, retry_after=wait)
 
-    async def _must_wait(self, step: str, placement: Placement) -> bool:
-        """Return whether the endpoints of a placement don't take the request now.
-
-        The step is taken again when a pause has ended or permits are decided, or the request ends.
-        """
-        if placement.not_before > self.env.now:
-            if not self.waits.await_pause(step, placement.not_before):
-                self.ending.give_up(
-                    AttemptOutcome.NOT_RUN,
-                    "the endpoints pause",
-                    retry_after=placement.not_before - self.env.now,
-                )
-        elif placement.needs:
-            self.spawn(
-                self.permits.acquire(
-                    step, placement, self.terms.response_deadline, committed=self.search.committed
-                )
-            )
-        else:
-            return False
-        return True
-
-    async def _send_request(self, placement: Placement, kv_source: str | None) -> None:
-        if not await self.search.may_attempt(repeat=self.exchanges.arrivals > 0):
-            reason = "the repeat budget is spent"
-            if self.judge.may_wait(AttemptOutcome.NOT_RUN):
-                self._wait("decode" if kv_source else "place", reason)
-            else:
-                self.ending.give_up(AttemptOutcome.NOT_RUN, reason)
-            return
-        self.receiver.begin_exchange()
-        self.exchanges.send_request(placement, kv_source)
-
     async def _handle_response(self, *, until_closed: bool) -> None:
         if self.exchanges.current.prefill:
             await self._handle_prefill_response()
@@ -506,24 +447,6 @@
         self.exchanges.end("answered")
         await self._decode()
 
-    async def _decode(self) -> None:
-        """Send the request to the engine that decodes it, with the KV cache of its prefill."""
-        if not await self._may_send("decode"):
-            return
-        # The prefill may have waited for seconds; the chosen decode engine may be leaving by now.
-        placement = await self.search.find(PromptState.PREFILLED)
-        if placement is None:
-            await self._attempt_failed(
-                AttemptOutcome.NO_ENDPOINT, "no engine can decode", next_step="decode"
-            )
-            return
-        if await self._must_wait("decode", placement):
-            return
-        kv_source = self.context.dialect.kv_source(
-            self.prefill.kv_source.address, self.prefill.kv_handle
-        )
-        await self._send_request(placement, kv_source=kv_source)
-
     async def _prefill_failed(self, reason: str, *, missed: bool = False) -> None:
         self.judge.end_prefill(reason, missed=missed)
         await self._place()
@@ -562,15 +485,10 @@
         elif self.judge.may_retry(outcome):
             await self._place()
         elif self.judge.may_wait(outcome):
-            self._wait(next_step, reason)
+            self.next_attempt.wait(next_step, reason)
         else:
             self.ending.give_up(outcome, reason)
 
-    def _wait(self, step: str, reason: str) -> None:
-        """Take a step again once an endpoint can answer the request."""
-        not_before = self.waits.begin(reason)
-        self.spawn(self.waits.await_endpoint(step, not_before))
-
     def _withdraw(self) -> None:
         """Take the request back from an engine that one of its parts may crash."""
         if self.judge.may_withdraw():
