Free an ended request at once

That made a reference cycle, so an ended request stayed in memory, with its body, until a garbage collection.

--- a/chivewall/gateway/forwarded_request.py
+++ b/chivewall/gateway/forwarded_request.py
@@ -204,7 +204,6 @@
             waits=self.waits,
             judge=self.judge,
             ending=self.ending,
-            spawn=self.spawn,
         )
 
     def start(self) -> None:
@@ -401,13 +400,13 @@
                 self.receiver.schedule_stall_check(SILENCE_SECONDS)
 
     async def _place(self) -> None:
-        if not await self.next_attempt.place():
+        if not await self.next_attempt.place(self.spawn):
             await self._attempt_failed(
                 AttemptOutcome.NO_ENDPOINT, "no endpoint can take the request"
             )
 
     async def _decode(self) -> None:
-        if not await self.next_attempt.decode():
+        if not await self.next_attempt.decode(self.spawn):
             await self._attempt_failed(
                 AttemptOutcome.NO_ENDPOINT, "no engine can decode", next_step="decode"
             )
@@ -485,7 +484,7 @@
         elif self.judge.may_retry(outcome):
             await self._place()
         elif self.judge.may_wait(outcome):
-            self.next_attempt.wait(next_step, reason)
+            self.next_attempt.wait(next_step, reason, self.spawn)
         else:
             self.ending.give_up(outcome, reason)
 
--- a/chivewall/gateway/next_attempt.py
+++ b/chivewall/gateway/next_attempt.py
@@ -22,6 +22,10 @@
 from chivewall.gateway.response_receiver import ResponseReceiver
 from chivewall.results import ResultCode
 
+# ``spawn`` of the request's task, passed with each call: stored here it would make a reference
+# cycle, and an ended request with its body would stay in memory until the next garbage collection.
+Spawn = Callable[[Coroutine[Any, Any, Any]], object]
+
 
 @define(eq=False)
 class NextAttempt:
@@ -38,9 +42,8 @@
     waits: RequestWaits
     judge: AttemptJudge
     ending: RequestEnding
-    spawn: Callable[[Coroutine[Any, Any, Any]], object]  # of the request's task
 
-    async def place(self) -> bool:
+    async def place(self, spawn: Spawn) -> bool:
         """Send the request or its prefill; return false if no endpoint can take it.
 
         Otherwise it was sent, waits for the same step, or has ended.
@@ -59,17 +62,17 @@
             return True
         if placement is None:
             return False
-        if self._must_wait("place", placement):
+        if self._must_wait("place", placement, spawn):
             return True
         if placement.prefill_engine is not None:
             self.search.prefill_repeat_spent = False
             self.receiver.begin_exchange()
             self.exchanges.send_prefill(placement)
         else:
-            await self._send_request(placement, kv_source=None)
+            await self._send_request(placement, None, spawn)
         return True
 
-    async def decode(self) -> bool:
+    async def decode(self, spawn: Spawn) -> bool:
         """Send the request to the engine that decodes it, with the KV cache of its prefill.
 
         Return false if no engine can take it, as ``place`` does.
@@ -80,12 +83,12 @@
         placement = await self.search.find(PromptState.PREFILLED)
         if placement is None:
             return False
-        if self._must_wait("decode", placement):
+        if self._must_wait("decode", placement, spawn):
             return True
         kv_source = self.context.dialect.kv_source(
             self.prefill.kv_source.address, self.prefill.kv_handle
         )
-        await self._send_request(placement, kv_source=kv_source)
+        await self._send_request(placement, kv_source, spawn)
         return True
 
     async def _may_send(self, step: str) -> bool:
@@ -111,7 +114,7 @@
             )
         return check.verdict in (Verdict.PASS, Verdict.TRIAL)
 
-    def _must_wait(self, step: str, placement: Placement) -> bool:
+    def _must_wait(self, step: str, placement: Placement, spawn: Spawn) -> bool:
         """Return whether the endpoints of a placement don't take the request now.
 
         The step is taken again when a pause has ended or permits are decided, or the request ends.
@@ -125,7 +128,7 @@
                     retry_after=placement.not_before - now,
                 )
         elif placement.needs:
-            self.spawn(
+            spawn(
                 self.permits.acquire(
                     step, placement, self.terms.response_deadline, committed=self.search.committed
                 )
@@ -134,18 +137,20 @@
             return False
         return True
 
-    async def _send_request(self, placement: Placement, kv_source: str | None) -> None:
+    async def _send_request(
+        self, placement: Placement, kv_source: str | None, spawn: Spawn
+    ) -> None:
         if not await self.search.may_attempt(repeat=self.exchanges.arrivals > 0):
             reason = "the repeat budget is spent"
             if self.judge.may_wait(AttemptOutcome.NOT_RUN):
-                self.wait("decode" if kv_source else "place", reason)
+                self.wait("decode" if kv_source else "place", reason, spawn)
             else:
                 self.ending.give_up(AttemptOutcome.NOT_RUN, reason)
             return
         self.receiver.begin_exchange()
         self.exchanges.send_request(placement, kv_source)
 
-    def wait(self, step: str, reason: str) -> None:
+    def wait(self, step: str, reason: str, spawn: Spawn) -> None:
         """Take a step again once an endpoint can answer the request."""
         not_before = self.waits.begin(reason)
-        self.spawn(self.waits.await_endpoint(step, not_before))
+        spawn(self.waits.await_endpoint(step, not_before))
--- a/tests/test_forwarded_request.py
+++ b/tests/test_forwarded_request.py
@@ -1,5 +1,8 @@
 """The task of one forwarded request, between its attempts."""
 
+import gc
+import weakref
+
 import pytest
 from attrs import evolve
 from twisted.internet.task import Clock
@@ -341,3 +344,17 @@
     for _ in range(10):
         clock.advance(0.1)
     assert len(bench.connections.sent) > sent
+
+
+def test_ended_request_is_freed_at_once():
+    """Guards against reference cycles, which keep requests until a garbage collection."""
+    bench = RequestBench(Clock(), d1=Stage.DECODE).begin()
+    task = weakref.ref(bench.task)
+    gc.disable()
+    try:
+        bench.finish()
+        assert bench.outcomes() == ["FinishResponse"]
+        bench.task = None
+        assert task() is None
+    finally:
+        gc.enable()
