Make the stages of a request in a module of their own

Cause: a third of ForwardedRequest was the making of its parts.

Tests: the seven files that use RequestBench, and test_soak.py.

--- a/chivewall/gateway/forwarded_request.py
+++ b/chivewall/gateway/forwarded_request.py
@@ -4,13 +4,11 @@
 
 from chivewall.decisions.crash_evidence import Verdict
 from chivewall.decisions.event_stream import EventStream
-from chivewall.decisions.forwarding import AttemptHistory, AttemptOutcome
+from chivewall.decisions.forwarding import AttemptOutcome
 from chivewall.decisions.request_ranks import RequestRanks
 from chivewall.errors import DecodeError, EndpointError
-from chivewall.gateway.attempt_judge import AttemptJudge
 from chivewall.gateway.caller_messages import CallerDisconnected, EndBy
 from chivewall.gateway.caller_response import CallerResponse
-from chivewall.gateway.endpoint_search import EndpointSearch
 from chivewall.gateway.exchange import (
     BrokenEndpointProbed,
     EndConfirmed,
@@ -25,24 +23,15 @@
     ResponseEnded,
     ResponseStarted,
 )
-from chivewall.gateway.extra_attempt import ExtraAttempt
 from chivewall.gateway.extra_attempt_messages import AnswerSlow
 from chivewall.gateway.fleet_messages import RequestReceived
-from chivewall.gateway.guarded_prompt import GuardedPrompt
 from chivewall.gateway.http_dialect import CallerRequest
-from chivewall.gateway.next_attempt import NextAttempt
-from chivewall.gateway.part_guard import part_keys
 from chivewall.gateway.part_messages import PartsSuspected
-from chivewall.gateway.prefill_progress import PrefillProgress
-from chivewall.gateway.received_response import ReceivedResponse
-from chivewall.gateway.request_ending import RequestEnding
-from chivewall.gateway.request_exchanges import SILENCE_SECONDS, RequestExchanges
-from chivewall.gateway.request_log import RequestLog
-from chivewall.gateway.request_permits import MAX_DENIED, PermitsAcquired, RequestPermits
+from chivewall.gateway.request_exchanges import SILENCE_SECONDS
+from chivewall.gateway.request_permits import MAX_DENIED, PermitsAcquired
+from chivewall.gateway.request_stages import make_request_stages
 from chivewall.gateway.request_terms import RequestTerms
-from chivewall.gateway.request_timers import RequestTimers
-from chivewall.gateway.request_waits import RequestWaits
-from chivewall.gateway.response_receiver import SUCCESS_STATUSES, ResponseReceiver
+from chivewall.gateway.response_receiver import SUCCESS_STATUSES
 from chivewall.gateway.routing_configuration import Route, RouteKind, Workspace
 from chivewall.gateway.workspace_messages import WorkspacesInForce
 from chivewall.messages import Tick
@@ -80,10 +69,7 @@
             workspaces_in_use=workspaces_in_use,
             ranks=ranks,
         )
-        self.timers = RequestTimers(context.env, self.inbox)
-        self.log = RequestLog(context.env, request, route)
-        self.history = AttemptHistory()
-        self.response = CallerResponse(
+        response = CallerResponse(
             env=context.env,
             dialect=context.dialect,
             connection=connection,
@@ -91,120 +77,20 @@
             request_id=request.fields.request_id,
             stream=EventStream(last_id=request.fields.last_event_id),
         )
-        self.received = ReceivedResponse(context.response_bytes)
-        self.failed_endpoints: set[str] = set()  # ids of endpoints that failed to serve it
-        self.prefill = PrefillProgress()
-        self.prompt = GuardedPrompt(
-            guard=context.guard,
-            keys=part_keys(service, request.fields),
-            sender=self.inbox,
-            request_id=request.fields.request_id,
-        )
-        self.permits = RequestPermits(
-            env=context.env,
-            limits=context.limits,
-            request_id=request.fields.request_id,
-            sender=self.inbox,
-        )
-        self.extra = ExtraAttempt(
-            context=context,
-            request=request,
-            route=route,
-            service=service,
-            log=self.log,
-            history=self.history,
-            failed_endpoints=self.failed_endpoints,
-            sender=self.inbox,
-            workspace=self.terms.workspace_name,
-        )
-        self.exchanges = RequestExchanges(
-            context=context,
-            request=request,
-            route=route,
-            terms=self.terms,
-            log=self.log,
-            history=self.history,
-            prefill=self.prefill,
-            permits=self.permits,
-            extra=self.extra,
-            stream=self.response.stream,
-            inbox=self.inbox,
-        )
-        self.receiver = ResponseReceiver(
-            context=context,
-            route=route,
-            terms=self.terms,
-            timers=self.timers,
-            exchanges=self.exchanges,
-            prompt=self.prompt,
-            response=self.response,
-            received=self.received,
-        )
-        self.search = EndpointSearch(
-            context=context,
-            request=request,
-            route=route,
-            service=service,
-            terms=self.terms,
-            history=self.history,
-            prefill=self.prefill,
-            permits=self.permits,
-            response=self.response,
-            failed_endpoints=self.failed_endpoints,
-        )
-        self.waits = RequestWaits(
-            context=context,
-            service=service,
-            terms=self.terms,
-            timers=self.timers,
-            log=self.log,
-            permits=self.permits,
-            search=self.search,
-            inbox=self.inbox,
-        )
-        self.judge = AttemptJudge(
-            context=context,
-            route=route,
-            terms=self.terms,
-            log=self.log,
-            history=self.history,
-            prefill=self.prefill,
-            prompt=self.prompt,
-            extra=self.extra,
-            exchanges=self.exchanges,
-            receiver=self.receiver,
-            search=self.search,
-            inbox=self.inbox,
-        )
-        self.ending = RequestEnding(
-            context=context,
-            terms=self.terms,
-            log=self.log,
-            history=self.history,
-            prefill=self.prefill,
-            prompt=self.prompt,
-            permits=self.permits,
-            extra=self.extra,
-            response=self.response,
-            received=self.received,
-            exchanges=self.exchanges,
-            receiver=self.receiver,
-            judge=self.judge,
-            inbox=self.inbox,
-        )
-        self.next_attempt = NextAttempt(
-            context=context,
-            terms=self.terms,
-            prefill=self.prefill,
-            prompt=self.prompt,
-            permits=self.permits,
-            exchanges=self.exchanges,
-            receiver=self.receiver,
-            search=self.search,
-            waits=self.waits,
-            judge=self.judge,
-            ending=self.ending,
-        )
+        stages = make_request_stages(context, self.terms, response, self.inbox)
+        self.timers = stages.timers
+        self.history = stages.history
+        self.received = stages.received
+        self.prefill = stages.prefill
+        self.prompt = stages.prompt
+        self.permits = stages.permits
+        self.extra = stages.extra
+        self.exchanges = stages.exchanges
+        self.receiver = stages.receiver
+        self.search = stages.search
+        self.judge = stages.judge
+        self.ending = stages.ending
+        self.next_attempt = stages.next_attempt
 
     def start(self) -> None:
         """Start the task and place the request."""
