--- a/chivewall/gateway/forwarded_request.py
+++ b/chivewall/gateway/forwarded_request.py
@@ -1,102 +1,42 @@
 """The task of one caller's request: places it, sends it, and forwards the response."""
 
 from functools import singledispatchmethod
-from typing import Any
 
-from chivewall.backoff import exponential_delay
 from chivewall.decisions.crash_evidence import Verdict
 from chivewall.decisions.event_stream import EventStream
-from chivewall.decisions.forwarding import (
-    AttemptHistory,
-    AttemptOutcome,
-    FailedAttempt,
-    NextStep,
-    decide,
-    final_step,
-    may_hand_over,
-    may_wait,
-    stall_seconds,
-)
-from chivewall.decisions.overload import Overloaded
-from chivewall.decisions.placement import Placement, PromptState
+from chivewall.decisions.forwarding import AttemptOutcome
 from chivewall.decisions.request_ranks import RequestRanks
-from chivewall.decisions.workspace_shares import WorkspaceUse
 from chivewall.errors import DecodeError, EndpointError
 from chivewall.gateway.caller_messages import CallerDisconnected, EndBy
 from chivewall.gateway.caller_response import CallerResponse
 from chivewall.gateway.exchange import (
-    BrokenAttempt,
     BrokenEndpointProbed,
     EndConfirmed,
     EndpointProbed,
-    Exchange,
     RequestContext,
     WaitEnded,
-    is_event_stream,
-    is_same_process,
-    release_kv_cache,
-    request_deadline,
-    response_problem,
-    run_began_at,
-    send_exchange,
 )
 from chivewall.gateway.exchange_messages import (
-    CancelExchange,
     ExchangeFailed,
-    ProbeAddress,
-    Reachability,
     RequestWritten,
     ResponseData,
     ResponseEnded,
     ResponseStarted,
 )
-from chivewall.gateway.extra_attempt import ExtraAttempt
 from chivewall.gateway.extra_attempt_messages import AnswerSlow
-from chivewall.gateway.fleet_messages import (
-    AwaitEndpoint,
-    FindPlacement,
-    FirstBytesReceived,
-    KvCacheLost,
-    RequestReceived,
-    SpendRepeat,
-    WorkEnded,
-)
-from chivewall.gateway.guarded_prompt import GuardedPrompt
-from chivewall.gateway.http_dialect import CallerRequest, ForwardedFields
-from chivewall.gateway.part_guard import part_keys
+from chivewall.gateway.fleet_messages import RequestReceived
+from chivewall.gateway.http_dialect import CallerRequest
 from chivewall.gateway.part_messages import PartsSuspected
-from chivewall.gateway.prefill_progress import PrefillProgress
-from chivewall.gateway.received_response import ReceivedResponse
-from chivewall.gateway.request_log import RequestLog
-from chivewall.gateway.request_permits import MAX_DENIED, PermitsAcquired, RequestPermits
-from chivewall.gateway.routing_configuration import (
-    EndpointInfo,
-    Route,
-    RouteKind,
-    Stage,
-    Workspace,
-)
-from chivewall.gateway.usage_messages import RequestBegan
-from chivewall.gateway.workspace_access import KeyRefusal, key_refusal
-from chivewall.gateway.workspace_fairness import workspace_use
+from chivewall.gateway.request_exchanges import SILENCE_SECONDS
+from chivewall.gateway.request_permits import MAX_DENIED, PermitsAcquired
+from chivewall.gateway.request_stages import make_request_stages
+from chivewall.gateway.request_terms import RequestTerms
+from chivewall.gateway.response_receiver import SUCCESS_STATUSES
+from chivewall.gateway.routing_configuration import Route, RouteKind, Workspace
 from chivewall.gateway.workspace_messages import WorkspacesInForce
 from chivewall.messages import Tick
-from chivewall.results import ResultCode
 from chivewall.task import Inbox, Task
 
-MS_PER_SECOND = 1000.0
-RESPONSE_MARGIN_SECONDS = 0.03  # the gateway's own error is sent this long before the deadline
-SILENCE_SECONDS = 0.5  # time without a byte after which the endpoint's reachability is tested
-TRIAL_CHECK_SECONDS = 0.1  # interval between checks for the outcome of another request's trial
-# Shortest delay of a request that waits for an endpoint, doubled with each further wait. Endpoints
-# that are usable again get their waiting requests one after the other.
-WAIT_SECONDS = 0.05
-MAX_WAIT_SECONDS = 0.8
-# Time over which the requests that wait for the end of a pause are spread.
-PAUSE_SPREAD_SECONDS = 0.5
-SUCCESS_STATUSES = range(200, 300)
-SERVER_ERROR_STATUSES = range(500, 600)
-
 
 class ForwardedRequest(Task):
     """Serves one request, from its arrival to the end of its response."""
@@ -115,20 +55,21 @@
         ranks: RequestRanks | None = None,
     ) -> None:
         super().__init__()
-        self.workspace = workspace  # None: the route is public, or there are no workspaces
-        self.workspaces_in_use = workspaces_in_use
-        self.ranks = ranks  # None: the route's priority alone counts
-        self.key_refusal: KeyRefusal | None = None  # why no further attempt may be sent
         self.context = context
         self.env = context.env
         self.request = request
         self.route = route
         self.service = service
-        self.deadline = request_deadline(request, route)
-        self.response_deadline = max(self.deadline - RESPONSE_MARGIN_SECONDS, request.received_at)
-        self.log = RequestLog(context.env, request, route)
-        self.history = AttemptHistory()
-        self.response = CallerResponse(
+        self.terms = RequestTerms(
+            env=context.env,
+            request=request,
+            route=route,
+            service=service,
+            workspace=workspace,
+            workspaces_in_use=workspaces_in_use,
+            ranks=ranks,
+        )
+        response = CallerResponse(
             env=context.env,
             dialect=context.dialect,
             connection=connection,
@@ -136,61 +77,31 @@
             request_id=request.fields.request_id,
             stream=EventStream(last_id=request.fields.last_event_id),
         )
-        self.exchange: Exchange | None = None
-        self.placement: Placement | None = None
-        self.received = ReceivedResponse(context.response_bytes)
-        self.first_sent_to = False  # the exchange is the first one with its endpoint
-        self.repeat_spent = False  # the repeat of the next attempt was taken from the budget
-        self.prefill_repeat_spent = False  # the same for a further prefill
-        self.first_bytes_reported = False  # of the exchange
-        self.stall_checked = False  # the progress of the exchange's stream is checked
-        self.next_event_by = 0.0  # time by which the stream must have made progress
-        self.last_data_at = request.received_at  # time of the last byte, or of sending the request
-        self.written_at = request.received_at  # when the exchange's request was written
-        self.ended = False
-        self.began = False  # it is known to have begun to run
-        self.failed_endpoints: set[str] = set()  # ids of endpoints that failed to serve it
-        # Exchanges that reached an endpoint, except a first prefill.
-        self.arrivals = 0
-        self.exchanges = 0  # begun
-        self.waits = 0  # times that it had to wait for an endpoint
-        self.prefill = PrefillProgress()
-        self.prompt = GuardedPrompt(
-            guard=context.guard,
-            keys=part_keys(service, request.fields),
-            sender=self.inbox,
-            request_id=request.fields.request_id,
-        )
-        self.permits = RequestPermits(
-            env=context.env,
-            limits=context.limits,
-            request_id=request.fields.request_id,
-            sender=self.inbox,
-        )
-        self.extra = ExtraAttempt(
-            context=context,
-            request=request,
-            route=route,
-            service=service,
-            log=self.log,
-            history=self.history,
-            failed_endpoints=self.failed_endpoints,
-            sender=self.inbox,
-        )
-        self._timers: list = []
+        stages = make_request_stages(context, self.terms, response, self.inbox)
+        self.timers = stages.timers
+        self.history = stages.history
+        self.received = stages.received
+        self.prefill = stages.prefill
+        self.prompt = stages.prompt
+        self.permits = stages.permits
+        self.extra = stages.extra
+        self.exchanges = stages.exchanges
+        self.receiver = stages.receiver
+        self.search = stages.search
+        self.judge = stages.judge
+        self.ending = stages.ending
+        self.next_attempt = stages.next_attempt
 
     def start(self) -> None:
         """Start the task and place the request."""
         super().start()
-        self.context.fleet.send(RequestReceived(self.service, self._workspace_use()))
-        self._schedule(self.response_deadline - self.env.now, Tick("answer_by"))
+        self.context.fleet.send(RequestReceived(self.service, self.terms.workspace_use()))
+        self.timers.schedule(self.terms.seconds_to_answer(), Tick("answer_by"))
         self.send(Tick("place"))
 
     async def on_stop(self) -> None:
         """Cancel the timers."""
-        for timer in self._timers:
-            if timer.active():
-                timer.cancel()
+        self.timers.cancel()
 
     @singledispatchmethod
     async def receive(self, message: object) -> None:
@@ -199,66 +110,51 @@
 
     @receive.register
     async def _(self, message: Tick) -> None:
-        if self.ended:
+        if self.ending.ended:
             return
         if message.purpose == "answer_by":
-            await self._handle_timeout()
-        elif message.purpose == "place" and self.exchange is None:
+            self.ending.time_out()
+        elif message.purpose == "place" and self.exchanges.current is None:
             await self._place()
-        elif message.purpose == "decode" and self.exchange is None:
+        elif message.purpose == "decode" and self.exchanges.current is None:
             await self._decode()
-        elif self.exchange is not None and message.purpose == f"silence {self.exchange.number}":
-            self._check_silence()
-        elif self.exchange is not None and message.purpose == f"stall {self.exchange.number}":
-            await self._check_stall()
-        elif self.exchange is not None and message.purpose == f"withdraw {self.exchange.number}":
-            self._withdraw()
+        elif self.exchanges.current is not None:
+            await self._check_exchange(message.purpose)
 
     @receive.register
     async def _(self, message: AnswerSlow) -> None:
         waits = self._is_current(message.exchange) and self.received.head is None
-        if waits and self.key_refusal is None:
-            self.arrivals += await self.extra.begin(
-                self.exchange,
-                self.response_deadline,
-                self._find_spare,
-                self._workspace_fields(),
+        if waits and self.terms.key_refusal is None:
+            self.exchanges.arrivals += await self.extra.begin(
+                self.exchanges.current,
+                self.terms.response_deadline,
+                self.search.find_spare,
+                self.terms.workspace_fields(),
             )
 
     @receive.register
     async def _(self, message: EndBy) -> None:
-        if not self.ended and message.deadline < self.deadline:
-            self.deadline = message.deadline
-            self.response_deadline = self.deadline - RESPONSE_MARGIN_SECONDS
-            self._schedule(self.response_deadline - self.env.now, Tick("answer_by"))
+        if not self.ending.ended and self.terms.end_by(message.deadline):
+            self.timers.schedule(self.terms.seconds_to_answer(), Tick("answer_by"))
 
     @receive.register
     async def _(self, message: WorkspacesInForce) -> None:
-        if self.ended:
+        if self.ending.ended:
             return
-        ruling = message.keys.rule(self.request.fields.workspace_keys, self.route)
-        self.workspace = ruling.workspace
-        self.workspaces_in_use = ruling.workspaces_in_use
-        self.ranks = message.ranks
-        self.key_refusal = key_refusal(ruling)
-        if self.key_refusal is not None and self.exchange is None:
-            await self._end_without_key(AttemptOutcome.NOT_RUN)
+        self.terms.apply(message)
+        if self.terms.key_refusal is not None and self.exchanges.current is None:
+            self.ending.end_without_key(AttemptOutcome.NOT_RUN)
 
     @receive.register
     async def _(self, message: RequestWritten) -> None:
         if not self._is_current(message.exchange):
             self.extra.record_written(message)
             return
-        # The first prefill doesn't count as an attempt, a second one does.
-        if not self.exchange.prefill or self.prefill.reached > 1:
-            endpoint = self.exchange.endpoint.id
-            self.first_sent_to = endpoint not in self.history.tried_endpoints
-            self.history.record_sent(endpoint)
-        self.last_data_at = self.written_at = self.env.now
-        if self.exchange.prefill or self.route.idempotent:
-            self._schedule(SILENCE_SECONDS, Tick(f"silence {message.exchange}"))
-        if self.extra.may_follow(self.exchange):
-            self.spawn(self.extra.await_slowness(self.exchange))
+        self.exchanges.record_written()
+        if self.exchanges.current.prefill or self.route.idempotent:
+            self.timers.schedule(SILENCE_SECONDS, Tick(f"silence {message.exchange}"))
+        if self.extra.may_follow(self.exchanges.current):
+            self.spawn(self.extra.await_slowness(self.exchanges.current))
 
     @receive.register
     async def _(self, message: ResponseStarted) -> None:
@@ -266,25 +162,25 @@
             self._take_extra("won")
         elif self._is_current(message.exchange):
             self.received.start(message.head)
-            if message.head.status in SUCCESS_STATUSES and response_problem(message.head) is None:
-                self.extra.report_answer(self.exchange, self.written_at)
+            if self.receiver.succeeded:
+                self.exchanges.report_answer()
                 self.extra.cancel()
         else:
             return
         if self.route.kind is not RouteKind.STREAM:
-            self._report_began()
+            self.receiver.report_began()
 
     @receive.register
     async def _(self, message: ResponseData) -> None:
         if not self._is_current(message.exchange):
             return
-        self.last_data_at = self.env.now
-        if not (self.exchange.prefill or self.first_bytes_reported):
-            self._report_first_bytes(prefilled=not self.exchange.fetches_kv_cache)
-            if self._is_streaming():
-                self._report_began()
+        self.exchanges.record_data()
+        if not (self.exchanges.current.prefill or self.receiver.first_bytes_reported):
+            self.receiver.report_first_bytes(prefilled=not self.exchanges.current.fetches_kv_cache)
+            if self.receiver.streaming:
+                self.receiver.report_began()
         try:
-            self._take_data(message.data)
+            self.receiver.take_data(message.data)
         except EndpointError as exc:
             await self._attempt_failed(AttemptOutcome.BROKEN, str(exc))
 
@@ -298,48 +194,38 @@
         if not self._is_current(message.exchange):
             self.extra.record_failed(message)
             return
-        if self.exchange.prefill:
+        if self.exchanges.current.prefill:
             await self._prefill_failed(message.reason, missed=not message.sent)
-        elif not message.sent:
-            await self._attempt_failed(AttemptOutcome.NOT_SENT, message.reason)
-        elif self._refused_to_run():
-            await self._attempt_failed(
-                AttemptOutcome.NOT_RUN, f"status {self.received.head.status}"
-            )
         else:
-            await self._attempt_failed(AttemptOutcome.BROKEN, message.reason)
+            await self._attempt_failed(*self.judge.failure_of_exchange(message))
 
     @receive.register
     async def _(self, message: EndpointProbed) -> None:
         if not self._is_current(message.exchange):
             return
-        silent = not message.reachable and self.env.now - self.last_data_at >= SILENCE_SECONDS
-        if silent and self.exchange.prefill:
+        silent = not message.reachable and self.exchanges.silent
+        if silent and self.exchanges.current.prefill:
             await self._prefill_failed("endpoint is not reachable", missed=True)
-        elif silent and await self._begin_hand_over():
+        elif silent and await self.judge.reserve_hand_over():
             await self._attempt_failed(
                 AttemptOutcome.BROKEN, "endpoint is not reachable", work_outcome="missed"
             )
         else:
-            self._schedule(SILENCE_SECONDS, Tick(f"silence {message.exchange}"))
+            self.timers.schedule(SILENCE_SECONDS, Tick(f"silence {message.exchange}"))
 
     @receive.register
     async def _(self, message: BrokenEndpointProbed) -> None:
-        if self.ended:
+        if self.ending.ended:
             return
-        attempt = message.attempt
-        if message.endpoint_ended:
-            self.history.forget_endpoint(attempt.exchange.endpoint.id)
-            if attempt.is_evidence:
-                self.prompt.record_crash(attempt.exchange.endpoint, begun=attempt.begun)
-        await self._continue_after(AttemptOutcome.BROKEN, attempt.reason)
+        self.judge.record_probed(message)
+        await self._continue_after(AttemptOutcome.BROKEN, message.attempt.reason)
 
     @receive.register
     async def _(self, message: EndConfirmed) -> None:
         if not self._is_current(message.exchange):
             return
         if message.same_process:
-            self._complete_response()
+            self.ending.complete()
         else:
             await self._attempt_failed(
                 AttemptOutcome.BROKEN, "the endpoint may have ended inside its response"
@@ -347,16 +233,16 @@
 
     @receive.register
     async def _(self, message: WaitEnded) -> None:
-        if self.ended:
+        if self.ending.ended:
             return
         if message.endpoint_left:
-            self._schedule(message.not_before - self.env.now, Tick(message.step))
+            self.timers.schedule(message.not_before - self.env.now, Tick(message.step))
         else:
-            await self._give_up(AttemptOutcome.NO_ENDPOINT, "no endpoint is left that may run it")
+            self.ending.give_up(AttemptOutcome.NO_ENDPOINT, "no endpoint is left that may run it")
 
     @receive.register
     async def _(self, message: PermitsAcquired) -> None:
-        if self.ended:
+        if self.ending.ended:
             self.permits.release(message.permits)
             return
         self.permits.record(message)
@@ -369,372 +255,70 @@
 
     @receive.register
     async def _(self, message: PartsSuspected) -> None:
-        if self._may_withdraw():
+        if not self.ending.ended and self.judge.may_withdraw():
             check = await self.prompt.check()
             if check.verdict in (Verdict.WAIT, Verdict.REFUSE):
                 # Events that were received during the check come first.
-                self.send(Tick(f"withdraw {self.exchange.number}"))
+                self.send(Tick(f"withdraw {self.exchanges.current.number}"))
 
     @receive.register
     async def _(self, message: CallerDisconnected) -> None:
-        if not self.ended:
-            self._end_exchange("left")
-            self._finish("connection aborted" if message.by_gateway else "caller gone")
+        if not self.ending.ended:
+            self.ending.abandon(by_gateway=message.by_gateway)
 
-    def _take_data(self, data: bytes) -> None:
-        """Forward the events of a stream, or keep the bytes of another response."""
-        if self._is_streaming():
-            events = self.response.stream.data_events
-            self.response.send_events(self.received.head, data)
-            if self.response.stream.data_events > events:
-                if events == self.exchange.events_before:
-                    self.prompt.record_served()
-                self._await_next_event()
-            return
-        self.received.append(data)
-
-    def _await_next_event(self) -> None:
-        """Restart the time in which the stream must make progress.
-
-        Only events count, since a stalled endpoint may send a byte or a comment now and then.
-        """
-        self.next_event_by = self.env.now + stall_seconds(self.route)
-        if not self.stall_checked:
-            self.stall_checked = True
-            self._schedule(stall_seconds(self.route), Tick(f"stall {self.exchange.number}"))
+    async def _check_exchange(self, purpose: str) -> None:
+        """Take the step that a tick names, if it is for the exchange in progress."""
+        number = self.exchanges.current.number
+        if purpose == f"silence {number}":
+            self._check_silence()
+        elif purpose == f"stall {number}":
+            await self._check_stall()
+        elif purpose == f"withdraw {number}":
+            self._withdraw()
 
     async def _check_stall(self) -> None:
-        if self.env.now < self.next_event_by:
-            left = self.next_event_by - self.env.now
-            self._schedule(left, Tick(f"stall {self.exchange.number}"))
+        if self.env.now < self.receiver.next_event_by:
+            left = self.receiver.next_event_by - self.env.now
+            self.receiver.schedule_stall_check(left)
         elif self.route.resumable:
-            if await self._begin_hand_over():
+            if await self.judge.reserve_hand_over():
                 await self._attempt_failed(
                     AttemptOutcome.BROKEN, "the stream makes no progress", work_outcome="failed"
                 )
             else:
-                self._schedule(SILENCE_SECONDS, Tick(f"stall {self.exchange.number}"))
-
-    async def _begin_hand_over(self) -> bool:
-        """Return whether a sound endpoint takes over from that of the current exchange.
-
-        Otherwise the exchange goes on: an endpoint that has fallen silent may still answer.
-        """
-        if self.key_refusal is not None:
-            return False
-        if self.extra.running:
-            return True
-        if not may_hand_over(self._situation(AttemptOutcome.BROKEN), self.history):
-            return False
-        found = await self._find_placement(
-            PromptState.PREFILL_AT_DECODER,
-            excluded=frozenset({*self.failed_endpoints, self.exchange.endpoint.id}),
-            last_resort=False,
-        )
-        if not isinstance(found, Placement):
-            return False
-        if self.arrivals and not self.repeat_spent:
-            self.repeat_spent = await self.context.fleet.query(SpendRepeat(self.service))
-            return self.repeat_spent
-        return True
-
-    def _allowed_endpoints(self) -> frozenset[str] | None:
-        """Return the endpoints that may get the request, or ``None`` for every endpoint."""
-        tried = self.history.tried_endpoints
-        return frozenset(tried) if len(tried) >= self.route.attempts else None
-
-    async def _find_placement(
-        self,
-        prompt: PromptState,
-        *,
-        excluded: frozenset[str] | None = None,
-        last_resort: bool = True,
-        spare: bool = False,
-    ) -> Placement | Overloaded | None:
-        allowed = self._allowed_endpoints()
-        if excluded is None:
-            excluded = frozenset(
-                self.failed_endpoints - self.history.tried_endpoints
-                if allowed
-                else self.failed_endpoints
-            )
-        return await self.context.fleet.query(
-            FindPlacement(
-                service=self.service,
-                fields=self.request.fields,
-                excluded=excluded,
-                allowed=allowed,
-                prompt=prompt,
-                rank=self._rank,
-                slack_seconds=self._slack_seconds(),
-                time_left_seconds=self.response_deadline - self.env.now,
-                committed=self._committed,
-                pause_seconds=self.route.pause_ms / MS_PER_SECOND,
-                kv_data_centre=self.prefill.kv_data_centre,
-                last_resort=last_resort,
-                spare=spare,
-                permits=self.permits.endpoints,
-                workspace=self._workspace_fields()["workspace"],
-            )
-        )
-
-    @property
-    def _committed(self) -> bool:
-        """Return whether the request can no longer be refused truthfully."""
-        return self.response.started or self.history.may_have_run
-
-    async def _may_send(self, step: str) -> bool:
-        """Return whether the parts of the prompt allow an attempt now.
-
-        If not, the request has ended, or its ``step`` is taken again soon.
-        """
-        if self.key_refusal is not None:
-            await self._end_without_key(AttemptOutcome.NOT_RUN)
-            return False
-        if self.response.stream.data_events:
-            return True  # an engine began to answer it and survived
-        check = await self.prompt.check()
-        if check.verdict is Verdict.WAIT:
-            self._schedule(TRIAL_CHECK_SECONDS, Tick(step))
-        elif check.verdict is Verdict.REFUSE:
-            names = ", ".join(one.part for one in check.suspects)
-            await self._give_up(
-                AttemptOutcome.NOT_RUN,
-                f"engines crashed on a part of the prompt: {names}",
-                code=ResultCode.PROMPT_PART_BLOCKED,
-                retry_after=check.until - self.env.now,
-            )
-        return check.verdict in (Verdict.PASS, Verdict.TRIAL)
+                self.receiver.schedule_stall_check(SILENCE_SECONDS)
 
     async def _place(self) -> None:
-        if not await self._may_send("place"):
-            return
-        prefilled_before = self.prefill.reached > 0
-        attempts_left = self.route.attempts - len(self.history.tried_endpoints)
-        placement = await self._find_placement(self.prefill.next_prompt(attempts_left))
-        prefill_again = (
-            prefilled_before
-            and isinstance(placement, Placement)
-            and placement.prefill_engine is not None
-        )
-        if prefill_again and not self.prefill_repeat_spent:
-            self.prefill_repeat_spent = await self.context.fleet.query(SpendRepeat(self.service))
-            if not self.prefill_repeat_spent:
-                placement = await self._find_placement(PromptState.PREFILL_AT_DECODER)
-        if isinstance(placement, Overloaded):
-            await self._give_up(
-                AttemptOutcome.NOT_RUN,
-                "its workspace uses more than its share of too little room"
-                if placement.yields
-                else f"its first event is expected after {placement.estimate:.2f} s",
-                retry_after=placement.retry_after,
-            )
-            return
-        if placement is None:
+        if not await self.next_attempt.place(self.spawn):
             await self._attempt_failed(
                 AttemptOutcome.NO_ENDPOINT, "no endpoint can take the request"
             )
-            return
-        if await self._must_wait("place", placement):
-            return
-        self.placement = placement
-        if placement.prefill_engine is not None:
-            self._send_prefill(placement)
-        else:
-            await self._send_request(placement.endpoint, kv_source=None)
+
+    async def _decode(self) -> None:
+        if not await self.next_attempt.decode(self.spawn):
+            await self._attempt_failed(
+                AttemptOutcome.NO_ENDPOINT, "no engine can decode", next_step="decode"
+            )
 
     async def _permits_denied(self, message: PermitsAcquired) -> None:
         """Refuse the request after too many denied permits, or wait if it can't be refused."""
         reason = "the endpoints take no more requests"
-        if self._committed:
+        if self.search.committed:
             await self._attempt_failed(AttemptOutcome.NO_ENDPOINT, reason, next_step=message.step)
         else:
             wait = message.denied.wait
-            await self._give_up(AttemptOutcome.NOT_RUN, reason, retry_after=wait)
-
-    async def _must_wait(self, step: str, placement: Placement) -> bool:
-        """Return whether the endpoints of a placement don't take the request now.
-
-        The step is taken again when a pause has ended or permits are decided, or the request ends.
-        """
-        if placement.not_before > self.env.now:
-            await self._wait_for_pause(step, placement.not_before)
-        elif placement.needs:
-            self.spawn(
-                self.permits.acquire(
-                    step, placement, self.response_deadline, committed=self._committed
-                )
-            )
-        else:
-            return False
-        return True
-
-    async def _wait_for_pause(self, step: str, not_before: float) -> None:
-        """Take a step again after a pause, or end the request if it can't wait that long.
-
-        The requests that wait are spread, so that they don't arrive at the same moment.
-        """
-        at = not_before + self.env.random.uniform(0, PAUSE_SPREAD_SECONDS)
-        if at >= self.response_deadline:
-            await self._give_up(
-                AttemptOutcome.NOT_RUN,
-                "the endpoints pause",
-                retry_after=not_before - self.env.now,
-            )
-            return
-        self.log.log_paused(at - self.env.now)
-        self._schedule(at - self.env.now, Tick(step))
-
-    def _send_prefill(self, placement: Placement) -> None:
-        self.prefill.sent += 1
-        self.prefill_repeat_spent = False
-        sent = ForwardedFields(
-            time_left_ms=self._time_left_ms(),
-            endpoint=placement.prefill_engine.id,
-            priority=self._priority(),
-            **self._workspace_fields(),
-            stage=Stage.PREFILL,
-            prefix_source=self._prefix_source(),
-        )
-        self._start_exchange(placement.prefill_engine, sent, prefill=True)
-
-    def _prefix_source(self) -> tuple[str, int] | None:
-        source = self.placement.prefix_source
-        return None if source is None else source.address
-
-    async def _send_request(self, endpoint: EndpointInfo, kv_source: str | None) -> None:
-        repeat_spent, self.repeat_spent = self.repeat_spent, False
-        if (
-            self.arrivals
-            and not repeat_spent
-            and not await self.context.fleet.query(SpendRepeat(self.service))
-        ):
-            reason = "the repeat budget is spent"
-            if may_wait(self._situation(AttemptOutcome.NOT_RUN), self.history):
-                self._wait("decode" if kv_source else "place", reason)
-            else:
-                await self._give_up(AttemptOutcome.NOT_RUN, reason)
-            return
-        sent = ForwardedFields(
-            time_left_ms=self._time_left_ms(),
-            endpoint=endpoint.id,
-            priority=self._priority(),
-            **self._workspace_fields(),
-            kv_source=kv_source,
-            prefix_source=None if kv_source else self._prefix_source(),
-            last_event_id=self.response.stream.last_id,
-        )
-        self.arrivals += 1
-        self._start_exchange(endpoint, sent, prefill=False)
-
-    def _start_exchange(
-        self, endpoint: EndpointInfo, sent: ForwardedFields, *, prefill: bool
-    ) -> None:
-        self.permits.use(endpoint.id)
-        is_first = self.exchanges == 0
-        self.exchanges += 1
-        number = self.context.connections.next_exchange()
-        fetches_kv_cache = sent.kv_source is not None
-        self.exchange = Exchange(
-            number,
-            endpoint,
-            prefill=prefill,
-            fetches_kv_cache=fetches_kv_cache,
-            events_before=self.response.stream.data_events,
-        )
-        self.received.start(None)
-        self.response.stream.begin_run()
-        self.first_bytes_reported = self.stall_checked = False
-        self.log.log_attempt(self.exchange, self.placement, sent)
-        send_exchange(
-            self.context,
-            self.exchange,
-            self.placement,
-            self.request,
-            self.route,
-            sent=sent,
-            deadline=self.deadline,
-            reply_to=self.inbox,
-            use=self._workspace_use() if is_first else None,
-        )
+            self.ending.give_up(AttemptOutcome.NOT_RUN, reason, retry_after=wait)
 
     async def _handle_response(self, *, until_closed: bool) -> None:
-        if self.exchange.prefill:
+        if self.exchanges.current.prefill:
             await self._handle_prefill_response()
-        elif self._refused_to_run():
-            await self._attempt_failed(
-                AttemptOutcome.NOT_RUN, f"status {self.received.head.status}"
-            )
-        elif (problem := self._problem()) is not None:
-            await self._attempt_failed(AttemptOutcome.BROKEN, problem)
-        elif self.received.head.status in SERVER_ERROR_STATUSES or (
-            self.response.started and not self._is_streaming()
-        ):
-            await self._attempt_failed(AttemptOutcome.FAILED, f"status {self.received.head.status}")
+        elif (failure := self.judge.failure_of_response()) is not None:
+            await self._attempt_failed(*failure)
         elif until_closed:
             # A crash ends the connection too, where a response has neither a length nor chunks.
-            self.spawn(self._confirm_end(self.exchange))
-        else:
-            self._complete_response()
-
-    async def _confirm_end(self, exchange: Exchange) -> None:
-        same_process = await is_same_process(self.context, exchange.endpoint)
-        self.send(EndConfirmed(exchange.number, same_process))
-
-    async def _has_ended(self, endpoint: EndpointInfo) -> bool:
-        """Return whether nothing listens at the endpoint's address any more."""
-        probe = ProbeAddress(endpoint.address, connect=True)
-        return await self.context.connections.query(probe) is Reachability.REFUSED
-
-    def _problem(self) -> str | None:
-        """Return why what was received can't be the endpoint's complete response, or ``None``."""
-        if not self._is_streaming():
-            return response_problem(self.received.head)
-        return self.response.stream.problem_at_end()
-
-    def _complete_response(self) -> None:
-        streaming = self._is_streaming()
-        self._end_exchange("answered")
-        if streaming:
-            self.response.finish_stream(self.received.head)
+            self.spawn(self.judge.confirm_end(self.exchanges.current))
         else:
-            self.response.send_response(self.received.head, self.received.body)
-        self._finish("answered", status=self.received.head.status)
-
-    def _report_first_bytes(self, *, prefilled: bool) -> None:
-        self.first_bytes_reported = True
-        self.context.fleet.send(
-            FirstBytesReceived(
-                endpoint=self.exchange.endpoint.id,
-                exchange=self.exchange.number,
-                seconds=self.env.now - self.written_at,
-                succeeded=self.received.head.status in SUCCESS_STATUSES,
-                prefilled=prefilled,
-            )
-        )
-
-    def _report_began(self) -> None:
-        """Report that the request began to run, once."""
-        fields = self.received.head.fields
-        if self.workspace is None or self.began or fields.not_run or fields.stamp is None:
-            return
-        self.began = True
-        if self.context.usage is not None:
-            at = run_began_at(self.env, self.route, self.written_at)
-            self.context.usage.put(RequestBegan(self.workspace.name, at))
-
-    def _is_streaming(self) -> bool:
-        return (
-            self.route.kind is RouteKind.STREAM
-            and self.received.head is not None
-            and self.received.head.status in SUCCESS_STATUSES
-            and not self.exchange.prefill
-            and response_problem(self.received.head) is None
-            and is_event_stream(self.received.head)
-        )
-
-    def _refused_to_run(self) -> bool:
-        return self.received.head is not None and self.received.head.fields.not_run
+            self.ending.complete()
 
     async def _handle_prefill_response(self) -> None:
         if self.received.head.status not in SUCCESS_STATUSES:
@@ -745,43 +329,14 @@
         except DecodeError as exc:
             await self._prefill_failed(str(exc))
             return
-        source = self.exchange.endpoint
+        source = self.exchanges.current.endpoint
         self.prefill.record_prefilled(source, kept.handle, self.env.now)
-        self._report_first_bytes(prefilled=True)
-        self._end_exchange("answered")
+        self.receiver.report_first_bytes(prefilled=True)
+        self.exchanges.end("answered")
         await self._decode()
 
-    async def _decode(self) -> None:
-        """Send the request to the engine that decodes it, with the KV cache of its prefill."""
-        if not await self._may_send("decode"):
-            return
-        # The prefill may have waited for seconds; the chosen decode engine may be leaving by now.
-        placement = await self._find_placement(PromptState.PREFILLED)
-        if placement is None:
-            await self._attempt_failed(
-                AttemptOutcome.NO_ENDPOINT, "no engine can decode", next_step="decode"
-            )
-            return
-        if await self._must_wait("decode", placement):
-            return
-        self.placement = placement
-        kv_source = self.context.dialect.kv_source(
-            self.prefill.kv_source.address, self.prefill.kv_handle
-        )
-        await self._send_request(placement.endpoint, kv_source=kv_source)
-
     async def _prefill_failed(self, reason: str, *, missed: bool = False) -> None:
-        failed = self.exchange.endpoint
-        self._log_attempt_failed(
-            AttemptOutcome.NOT_SENT if missed else AttemptOutcome.NOT_RUN, reason
-        )
-        refused = not missed and self._refused_to_run()
-        self._end_exchange("missed" if missed else "refused" if refused else "failed")
-        if missed:
-            self.prefill.record_missed()
-        else:
-            self.arrivals += 1  # only a prefill that succeeds costs no repeat
-            self.failed_endpoints.add(failed.id)
+        self.judge.end_prefill(reason, missed=missed)
         await self._place()
 
     async def _attempt_failed(
@@ -792,252 +347,48 @@
         work_outcome: str | None = None,
         next_step: str = "place",
     ) -> None:
-        self.history.record_failure(outcome)
-        self._log_attempt_failed(outcome, reason)
-        if outcome is AttemptOutcome.NOT_RUN and self._committed and self.first_sent_to:
-            self.history.forget_endpoint(self.exchange.endpoint.id)
-        broken = None
-        if outcome is AttemptOutcome.BROKEN and work_outcome is None:
-            broken = self._broken_attempt(reason)
-        fetches_kv_cache = self.exchange is not None and self.exchange.fetches_kv_cache
-        if self.exchange is not None:
-            if outcome is AttemptOutcome.NOT_RUN and fetches_kv_cache:
-                self.context.fleet.send(KvCacheLost(self.prefill.kv_source.id))
-                work_outcome = "left"
-            else:
-                self.failed_endpoints.add(self.exchange.endpoint.id)
-            self._end_exchange(work_outcome or _work_outcome(outcome))
-        if outcome is AttemptOutcome.NOT_SENT:
-            self.arrivals -= 1
+        broken = self.judge.end_attempt(outcome, reason, work_outcome)
         if self.extra.running:
             self._take_extra("took over")
-        elif broken is not None and (broken.is_evidence or self._allowed_endpoints()):
-            self.spawn(self._probe_broken_endpoint(broken))
+        elif broken is not None:
+            self.spawn(self.judge.probe_broken_endpoint(broken))
         else:
             await self._continue_after(outcome, reason, next_step=next_step)
 
-    async def _find_spare(self, excluded: frozenset[str]) -> Placement | None:
-        found = await self._find_placement(
-            PromptState.NOT_PREFILLED, excluded=excluded, last_resort=False, spare=True
-        )
-        return found if isinstance(found, Placement) else None
-
     def _take_extra(self, outcome: str) -> None:
         """Go on with the extra attempt alone."""
-        if self.exchange is not None:
-            self.history.may_have_run = True
-            self.extra.report_answer(self.exchange, self.written_at)
-            self._end_exchange("left")
-        self.exchange = self.extra.take(outcome)
-        self.placement = self.extra.placement
-        self.received.start(self.extra.head)
-        self.response.stream.begin_run()
-        self.first_sent_to = True
-        self.first_bytes_reported = self.stall_checked = False
-        self.last_data_at = self.env.now
+        self.exchanges.take_extra(outcome)
+        self.receiver.begin_exchange(self.extra.head)
         if self.extra.written_at is not None:
-            self.written_at = self.extra.written_at
             if self.extra.head is not None:
-                self.extra.report_answer(self.exchange, self.written_at)
-            self._schedule(SILENCE_SECONDS, Tick(f"silence {self.exchange.number}"))
+                self.exchanges.report_answer()
+            self.timers.schedule(SILENCE_SECONDS, Tick(f"silence {self.exchanges.current.number}"))
 
     async def _continue_after(
         self, outcome: AttemptOutcome, reason: str, *, next_step: str = "place"
     ) -> None:
         """Retry, wait or give up after a failed attempt."""
-        at = self._situation(outcome)
-        if self.key_refusal is not None:
-            await self._end_without_key(outcome)
-        elif decide(at, self.history) is NextStep.RETRY and self._has_endpoint_left():
+        if self.terms.key_refusal is not None:
+            self.ending.end_without_key(outcome)
+        elif self.judge.may_retry(outcome):
             await self._place()
-        elif may_wait(at, self.history):
-            self._wait(next_step, reason)
+        elif self.judge.may_wait(outcome):
+            self.next_attempt.wait(next_step, reason, self.spawn)
         else:
-            await self._give_up(outcome, reason)
-
-    async def _end_without_key(self, outcome: AttemptOutcome) -> None:
-        """End the request, whose key no longer holds, before another attempt."""
-        self.log.log_key_revoked(self.key_refusal.reason)
-        await self._give_up(outcome, self.key_refusal.reason, code=self.key_refusal.code)
-
-    def _wait(self, step: str, reason: str) -> None:
-        """Take a step again once an endpoint can answer the request."""
-        self.failed_endpoints.clear()
-        self.permits.denied = 0
-        not_before = self.env.now + exponential_delay(WAIT_SECONDS, MAX_WAIT_SECONDS, self.waits)
-        self.waits += 1
-        self.log.log_waiting(reason, self.response_deadline - self.env.now)
-        self.spawn(self._take_step_with_endpoint(step, not_before))
-
-    async def _take_step_with_endpoint(self, step: str, not_before: float) -> None:
-        found = await self.context.fleet.query(
-            AwaitEndpoint(self.service, self._allowed_endpoints())
-        )
-        self.send(WaitEnded(step, not_before, endpoint_left=found))
-
-    def _log_attempt_failed(self, outcome: AttemptOutcome, reason: str) -> None:
-        self.log.log_attempt_failed(
-            self.exchange,
-            outcome,
-            reason,
-            begun=self.received.head is not None,
-            events=self._exchange_events(),
-        )
-
-    def _exchange_events(self) -> int:
-        """Return how many events the current exchange has brought."""
-        if self.exchange is None:
-            return 0
-        return self.response.stream.data_events - self.exchange.events_before
-
-    def _broken_attempt(self, reason: str) -> BrokenAttempt:
-        return BrokenAttempt(
-            exchange=self.exchange,
-            reason=reason,
-            begun=self.received.head is not None,
-            is_evidence=bool(self.prompt.keys) and not self._exchange_events(),
-        )
-
-    async def _probe_broken_endpoint(self, attempt: BrokenAttempt) -> None:
-        """Find out whether the endpoint has ended, which then doesn't count as tried."""
-        ended = await self._has_ended(attempt.exchange.endpoint)
-        self.send(BrokenEndpointProbed(attempt, ended))
-
-    def _may_withdraw(self) -> bool:
-        """Return whether the request waits at an engine and may be sent again."""
-        return (
-            not self.ended
-            and self.exchange is not None
-            and not self.exchange.prefill
-            and not self.response.stream.data_events
-            and self.route.idempotent
-        )
+            self.ending.give_up(outcome, reason)
 
     def _withdraw(self) -> None:
         """Take the request back from an engine that one of its parts may crash."""
-        if not self._may_withdraw():
-            return
-        self.history.may_have_run = True
-        self._log_attempt_failed(
-            AttemptOutcome.BROKEN, "withdrawn: a part of its prompt is suspected"
-        )
-        self._end_exchange("left")
-        self.send(Tick("place"))
+        if self.judge.may_withdraw():
+            self.judge.withdraw()
+            self.send(Tick("place"))
 
     def _check_silence(self) -> None:
         """Test the endpoint's reachability if it has sent no bytes for a while."""
-        if self.env.now - self.last_data_at >= SILENCE_SECONDS:
-            self.spawn(self._test_endpoint(self.exchange))
-        else:
-            self._schedule(SILENCE_SECONDS, Tick(f"silence {self.exchange.number}"))
-
-    async def _test_endpoint(self, exchange: Exchange) -> None:
-        found = await self.context.connections.query(ProbeAddress(exchange.endpoint.address))
-        self.send(EndpointProbed(exchange.number, found is Reachability.REACHABLE))
-
-    def _has_endpoint_left(self) -> bool:
-        return len(self.history.tried_endpoints) < self.route.attempts or bool(
-            self.history.tried_endpoints - self.failed_endpoints
-        )
-
-    async def _give_up(
-        self,
-        outcome: AttemptOutcome,
-        reason: str,
-        *,
-        code: ResultCode = ResultCode.NO_ENDPOINT,
-        retry_after: float | None = None,
-    ) -> None:
-        next_step = final_step(self._situation(outcome), self.history)
-        if next_step is NextStep.CLOSE_CONNECTION:
-            self.response.abort()
-        elif next_step is NextStep.FORWARD:
-            self.response.send_response(self.received.head, self.received.body)
-        elif next_step is NextStep.REFUSE:
-            self.response.refuse(code, reason, retry_after)
-        else:
-            self.response.refuse(ResultCode.ENDPOINT_FAILED, reason)
-        self._finish(next_step.value, reason=reason)
-
-    async def _handle_timeout(self) -> None:
-        may_have_run = self.exchange is not None and not self.exchange.prefill
-        if may_have_run and self.received.head is None:
-            self.extra.report_answer(self.exchange, self.written_at)
-        self._end_exchange("left")
-        if self.response.started:
-            self.response.abort()
-        elif may_have_run or self.history.may_have_run:
-            self.response.refuse(ResultCode.DEADLINE_MISSED, "no response within the time limit")
+        if self.exchanges.silent:
+            self.spawn(self.judge.test_endpoint(self.exchanges.current))
         else:
-            self.response.refuse(ResultCode.NO_ENDPOINT, "no endpoint within the time limit")
-        self._finish("out of time")
-
-    def _situation(self, outcome: AttemptOutcome) -> FailedAttempt:
-        return FailedAttempt(
-            route=self.route,
-            outcome=outcome,
-            now=self.env.now,
-            response_deadline=self.response_deadline,
-            response_started=self.response.started,
-        )
-
-    def _end_exchange(self, outcome: str) -> None:
-        exchange, self.exchange = self.exchange, None
-        if exchange is None:
-            return
-        self.context.connections.send(CancelExchange(exchange.number))
-        self.context.fleet.send(WorkEnded(exchange.endpoint.id, exchange.number, outcome))
-        self.extra.report(exchange, outcome, self.written_at)
-        if exchange.fetches_kv_cache and outcome in ("answered", "failed"):
-            self.prefill.release()
-
-    def _finish(self, outcome: str, **fields: object) -> None:
-        self.ended = True
-        self.extra.cancel()
-        self.prompt.end()
-        self.permits.release()
-        self.received.start(None)
-        if (kept := self.prefill.release()) is not None:
-            self.context.fleet.spawn(release_kv_cache(self.context, *kept))
-        self.log.log_ended(
-            outcome, self.response, self.arrivals, self.prefill.prefilled_at, **fields
-        )
-        self.stop()
-
-    @property
-    def _rank(self) -> int:
-        """Return the rank of the request by the priorities of its workspace and its route."""
-        if self.ranks is None:
-            return self.route.priority
-        return self.ranks.rank(self.workspace, self.route)
-
-    def _workspace_fields(self) -> dict[str, Any]:
-        """Return the fields of ``ForwardedFields`` that tell an endpoint the workspace."""
-        name = None if self.workspace is None else self.workspace.name
-        return {"workspace": name, "workspaces_in_use": self.workspaces_in_use}
-
-    def _workspace_use(self) -> WorkspaceUse | None:
-        name = None if self.workspace is None else self.workspace.name
-        return workspace_use(name, self.service, self._rank, self.request.fields)
-
-    def _priority(self) -> int | None:
-        return self.placement.rank if self.route.prefix_affinity else None
-
-    def _slack_seconds(self) -> float:
-        """Return the seconds that are left until the route's objective is missed."""
-        return self.route.objective_ms / MS_PER_SECOND - (self.env.now - self.request.received_at)
-
-    def _time_left_ms(self) -> float:
-        return (self.deadline - self.env.now) * MS_PER_SECOND
+            self.timers.schedule(SILENCE_SECONDS, Tick(f"silence {self.exchanges.current.number}"))
 
     def _is_current(self, exchange: int) -> bool:
-        return not self.ended and self.exchange is not None and self.exchange.number == exchange
-
-    def _schedule(self, seconds: float, message: Tick) -> None:
-        self._timers.append(self.env.clock.callLater(max(0.0, seconds), self.send, message))
-
-
-def _work_outcome(outcome: AttemptOutcome) -> str:
-    if outcome is AttemptOutcome.NOT_SENT:
-        return "missed"
-    return "refused" if outcome is AttemptOutcome.NOT_RUN else "failed"
+        return not self.ending.ended and self.exchanges.is_current(exchange)
--- a/tests/test_workspace_keys.py
+++ b/tests/test_workspace_keys.py
@@ -425,7 +425,7 @@
     bench.fail_to_connect()
     sent = dict(bench.connections.sent[-1].headers)
     assert sent[b"X-Tenant"] == b"beta"
-    assert bench.task.workspace.priority == 3
+    assert bench.task.terms.workspace.priority == 3
 
 
 def test_request_of_a_route_that_became_public_needs_no_key():
