--- a/chivewall/cli/route.py
+++ b/chivewall/cli/route.py
@@ -17,7 +17,7 @@
     "headers",
     multiple=True,
     metavar="NAME:VALUE",
-    help="Header of the request, such as X-Token-Count; may be given several times.",
+    help="Header of the request, as its caller sends it; may be given several times.",
 )
 @click.option(
     "--header-file",
@@ -40,7 +40,7 @@
     Asks the gateway at --address, whose own placement answers. Each endpoint of
     the route's services is listed with the reason why it is chosen or not.
 
-    Example: chivewall route desk.example /book/7 --header X-Deadline-Ms:1500
+    Example: chivewall route desk.example /book/7 --header-file headers.txt
     """
     lines = [] if header_file is None else header_file.read_text(encoding="latin-1").splitlines()
     pairs = [_split(one) for one in (*headers, *filter(None, lines))]
