Count what the transport holds as unsent before a connection is aborted

A connection that closes is looked at once a second and aborted when the kernel has no unacknowledged bytes. The caller of the test reads again 4 s after its response began, at the moment of such a look: the kernel's buffer was empty and the transport had not written more yet.

--- a/chivewall/gateway/sockets.py
+++ b/chivewall/gateway/sockets.py
@@ -44,8 +44,8 @@
 def unsent_bytes(transport: Any) -> int:
     """Return how many bytes of a connection its peer has not acknowledged; 0 if it can't be told.
 
-    Bytes that the transport itself still holds don't count; it holds some only while the kernel's
-    buffer is full.
+    Bytes that the transport itself still holds count too: when a peer reads again after a pause,
+    the kernel's buffer may be empty until the transport writes more.
     """
     handle = transport.getHandle()
     if handle is None or handle.fileno() < 0:
@@ -54,4 +54,10 @@
         found = fcntl.ioctl(handle.fileno(), termios.TIOCOUTQ, bytes(4))
     except OSError:
         return 0
-    return struct.unpack("i", found)[0]
+    return struct.unpack("i", found)[0] + _held_bytes(transport)
+
+
+def _held_bytes(transport: Any) -> int:
+    """Return how many bytes a transport of Twisted has not handed to the kernel."""
+    first = len(getattr(transport, "dataBuffer", b"")) - getattr(transport, "offset", 0)
+    return first + getattr(transport, "_tempDataLen", 0)
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from chivewall.gateway.sockets import unsent_bytes
 from chivewall.standins.platform_endpoint import PlatformEndpoint
 from tests.utils.gateways import CALLER_HOST, GatewaySite, manifest, route
 from tests.utils.sites import wait_until
@@ -39,3 +40,27 @@
         while data := caller.recv(1_000_000):
             received += len(data)
     assert received > BODY_BYTES
+
+
+class HoldingTransport:
+    """Transport that has handed nothing to the kernel yet."""
+
+    dataBuffer = b"written"  # noqa: N815 - Twisted's name
+    offset = 2  # bytes of it that the kernel has
+    _tempDataLen = 10  # noqa: N815 - Twisted's name
+
+    def __init__(self, handle):
+        self.handle = handle
+
+    def getHandle(self):  # noqa: N802 - Twisted's name
+        return self.handle
+
+
+def test_bytes_that_the_transport_holds_are_unsent():
+    """Guards against a connection that is aborted while its caller begins to read again.
+
+    The kernel's buffer is empty for a moment then, and the transport holds the rest.
+    """
+    left, right = socket.socketpair()
+    with left, right:
+        assert unsent_bytes(HoldingTransport(left)) == 5 + 10
