--- a/chivewall/gateway/gateway.py
+++ b/chivewall/gateway/gateway.py
@@ -353,6 +353,7 @@
 
     async def setup(self) -> None:
         """Create the task."""
+        self.listener: IListeningPort | None = None  # none before the start, or if it fails
         context = RequestContext(
             env=self.env,
             fleet=self.env.require(Fleet),
@@ -373,7 +374,7 @@
         self.gateway.start()
         self.env.require(Peers).send(SubscribeToPeerVersions(self.gateway.inbox))
         host, port = parse_address(self.cfg.address)
-        self.listener: IListeningPort = self.env.reactor.listenTCP(
+        self.listener = self.env.reactor.listenTCP(
             port,
             IngressFactory(self.env, self.gateway),
             backlog=BACKLOG,
@@ -412,7 +413,8 @@
     async def stop(self) -> None:
         """Stop listening and close the remaining connections."""
         await self.gateway.stop()
-        await maybeDeferred(self.listener.stopListening)
+        if self.listener is not None:
+            await maybeDeferred(self.listener.stopListening)
 
     def reload(self, cfg: GatewaySettings) -> None:
         """Apply changed settings; a changed address takes effect at the next start."""
