Give each worker of pytest its own ports

Cause: gateways of tests ended at their start since another worker had chosen the same port between the choice and the listening: with eight workers and four ports a site from 20,000, some 0.2% of the starts, which is about every second run of the suite (worked out).

Conclusion: workers no longer choose each other's ports; other runs at the same time may.

--- a/tests/utils/sites.py
+++ b/tests/utils/sites.py
@@ -1,6 +1,7 @@
 """Helpers that run a site of separate processes with copies of ``examples/site``'s settings."""
 
 import json
+import os
 import secrets
 import signal
 import socket
@@ -21,6 +22,9 @@
 # Below the ephemeral range of the system: an outgoing connection could otherwise take a port
 # after its choice and before the process for which it was chosen listens on it.
 PORT_RANGE = range(10_000, 30_000)
+# Each worker of pytest chooses from its own part of the range: another one could choose a port
+# before the process for which it was chosen listens on it.
+MAX_WORKERS = 32
 SHOWN_LOG_LINES = 5  # last lines shown of the log of a process that ended early
 POLL_SECONDS = 0.02  # pause between two checks of a condition
 TIMEOUT_SECONDS = 20.0  # time in which a condition must hold or a process must end
@@ -39,8 +43,10 @@
 
 def free_port(taken):
     """Return a loopback port that is free now and not in ``taken``."""
+    worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw")) % MAX_WORKERS
+    ports = PORT_RANGE[worker::MAX_WORKERS]
     while True:
-        port = secrets.choice(PORT_RANGE)
+        port = secrets.choice(ports)
         if port in taken:
             continue
         with socket.socket() as probe, suppress(OSError):
