--- a/review/stand2/deployment.py
+++ b/review/stand2/deployment.py
@@ -18,7 +18,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 sys.path[:0] = [str(ROOT), str(ROOT / "target" / "deps")]
 
-from chivewall.standins.platform_store import PlatformStore  # noqa: E402
+from chivewall.standins.platform_store import PlatformStore, ThreadedServer  # noqa: E402
 from chivewall.standins.template import instance_fields, render_settings  # noqa: E402
 
 HOST = "desk.example"
@@ -104,7 +104,11 @@
     runners: list[RunnerProcess] = field(default_factory=list)
     processes: list[subprocess.Popen] = field(default_factory=list)
     ips: list[str] = field(default_factory=list)
+    # Addresses at which single gateways reach the store, by their number; the others as usual.
+    store_paths: dict[int, tuple[str, int]] = field(default_factory=dict)
+    store_address: tuple[str, int] | None = None
     stopping: threading.Event = field(default_factory=threading.Event)
+    _serving: ThreadedServer | None = field(default=None, init=False)
     folder: Path = field(default_factory=lambda: Path(tempfile.mkdtemp(prefix="review-")))
 
     def add_runner(self, name: str, service: str, **options: object) -> RunnerProcess:
@@ -117,11 +121,16 @@
         with contextlib.suppress(KeyError):
             self.store.delete("servers", name)
 
+    def open_store(self) -> None:
+        """Serve the store."""
+        self._serving = self.store.serve()
+        self.store_address = self._serving.__enter__()
+
     def start(self, routes: list[dict], down_seconds: float = 2.0) -> None:
         """Start everything, and wait until the gateways are ready."""
         self.put_manifest(1, routes)
-        self._serving = self.store.serve()
-        self.store_address = self._serving.__enter__()
+        if self._serving is None:
+            self.open_store()
         for one in self.runners:
             one.start()
             threading.Thread(target=one.supervise, args=(down_seconds,), daemon=True).start()
@@ -149,7 +158,8 @@
         """Start a gateway with the command of the deploy file."""
         ip = self.ips[number]
         seeds = tuple(f"{one}:{self.ports['ready']}" for one in self.ips[:3])
-        fields = instance_fields(f"gateway-{number + 1}", self.ports, self.store_address, ip, seeds)
+        store = self.store_paths.get(number, self.store_address)
+        fields = instance_fields(f"gateway-{number + 1}", self.ports, store, ip, seeds)
         settings = self.folder / f"gateway-{number + 1}.jsonc"
         settings.write_text(render_settings(fields))
         env = {
@@ -192,7 +202,8 @@
                 one.send_signal(signal.SIGCONT)
                 one.kill()
                 one.wait(10)
-        self._serving.__exit__(None, None, None)
+        if self._serving is not None:
+            self._serving.__exit__(None, None, None)
         if not os.environ.get("KEEP"):
             shutil.rmtree(self.folder, ignore_errors=True)
 
