--- a/review/9/case.py
+++ b/review/9/case.py
@@ -14,8 +14,8 @@
 
 from chivewall.standins import platform_store
 
-CONFIG_SECONDS = 2.0  # configMs
-STABLE_SECONDS = 3.0  # stableMs
+CONFIG_SECONDS = 3.0  # configMs
+STABLE_SECONDS = 4.0  # stableMs
 HISTORY_SECONDS = 20.0  # historyS
 VALUE_BYTES = 1_048_576  # valueBytes
 CHANGES, GAP_SECONDS = 12, 0.33  # of the manifest, as in the days of the site file
