Review: case 6, part of a plain service's answer passed on as whole

Seen: a runner crashes behind a cut, inside answers without a length, and is back under its id when the cut heals; callers get the part as a complete 200. At fault: an answer to the question whether the process still runs counts as yes if it names neither id nor start (platform/headers.py, is_process).

--- a/review/stand2/deployment.py
+++ b/review/stand2/deployment.py
@@ -44,39 +44,51 @@
     options: dict
     port: int
     boots: int = 0
+    keeps_id: bool = False  # over its starts
+    listed_at: tuple[str, int] | None = None  # None: where it listens
     process: subprocess.Popen | None = None
     crashed_at: list[float] = field(default_factory=list)
+    born: int = 0  # Unix time of its present start, ms
 
     @property
     def id(self) -> str:
         """Return the id of its present start."""
-        return f"{self.name}-{self.boots}"
+        return self.name if self.keeps_id else f"{self.name}-{self.boots}"
 
     def start(self) -> None:
         """Start the process, and list it in the store once it listens."""
+        self.start_process()
+        self.register()
+
+    def start_process(self) -> None:
+        """Start the process, and wait until it listens."""
         self.boots += 1
-        born = int(time.time() * 1000)
+        self.born = int(time.time() * 1000)
         options = {
             "id": self.id,
             "host": "127.0.0.1",
             "port": self.port,
             "log": str(self.site.folder / "runners.log"),
-            "born": born,
+            "born": self.born,
             **self.options,
         }
         command = [sys.executable, str(RUNNER), json.dumps(options)]
         self.process = subprocess.Popen(command)  # noqa: S603
-        wait_for(lambda: can_connect("127.0.0.1", self.port), 10.0)
+        wait_for(lambda: can_connect("127.0.0.1", self.port), 10.0, 0.01)
+
+    def register(self) -> None:
+        """List the runner in the store, as it does itself."""
+        host, port = self.listed_at or ("127.0.0.1", self.port)
         document = {
             "service": self.service,
-            "addr": f"127.0.0.1:{self.port}",
+            "addr": f"{host}:{port}",
             "zone": "north",
             "version": "v1",
             "slots": 64 if self.options.get("stage") else 6,
             "state": "ready",
             "coldLeftMs": 0,
             "seq": 1,
-            "born": born,
+            "born": self.born,
         }
         if self.options.get("stage"):
             document["stage"] = self.options["stage"]
@@ -126,14 +138,18 @@
         self._serving = self.store.serve()
         self.store_address = self._serving.__enter__()
 
-    def start(self, routes: list[dict], down_seconds: float = 2.0) -> None:
-        """Start everything, and wait until the gateways are ready."""
+    def start(self, routes: list[dict], down_seconds: float | None = 2.0) -> None:
+        """Start everything, and wait until the gateways are ready.
+
+        ``down_seconds``: from a runner's crash to its next start; ``None``: it isn't started again.
+        """
         self.put_manifest(1, routes)
         if self._serving is None:
             self.open_store()
         for one in self.runners:
             one.start()
-            threading.Thread(target=one.supervise, args=(down_seconds,), daemon=True).start()
+            if down_seconds is not None:
+                threading.Thread(target=one.supervise, args=(down_seconds,), daemon=True).start()
         pid = os.getpid()
         self.ips = [f"127.{1 + pid // 256 % 250}.{pid % 256}.{n + 2}" for n in range(self.gateways)]
         names = ("front", "ready", "peer", "metrics")
@@ -282,10 +298,10 @@
     return True
 
 
-def wait_for(condition: object, seconds: float) -> None:
+def wait_for(condition: object, seconds: float, pause: float = 0.05) -> None:
     """Wait until a condition holds; raise ``TimeoutError`` if it doesn't in time."""
     until = time.monotonic() + seconds
     while not condition():
         if time.monotonic() > until:
             raise TimeoutError("the site did not start")
-        time.sleep(0.05)
+        time.sleep(pause)
--- a/review/stand2/runner.py
+++ b/review/stand2/runner.py
@@ -29,6 +29,8 @@
     events: int = 8
     gap_ms: float = 40.0
     first_ms: float = 60.0  # until the first event
+    # A plain service sends its answer in so many pieces, and ends it by its channel; 0: whole.
+    pieces: int = 0
     deadly_parts: list[str] = field(default_factory=list)
     deadly_events: int = 0  # events that are written before the crash
     # While this file exists, bodies of streams are bytes without an end.
@@ -83,6 +85,8 @@
         try:
             while (request := await read_request(reader)) is not None:
                 await self.answer(request, reader, writer)
+                if self.options.pieces and request.id:
+                    return
         except (ConnectionError, asyncio.IncompleteReadError):
             if request is not None:
                 self.note("cut off", request)
@@ -130,6 +134,9 @@
     async def work(self, request: Request, writer: asyncio.StreamWriter) -> None:
         """Do the work of a request, and write the answer."""
         options = self.options
+        if options.stage is None and options.pieces:
+            await self.send_in_pieces(writer, request)
+            return
         if options.stage is None:
             await asyncio.sleep(options.work_ms / 1000)
             self.note("runs", request)
@@ -154,6 +161,19 @@
         writer.write(b"0\r\n\r\n")
         await writer.drain()
 
+    async def send_in_pieces(self, writer: asyncio.StreamWriter, request: Request) -> None:
+        """Send an answer that has neither a length nor chunks, and end its channel."""
+        options = self.options
+        self.note("runs", request)
+        head = self.head(request, 200, stamped=True, length=0)
+        writer.write(head.replace(b"Content-Length: 0", b"Connection: close"))
+        for number in range(1, options.pieces + 1):
+            writer.write(f"part {number} of {options.pieces} for {request.id}\n".encode())
+            await writer.drain()
+            await asyncio.sleep(options.work_ms / 1000 / options.pieces)
+        self.note("whole", request)
+        writer.write_eof()
+
     def is_endless(self) -> bool:
         """Return whether the runner is in trouble now."""
         after = self.options.endless_after
