--- a/review/stand2/deployment.py
+++ b/review/stand2/deployment.py
@@ -28,12 +28,21 @@
 RUNNER = Path(__file__).with_name("runner.py")
 
 
+def own_address(number: int) -> str:
+    """Return a loopback address that no other case uses, so that none takes another's ports."""
+    pid = os.getpid()
+    return f"127.{1 + pid // 256 % 250}.{pid % 256}.{number}"
+
+
 def free_port(host: str) -> int:
     """Return a port that is free now."""
     with socket.create_server((host, 0)) as one:
         return one.getsockname()[1]
 
 
+RUNNER_HOST = own_address(200)
+
+
 @dataclass
 class RunnerProcess:
     """A runner that is started again some seconds after a crash, under a new id."""
@@ -66,7 +75,7 @@
         self.born = int(time.time() * 1000)
         options = {
             "id": self.id,
-            "host": "127.0.0.1",
+            "host": RUNNER_HOST,
             "port": self.port,
             "log": str(self.site.folder / "runners.log"),
             "born": self.born,
@@ -74,11 +83,11 @@
         }
         command = [sys.executable, str(RUNNER), json.dumps(options)]
         self.process = subprocess.Popen(command)  # noqa: S603
-        wait_for(lambda: can_connect("127.0.0.1", self.port), 10.0, 0.01)
+        wait_for(lambda: can_connect(RUNNER_HOST, self.port), 10.0, 0.01)
 
     def register(self) -> None:
         """List the runner in the store, as it does itself."""
-        host, port = self.listed_at or ("127.0.0.1", self.port)
+        host, port = self.listed_at or (RUNNER_HOST, self.port)
         document = {
             "service": self.service,
             "addr": f"{host}:{port}",
@@ -125,7 +134,8 @@
 
     def add_runner(self, name: str, service: str, **options: object) -> RunnerProcess:
         """Add a runner; it starts with the site."""
-        self.runners.append(RunnerProcess(self, name, service, options, free_port("127.0.0.1")))
+        port = free_port(RUNNER_HOST)
+        self.runners.append(RunnerProcess(self, name, service, options, port))
         return self.runners[-1]
 
     def remove_entry(self, name: str) -> None:
@@ -150,8 +160,7 @@
             one.start()
             if down_seconds is not None:
                 threading.Thread(target=one.supervise, args=(down_seconds,), daemon=True).start()
-        pid = os.getpid()
-        self.ips = [f"127.{1 + pid // 256 % 250}.{pid % 256}.{n + 2}" for n in range(self.gateways)]
+        self.ips = [own_address(number + 2) for number in range(self.gateways)]
         names = ("front", "ready", "peer", "metrics")
         self.ports = {one: free_port(self.ips[0]) for one in names}
         for number in range(self.gateways):
--- a/review/stand2/endless.py
+++ b/review/stand2/endless.py
@@ -27,8 +27,11 @@
 ]
 
 
-def play(folder: Path, unit: str, *, in_head: bool) -> bool:
-    """Return whether the rule was broken; ``unit``: what the engine sends again and again."""
+def play(folder: Path, unit: str, *, in_head: bool, engines: int = 1) -> bool:
+    """Return whether the rule was broken.
+
+    ``unit``: what so many engines of four send again and again.
+    """
     site = Site(gateways=2)
     clients = Clients(site)
     try:
@@ -36,8 +39,8 @@
             site.add_runner(f"desk-{number}", "desk", work_ms=50)
         for number in range(4):
             site.add_runner(f"engine-{number}", "engines", stage="decode")
-        if TROUBLE:
-            site.runners[-1].options |= {
+        for runner in site.runners[-engines:] if TROUBLE else ():
+            runner.options |= {
                 "endless_after": str(site.folder / "trouble"),
                 "endless_unit": unit,
                 "endless_in_head": in_head,
