--- a/review/8/case.py
+++ b/review/8/case.py
@@ -12,8 +12,10 @@
 STABLE_SECONDS = 3.0  # stableMs
 MOST = 3  # rule BUDGET: arrivals later than stableMs after the fifth crash
 CRASHES = 5
-SECONDS = 35.0
+SECONDS = 28.0
 DEADLY_FROM = 8.0  # seconds after the start of the sound requests
+TURN_SECONDS = 0.05  # between two sound requests
+TURNS_TO_DEADLY = 33  # a share of 0.03
 EVENTS = 10
 ROUTES = [
     {
@@ -56,16 +58,16 @@
 
 
 def send_requests(clients: Clients) -> None:
-    """Send ten sound requests a second, and one with the deadly part."""
+    """Send twenty sound requests a second, and a share of 0.03 with the deadly part."""
     began, turns = time.time(), 0
     while time.time() - began < SECONDS:
         headers = prompt(f"{clients.count % 10:04x}", clients.count, EVENTS)
         clients.send_later("audit", "sound", 6000, headers)
-        if turns % 10 == 0 and time.time() - began > DEADLY_FROM:
+        if turns % TURNS_TO_DEADLY == 0 and time.time() - began > DEADLY_FROM:
             headers = prompt("dead", clients.count, EVENTS)
             clients.send_later("audit", "deadly", 6000, headers)
         turns += 1
-        time.sleep(max(0.0, began + turns * 0.1 - time.time()))
+        time.sleep(max(0.0, began + turns * TURN_SECONDS - time.time()))
     clients.join()
 
 
--- a/review/stand2/clients.py
+++ b/review/stand2/clients.py
@@ -2,6 +2,8 @@
 
 import json
 import os
+import signal
+import sys
 import threading
 import time
 from collections.abc import Callable
@@ -73,6 +75,8 @@
 
 def run_case(folder: str, play: Callable[[Path], bool]) -> int:
     """Play a case; return 1 if the rule was broken, 0 if it held, 2 if it couldn't be played."""
+    # The processes of the case are ended then too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         return int(play(Path(folder).resolve().parent))
     except Exception as exc:
--- a/review/stand2/deployment.py
+++ b/review/stand2/deployment.py
@@ -158,6 +158,8 @@
             self.open_store()
         for one in self.runners:
             one.start()
+            if one.process.poll() is not None:
+                raise OSError(f"{one.id} ended at its start")
             if down_seconds is not None:
                 threading.Thread(target=one.supervise, args=(down_seconds,), daemon=True).start()
         self.ips = [own_address(number + 2) for number in range(self.gateways)]
